--- a/pkg/core/refusal.go
+++ b/pkg/core/refusal.go
@@ -22,7 +22,7 @@
 	CodeNoKey              Code = "missing_key"
 	CodeMalformedKey       Code = "malformed_key"
 	CodeUnknownKey         Code = "unknown_key"
-	CodeKeyWithdrawn       Code = "key_withdrawn"
+	CodeKeyRevoked         Code = "key_revoked"
 	CodeKeysStale          Code = "keys_not_confirmed"
 	CodeUnknownRoute       Code = "unknown_route"
 	CodeUnknownModel       Code = "unknown_model"
@@ -52,7 +52,7 @@
 	CodeNoKey:              401,
 	CodeMalformedKey:       401,
 	CodeUnknownKey:         401,
-	CodeKeyWithdrawn:       401,
+	CodeKeyRevoked:         401,
 	CodeKeysStale:          503,
 	CodeUnknownRoute:       404,
 	CodeUnknownModel:       404,
