--- a/pkg/core/refusal.go
+++ b/pkg/core/refusal.go
@@ -44,6 +44,7 @@
 	CodeNotConfigured      Code = "not_configured"
 	CodeDeadline           Code = "deadline_exceeded"
 	CodeTooManyConnections Code = "too_many_connections"
+	CodeKeyInRequest       Code = "key_in_request"
 )
 
 var statusOf = map[Code]int{
@@ -74,6 +75,7 @@
 	CodeNotConfigured:      503,
 	CodeDeadline:           504,
 	CodeTooManyConnections: 503,
+	CodeKeyInRequest:       400,
 }
 
 // Status returns the HTTP status of the code, 500 for an unknown one.
--- /dev/null
+++ b/pkg/router/effect.go
@@ -0,0 +1,209 @@
+package router
+
+import (
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/claims"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
+	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
+)
+
+// Effect is an output of the router: something the daemon has to do.
+type Effect interface{ effect() }
+
+// Refuse ends a request without a whole answer.
+type Refuse struct {
+	Request core.RequestID
+	Refusal *core.Refusal
+}
+
+// Replay answers a resent request with the recorded outcome of the first one.
+type Replay struct {
+	Request core.RequestID
+	Outcome claims.Outcome
+}
+
+// Complete says that the whole answer of a request was relayed.
+type Complete struct{ Request core.RequestID }
+
+// StartPrefill sends a prefill at the instant At.
+type StartPrefill struct {
+	Request  core.RequestID
+	Attempt  core.AttemptID
+	Upstream core.UpstreamID
+	URL      string
+	At       core.Instant
+	NotAfter core.Instant
+	// TokensSent is the number of tokens that the caller already has. The
+	// prefill covers them.
+	TokensSent int
+	Priority   int
+}
+
+// StartDecode lets a decode engine import the KV cache and streams its answer.
+type StartDecode struct {
+	Request   core.RequestID
+	Attempt   core.AttemptID
+	Upstream  core.UpstreamID
+	URL       string
+	SourceURL string
+	KV        string
+	NotAfter  core.Instant
+	// TokensSent is the index of the first token to generate.
+	TokensSent int
+	MaxTokens  int
+	Priority   int
+}
+
+// StartCall sends a call to a plain service.
+type StartCall struct {
+	Request  core.RequestID
+	Attempt  core.AttemptID
+	Upstream core.UpstreamID
+	URL      string
+	NotAfter core.Instant
+}
+
+// StartResume continues to read an attempt that another reader has left.
+type StartResume struct {
+	Request core.RequestID
+	// Attempt is the attempt as this Instance knows it, Running the one that the
+	// engine runs.
+	Attempt  core.AttemptID
+	Running  core.AttemptID
+	Upstream core.UpstreamID
+	URL      string
+	Offset   int
+	NotAfter core.Instant
+}
+
+// Cancel frees what an Upstream holds for an attempt, and ends its stream.
+type Cancel struct {
+	Attempt  core.AttemptID
+	Upstream core.UpstreamID
+	URL      string
+}
+
+// Addresses answers an AddressesAsked event.
+type Addresses struct {
+	Ask       uint64
+	Addresses membership.Addresses
+	Refusal   *core.Refusal
+}
+
+// OpKind says for which module a store call is made.
+type OpKind string
+
+// The kinds of store calls.
+const (
+	OpRoot   OpKind = "root"
+	OpPiece  OpKind = "piece"
+	OpRoster OpKind = "roster"
+	OpClaims OpKind = "claims"
+	OpStatus OpKind = "status"
+)
+
+// StoreOp names a store call. The daemon returns it in StoreReplied.
+type StoreOp struct {
+	Kind  OpKind
+	Write bool
+	Shard int
+	Hash  config.Hash
+}
+
+// StoreGet reads an object.
+type StoreGet struct {
+	Op   StoreOp
+	Name string
+}
+
+// StorePut writes an object if its version is still Base, 0 to create it.
+type StorePut struct {
+	Op       StoreOp
+	Name     string
+	Base     uint64
+	Value    []byte
+	NotAfter core.Instant
+}
+
+// FetchPiece asks a peer for a piece of the configuration.
+type FetchPiece struct {
+	Hash config.Hash
+	From core.InstanceID
+	Addr string
+}
+
+// ListInstances reads the platform's list.
+type ListInstances struct{}
+
+// PollLoad reads the load report and the cache events of an Upstream.
+type PollLoad struct {
+	Upstream core.UpstreamID
+	URL      string
+}
+
+// SendPeer sends a message to another Instance.
+type SendPeer struct {
+	To       core.InstanceID
+	Addr     string
+	Message  Message
+	NotAfter core.Instant
+}
+
+// InForce says that a configuration version is in force on this Instance.
+type InForce struct{ Snapshot *config.Snapshot }
+
+// StopServing makes the daemon refuse all requests and exit after a drain.
+type StopServing struct{ Reason string }
+
+// Drained says that a graceful shutdown may close the listeners: no caller has
+// an address answer that still names this Instance, and no request runs.
+type Drained struct{}
+
+// Record adds an event to the timeline.
+type Record struct{ Event timeline.Event }
+
+// Observe counts a finished request for the metrics.
+type Observe struct{ Observation Observation }
+
+// Observation is what the metrics need to know about a finished request.
+type Observation struct {
+	Account core.AccountID
+	Service core.ServiceName
+	// Code is empty when the whole answer was relayed.
+	Code core.Code
+	// CallerGone says that the caller left before the answer was whole.
+	CallerGone bool
+	// InsideRate says that a refused request was inside its account's rate.
+	InsideRate bool
+	// FirstToken and BetweenTokens are set for a whole answer of a model.
+	FirstToken    time.Duration
+	BetweenTokens time.Duration
+	Targets       config.Targets
+	OutputTokens  int
+	// WastedPrefillTokens counts prompt tokens whose prefill led to no answer.
+	WastedPrefillTokens int
+}
+
+func (Refuse) effect()        {}
+func (Replay) effect()        {}
+func (Complete) effect()      {}
+func (StartPrefill) effect()  {}
+func (StartDecode) effect()   {}
+func (StartCall) effect()     {}
+func (StartResume) effect()   {}
+func (Cancel) effect()        {}
+func (Addresses) effect()     {}
+func (StoreGet) effect()      {}
+func (StorePut) effect()      {}
+func (FetchPiece) effect()    {}
+func (ListInstances) effect() {}
+func (PollLoad) effect()      {}
+func (SendPeer) effect()      {}
+func (InForce) effect()       {}
+func (StopServing) effect()   {}
+func (Drained) effect()       {}
+func (Record) effect()        {}
+func (Observe) effect()       {}
--- /dev/null
+++ b/pkg/router/event.go
@@ -0,0 +1,206 @@
+package router
+
+import (
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/keys"
+	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
+	"github.com/rhubarbsill/rhubarbsill/pkg/placement"
+)
+
+// Event is an input of the router.
+type Event interface{ event() }
+
+// Tick says that the instant named by NextWake has come.
+type Tick struct{}
+
+// Request is what a caller asked for, without its body. The daemon keeps the
+// body until the request is finished.
+type Request struct {
+	ID core.RequestID
+	// Model is set for a completion, Method and Path for a plain call.
+	Model  core.ModelName
+	Method string
+	Path   string
+	// Credential is nil when the caller sent no key.
+	Credential *keys.Credential
+	// PromptTokens is the estimated number of tokens of the prompt.
+	PromptTokens int
+	// MaxOutput is the largest number of tokens that the answer may have.
+	MaxOutput int
+	// Prefix holds the chained hash of each block of the prompt, first block
+	// first.
+	Prefix      []uint64
+	Fingerprint core.Fingerprint
+	BodyDigest  [32]byte
+	// IdempotencyKey is empty when the caller sent none.
+	IdempotencyKey string
+	Deadline       core.Instant
+	// WallTime is the wall clock at arrival, for the age of idempotency keys.
+	WallTime time.Time
+	// Resume is set when the caller continues an answer that broke off.
+	Resume *ResumeFrom
+}
+
+// ResumeFrom is the position of an answer that broke off, as read from a sealed
+// SSE id that the caller presented.
+type ResumeFrom struct {
+	Account  core.AccountID
+	Request  core.RequestID
+	Attempt  core.AttemptID
+	Upstream core.UpstreamID
+	Offset   int
+}
+
+func (r *Request) plain() bool { return r.Model == "" }
+
+// RequestArrived is a request that the daemon has read whole.
+type RequestArrived struct{ Request Request }
+
+// CallerGone says that the caller of a request has closed its connection or has
+// been silent for too long.
+type CallerGone struct{ Request core.RequestID }
+
+// AddressesAsked asks which entry addresses a caller should use.
+type AddressesAsked struct {
+	// Ask is returned in the Addresses effect.
+	Ask        uint64
+	Credential *keys.Credential
+}
+
+// AttemptSent says that the first byte of an attempt may have reached its
+// Upstream.
+type AttemptSent struct{ Attempt core.AttemptID }
+
+// PrefillDone says that a prefill has ended well.
+type PrefillDone struct {
+	Attempt core.AttemptID
+	// KV names the exported KV cache at the prefill engine.
+	KV string
+	// CachedTokens is the part of the prompt that the prefix cache served.
+	CachedTokens int
+}
+
+// FirstToken says that the first token of an answer was relayed.
+type FirstToken struct{ Attempt core.AttemptID }
+
+// Progress gives the number of tokens relayed so far.
+type Progress struct {
+	Attempt core.AttemptID
+	Tokens  int
+}
+
+// AnswerEnded says that an answer was relayed whole.
+type AnswerEnded struct {
+	Attempt core.AttemptID
+	// Tokens counts all output tokens that the caller has.
+	Tokens int
+	// Status is the HTTP status of a plain call.
+	Status int
+}
+
+// AttemptFailed says that an attempt ended without a whole answer.
+type AttemptFailed struct {
+	Attempt core.AttemptID
+	Failure attempts.Failure
+}
+
+// CancelConfirmed says that an Upstream no longer runs an attempt.
+type CancelConfirmed struct{ Attempt core.AttemptID }
+
+// LoadReported is the load of an Upstream, with the attempts that hold memory.
+type LoadReported struct {
+	Upstream core.UpstreamID
+	Report   placement.LoadReport
+}
+
+// LoadFailed says that an Upstream did not answer a poll of its load.
+type LoadFailed struct{ Upstream core.UpstreamID }
+
+// CacheReported holds the prefix cache events of an Upstream.
+type CacheReported struct {
+	Upstream core.UpstreamID
+	Events   placement.CacheEvents
+}
+
+// InstancesListed is the platform's list of Instances.
+type InstancesListed struct{ List []membership.Listed }
+
+// RootRead is a read of the configuration root.
+type RootRead struct {
+	Root config.Root
+	// AskedAt is the instant at which the read was sent: the confirmation is as
+	// old as the question.
+	AskedAt core.Instant
+}
+
+// PieceRead is a piece of the configuration.
+type PieceRead struct {
+	Hash config.Hash
+	Body []byte
+}
+
+// StoreFailure is how a call of the object store failed.
+type StoreFailure string
+
+// The kinds of failure of a store call.
+const (
+	StoreNotFound    StoreFailure = "not_found"
+	StoreConflict    StoreFailure = "conflict"
+	StoreUnavailable StoreFailure = "unavailable"
+	// StoreUnknown means that a write may have taken effect.
+	StoreUnknown StoreFailure = "unknown"
+)
+
+// StoreReplied is the answer of the object store to a StoreGet or StorePut.
+type StoreReplied struct {
+	Op      StoreOp
+	AskedAt core.Instant
+	// Failure is empty when the call succeeded.
+	Failure StoreFailure
+	Version uint64
+	Value   []byte
+}
+
+// PeerReceived is a message of another Instance.
+type PeerReceived struct {
+	From    core.InstanceRef
+	Message Message
+}
+
+// EffectExpired says that an effect was not carried out because its NotAfter
+// had passed.
+type EffectExpired struct{ Effect Effect }
+
+// Paused says that the process did not run for longer than the shortest lease
+// term. Incarnation is the number under which it goes on.
+type Paused struct{ Incarnation core.Incarnation }
+
+// ShutdownAsked begins a graceful shutdown.
+type ShutdownAsked struct{}
+
+func (Tick) event()            {}
+func (RequestArrived) event()  {}
+func (CallerGone) event()      {}
+func (AddressesAsked) event()  {}
+func (AttemptSent) event()     {}
+func (PrefillDone) event()     {}
+func (FirstToken) event()      {}
+func (Progress) event()        {}
+func (AnswerEnded) event()     {}
+func (AttemptFailed) event()   {}
+func (CancelConfirmed) event() {}
+func (LoadReported) event()    {}
+func (LoadFailed) event()      {}
+func (CacheReported) event()   {}
+func (InstancesListed) event() {}
+func (RootRead) event()        {}
+func (PieceRead) event()       {}
+func (StoreReplied) event()    {}
+func (PeerReceived) event()    {}
+func (EffectExpired) event()   {}
+func (Paused) event()          {}
+func (ShutdownAsked) event()   {}
--- /dev/null
+++ b/pkg/router/record.go
@@ -0,0 +1,91 @@
+package router
+
+import (
+	"slices"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
+)
+
+// attemptExpired fails an attempt whose permission ended before it was sent.
+func (r *Router) attemptExpired(now core.Instant, id core.AttemptID, up core.UpstreamID) {
+	failure := attempts.Failure{Kind: attempts.FailExpired, Upstream: up}
+	r.applyAttempts(now, r.attempts.OnFailed(now, id, failure))
+}
+
+// record adds an event of a request to the timeline. The daemon stamps it.
+func (r *Router) record(now core.Instant, part, kind string, f *flow, detail string) {
+	r.recordAt(now, part, kind, f, "", detail)
+}
+
+func (r *Router) recordAt(_ core.Instant, part, kind string, f *flow, up core.UpstreamID, detail string) {
+	r.emit(Record{Event: timeline.Event{
+		Part:     part,
+		Kind:     kind,
+		Request:  f.request.ID,
+		Account:  f.accountID(),
+		Upstream: up,
+		Detail:   detail,
+	}})
+}
+
+func (r *Router) recordEvent(_ core.Instant, part, kind, detail string) {
+	r.emit(Record{Event: timeline.Event{Part: part, Kind: kind, Detail: detail}})
+}
+
+// observe reports a request that has ended, for the metrics.
+func (r *Router) observe(f *flow, code core.Code, tokens int) {
+	o := Observation{
+		Account:      f.accountID(),
+		Service:      f.service.Name,
+		Code:         code,
+		OutputTokens: tokens,
+		InsideRate:   code != "" && code != core.CodeOverRate && code != core.CodeOverBurst,
+	}
+	if f.route == nil && code == "" {
+		o.FirstToken = f.firstToken.Sub(f.arrived)
+		o.BetweenTokens = f.ending.BetweenTokens
+		o.Targets = f.service.Targets
+	}
+	if code != "" {
+		o.WastedPrefillTokens = f.prefilled
+	}
+	r.emit(Observe{Observation: o})
+}
+
+// View is what the status page shows of a Router.
+type View struct {
+	Instance  core.InstanceRef   `json:"instance"`
+	Version   core.Version       `json:"version_in_force"`
+	Keys      string             `json:"keys_mode"`
+	Epoch     core.Epoch         `json:"roster_epoch"`
+	Settled   bool               `json:"roster_settled"`
+	Members   []core.InstanceRef `json:"members"`
+	Requests  int                `json:"requests_running"`
+	Upstreams []core.UpstreamID  `json:"upstreams_polled"`
+	Leaving   bool               `json:"leaving"`
+	Stopped   string             `json:"stopped,omitempty"`
+}
+
+// View returns the state to show to operators at the instant now.
+func (r *Router) View(now core.Instant) View {
+	roster := r.membership.Roster()
+	view := View{
+		Instance:  r.self.Ref,
+		Keys:      r.keys.Mode(now).String(),
+		Epoch:     roster.Epoch,
+		Settled:   roster.Settled,
+		Requests:  len(r.flows),
+		Upstreams: slices.Clone(r.polls.order),
+		Leaving:   r.leaving,
+		Stopped:   r.stopped,
+	}
+	if r.snapshot != nil {
+		view.Version = r.snapshot.Version()
+	}
+	for _, member := range roster.Members {
+		view.Members = append(view.Members, member.Ref)
+	}
+	return view
+}
--- /dev/null
+++ b/pkg/router/router.go
@@ -0,0 +1,241 @@
+// Package router composes the modules of one entry Instance into one state
+// machine. Step takes an event and returns effects as data; the daemon carries
+// the effects out and reports what became of them as further events.
+//
+// The package does no I/O. It reads no clock, starts no goroutine and writes no
+// log: the instant comes with each event, randomness and identities come with
+// Params. The same events in the same order give the same effects.
+package router
+
+import (
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
+	"github.com/rhubarbsill/rhubarbsill/pkg/claims"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/keys"
+	"github.com/rhubarbsill/rhubarbsill/pkg/limits"
+	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
+	"github.com/rhubarbsill/rhubarbsill/pkg/placement"
+	"github.com/rhubarbsill/rhubarbsill/pkg/rollout"
+)
+
+// Params are the settings of a Router. Zero values of durations and of module
+// settings select defaults.
+type Params struct {
+	Self        membership.Member
+	StoreRegion core.RegionName
+	// Environment names the configuration that is in force here.
+	Environment string
+	// Rand drives jitter and sampling. It is required.
+	Rand *rand.Rand
+	// Random gives the nonces of claims. It is required.
+	Random io.Reader
+
+	Keys       keys.Params
+	Rollout    rollout.Params
+	Limits     limits.Params
+	Membership membership.Params
+	Claims     claims.Params
+	Placement  placement.Params
+	Attempts   attempts.Params
+
+	// ListEvery is the time between two reads of the platform's list.
+	ListEvery time.Duration
+	// LoadEvery is the time between two polls of an Upstream's load.
+	LoadEvery time.Duration
+}
+
+// Defaults of Params.
+const (
+	defaultListEvery = 2 * time.Second
+	defaultLoadEvery = 500 * time.Millisecond
+)
+
+// Router is the state machine of one entry Instance.
+type Router struct {
+	params Params
+	self   membership.Member
+
+	keys       *keys.Checker
+	rollout    *rollout.Rollout
+	limits     *limits.Limiter
+	membership *membership.Membership
+	claims     *claims.Claims
+	placement  *placement.Placer
+	attempts   *attempts.Attempts
+
+	snapshot  *config.Snapshot
+	upstreams map[core.UpstreamID]upstreamEntry
+	flows     map[core.RequestID]*flow
+	running   map[core.AttemptID]core.RequestID
+	polls     pollSchedule
+
+	rosterWrite membership.Roster // the roster of the write in flight
+	nextList    core.Instant
+	leaving     bool
+	stopped     string
+	drained     bool
+	drainAt     core.Instant
+
+	effects []Effect
+}
+
+// New returns the Router of a starting Instance.
+func New(p Params) *Router {
+	if p.ListEvery == 0 {
+		p.ListEvery = defaultListEvery
+	}
+	if p.LoadEvery == 0 {
+		p.LoadEvery = defaultLoadEvery
+	}
+	p.Keys.Region = p.Self.Region
+	p.Keys.StoreRegion = p.StoreRegion
+	p.Membership.Random = p.Rand
+	p.Rollout.Random = p.Rand
+	p.Claims.Random = p.Random
+	p.Placement.Rand = p.Rand
+	r := &Router{
+		params:    p,
+		self:      p.Self,
+		upstreams: map[core.UpstreamID]upstreamEntry{},
+		flows:     map[core.RequestID]*flow{},
+		running:   map[core.AttemptID]core.RequestID{},
+		drainAt:   core.Never,
+	}
+	r.keys = keys.New(p.Keys)
+	r.rollout = rollout.New(p.Rollout)
+	r.limits = limits.New(p.Self.Ref, p.Limits)
+	r.membership = membership.New(p.Self, p.Membership)
+	r.claims = claims.New(p.Self.Ref, p.Claims)
+	r.placement = placement.New(p.Self.Ref, p.Self.DataCentre, p.Placement)
+	r.attempts = attempts.New(p.Self.Ref, p.Attempts)
+	return r
+}
+
+// Step takes in one event at the instant now and returns the effects in the
+// order in which they are to be carried out. Instants must not go back.
+func (r *Router) Step(now core.Instant, event Event) []Effect {
+	r.effects = nil
+	r.handle(now, event)
+	r.checkDrained(now)
+	return r.effects
+}
+
+// NextWake returns the instant at which the next Tick is due.
+func (r *Router) NextWake() core.Instant {
+	return core.Earliest(
+		r.nextList,
+		r.polls.next(),
+		r.drainAt,
+		r.rollout.NextWake(),
+		r.limits.NextWake(),
+		r.membership.NextWake(),
+		r.claims.NextWake(),
+		r.placement.NextWake(),
+		r.attempts.NextWake(),
+	)
+}
+
+func (r *Router) handle(now core.Instant, event Event) {
+	switch e := event.(type) {
+	case Tick:
+		r.tick(now)
+	case RequestArrived:
+		r.arrive(now, e.Request)
+	case CallerGone:
+		r.callerGone(now, e.Request)
+	case AddressesAsked:
+		r.answerAddresses(now, e)
+	case AttemptSent:
+		r.applyAttempts(now, r.attempts.OnSent(now, e.Attempt))
+	case PrefillDone:
+		r.prefillDone(now, e)
+	case FirstToken:
+		r.onFirstToken(now, e)
+	case Progress:
+		r.onProgress(now, e)
+	case AnswerEnded:
+		r.answerEnded(now, e)
+	case AttemptFailed:
+		r.applyAttempts(now, r.attempts.OnFailed(now, e.Attempt, e.Failure))
+	case CancelConfirmed:
+		r.applyAttempts(now, r.attempts.OnCancelConfirmed(now, e.Attempt))
+	case LoadReported:
+		r.loadReported(now, e)
+	case LoadFailed:
+		r.polls.failed(now, e.Upstream)
+	case CacheReported:
+		r.placement.OnCacheEvents(now, e.Upstream, e.Events)
+	case InstancesListed:
+		r.applyMembership(now, r.membership.OnList(now, e.List))
+	case RootRead:
+		r.rootRead(now, e)
+	case PieceRead:
+		r.applyRollout(now, r.rollout.OnPiece(now, e.Hash, e.Body))
+	case StoreReplied:
+		r.storeReplied(now, e)
+	case PeerReceived:
+		r.peerReceived(now, e.From, e.Message)
+	case EffectExpired:
+		r.expired(now, e.Effect)
+	case Paused:
+		r.paused(now, e.Incarnation)
+	case ShutdownAsked:
+		r.shutdown(now)
+	}
+}
+
+func (r *Router) tick(now core.Instant) {
+	if now >= r.nextList {
+		r.nextList = now.Add(r.params.ListEvery)
+		r.emit(ListInstances{})
+	}
+	r.applyRollout(now, r.rollout.Tick(now))
+	r.applyMembership(now, r.membership.Tick(now))
+	r.applyAdmitted(now, r.limits.Tick(now))
+	r.applyClaims(now, r.claims.Tick(now))
+	r.applyPlacement(now, r.placement.Tick(now))
+	r.applyAttempts(now, r.attempts.Tick(now))
+	for _, up := range r.polls.due(now) {
+		r.emit(PollLoad{Upstream: up, URL: r.upstreams[up].url})
+	}
+}
+
+func (r *Router) emit(e Effect) { r.effects = append(r.effects, e) }
+
+// shutdown begins a graceful shutdown: the Instance disappears from address
+// answers at once, then waits until the answers that name it have expired.
+func (r *Router) shutdown(now core.Instant) {
+	if r.leaving {
+		return
+	}
+	r.leaving = true
+	r.drainAt = now.Add(r.membership.Addresses(now, r.self.Region, "").KeepFor)
+	r.applyMembership(now, r.membership.Leave(now))
+}
+
+func (r *Router) checkDrained(now core.Instant) {
+	if !r.leaving || r.drained || now < r.drainAt && r.stopped == "" || len(r.flows) > 0 {
+		return
+	}
+	r.drained = true
+	r.drainAt = core.Never
+	r.emit(Drained{})
+}
+
+// paused drops every term that may have ended while the process stood still. It
+// goes on as a new incarnation, so that nothing sent to the earlier one counts.
+func (r *Router) paused(now core.Instant, incarnation core.Incarnation) {
+	r.self.Ref.Incarnation = incarnation
+	r.limits.Reset(now, r.self.Ref)
+	r.keys = keys.New(r.params.Keys)
+	r.membership = membership.New(r.self, r.params.Membership)
+	if r.leaving {
+		r.applyMembership(now, r.membership.Leave(now))
+	}
+	r.nextList = now
+}
--- /dev/null
+++ b/pkg/router/store.go
@@ -0,0 +1,211 @@
+package router
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/claims"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
+	"github.com/rhubarbsill/rhubarbsill/pkg/placement"
+	"github.com/rhubarbsill/rhubarbsill/pkg/rollout"
+)
+
+// Names of the objects in the platform's store.
+const (
+	rosterObject = "roster"
+	piecePrefix  = "config/pieces/"
+	claimsPrefix = "claims/"
+)
+
+func claimsObject(shard int) string { return fmt.Sprintf("%s%d", claimsPrefix, shard) }
+
+// PieceObject returns the name of the object that holds a piece.
+func PieceObject(hash config.Hash) string { return piecePrefix + hash.String() }
+
+// RootObject returns the name of the object that holds the root of an
+// environment's configuration.
+func RootObject(environment string) string { return "config/" + environment + "/root" }
+
+func (r *Router) applyMembership(now core.Instant, outputs []membership.Output) {
+	for _, output := range outputs {
+		switch o := output.(type) {
+		case membership.SendHeartbeat:
+			version, age := r.keys.Youngest(now)
+			if version == 0 {
+				age = -1
+			}
+			beat := &Heartbeat{Membership: o.Heartbeat, Version: version, Age: age}
+			r.emit(SendPeer{To: o.To, Addr: o.PeerAddr, Message: Message{Heartbeat: beat}, NotAfter: core.Never})
+		case membership.ReadRoster:
+			r.emit(StoreGet{Op: StoreOp{Kind: OpRoster}, Name: rosterObject})
+		case membership.WriteRoster:
+			r.writeRoster(o)
+		case membership.RosterInForce:
+			r.rosterInForce(now, o.Roster)
+		case membership.HoldUntil:
+			r.limits.HoldUntil(o.Until)
+		case membership.IncarnationDead:
+			r.applyAttempts(now, r.attempts.OnIncarnationDead(now, o.Ref))
+		case membership.StopServing:
+			r.stopped = o.Reason
+			r.leaving = true
+			r.emit(StopServing{Reason: o.Reason})
+		}
+	}
+}
+
+func (r *Router) writeRoster(o membership.WriteRoster) {
+	value, err := json.Marshal(o.Roster)
+	if err != nil {
+		panic(err) // a roster holds strings and numbers only
+	}
+	r.rosterWrite = o.Roster
+	r.emit(StorePut{
+		Op:       StoreOp{Kind: OpRoster, Write: true},
+		Name:     rosterObject,
+		Base:     o.Base,
+		Value:    value,
+		NotAfter: core.Never,
+	})
+}
+
+func (r *Router) rosterInForce(now core.Instant, roster membership.Roster) {
+	r.limits.SetRoster(now, roster)
+	var members []placement.Member
+	var refs []core.InstanceRef
+	for _, m := range roster.Members {
+		members = append(members, placement.Member{Ref: m.Ref, DataCentre: m.DataCentre})
+		refs = append(refs, m.Ref)
+	}
+	r.applyPlacement(now, r.placement.SetMembers(now, members))
+	r.applyAttempts(now, r.attempts.SetMembers(now, refs))
+	r.schedulePolls(now)
+	r.recordEvent(now, "membership", "roster", fmt.Sprintf("epoch=%d members=%d settled=%t", roster.Epoch, len(members), roster.Settled))
+}
+
+func (r *Router) storeReplied(now core.Instant, e StoreReplied) {
+	switch e.Op.Kind {
+	case OpRoster:
+		r.rosterReplied(now, e)
+	case OpClaims:
+		r.claimsReplied(now, e)
+	case OpRoot, OpPiece:
+		r.configReplied(now, e)
+	}
+}
+
+func (r *Router) rosterReplied(now core.Instant, e StoreReplied) {
+	if e.Op.Write {
+		if e.Failure == "" {
+			r.applyMembership(now, r.membership.OnRosterRead(now, r.rosterWrite, e.Version))
+			return
+		}
+		r.applyMembership(now, r.membership.OnWriteFailed(now))
+		return
+	}
+	if e.Failure != "" {
+		return
+	}
+	var roster membership.Roster
+	if err := json.Unmarshal(e.Value, &roster); err != nil {
+		r.recordEvent(now, "membership", "malformed_roster", err.Error())
+		return
+	}
+	r.applyMembership(now, r.membership.OnRosterRead(now, roster, e.Version))
+}
+
+func (r *Router) claimsReplied(now core.Instant, e StoreReplied) {
+	if !e.Op.Write {
+		switch e.Failure {
+		case "":
+			r.applyClaims(now, r.claims.OnRead(now, e.Op.Shard, e.Value, e.Version, true))
+		case StoreNotFound:
+			r.applyClaims(now, r.claims.OnRead(now, e.Op.Shard, nil, 0, false))
+		default:
+			r.applyClaims(now, r.claims.OnWriteFailed(now, e.Op.Shard, claims.Unavailable))
+		}
+		return
+	}
+	switch e.Failure {
+	case "":
+		r.applyClaims(now, r.claims.OnWritten(now, e.Op.Shard, e.Version))
+	case StoreConflict, StoreNotFound:
+		r.applyClaims(now, r.claims.OnWriteFailed(now, e.Op.Shard, claims.Conflict))
+	case StoreUnavailable:
+		r.applyClaims(now, r.claims.OnWriteFailed(now, e.Op.Shard, claims.Unavailable))
+	default:
+		r.applyClaims(now, r.claims.OnWriteFailed(now, e.Op.Shard, claims.Lost))
+	}
+}
+
+func (r *Router) configReplied(now core.Instant, e StoreReplied) {
+	if e.Failure != "" {
+		want := rollout.Want{Root: e.Op.Kind == OpRoot, Hash: e.Op.Hash}
+		r.applyRollout(now, r.rollout.OnFailure(now, want))
+		return
+	}
+	if e.Op.Kind == OpPiece {
+		r.applyRollout(now, r.rollout.OnPiece(now, e.Op.Hash, e.Value))
+		return
+	}
+	root, err := config.ParseRoot(e.Value)
+	if err != nil {
+		r.recordEvent(now, "rollout", "malformed_root", err.Error())
+		return
+	}
+	r.rootRead(now, RootRead{Root: root, AskedAt: e.AskedAt})
+}
+
+// rootRead takes in a root that the store has answered. The confirmation is as
+// old as the question, since the answer may have been on its way for long.
+func (r *Router) rootRead(now core.Instant, e RootRead) {
+	age := now.Sub(e.AskedAt)
+	r.keys.Confirm(now, e.Root.Version, age)
+	r.applyRollout(now, r.rollout.OnRoot(now, e.Root, age, rollout.FromStore))
+}
+
+func (r *Router) applyRollout(now core.Instant, outputs []rollout.Output) {
+	for _, output := range outputs {
+		switch o := output.(type) {
+		case rollout.ReadRoot:
+			r.emit(StoreGet{Op: StoreOp{Kind: OpRoot}, Name: RootObject(r.params.Environment)})
+		case rollout.FetchPiece:
+			r.fetchPiece(o)
+		case rollout.Revoked:
+			r.keys.Revoke(o.Account, o.Key)
+			r.recordEvent(now, "keys", "revoked", string(o.Account)+"."+string(o.Key))
+		case rollout.InForce:
+			r.setSnapshot(now, o.Snapshot)
+			r.recordEvent(now, "rollout", "in_force", fmt.Sprintf("version=%d", o.Snapshot.Version()))
+		}
+	}
+}
+
+func (r *Router) fetchPiece(o rollout.FetchPiece) {
+	op := StoreOp{Kind: OpPiece, Hash: o.Hash}
+	if o.From != "" {
+		if member, found := r.membership.Roster().Member(o.From); found {
+			r.emit(FetchPiece{Hash: o.Hash, From: o.From, Addr: member.PeerAddr})
+			return
+		}
+	}
+	r.emit(StoreGet{Op: op, Name: PieceObject(o.Hash)})
+}
+
+// expired reports to its module that an effect was not carried out.
+func (r *Router) expired(now core.Instant, e Effect) {
+	switch e := e.(type) {
+	case StorePut:
+		r.storeReplied(now, StoreReplied{Op: e.Op, Failure: StoreUnavailable, AskedAt: now})
+	case StartPrefill:
+		r.attemptExpired(now, e.Attempt, e.Upstream)
+	case StartDecode:
+		r.attemptExpired(now, e.Attempt, e.Upstream)
+	case StartCall:
+		r.attemptExpired(now, e.Attempt, e.Upstream)
+	case StartResume:
+		r.attemptExpired(now, e.Attempt, e.Upstream)
+	}
+}
--- /dev/null
+++ b/pkg/server/answer.go
@@ -0,0 +1,213 @@
+package server
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+// answer writes one answer to a caller. Every write has its own deadline: a
+// server-wide WriteTimeout would end long streams.
+type answer struct {
+	w            http.ResponseWriter
+	control      *http.ResponseController
+	id           core.RequestID
+	model        string
+	chat         bool
+	stream       bool
+	writeTimeout time.Duration
+	created      int64
+
+	began bool
+	text  strings.Builder // the answer so far, when it is sent whole
+	count int
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Text         *string  `json:"text,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type completionAnswer struct {
+	ID      core.RequestID `json:"id"`
+	Object  string         `json:"object"`
+	Created int64          `json:"created"`
+	Model   string         `json:"model"`
+	Choices []choice       `json:"choices"`
+	Usage   *usage         `json:"usage,omitempty"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code      core.Code      `json:"code"`
+	Message   string         `json:"message"`
+	Ran       core.Ran       `json:"ran"`
+	RequestID core.RequestID `json:"request_id"`
+}
+
+// token relays one token. The event id lets the caller resume after it.
+func (a *answer) token(t upstream.Token, eventID string) error {
+	a.count++
+	if !a.stream {
+		a.text.WriteString(t.Text)
+		return nil
+	}
+	a.beginStream()
+	chunk := a.chunk(t)
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return err
+	}
+	return a.event(eventID, "", data)
+}
+
+func (a *answer) chunk(t upstream.Token) completionAnswer {
+	part := choice{}
+	if t.Done {
+		reason := t.Reason
+		part.FinishReason = &reason
+	}
+	object := "text_completion"
+	if a.chat {
+		object = "chat.completion.chunk"
+		part.Delta = &message{Content: t.Text}
+	} else {
+		part.Text = &t.Text
+	}
+	return completionAnswer{ID: a.id, Object: object, Created: a.created, Model: a.model, Choices: []choice{part}}
+}
+
+func (a *answer) beginStream() {
+	if a.began {
+		return
+	}
+	a.began = true
+	header := a.w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	header.Set("X-Request-Id", string(a.id))
+	a.w.WriteHeader(http.StatusOK)
+}
+
+func (a *answer) event(id, name string, data []byte) error {
+	buffer := make([]byte, 0, len(data)+len(id)+len(name)+32)
+	if id != "" {
+		buffer = append(buffer, "id: "+id+"\n"...)
+	}
+	if name != "" {
+		buffer = append(buffer, "event: "+name+"\n"...)
+	}
+	buffer = append(buffer, "data: "...)
+	buffer = append(buffer, data...)
+	buffer = append(buffer, "\n\n"...)
+	a.setDeadline()
+	if _, err := a.w.Write(buffer); err != nil {
+		return err
+	}
+	return a.control.Flush()
+}
+
+// keepAlive sends a comment, which callers of a stream ignore. It finds a
+// caller whose connection has gone silent while no token is due.
+func (a *answer) keepAlive() error {
+	if !a.began {
+		return nil
+	}
+	a.setDeadline()
+	if _, err := a.w.Write([]byte(": keep-alive\n\n")); err != nil {
+		return err
+	}
+	return a.control.Flush()
+}
+
+func (a *answer) setDeadline() {
+	// An unsupported deadline leaves the TCP user timeout of the listener.
+	_ = a.control.SetWriteDeadline(time.Now().Add(a.writeTimeout))
+}
+
+// complete writes the end of a stream, or the whole answer.
+func (a *answer) complete(promptTokens int, reason string) {
+	if a.stream {
+		a.beginStream()
+		_ = a.event("", "", []byte("[DONE]"))
+		return
+	}
+	part := choice{FinishReason: &reason}
+	object := "text_completion"
+	text := a.text.String()
+	if a.chat {
+		object = "chat.completion"
+		part.Message = &message{Role: "assistant", Content: text}
+	} else {
+		part.Text = &text
+	}
+	a.json(http.StatusOK, completionAnswer{
+		ID: a.id, Object: object, Created: a.created, Model: a.model, Choices: []choice{part},
+		Usage: &usage{PromptTokens: promptTokens, CompletionTokens: a.count, TotalTokens: promptTokens + a.count},
+	})
+}
+
+// refuse writes a refusal: as an event when the stream has begun, otherwise as
+// the whole answer.
+func (a *answer) refuse(refusal *core.Refusal) {
+	body := errorBody{Error: errorDetail{Code: refusal.Code, Message: refusal.Message, Ran: refusal.Ran, RequestID: a.id}}
+	if a.began {
+		data, err := json.Marshal(body)
+		if err == nil {
+			_ = a.event("", "error", data)
+		}
+		return
+	}
+	if refusal.RetryAfter > 0 {
+		seconds := int64(math.Ceil(refusal.RetryAfter.Seconds()))
+		a.w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	a.json(statusOf(refusal), body)
+}
+
+func (a *answer) json(status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status, data = http.StatusInternalServerError, []byte(`{}`)
+	}
+	a.setDeadline()
+	a.w.Header().Set("Content-Type", "application/json")
+	a.w.Header().Set("X-Request-Id", string(a.id))
+	a.w.WriteHeader(status)
+	_, _ = a.w.Write(append(data, '\n'))
+}
+
+// plainReply passes on the answer of a plain service.
+func (a *answer) plainReply(reply *upstream.PlainReply) {
+	header := a.w.Header()
+	for name, values := range reply.Header {
+		header[name] = values
+	}
+	header.Set("X-Request-Id", string(a.id))
+	a.setDeadline()
+	a.w.WriteHeader(reply.Status)
+	_, _ = a.w.Write(reply.Body)
+}
--- /dev/null
+++ b/pkg/server/callers.go
@@ -0,0 +1,428 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/kataras/iris/v12"
+	"golang.org/x/sys/unix"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/keys"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+const (
+	// Probes of idle caller connections: a silent one is found in 11 s.
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveCount    = 3
+	// unackedLimit is the time after which a connection whose data stays
+	// unacknowledged is closed, in milliseconds. Writes alone do not notice:
+	// the kernel buffers many small tokens.
+	unackedLimitMS = 8_000
+	// commentEvery is the time between two comments on a stream without tokens.
+	commentEvery = 3 * time.Second
+)
+
+// listenCallers opens a listener whose connections are closed by the kernel in
+// seconds when the caller's side has gone silent.
+func listenCallers(addr string) (net.Listener, error) {
+	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
+	return lc.Listen(context.Background(), "tcp", addr)
+}
+
+func limitUnacked(conn net.Conn) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unackedLimitMS)
+	})
+}
+
+// callerServer builds the HTTP server for callers.
+func (s *Server) callerServer() (*http.Server, error) {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutPathCorrection, iris.WithoutStartupLog, iris.WithoutInterruptHandler)
+	completions := s.handler(func(w http.ResponseWriter, r *http.Request) { s.serveCompletion(w, r, false) })
+	chat := s.handler(func(w http.ResponseWriter, r *http.Request) { s.serveCompletion(w, r, true) })
+	app.Post("/v1/completions", completions)
+	app.Post("/v1/chat/completions", chat)
+	app.Get("/v1/addresses", s.handler(s.serveAddresses))
+	app.Get("/healthz", s.handler(s.serveHealth))
+	plain := s.handler(s.servePlain)
+	app.Any("/", plain)
+	app.Any("/{path:path}", plain)
+	if err := app.Build(); err != nil {
+		return nil, err
+	}
+	limits := s.settings.Callers
+	return &http.Server{
+		Handler:           app,
+		ReadHeaderTimeout: time.Duration(limits.HeaderSeconds) * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ConnState:         s.countConnections,
+	}, nil
+}
+
+// handler adapts a net/http handler. Naive returns the writer of net/http,
+// which http.ResponseController can set deadlines on.
+func (s *Server) handler(serve http.HandlerFunc) iris.Handler {
+	return func(ctx iris.Context) {
+		w := ctx.ResponseWriter().Naive()
+		if s.connections.Load() > int64(s.settings.Callers.MaxConnections) {
+			refusal := core.Refuse(core.CodeTooManyConnections, "this instance has too many connections")
+			refusal.RetryAfter = time.Second
+			w.Header().Set("Connection", "close")
+			s.newAnswer(w, "").refuse(refusal)
+			return
+		}
+		serve(w, ctx.Request())
+	}
+}
+
+func (s *Server) countConnections(conn net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		limitUnacked(conn)
+		s.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.connections.Add(-1)
+	}
+}
+
+func (s *Server) newAnswer(w http.ResponseWriter, id core.RequestID) *answer {
+	return &answer{
+		w:            w,
+		control:      http.NewResponseController(w),
+		id:           id,
+		writeTimeout: s.settings.Callers.writeTimeout(),
+		created:      time.Now().Unix(),
+	}
+}
+
+func newRequestID() core.RequestID {
+	id, err := uuid.NewV7()
+	if err != nil {
+		panic(err) // crypto/rand does not fail
+	}
+	return core.RequestID(id.String())
+}
+
+// readBody reads a request body within its limits of size and time.
+func (s *Server) readBody(a *answer, r *http.Request) ([]byte, *core.Refusal) {
+	limits := s.settings.Callers
+	_ = a.control.SetReadDeadline(time.Now().Add(time.Duration(limits.BodySeconds) * time.Second))
+	body, err := io.ReadAll(http.MaxBytesReader(a.w, r.Body, limits.MaxBodyBytes))
+	_ = a.control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, core.Refuse(core.CodeTooLarge, "the body is larger than this instance accepts")
+	case err != nil:
+		return nil, malformed("the body could not be read: %v", err)
+	}
+	return body, nil
+}
+
+// credentialOf reads the key from the Authorization header. It returns nil
+// without a refusal when there is none.
+func credentialOf(r *http.Request) (*keys.Credential, *core.Refusal) {
+	values := r.Header.Values("Authorization")
+	if len(values) == 0 {
+		return nil, nil
+	}
+	scheme, text, found := strings.Cut(values[0], " ")
+	if len(values) > 1 || !found || !strings.EqualFold(scheme, "Bearer") {
+		return nil, core.Refuse(core.CodeMalformedKey, "the Authorization header must be one \"Bearer KEY\"")
+	}
+	credential, refusal := keys.ParseKey(strings.TrimSpace(text))
+	if refusal != nil {
+		return nil, refusal
+	}
+	return &credential, nil
+}
+
+// keyIsElsewhere refuses a request that carries its key outside the
+// Authorization header, where it would reach an Upstream.
+func keyIsElsewhere(credential *keys.Credential, texts ...[]byte) *core.Refusal {
+	if credential == nil {
+		return nil
+	}
+	for _, text := range texts {
+		if holdsSecret(text, credential.Secret.Reveal()) {
+			return core.Refuse(core.CodeKeyInRequest, "the key must stand only in the Authorization header")
+		}
+	}
+	return nil
+}
+
+func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request, chat bool) {
+	a := s.newAnswer(w, newRequestID())
+	request, entry, refusal := s.readCompletion(a, r, chat)
+	if refusal != nil {
+		a.refuse(refusal)
+		return
+	}
+	a.chat = chat
+	s.serve(r.Context(), a, entry, request)
+}
+
+func (s *Server) readCompletion(a *answer, r *http.Request, chat bool) (router.Request, *call, *core.Refusal) {
+	credential, refusal := credentialOf(r)
+	if refusal != nil {
+		return router.Request{}, nil, refusal
+	}
+	body, refusal := s.readBody(a, r)
+	if refusal != nil {
+		return router.Request{}, nil, refusal
+	}
+	parsed, refusal := parseCompletion(body, chat)
+	if refusal != nil {
+		return router.Request{}, nil, refusal
+	}
+	if refusal := keyIsElsewhere(credential, []byte(parsed.prompt), []byte(parsed.model)); refusal != nil {
+		return router.Request{}, nil, refusal
+	}
+	a.model = string(parsed.model)
+	a.stream = parsed.stream
+	entry := newCall(a.id)
+	entry.model = string(parsed.model)
+	entry.prompt = parsed.prompt
+	request := s.newRequest(a.id, credential, body)
+	request.Model = parsed.model
+	request.PromptTokens = upstream.EstimateTokens(parsed.prompt)
+	request.MaxOutput = int(parsed.maxTokens)
+	request.Prefix = upstream.PrefixHashes(entry.model, parsed.prompt)
+	if credential != nil {
+		entry.account = credential.Account
+	}
+	if id := r.Header.Get("Last-Event-ID"); id != "" {
+		if request.Resume, refusal = s.openResume(entry.account, id); refusal != nil {
+			return router.Request{}, nil, refusal
+		}
+	}
+	return request, entry, nil
+}
+
+func (s *Server) openResume(account core.AccountID, id string) (*router.ResumeFrom, *core.Refusal) {
+	sealer := s.sealer.Load()
+	if sealer == nil {
+		return nil, core.Refuse(core.CodeResumeInvalid, "this instance can't resume answers")
+	}
+	position, err := sealer.Open(account, id)
+	if err != nil {
+		return nil, core.Refuse(core.CodeResumeInvalid, "the event id does not belong to an answer of this account")
+	}
+	return &router.ResumeFrom{
+		Account:  position.Account,
+		Request:  position.Request,
+		Attempt:  position.Attempt,
+		Upstream: position.Upstream,
+		Offset:   position.Offset,
+	}, nil
+}
+
+func (s *Server) newRequest(id core.RequestID, credential *keys.Credential, body []byte) router.Request {
+	request := router.Request{
+		ID:         id,
+		Credential: credential,
+		BodyDigest: sha256.Sum256(body),
+		Deadline:   s.clock.now().Add(s.settings.Callers.requestTimeout()),
+		WallTime:   time.Now(),
+	}
+	hash := sha256.New()
+	if credential != nil {
+		hash.Write([]byte(credential.Account))
+	}
+	hash.Write([]byte{0})
+	hash.Write(request.BodyDigest[:])
+	copy(request.Fingerprint[:], hash.Sum(nil))
+	return request
+}
+
+// servePlain routes a call to a plain service, with method and body unchanged.
+func (s *Server) servePlain(w http.ResponseWriter, r *http.Request) {
+	a := s.newAnswer(w, newRequestID())
+	credential, refusal := credentialOf(r)
+	if refusal == nil {
+		refusal = keyIsElsewhere(credential, []byte(r.URL.RequestURI()))
+	}
+	var body []byte
+	if refusal == nil {
+		body, refusal = s.readBody(a, r)
+	}
+	if refusal == nil {
+		refusal = keyIsElsewhere(credential, body, headerText(upstream.ForwardedHeader(r.Header)))
+	}
+	if refusal != nil {
+		a.refuse(refusal)
+		return
+	}
+	entry := newCall(a.id)
+	entry.plain = upstream.PlainRequest{Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header, Body: body}
+	request := s.newRequest(a.id, credential, append([]byte(r.Method+" "+r.URL.RequestURI()+"\n"), body...))
+	request.Method = r.Method
+	request.Path = r.URL.EscapedPath()
+	request.IdempotencyKey = r.Header.Get("Idempotency-Key")
+	if credential != nil {
+		entry.account = credential.Account
+	}
+	s.serve(r.Context(), a, entry, request)
+}
+
+func headerText(header http.Header) []byte {
+	var text []byte
+	for name, values := range header {
+		text = append(text, name...)
+		for _, value := range values {
+			text = append(text, '\n')
+			text = append(text, value...)
+		}
+	}
+	return text
+}
+
+// serve runs one request until its answer is written or its caller has gone.
+func (s *Server) serve(ctx context.Context, a *answer, entry *call, request router.Request) {
+	s.calls.add(entry)
+	s.post(router.RequestArrived{Request: request})
+	comments := time.NewTicker(commentEvery)
+	defer comments.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.abandon(entry)
+			return
+		case <-comments.C:
+			if a.keepAlive() != nil {
+				s.abandon(entry)
+				return
+			}
+		case effect := <-entry.mailbox:
+			done, err := s.answerEffect(ctx, a, entry, request, effect)
+			if err != nil {
+				s.abandon(entry)
+				return
+			}
+			if done {
+				s.calls.remove(entry.id)
+				return
+			}
+		}
+	}
+}
+
+// abandon reports that the caller has gone. The call stays known until the
+// router has ended it, since a call with a claim runs on.
+func (s *Server) abandon(entry *call) {
+	s.post(router.CallerGone{Request: entry.id})
+	timeout := time.NewTimer(s.settings.Callers.requestTimeout())
+	go func() {
+		defer timeout.Stop()
+		defer s.calls.remove(entry.id)
+		for {
+			select {
+			case effect := <-entry.mailbox:
+				if ends(effect) {
+					return
+				}
+			case <-timeout.C:
+				return
+			}
+		}
+	}()
+}
+
+func ends(effect router.Effect) bool {
+	switch effect.(type) {
+	case router.Refuse, router.Replay, router.Complete, router.Dropped:
+		return true
+	}
+	return false
+}
+
+func (s *Server) answerEffect(ctx context.Context, a *answer, entry *call, request router.Request, effect router.Effect) (done bool, err error) {
+	switch e := effect.(type) {
+	case router.StartDecode:
+		return false, s.decode(ctx, entry, a, e)
+	case router.StartResume:
+		return false, s.resume(ctx, entry, a, e)
+	case router.Refuse:
+		a.refuse(e.Refusal)
+	case router.Replay:
+		a.replay(e.Outcome)
+	case router.Complete:
+		if reply := entry.takeReply(); reply != nil {
+			a.plainReply(reply)
+		} else {
+			a.complete(request.PromptTokens)
+		}
+	}
+	return ends(effect), nil
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	view := s.view.Load()
+	if view == nil || view.Version == 0 || view.Leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "not ready\n")
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+// AddressAnswer is the body of /v1/addresses.
+type AddressAnswer struct {
+	// Addresses lists IP:port of entry Instances, the best first.
+	Addresses []string `json:"addresses"`
+	// KeepSeconds says how long the caller may use the answer.
+	KeepSeconds float64 `json:"keep_seconds"`
+}
+
+func (s *Server) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	a := s.newAnswer(w, newRequestID())
+	credential, refusal := credentialOf(r)
+	if refusal != nil {
+		a.refuse(refusal)
+		return
+	}
+	ask := s.askNumber.Add(1)
+	reply := make(chan router.Addresses, 1)
+	s.asks.Store(ask, reply)
+	defer s.asks.Delete(ask)
+	s.post(router.AddressesAsked{Ask: ask, Credential: credential})
+	select {
+	case <-r.Context().Done():
+	case answer := <-reply:
+		addresses := answer.Addresses.CallerAddrs
+		if addresses == nil {
+			addresses = []string{}
+		}
+		a.json(http.StatusOK, AddressAnswer{Addresses: addresses, KeepSeconds: answer.Addresses.KeepFor.Seconds()})
+	}
+}
+
+func (s *Server) answerAsk(e router.Addresses) {
+	if reply, waiting := s.asks.LoadAndDelete(e.Ask); waiting {
+		reply.(chan router.Addresses) <- e
+	}
+}
--- /dev/null
+++ b/pkg/server/clock.go
@@ -0,0 +1,39 @@
+package server
+
+import (
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// clock reads the process's monotonic clock as instants since its start.
+type clock struct{ start time.Time }
+
+func newClock() clock { return clock{start: time.Now()} }
+
+func (c clock) now() core.Instant { return core.Instant(time.Since(c.start)) }
+
+// until returns the time from now to the instant, at most an hour.
+func (c clock) until(t core.Instant) time.Duration {
+	return min(t.Sub(c.now()), time.Hour)
+}
+
+// pauseDetector notices that the process did not run for a while. It compares
+// both clocks, since a suspended machine may stop the monotonic one.
+type pauseDetector struct {
+	longest time.Duration
+	last    time.Time // carries a wall and a monotonic reading
+}
+
+func newPauseDetector(longest time.Duration) pauseDetector {
+	return pauseDetector{longest: longest, last: time.Now()}
+}
+
+// check reports whether more than the longest allowed time has passed since the
+// last check on either clock.
+func (d *pauseDetector) check(now time.Time) bool {
+	monotonic := now.Sub(d.last)
+	wall := now.Round(0).Sub(d.last.Round(0))
+	d.last = now
+	return monotonic > d.longest || wall > d.longest
+}
--- /dev/null
+++ b/pkg/server/completion.go
@@ -0,0 +1,172 @@
+package server
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// completion is a parsed request of /v1/completions or /v1/chat/completions.
+type completion struct {
+	model     core.ModelName
+	prompt    string
+	maxTokens int64
+	stream    bool
+	chat      bool
+}
+
+// Bounds of a completion request.
+const (
+	defaultMaxTokens = 512
+	maxMaxTokens     = 1 << 20
+	maxMessages      = 4096
+)
+
+type completionBody struct {
+	Model               string          `json:"model"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []chatMessage   `json:"messages"`
+	MaxTokens           *int64          `json:"max_tokens"`
+	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+	N                   *int            `json:"n"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// parseCompletion reads the body of a completion request. Fields that it does
+// not know, such as temperature, are ignored, as callers of this API expect.
+func parseCompletion(body []byte, chat bool) (completion, *core.Refusal) {
+	var parsed completionBody
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return completion{}, malformed("body is not a completion request: %v", err)
+	}
+	if parsed.Model == "" {
+		return completion{}, malformed("field \"model\" must be set")
+	}
+	if parsed.N != nil && *parsed.N != 1 {
+		return completion{}, malformed("field \"n\" must be 1")
+	}
+	maxTokens, refusal := maxTokensOf(&parsed)
+	if refusal != nil {
+		return completion{}, refusal
+	}
+	prompt, refusal := promptOf(&parsed, chat)
+	if refusal != nil {
+		return completion{}, refusal
+	}
+	return completion{
+		model:     core.ModelName(parsed.Model),
+		prompt:    prompt,
+		maxTokens: maxTokens,
+		stream:    parsed.Stream,
+		chat:      chat,
+	}, nil
+}
+
+func maxTokensOf(body *completionBody) (int64, *core.Refusal) {
+	asked := body.MaxTokens
+	if body.MaxCompletionTokens != nil {
+		asked = body.MaxCompletionTokens
+	}
+	if asked == nil {
+		return defaultMaxTokens, nil
+	}
+	if *asked < 1 || *asked > maxMaxTokens {
+		return 0, malformed("field \"max_tokens\" is %d, want 1 to %d", *asked, maxMaxTokens)
+	}
+	return *asked, nil
+}
+
+func promptOf(body *completionBody, chat bool) (string, *core.Refusal) {
+	if !chat {
+		var prompt string
+		if err := json.Unmarshal(body.Prompt, &prompt); err != nil || prompt == "" {
+			return "", malformed("field \"prompt\" must be a non-empty string")
+		}
+		return prompt, nil
+	}
+	if len(body.Messages) == 0 || len(body.Messages) > maxMessages {
+		return "", malformed("field \"messages\" must hold 1 to %d messages", maxMessages)
+	}
+	var prompt strings.Builder
+	for i, message := range body.Messages {
+		if message.Role == "" {
+			return "", malformed("field \"messages[%d].role\" must be set", i)
+		}
+		fmt.Fprintf(&prompt, "%s: %s\n", message.Role, message.Content)
+	}
+	return prompt.String(), nil
+}
+
+func malformed(format string, args ...any) *core.Refusal {
+	return core.Refuse(core.CodeMalformed, fmt.Sprintf(format, args...))
+}
+
+// holdsSecret reports whether text carries the secret of a key, plainly, in
+// JSON escapes or percent-encoded. Upper and lower case are not told apart,
+// since some encoders change it.
+func holdsSecret(text []byte, secret string) bool {
+	if secret == "" {
+		return false
+	}
+	needle := []byte(strings.ToLower(secret))
+	plain := bytes.ToLower(text)
+	if bytes.Contains(plain, needle) {
+		return true
+	}
+	if !bytes.ContainsAny(plain, `\%`) {
+		return false
+	}
+	return bytes.Contains(bytes.ToLower(unescape(plain)), needle)
+}
+
+// unescape replaces \uXXXX and %XX escapes by what they stand for, and drops
+// single backslashes. It is lenient: anything else stays as it is.
+func unescape(text []byte) []byte {
+	out := make([]byte, 0, len(text))
+	for i := 0; i < len(text); i++ {
+		switch {
+		case text[i] == '\\' && i+5 < len(text) && text[i+1] == 'u':
+			if r, ok := hexValue(text[i+2 : i+6]); ok {
+				out = utf8.AppendRune(out, rune(r))
+				i += 5
+				continue
+			}
+		case text[i] == '\\':
+			continue
+		case text[i] == '%' && i+2 < len(text):
+			if b, ok := hexValue(text[i+1 : i+3]); ok {
+				out = append(out, byte(b))
+				i += 2
+				continue
+			}
+		}
+		out = append(out, text[i])
+	}
+	return out
+}
+
+func hexValue(digits []byte) (int, bool) {
+	value := 0
+	for _, d := range digits {
+		switch {
+		case d >= '0' && d <= '9':
+			value = value<<4 | int(d-'0')
+		case d >= 'a' && d <= 'f':
+			value = value<<4 | int(d-'a'+10)
+		case d >= 'A' && d <= 'F':
+			value = value<<4 | int(d-'A'+10)
+		default:
+			return 0, false
+		}
+	}
+	return value, true
+}
--- /dev/null
+++ b/pkg/server/peers.go
@@ -0,0 +1,74 @@
+package server
+
+import (
+	"encoding/json"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
+)
+
+// Envelope is a message with the stamp of its sender, so that the timeline
+// orders its receipt after its sending.
+type Envelope struct {
+	Stamp   timeline.Stamp
+	Message router.Message
+}
+
+// Names of the bulk calls between peers.
+const (
+	fetchPieceName    = "piece"
+	fetchTimelineName = "timeline"
+)
+
+// timelineLimit bounds the events of one timeline answer.
+const timelineLimit = 5_000
+
+func (s *Server) sendPeer(e router.SendPeer) {
+	if s.clock.now() >= e.NotAfter {
+		return
+	}
+	s.peers.Send(e.To, e.Addr, Envelope{Stamp: s.stamps.Now(), Message: e.Message})
+}
+
+func (s *Server) deliver(from core.InstanceRef, batch []Envelope) {
+	for _, envelope := range batch {
+		s.stamps.Observe(envelope.Stamp)
+		s.post(router.PeerReceived{From: from, Message: envelope.Message})
+	}
+}
+
+// servePeer answers the bulk calls of peers.
+func (s *Server) servePeer(from core.InstanceRef, name string, request []byte) ([]byte, error) {
+	switch name {
+	case fetchPieceName:
+		var hash config.Hash
+		if len(request) != len(hash) {
+			return nil, errorx.IllegalArgument.New("piece hash has %d bytes, want %d", len(request), len(hash))
+		}
+		copy(hash[:], request)
+		body, held := s.pieces.get(hash)
+		if !held {
+			return nil, errorx.IllegalState.New("piece %s is not held here", hash)
+		}
+		return body, nil
+	case fetchTimelineName:
+		var filter timeline.Filter
+		if err := json.Unmarshal(request, &filter); err != nil {
+			return nil, errorx.IllegalArgument.Wrap(err, "timeline filter")
+		}
+		return json.Marshal(s.ring.Select(limitFilter(filter)))
+	default:
+		return nil, errorx.IllegalArgument.New("peer %s asked for %q, which is not known", from, name)
+	}
+}
+
+func limitFilter(f timeline.Filter) timeline.Filter {
+	if f.Limit <= 0 || f.Limit > timelineLimit {
+		f.Limit = timelineLimit
+	}
+	return f
+}
--- /dev/null
+++ b/pkg/server/server.go
@@ -0,0 +1,375 @@
+// Package server is the daemon of an entry Instance: it turns I/O into events
+// of a router.Router and carries out the effects that it returns.
+//
+// One goroutine owns the Router. Requests, store calls, peer messages and
+// upstream calls each run on goroutines of their own and post events to it.
+package server
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
+	"github.com/rhubarbsill/rhubarbsill/pkg/peer"
+	"github.com/rhubarbsill/rhubarbsill/pkg/platform"
+	"github.com/rhubarbsill/rhubarbsill/pkg/resume"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
+	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+const (
+	// eventQueue bounds the events that wait for the event loop.
+	eventQueue = 4096
+	// longestPause is the longest time between two turns of the event loop
+	// after which terms still count. The shortest term is a loan of 2 s, of
+	// which a borrower uses 0.98.
+	longestPause = 1500 * time.Millisecond
+	// longestWait bounds the time between two turns, so that a pause is noticed.
+	longestWait = 250 * time.Millisecond
+	// timelineSize is the number of events that an Instance keeps.
+	timelineSize = 20_000
+)
+
+// Server is one entry Instance.
+type Server struct {
+	settings Settings
+	log      *zap.Logger
+	clock    clock
+	router   *router.Router
+	events   chan router.Event
+	calls    *calls
+
+	platform platform.Client
+	peers    *peer.Transport[Envelope]
+	metrics  *telemetry.Metrics
+	stamps   *timeline.Clock
+	ring     *timeline.Ring
+	pieces   *pieceCache
+
+	upstreams atomic.Pointer[upstream.Client]
+	sealer    atomic.Pointer[resume.Sealer]
+	snapshot  atomic.Pointer[config.Snapshot]
+	view      atomic.Pointer[router.View]
+
+	asks        sync.Map // ask number -> chan router.Addresses
+	askNumber   atomic.Uint64
+	connections atomic.Int64
+	self        core.InstanceRef
+	incarnation atomic.Uint64
+
+	callerListener net.Listener
+	statusListener net.Listener
+	drained        chan struct{}
+	background     sync.WaitGroup
+}
+
+// New returns a server that has opened its listeners, so that their ports are
+// known, but does not serve yet.
+func New(settings Settings, log *zap.Logger) (*Server, error) {
+	incarnation := core.Incarnation(time.Now().UnixMilli())
+	s := &Server{
+		settings: settings,
+		log:      log,
+		clock:    newClock(),
+		events:   make(chan router.Event, eventQueue),
+		calls:    newCalls(),
+		self:     core.InstanceRef{ID: settings.Instance, Incarnation: incarnation},
+		ring:     timeline.NewRing(timelineSize),
+		stamps:   timeline.NewClock(string(settings.Instance), time.Now),
+		pieces:   newPieceCache(),
+		drained:  make(chan struct{}),
+	}
+	s.incarnation.Store(uint64(incarnation))
+	var err error
+	if s.metrics, err = telemetry.New(telemetry.Options{}); err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
+	s.platform = platform.NewHTTP(settings.Platform, platform.Options{})
+	s.setUpstreamClient("")
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	s.router = router.New(router.Params{
+		Self: membership.Member{
+			Ref:        s.self,
+			DataCentre: settings.DataCentre,
+			Region:     settings.Region,
+			PeerAddr:   s.peers.Addr(),
+			CallerAddr: s.callerListener.Addr().String(),
+		},
+		StoreRegion: settings.StoreRegion,
+		Environment: settings.Environment,
+		Rand:        mathrand.New(mathrand.NewPCG(randomUint64(), randomUint64())),
+		Random:      rand.Reader,
+	})
+	return s, nil
+}
+
+func randomUint64() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails, by its documentation
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+func (s *Server) listen() error {
+	s.peers = peer.NewTransport(s.self, peer.Options{
+		Secret: []byte(s.settings.FleetSecret.Reveal()),
+		Serve:  s.servePeer,
+		Log:    telemetry.Component(s.log, "peer"),
+	}, s.deliver)
+	if err := s.peers.Listen(s.settings.PeerAddr); err != nil {
+		return fmt.Errorf("peer listener: %w", err)
+	}
+	var err error
+	if s.callerListener, err = listenCallers(s.settings.CallerAddr); err != nil {
+		return fmt.Errorf("caller listener: %w", err)
+	}
+	if s.statusListener, err = net.Listen("tcp", s.settings.StatusAddr); err != nil {
+		return fmt.Errorf("status listener: %w", err)
+	}
+	return nil
+}
+
+// CallerAddr returns the address on which callers are served.
+func (s *Server) CallerAddr() string { return s.callerListener.Addr().String() }
+
+// StatusAddr returns the address of the status page.
+func (s *Server) StatusAddr() string { return s.statusListener.Addr().String() }
+
+// PeerAddr returns the address on which peers are served.
+func (s *Server) PeerAddr() string { return s.peers.Addr() }
+
+// Run serves until ctx ends, then shuts down gracefully: it disappears from
+// address answers, waits until callers have stopped using it, lets every
+// request finish, and returns. drainLimit bounds the wait.
+func (s *Server) Run(ctx context.Context, drainLimit time.Duration) error {
+	callers, err := s.callerServer()
+	if err != nil {
+		return err
+	}
+	status := &http.Server{Handler: s.statusHandler(), ReadHeaderTimeout: 5 * time.Second}
+	failed := make(chan error, 2)
+	serve := func(server *http.Server, listener net.Listener) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}
+	go serve(callers, s.callerListener)
+	go serve(status, s.statusListener)
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	s.start(inner)
+	telemetry.Component(s.log, "server").Info("serving callers",
+		zap.String("addr", s.CallerAddr()), zap.String("instance", s.self.String()))
+
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		s.post(router.ShutdownAsked{})
+		err = s.drain(callers, drainLimit)
+	case <-s.drained:
+		err = s.drain(callers, drainLimit)
+	}
+	stop()
+	_ = status.Close()
+	s.peers.Close()
+	s.background.Wait()
+	return err
+}
+
+func (s *Server) start(ctx context.Context) {
+	s.background.Add(2)
+	go func() {
+		defer s.background.Done()
+		s.loop(ctx)
+	}()
+	go func() {
+		defer s.background.Done()
+		s.watchRoot(ctx)
+	}()
+}
+
+func (s *Server) drain(callers *http.Server, limit time.Duration) error {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-s.drained:
+	case <-timer.C:
+		telemetry.Component(s.log, "server").Warn("drain limit reached with requests running")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return callers.Shutdown(ctx)
+}
+
+// post hands an event to the event loop.
+func (s *Server) post(event router.Event) { s.events <- event }
+
+// loop is the only goroutine that touches the Router.
+func (s *Server) loop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	pauses := newPauseDetector(longestPause)
+	for {
+		var event router.Event
+		select {
+		case <-ctx.Done():
+			return
+		case event = <-s.events:
+		case <-timer.C:
+			event = router.Tick{}
+		}
+		if pauses.check(time.Now()) {
+			s.afterPause(ctx)
+		}
+		s.step(ctx, event)
+		if wake := s.router.NextWake(); wake <= s.clock.now() {
+			s.step(ctx, router.Tick{})
+		}
+		view := s.router.View(s.clock.now())
+		s.view.Store(&view)
+		timer.Reset(min(longestWait, max(time.Millisecond, s.clock.until(s.router.NextWake()))))
+	}
+}
+
+func (s *Server) step(ctx context.Context, event router.Event) {
+	for _, effect := range s.router.Step(s.clock.now(), event) {
+		s.perform(ctx, effect)
+	}
+}
+
+func (s *Server) afterPause(ctx context.Context) {
+	incarnation := core.Incarnation(time.Now().UnixMilli())
+	s.incarnation.Store(uint64(incarnation))
+	s.peers.SetIncarnation(incarnation)
+	telemetry.Component(s.log, "server").Warn("process was paused, continuing as a new incarnation",
+		zap.Uint64("incarnation", uint64(incarnation)))
+	s.step(ctx, router.Paused{Incarnation: incarnation})
+}
+
+// perform carries out one effect. It does not block: what can wait runs on a
+// goroutine of its own.
+func (s *Server) perform(ctx context.Context, effect router.Effect) {
+	switch e := effect.(type) {
+	case router.Refuse:
+		s.calls.post(e.Request, e)
+	case router.Replay:
+		s.calls.post(e.Request, e)
+	case router.Complete:
+		s.calls.post(e.Request, e)
+	case router.StartPrefill:
+		go s.prefill(ctx, e)
+	case router.StartDecode:
+		s.handOver(e.Request, e, e.Attempt, e.Upstream)
+	case router.StartResume:
+		s.handOver(e.Request, e, e.Attempt, e.Upstream)
+	case router.StartCall:
+		go s.callPlain(ctx, e)
+	case router.Cancel:
+		go s.cancelAttempt(ctx, e)
+	case router.Addresses:
+		s.answerAsk(e)
+	case router.StoreGet:
+		go s.storeGet(ctx, e)
+	case router.StorePut:
+		go s.storePut(ctx, e)
+	case router.FetchPiece:
+		go s.fetchPiece(ctx, e)
+	case router.ListInstances:
+		go s.listInstances(ctx)
+	case router.PollLoad:
+		go s.pollLoad(ctx, e)
+	case router.SendPeer:
+		s.sendPeer(e)
+	case router.InForce:
+		s.setSnapshot(ctx, e.Snapshot)
+	case router.StopServing:
+		telemetry.Component(s.log, "membership").Error("stopped serving", zap.String("reason", e.Reason))
+	case router.Drained:
+		close(s.drained)
+	case router.Record:
+		s.record(e.Event)
+	case router.Observe:
+		s.observe(e.Observation)
+	}
+}
+
+func (s *Server) record(event timeline.Event) {
+	event.Stamp = s.stamps.Now()
+	s.ring.Add(event)
+	s.log.Debug(event.Part+": "+event.Kind,
+		zap.String("request", string(event.Request)),
+		zap.String("account", string(event.Account)),
+		zap.String("upstream", string(event.Upstream)),
+		zap.String("detail", event.Detail))
+}
+
+func (s *Server) observe(o router.Observation) {
+	if o.WastedPrefillTokens > 0 {
+		s.metrics.WastedPrefill(o.Service, int64(o.WastedPrefillTokens))
+	}
+	if o.CallerGone {
+		return
+	}
+	if o.Code != "" {
+		s.metrics.Refused(o.Service, o.Account, o.Code, o.InsideRate)
+		return
+	}
+	s.metrics.Answered(telemetry.Answer{
+		Service:             o.Service,
+		Account:             o.Account,
+		FirstToken:          o.FirstToken,
+		BetweenTokens:       o.BetweenTokens,
+		Tokens:              int64(o.OutputTokens),
+		FirstTokenTarget:    time.Duration(o.Targets.FirstTokenMS) * time.Millisecond,
+		BetweenTokensTarget: time.Duration(o.Targets.BetweenTokensMS) * time.Millisecond,
+	})
+}
+
+// setSnapshot takes over what the configuration says about this daemon's own
+// work: the credential for Upstreams and the keys that seal SSE ids.
+func (s *Server) setSnapshot(ctx context.Context, snapshot *config.Snapshot) {
+	log := telemetry.Component(s.log, "rollout")
+	log.Info("configuration in force", zap.Uint64("version", uint64(snapshot.Version())))
+	s.snapshot.Store(snapshot)
+	root := snapshot.Root()
+	credential, found := s.settings.Secrets[root.UpstreamCredential]
+	if !found {
+		log.Error("settings lack the upstream credential", zap.String("name", root.UpstreamCredential))
+	}
+	s.setUpstreamClient(credential.Reveal())
+	var keys []resume.Key
+	for _, key := range root.ResumeKeys {
+		secret, found := s.settings.Secrets[key.Secret]
+		if !found {
+			log.Error("settings lack a resume key", zap.String("name", key.Secret))
+			continue
+		}
+		keys = append(keys, resume.Key{ID: key.ID, Secret: []byte(secret.Reveal())})
+	}
+	sealer, err := resume.New(keys)
+	if err != nil {
+		log.Error("answers can't be resumed", zap.Error(err))
+	}
+	s.sealer.Store(sealer)
+	go s.publishStatus(ctx, snapshot.Version())
+}
+
+func (s *Server) setUpstreamClient(credential string) {
+	s.upstreams.Store(upstream.New(upstream.Options{Credential: credential}))
+}
--- /dev/null
+++ b/pkg/server/store.go
@@ -0,0 +1,213 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
+	"github.com/rhubarbsill/rhubarbsill/pkg/platform"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
+	"go.uber.org/zap"
+)
+
+func (s *Server) storeGet(ctx context.Context, e router.StoreGet) {
+	reply := router.StoreReplied{Op: e.Op, AskedAt: s.clock.now()}
+	object, err := s.platform.Get(ctx, e.Name)
+	reply.Failure = failureOf(err)
+	reply.Version = object.Version
+	reply.Value = object.Value
+	if err == nil && e.Op.Kind == router.OpPiece {
+		s.pieces.put(e.Op.Hash, object.Value)
+	}
+	s.post(reply)
+}
+
+func (s *Server) storePut(ctx context.Context, e router.StorePut) {
+	asked := s.clock.now()
+	if asked >= e.NotAfter {
+		s.post(router.EffectExpired{Effect: e})
+		return
+	}
+	version, err := s.platform.Put(ctx, e.Name, e.Value, e.Base)
+	s.post(router.StoreReplied{Op: e.Op, AskedAt: asked, Failure: failureOf(err), Version: version})
+}
+
+func failureOf(err error) router.StoreFailure {
+	var conflict platform.ErrConflict
+	switch {
+	case err == nil:
+		return ""
+	case errors.As(err, &conflict):
+		return router.StoreConflict
+	case errors.Is(err, platform.ErrNotFound):
+		return router.StoreNotFound
+	case errors.Is(err, platform.ErrUnknown):
+		return router.StoreUnknown
+	default:
+		return router.StoreUnavailable
+	}
+}
+
+// watchRoot waits for new configuration roots. A watch that goes silent does
+// no harm: the router reads the root again on a timer.
+func (s *Server) watchRoot(ctx context.Context) {
+	log := telemetry.Component(s.log, "rollout")
+	name := router.RootObject(s.settings.Environment)
+	after := uint64(0)
+	for ctx.Err() == nil {
+		asked := s.clock.now()
+		object, err := s.platform.Watch(ctx, name, after)
+		switch {
+		case err == nil:
+			after = object.Version
+			op := router.StoreOp{Kind: router.OpRoot}
+			// A watch may have waited long before it was answered, so its start
+			// would understate how fresh the root is. The answer is at most one
+			// call older than now.
+			asked = max(asked, s.clock.now().Add(-watchAnswerAge))
+			s.post(router.StoreReplied{Op: op, AskedAt: asked, Version: object.Version, Value: object.Value})
+		case errors.Is(err, platform.ErrNotModified):
+		default:
+			log.Debug("watch failed", zap.Error(err))
+			sleep(ctx, watchRetry)
+		}
+	}
+}
+
+const (
+	watchRetry = 500 * time.Millisecond
+	// watchAnswerAge is the age given to the answer of a watch.
+	watchAnswerAge = time.Second
+)
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (s *Server) listInstances(ctx context.Context) {
+	instances, err := s.platform.Instances(ctx)
+	if err != nil {
+		telemetry.Component(s.log, "membership").Debug("instance list failed", zap.Error(err))
+		return
+	}
+	snapshot := s.snapshot.Load()
+	list := make([]membership.Listed, 0, len(instances))
+	for _, i := range instances {
+		listed := membership.Listed{
+			ID:         core.InstanceID(i.ID),
+			PeerAddr:   i.PeerAddr,
+			CallerAddr: i.CallerAddr,
+			DataCentre: core.DataCentreName(i.DataCentre),
+			State:      membership.State(i.State),
+		}
+		if snapshot != nil {
+			if dc, found := snapshot.DataCentre(listed.DataCentre); found {
+				listed.Region = dc.Region
+			}
+		}
+		list = append(list, listed)
+	}
+	s.post(router.InstancesListed{List: list})
+}
+
+func (s *Server) fetchPiece(ctx context.Context, e router.FetchPiece) {
+	body, err := s.peers.Fetch(ctx, e.Addr, fetchPieceName, e.Hash[:])
+	if err != nil || config.HashOf(body) != e.Hash {
+		op := router.StoreOp{Kind: router.OpPiece, Hash: e.Hash}
+		s.post(router.StoreReplied{Op: op, Failure: router.StoreUnavailable, AskedAt: s.clock.now()})
+		return
+	}
+	s.pieces.put(e.Hash, body)
+	s.post(router.PieceRead{Hash: e.Hash, Body: body})
+}
+
+// InstanceStatus is what an Instance publishes about itself in the store.
+type InstanceStatus struct {
+	Instance    core.InstanceID  `json:"instance"`
+	Incarnation core.Incarnation `json:"incarnation"`
+	Version     core.Version     `json:"version_in_force"`
+	StatusAddr  string           `json:"status_addr"`
+	AtMS        int64            `json:"at_ms"`
+}
+
+// StatusObject returns the name of the object in which an Instance publishes
+// its status.
+func StatusObject(id core.InstanceID) string { return "status/" + string(id) }
+
+// publishStatus tells operators through the store which version is in force
+// here. It gives up after a few tries: the next version publishes again.
+func (s *Server) publishStatus(ctx context.Context, version core.Version) {
+	status := InstanceStatus{
+		Instance:    s.self.ID,
+		Incarnation: core.Incarnation(s.incarnation.Load()),
+		Version:     version,
+		StatusAddr:  s.StatusAddr(),
+		AtMS:        time.Now().UnixMilli(),
+	}
+	value, err := json.Marshal(status)
+	if err != nil {
+		return
+	}
+	name := StatusObject(s.self.ID)
+	for range statusTries {
+		base := uint64(0)
+		if object, err := s.platform.Get(ctx, name); err == nil {
+			base = object.Version
+		}
+		if _, err := s.platform.Put(ctx, name, value, base); err == nil {
+			return
+		}
+		sleep(ctx, watchRetry)
+	}
+}
+
+const statusTries = 5
+
+// pieceCache keeps the pieces of recent configurations, so that peers can fetch
+// them here instead of from the store.
+type pieceCache struct {
+	mu     sync.Mutex
+	bodies map[config.Hash][]byte
+	order  []config.Hash
+	bytes  int
+}
+
+// maxPieceBytes bounds the cache. The pieces of 27,000 accounts take 12 MB.
+const maxPieceBytes = 32 << 20
+
+func newPieceCache() *pieceCache { return &pieceCache{bodies: map[config.Hash][]byte{}} }
+
+func (c *pieceCache) put(hash config.Hash, body []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, held := c.bodies[hash]; held {
+		return
+	}
+	c.bodies[hash] = body
+	c.order = append(c.order, hash)
+	c.bytes += len(body)
+	for c.bytes > maxPieceBytes {
+		oldest := c.order[0]
+		c.order = c.order[1:]
+		c.bytes -= len(c.bodies[oldest])
+		delete(c.bodies, oldest)
+	}
+}
+
+func (c *pieceCache) get(hash config.Hash) ([]byte, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	body, held := c.bodies[hash]
+	return body, held
+}
--- /dev/null
+++ b/pkg/server/upstreams.go
@@ -0,0 +1,330 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/placement"
+	"github.com/rhubarbsill/rhubarbsill/pkg/resume"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+// progressEvery is the number of tokens between two progress events of a
+// stream. The router does not see each token.
+const progressEvery = 32
+
+// handOver gives an effect to the handler that writes to the caller. When the
+// request has ended here, the attempt fails without having been sent.
+func (s *Server) handOver(id core.RequestID, effect router.Effect, attempt core.AttemptID, up core.UpstreamID) {
+	if !s.calls.post(id, effect) {
+		s.notSent(attempt, up, attempts.FailExpired)
+	}
+}
+
+func (s *Server) notSent(attempt core.AttemptID, up core.UpstreamID, kind attempts.FailureKind) {
+	go s.post(router.AttemptFailed{Attempt: attempt, Failure: attempts.Failure{Kind: kind, Upstream: up}})
+}
+
+func (s *Server) prefill(ctx context.Context, e router.StartPrefill) {
+	entry := s.calls.get(e.Request)
+	if entry == nil {
+		s.notSent(e.Attempt, e.Upstream, attempts.FailExpired)
+		return
+	}
+	ctx, cancel := entry.begin(ctx, e.Attempt)
+	defer cancel()
+	if wait := s.clock.until(e.At); wait > 0 {
+		sleep(ctx, wait)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if s.clock.now() >= e.NotAfter {
+		s.post(router.EffectExpired{Effect: e})
+		return
+	}
+	emitted, tokens := entry.progress()
+	s.post(router.AttemptSent{Attempt: e.Attempt})
+	reply, err := s.upstreams.Load().Prefill(ctx, e.URL, upstream.PrefillRequest{
+		Attempt:      e.Attempt.String(),
+		Model:        entry.model,
+		Prompt:       entry.prompt,
+		PromptTokens: upstream.EstimateTokens(entry.prompt) + tokens,
+		Emitted:      emitted,
+		Priority:     e.Priority,
+	})
+	if err != nil {
+		s.attemptFailed(ctx, e.Attempt, e.Upstream, err)
+		return
+	}
+	s.post(router.PrefillDone{Attempt: e.Attempt, KV: string(reply.KV), CachedTokens: reply.CachedTokens})
+}
+
+// attemptFailed reports a failed upstream call. A call that the router itself
+// has cancelled is not reported.
+func (s *Server) attemptFailed(ctx context.Context, id core.AttemptID, up core.UpstreamID, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	failure := attempts.Failure{Kind: attempts.FailStatus, Upstream: up, Sent: true}
+	var callError *upstream.Error
+	if errors.As(err, &callError) {
+		failure.Sent = callError.Sent
+		failure.Kind = failureKind(callError)
+	}
+	telemetry.Component(s.log, "attempts").Warn("attempt failed",
+		zap.String("attempt", id.String()), zap.String("upstream", string(up)), zap.Error(err))
+	s.post(router.AttemptFailed{Attempt: id, Failure: failure})
+}
+
+func failureKind(err *upstream.Error) attempts.FailureKind {
+	switch err.Kind {
+	case upstream.Connect:
+		return attempts.FailConnect
+	case upstream.Full, upstream.Refused:
+		return attempts.FailFull
+	case upstream.Crashed, upstream.Canceled:
+		return attempts.FailCrashed
+	case upstream.Stalled:
+		return attempts.FailStalled
+	case upstream.KVGone:
+		return attempts.FailKVGone
+	default:
+		return attempts.FailStatus
+	}
+}
+
+// relay streams the answer of an attempt to the caller. It runs on the
+// goroutine of the caller's handler and returns when the stream has ended, the
+// attempt is cancelled or the caller has gone.
+type relay struct {
+	server   *Server
+	call     *call
+	answer   *answer
+	request  core.RequestID
+	attempt  core.AttemptID
+	running  core.AttemptID
+	upstream core.UpstreamID
+	gaps     []time.Duration
+	last     time.Time
+	sent     int // tokens relayed by this attempt
+}
+
+func (s *Server) decode(ctx context.Context, entry *call, a *answer, e router.StartDecode) error {
+	ctx, cancel := entry.begin(ctx, e.Attempt)
+	defer cancel()
+	if s.clock.now() >= e.NotAfter {
+		s.post(router.EffectExpired{Effect: e})
+		return nil
+	}
+	stream, err := s.upstreams.Load().Decode(ctx, e.URL, upstream.DecodeRequest{
+		Attempt:   e.Attempt.String(),
+		Source:    e.SourceURL,
+		KV:        upstream.KVHandle(e.KV),
+		MaxTokens: e.MaxTokens,
+		Offset:    e.TokensSent,
+		Priority:  e.Priority,
+	})
+	if err != nil {
+		s.attemptFailed(ctx, e.Attempt, e.Upstream, err)
+		return nil
+	}
+	r := &relay{server: s, call: entry, answer: a, request: e.Request, attempt: e.Attempt, running: e.Attempt, upstream: e.Upstream}
+	return r.run(ctx, stream)
+}
+
+func (s *Server) resume(ctx context.Context, entry *call, a *answer, e router.StartResume) error {
+	ctx, cancel := entry.begin(ctx, e.Attempt)
+	defer cancel()
+	if s.clock.now() >= e.NotAfter {
+		s.post(router.EffectExpired{Effect: e})
+		return nil
+	}
+	entry.skip(e.Offset)
+	stream, err := s.upstreams.Load().Resume(ctx, e.URL, e.Running.String(), e.Offset, 0)
+	if err != nil {
+		s.attemptFailed(ctx, e.Attempt, e.Upstream, err)
+		return nil
+	}
+	r := &relay{server: s, call: entry, answer: a, request: e.Request, attempt: e.Attempt, running: e.Running, upstream: e.Upstream}
+	return r.run(ctx, stream)
+}
+
+// run returns an error only when writing to the caller has failed.
+func (r *relay) run(ctx context.Context, stream upstream.TokenStream) error {
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	defer stop()
+	for {
+		token, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			r.ended()
+			return nil
+		}
+		if err != nil {
+			r.server.attemptFailed(ctx, r.attempt, r.upstream, err)
+			return nil
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err := r.relayToken(token); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *relay) relayToken(token upstream.Token) error {
+	now := time.Now()
+	if r.sent > 0 {
+		r.gaps = append(r.gaps, now.Sub(r.last))
+	}
+	r.last = now
+	if err := r.answer.token(token, r.eventID(token.Index+1)); err != nil {
+		return err
+	}
+	r.call.append(token.Text)
+	r.sent++
+	_, tokens := r.call.progress()
+	if r.sent == 1 {
+		r.server.post(router.FirstToken{Attempt: r.attempt})
+	}
+	if r.sent%progressEvery == 0 {
+		r.server.post(router.Progress{Attempt: r.attempt, Tokens: tokens})
+	}
+	return nil
+}
+
+// eventID seals the position after a token, so that the caller can resume there
+// at any Instance.
+func (r *relay) eventID(next int) string {
+	sealer := r.server.sealer.Load()
+	if sealer == nil || !r.answer.stream {
+		return ""
+	}
+	return sealer.Seal(resume.Position{
+		Account:  r.call.account,
+		Request:  r.request,
+		Upstream: r.upstream,
+		Attempt:  r.running,
+		Offset:   next,
+	})
+}
+
+func (r *relay) ended() {
+	_, tokens := r.call.progress()
+	r.server.post(router.AnswerEnded{Attempt: r.attempt, Tokens: tokens, BetweenTokens: percentile95(r.gaps)})
+}
+
+func percentile95(gaps []time.Duration) time.Duration {
+	if len(gaps) == 0 {
+		return 0
+	}
+	slices.Sort(gaps)
+	return gaps[len(gaps)*95/100]
+}
+
+// callPlain sends a call to a plain service. It does not end with the caller's
+// connection: the outcome of a call with a claim has to be recorded.
+func (s *Server) callPlain(ctx context.Context, e router.StartCall) {
+	entry := s.calls.get(e.Request)
+	if entry == nil {
+		s.notSent(e.Attempt, e.Upstream, attempts.FailExpired)
+		return
+	}
+	ctx, cancel := entry.begin(ctx, e.Attempt)
+	defer cancel()
+	if s.clock.now() >= e.NotAfter {
+		s.post(router.EffectExpired{Effect: e})
+		return
+	}
+	s.post(router.AttemptSent{Attempt: e.Attempt})
+	reply, err := s.upstreams.Load().Call(ctx, e.URL, entry.plain)
+	if err != nil {
+		s.attemptFailed(ctx, e.Attempt, e.Upstream, err)
+		return
+	}
+	entry.setReply(reply)
+	s.post(router.AnswerEnded{Attempt: e.Attempt, Status: reply.Status})
+}
+
+// cancelAttempt ends the stream of an attempt here and frees what the engine
+// holds for it. The router repeats the effect until it is confirmed.
+func (s *Server) cancelAttempt(ctx context.Context, e router.Cancel) {
+	s.calls.cancelAttempt(e.Request, e.Attempt)
+	if e.URL == "" {
+		return
+	}
+	if err := s.upstreams.Load().Cancel(ctx, e.URL, e.Attempt.String()); err != nil {
+		telemetry.Component(s.log, "attempts").Debug("cancel failed",
+			zap.String("attempt", e.Attempt.String()), zap.Error(err))
+		return
+	}
+	s.post(router.CancelConfirmed{Attempt: e.Attempt, Upstream: e.Upstream})
+}
+
+// pollLoad reads the load of an engine and, from a prefill engine, its cache
+// events.
+func (s *Server) pollLoad(ctx context.Context, e router.PollLoad) {
+	asked := s.clock.now()
+	client := s.upstreams.Load()
+	report, err := client.Load(ctx, e.URL)
+	if err != nil {
+		s.post(router.LoadFailed{Upstream: e.Upstream})
+		return
+	}
+	s.post(router.LoadReported{Upstream: e.Upstream, Report: s.loadOf(asked, report)})
+	if !e.CacheEvents {
+		return
+	}
+	events, err := client.CacheEvents(ctx, e.URL, e.CacheAfter)
+	if err != nil {
+		return
+	}
+	s.post(router.CacheReported{Upstream: e.Upstream, Events: cacheEventsOf(events), Next: events.Next})
+}
+
+func (s *Server) loadOf(asked core.Instant, report upstream.LoadReport) placement.LoadReport {
+	age := max(0, time.Since(time.UnixMilli(report.AsOfMS)))
+	load := placement.LoadReport{
+		Slots:        report.Slots,
+		Used:         report.Used,
+		Queued:       report.Queued,
+		QueuedTokens: report.QueuedTokens,
+		AsOf:         asked.Add(-min(age, maxReportAge)),
+		Generation:   report.Generation,
+	}
+	for _, text := range report.Attempts {
+		if id, err := core.ParseAttemptID(text); err == nil {
+			load.Attempts = append(load.Attempts, id)
+		}
+	}
+	return load
+}
+
+// maxReportAge bounds the age that a report is given, since the engine's wall
+// clock may be wrong.
+const maxReportAge = 2 * time.Second
+
+func cacheEventsOf(events upstream.CacheEvents) []placement.CacheEvents {
+	var runs []placement.CacheEvents
+	for _, event := range events.Events {
+		entry := placement.CacheEvent{Block: event.Block, Stored: !event.Evicted}
+		last := len(runs) - 1
+		if last >= 0 && runs[last].First+uint64(len(runs[last].Events)) == event.Seq {
+			runs[last].Events = append(runs[last].Events, entry)
+			continue
+		}
+		runs = append(runs, placement.CacheEvents{First: event.Seq, Events: []placement.CacheEvent{entry}})
+	}
+	return runs
+}
