--- /dev/null
+++ b/pkg/config/assemble.go
@@ -0,0 +1,45 @@
+package config
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// Assemble returns the document of a root and its pieces. Services, Upstreams
+// and accounts are sorted by name; comments are not kept in pieces.
+func Assemble(root Root, get Lookup) (*Document, error) {
+	snap, err := CompilePieces(nil, root, get)
+	if err != nil {
+		return nil, err
+	}
+	return snap.Document(), nil
+}
+
+// Document returns the document of the Snapshot, sorted as by Assemble. The
+// caller must not change what its slices hold.
+func (s *Snapshot) Document() *Document {
+	doc := &Document{
+		Environment:        s.root.Environment,
+		StoreRegion:        s.root.StoreRegion,
+		UpstreamCredential: s.root.UpstreamCredential,
+		DataCentres:        s.root.DataCentres,
+		ResumeKeys:         s.root.ResumeKeys,
+	}
+	for _, service := range s.tables.sorted {
+		doc.Services = append(doc.Services, *service)
+	}
+	s.accounts.all(func(a *ClientAccount) { doc.Accounts = append(doc.Accounts, *a) })
+	slices.SortFunc(doc.Accounts, func(a, b ClientAccount) int { return cmp.Compare(a.ID, b.ID) })
+	return doc
+}
+
+// Format returns the text of a document, which Parse reads again.
+func Format(doc *Document) []byte {
+	text, err := json.MarshalIndent(doc, "", "  ")
+	if err != nil {
+		panic(fmt.Sprintf("config: encode document: %v", err)) // the types of this package always encode
+	}
+	return append(text, '\n')
+}
--- /dev/null
+++ b/pkg/config/parse.go
@@ -0,0 +1,254 @@
+package config
+
+import (
+	"fmt"
+	"regexp"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/tailscale/hujson"
+)
+
+// Limits of a document. They are two to four times the target size of 27,000
+// accounts, 35 models, 1,300 engines and 5 data centres.
+const (
+	maxDocumentBytes = 64 << 20
+	maxDepth         = 16 // a valid document has a depth of 6
+	maxDataCentres   = 64
+	maxServices      = 128
+	maxModels        = 128 // of a service
+	maxUpstreams     = 4096
+	maxRoutes        = 256 // of a service
+	maxAccounts      = 100_000
+	maxKeys          = 32 // of an account
+	maxResumeKeys    = 2
+	maxSlots         = 4096
+	maxNameLength    = 64
+	maxModelLength   = 128
+	maxPathLength    = 512
+	maxMilliseconds  = 600_000
+	maxLinkMbps      = 1_000_000
+	maxWeight        = 1000
+	maxPriority      = 100
+	// maxTokens bounds rates and bursts. Buckets count token-nanoseconds in 64
+	// bits, which hold 9.2e9 tokens.
+	maxTokens = 1_000_000_000
+)
+
+var (
+	nameForm   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+	modelForm  = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._/:-]*[A-Za-z0-9])?$`)
+	secretForm = regexp.MustCompile(`^[A-Za-z_][A-Za-z0-9_.-]*$`)
+)
+
+const (
+	nameWant   = "lower-case letters, digits and inner hyphens"
+	modelWant  = "letters, digits and inner . _ / : -"
+	secretWant = "the name of an environment variable or settings entry, not the secret"
+)
+
+// Parse reads a document in JSON with comments. The name is that of the file. It
+// returns every finding at once; the document is nil when there are any.
+func Parse(name string, text []byte) (*Document, Findings) {
+	r := newReader(name, nil)
+	if len(text) > maxDocumentBytes {
+		r.report(0, "", fmt.Sprintf("document has %d bytes, at most %d are allowed", len(text), maxDocumentBytes))
+		return nil, r.finish()
+	}
+	r = newReader(name, text)
+	// The parser recurses; without this limit, 64 MB of brackets overflow the stack.
+	if depth, offset := depthOf(text); depth > maxDepth {
+		r.report(offset, "", fmt.Sprintf("nesting of %d levels, at most %d are allowed", depth, maxDepth))
+		return nil, r.finish()
+	}
+	value, err := hujson.Parse(text)
+	if err != nil {
+		r.reportSyntax(err)
+		return nil, r.finish()
+	}
+	p := newParser()
+	doc := p.document(field{r: r, offset: value.StartOffset, value: value.Value, present: true})
+	if findings := r.finish(); len(findings) > 0 {
+		return nil, findings
+	}
+	return doc, nil
+}
+
+var syntaxPlace = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (?s:(.*))$`)
+
+func (r *reader) reportSyntax(err error) {
+	finding := Finding{File: r.file, Line: 1, Column: 1, Message: err.Error()}
+	if m := syntaxPlace.FindStringSubmatch(err.Error()); m != nil {
+		fmt.Sscan(m[1], &finding.Line)
+		fmt.Sscan(m[2], &finding.Column)
+		finding.Message = "syntax: " + m[3]
+	}
+	r.findings = append(r.findings, finding)
+}
+
+// parser holds what references are checked against.
+type parser struct {
+	regions     map[core.RegionName]bool
+	dataCentres map[core.DataCentreName]core.RegionName
+	services    map[core.ServiceName]string // path of the first use
+	models      map[core.ModelName]string
+	upstreams   map[core.UpstreamID]string
+	urls        map[string]string
+	accounts    map[core.AccountID]string
+	routes      routeSet
+}
+
+func newParser() *parser {
+	return &parser{
+		regions:     map[core.RegionName]bool{},
+		dataCentres: map[core.DataCentreName]core.RegionName{},
+		services:    map[core.ServiceName]string{},
+		models:      map[core.ModelName]string{},
+		upstreams:   map[core.UpstreamID]string{},
+		urls:        map[string]string{},
+		accounts:    map[core.AccountID]string{},
+	}
+}
+
+// unique reports a second use of an id.
+func unique[K ~string](f field, used map[K]string, id K, what string) {
+	if first, twice := used[id]; twice {
+		f.fail("%s %q is already used at %s", what, id, first)
+		return
+	}
+	used[id] = f.path
+}
+
+func (f field) name() string {
+	text, _ := f.match(nameForm, maxNameLength, nameWant)
+	return text
+}
+
+// document reads data centres before services and services before accounts,
+// whatever their order in the text, since the later ones refer to the earlier.
+func (p *parser) document(f field) *Document {
+	o, ok := f.object("environment", "store_region", "data_centres", "services", "accounts",
+		"upstream_credential", "resume_keys")
+	if !ok {
+		return nil
+	}
+	doc := &Document{
+		Environment: o.need("environment").name(),
+		StoreRegion: core.RegionName(o.need("store_region").name()),
+	}
+	doc.UpstreamCredential, _ = o.get("upstream_credential").match(secretForm, maxNameLength, secretWant)
+	doc.DataCentres = p.dataCentreList(o.need("data_centres"))
+	if region := o.get("store_region"); region.present && doc.StoreRegion != "" && !p.regions[doc.StoreRegion] {
+		region.fail("no data centre is in region %q", doc.StoreRegion)
+	}
+	for _, element := range o.need("services").list(maxServices) {
+		doc.Services = append(doc.Services, p.service(element))
+	}
+	if len(p.upstreams) > maxUpstreams {
+		o.get("services").fail("has %d upstreams, at most %d are allowed", len(p.upstreams), maxUpstreams)
+	}
+	for _, element := range o.get("accounts").list(maxAccounts) {
+		doc.Accounts = append(doc.Accounts, p.account(element))
+	}
+	doc.ResumeKeys = p.resumeKeys(o.get("resume_keys"))
+	return doc
+}
+
+func (p *parser) dataCentreList(f field) []DataCentre {
+	var list []DataCentre
+	used := map[core.DataCentreName]string{}
+	for _, element := range f.list(maxDataCentres) {
+		o, ok := element.object("name", "region", "link_mbps")
+		if !ok {
+			continue
+		}
+		dc := DataCentre{
+			Name:     core.DataCentreName(o.need("name").name()),
+			Region:   core.RegionName(o.need("region").name()),
+			LinkMbps: o.need("link_mbps").integer(0, 1, maxLinkMbps),
+		}
+		if dc.Name != "" {
+			unique(o.get("name"), used, dc.Name, "data centre")
+			p.dataCentres[dc.Name] = dc.Region
+		}
+		p.regions[dc.Region] = true
+		list = append(list, dc)
+	}
+	return list
+}
+
+func (p *parser) resumeKeys(f field) []ResumeKey {
+	var list []ResumeKey
+	used := map[string]string{}
+	for _, element := range f.list(maxResumeKeys) {
+		o, ok := element.object("id", "secret")
+		if !ok {
+			continue
+		}
+		key := ResumeKey{ID: o.need("id").name()}
+		key.Secret, _ = o.need("secret").match(secretForm, maxNameLength, secretWant)
+		if key.ID != "" {
+			unique(o.get("id"), used, key.ID, "resume key")
+		}
+		list = append(list, key)
+	}
+	return list
+}
+
+func (p *parser) account(f field) ClientAccount {
+	o, ok := f.object("id", "weight", "priority", "rate_tokens_per_second", "burst_tokens", "services", "keys")
+	if !ok {
+		return ClientAccount{}
+	}
+	account := ClientAccount{
+		ID:                  core.AccountID(o.need("id").name()),
+		Weight:              int(o.get("weight").integer(1, 1, maxWeight)),
+		Priority:            int(o.get("priority").integer(0, 0, maxPriority)),
+		RateTokensPerSecond: o.need("rate_tokens_per_second").integer(0, 1, maxTokens),
+		BurstTokens:         o.need("burst_tokens").integer(0, 1, maxTokens),
+	}
+	if account.ID != "" {
+		unique(o.get("id"), p.accounts, account.ID, "account")
+	}
+	account.Services = p.accountServices(o.get("services"))
+	used := map[core.KeyID]string{}
+	for _, element := range o.get("keys").list(maxKeys) {
+		account.Keys = append(account.Keys, readKey(element, used))
+	}
+	return account
+}
+
+func (p *parser) accountServices(f field) []core.ServiceName {
+	var list []core.ServiceName
+	used := map[core.ServiceName]string{}
+	for _, element := range f.list(maxServices) {
+		text, ok := element.text()
+		name := core.ServiceName(text)
+		if !ok {
+			continue
+		}
+		if _, found := p.services[name]; !found {
+			element.fail("service %s does not exist", quote(text))
+			continue
+		}
+		unique(element, used, name, "service")
+		list = append(list, name)
+	}
+	return list
+}
+
+func readKey(f field, used map[core.KeyID]string) Key {
+	o, ok := f.object("id", "salt", "digest", "revoked")
+	if !ok {
+		return Key{}
+	}
+	key := Key{ID: core.KeyID(o.need("id").name()), Revoked: o.get("revoked").truth()}
+	o.need("salt").decode(&key.Salt)
+	o.need("digest").decode(&key.Digest)
+	if key.ID != "" {
+		unique(o.get("id"), used, key.ID, "key")
+	}
+	return key
+}
+
+// ValidName reports whether text may be the id of an account or a key.
+func ValidName(text string) bool { return len(text) <= maxNameLength && nameForm.MatchString(text) }
--- /dev/null
+++ b/pkg/config/parse_service.go
@@ -0,0 +1,328 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// defaultTargets are the targets of the design page: first token within 1.9 s
+// and 37 ms between tokens.
+var defaultTargets = Targets{FirstTokenMS: 1900, BetweenTokensMS: 37}
+
+func (p *parser) service(f field) Service {
+	o, ok := f.object("name", "kind", "models", "targets", "upstreams", "routes", "on_partition", "policy")
+	if !ok {
+		return Service{}
+	}
+	service := Service{
+		Name:        core.ServiceName(o.need("name").name()),
+		Kind:        ServiceKind(o.need("kind").oneOf(string(ServiceModel), string(ServicePlain))),
+		OnPartition: PartitionPolicy(o.get("on_partition").oneOf(string(PartitionRefuse), string(PartitionServe))),
+		Policy:      Policy(o.get("policy").oneOf(string(PolicyGoodput), string(PolicyFair))),
+	}
+	if service.Name != "" {
+		unique(o.get("name"), p.services, service.Name, "service")
+	}
+	if service.Kind == ServicePlain {
+		p.plainService(o, &service)
+	} else {
+		p.modelService(o, &service)
+	}
+	return service
+}
+
+func (o object) forbid(kind ServiceKind, names ...string) {
+	for _, name := range names {
+		if f := o.get(name); f.present {
+			f.fail("a %s service has no %s", kind, name)
+		}
+	}
+}
+
+func (p *parser) modelService(o object, service *Service) {
+	o.forbid(ServiceModel, "routes")
+	service.Models = p.serviceModels(o.need("models"))
+	service.Targets = readTargets(o.get("targets"))
+	for _, element := range o.need("upstreams").list(maxUpstreams) {
+		service.Upstreams = append(service.Upstreams, p.upstream(element, service))
+	}
+	if o.get("upstreams").present {
+		p.checkRoles(o.get("upstreams"), service)
+	}
+}
+
+func (p *parser) serviceModels(f field) []core.ModelName {
+	var list []core.ModelName
+	for _, element := range f.list(maxModels) {
+		text, ok := element.match(modelForm, maxModelLength, modelWant)
+		if !ok {
+			continue
+		}
+		unique(element, p.models, core.ModelName(text), "model")
+		list = append(list, core.ModelName(text))
+	}
+	if f.present && len(list) == 0 {
+		f.fail("a model service needs at least one model")
+	}
+	return list
+}
+
+func readTargets(f field) Targets {
+	if !f.present {
+		return defaultTargets
+	}
+	o, ok := f.object("first_token_ms", "between_tokens_ms")
+	if !ok {
+		return defaultTargets
+	}
+	return Targets{
+		FirstTokenMS:    o.get("first_token_ms").integer(defaultTargets.FirstTokenMS, 1, maxMilliseconds),
+		BetweenTokensMS: o.get("between_tokens_ms").integer(defaultTargets.BetweenTokensMS, 1, maxMilliseconds),
+	}
+}
+
+// checkRoles reports a model that no region can run. The KV cache does not cross
+// regions, so one region needs both a prefill and a decode engine.
+func (p *parser) checkRoles(f field, service *Service) {
+	for _, role := range []Role{RolePrefill, RoleDecode} {
+		found := slices.ContainsFunc(service.Upstreams, func(u Upstream) bool { return u.Role == role })
+		if !found {
+			f.fail("service %q has no %s engine", service.Name, role)
+			return
+		}
+	}
+	for _, model := range service.Models {
+		prefill := p.regionsOf(service, model, RolePrefill)
+		decode := p.regionsOf(service, model, RoleDecode)
+		if !slices.ContainsFunc(decode, func(r core.RegionName) bool { return slices.Contains(prefill, r) }) {
+			f.fail("no region has both a prefill and a decode engine for model %q", model)
+		}
+	}
+}
+
+func (p *parser) regionsOf(service *Service, model core.ModelName, role Role) []core.RegionName {
+	var regions []core.RegionName
+	for _, up := range service.Upstreams {
+		if up.Role == role && slices.Contains(up.Models, model) {
+			regions = append(regions, p.dataCentres[up.DataCentre])
+		}
+	}
+	return regions
+}
+
+func (p *parser) plainService(o object, service *Service) {
+	o.forbid(ServicePlain, "models", "targets")
+	upstreams := o.need("upstreams")
+	for _, element := range upstreams.list(maxUpstreams) {
+		service.Upstreams = append(service.Upstreams, p.upstream(element, service))
+	}
+	if upstreams.present && len(service.Upstreams) == 0 {
+		upstreams.fail("service %q has no upstream", service.Name)
+	}
+	routes := o.need("routes")
+	for _, element := range routes.list(maxRoutes) {
+		service.Routes = append(service.Routes, p.route(element))
+	}
+	if routes.present && len(service.Routes) == 0 {
+		routes.fail("service %q has no route", service.Name)
+	}
+}
+
+func (p *parser) upstream(f field, service *Service) Upstream {
+	o, ok := f.object("id", "url", "role", "data_centre", "slots", "models", "checks_fencing")
+	if !ok {
+		return Upstream{}
+	}
+	up := Upstream{
+		ID:            core.UpstreamID(o.need("id").name()),
+		Role:          readRole(o, service.Kind),
+		DataCentre:    core.DataCentreName(o.need("data_centre").name()),
+		ChecksFencing: o.get("checks_fencing").truth(),
+	}
+	if up.ID != "" {
+		unique(o.get("id"), p.upstreams, up.ID, "upstream")
+	}
+	up.URL = p.readURL(o.need("url"))
+	if _, found := p.dataCentres[up.DataCentre]; up.DataCentre != "" && !found {
+		o.get("data_centre").fail("data centre %q does not exist", up.DataCentre)
+	}
+	up.Slots = readSlots(o, up.Role)
+	up.Models = readModels(o.get("models"), service)
+	return up
+}
+
+func readRole(o object, kind ServiceKind) Role {
+	if kind == ServicePlain {
+		return Role(o.get("role").oneOf(string(RolePlain)))
+	}
+	return Role(o.need("role").oneOf(string(RolePrefill), string(RoleDecode)))
+}
+
+func readSlots(o object, role Role) int {
+	if role == RoleDecode {
+		return int(o.need("slots").integer(1, 1, maxSlots))
+	}
+	return int(o.get("slots").integer(0, 0, maxSlots))
+}
+
+func readModels(f field, service *Service) []core.ModelName {
+	if !f.present {
+		return service.Models
+	}
+	var list []core.ModelName
+	used := map[core.ModelName]string{}
+	for _, element := range f.list(maxModels) {
+		text, ok := element.text()
+		name := core.ModelName(text)
+		if !ok {
+			continue
+		}
+		if !slices.Contains(service.Models, name) {
+			element.fail("service %q does not offer model %s", service.Name, quote(text))
+			continue
+		}
+		unique(element, used, name, "model")
+		list = append(list, name)
+	}
+	return list
+}
+
+// readURL reads http://IP:port. Processes communicate by IP address, so that a
+// name service is no cause of failure.
+func (p *parser) readURL(f field) string {
+	text, ok := f.text()
+	if !ok {
+		return ""
+	}
+	rest, found := strings.CutPrefix(text, "http://")
+	addr, err := netip.ParseAddrPort(rest)
+	if !found || err != nil || addr.Port() == 0 || addr.Addr().Zone() != "" {
+		f.fail("%s is not valid: want http://IP:port without a path", quote(text))
+		return ""
+	}
+	if addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() {
+		f.fail("%s is not the address of one process", quote(text))
+		return ""
+	}
+	unique(f, p.urls, "http://"+addr.String(), "url")
+	return "http://" + addr.String()
+}
+
+var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+func (p *parser) route(f field) Route {
+	o, ok := f.object("path", "methods", "open", "idempotent", "cost_tokens")
+	if !ok {
+		return Route{}
+	}
+	route := Route{
+		Open:       o.get("open").truth(),
+		Idempotent: o.get("idempotent").truth(),
+		CostTokens: o.get("cost_tokens").integer(1, 0, maxTokens),
+	}
+	used := map[string]string{}
+	for _, element := range o.need("methods").list(len(methods)) {
+		method := element.oneOf(methods...)
+		unique(element, used, method, "method")
+		route.Methods = append(route.Methods, method)
+	}
+	if o.get("methods").present && len(route.Methods) == 0 {
+		o.get("methods").fail("a route needs at least one method")
+	}
+	route.Path = p.readPath(o.need("path"), route.Methods)
+	return route
+}
+
+func (p *parser) readPath(f field, methods []string) string {
+	text, ok := f.text()
+	if !ok {
+		return ""
+	}
+	exact := strings.TrimSuffix(text, "*")
+	if isPrefix(text) != (exact != text) || strings.Contains(exact, "*") || !plainPath(exact) || len(text) > maxPathLength {
+		f.fail("%s is not valid: want an absolute path without dot segments, with * only as a last /*", quote(text))
+		return ""
+	}
+	for _, clash := range p.routes.overlaps(text, methods) {
+		f.fail("%s", clash)
+	}
+	p.routes.add(f.path, text, methods)
+	return text
+}
+
+// callerPaths are the paths of the caller API.
+var callerPaths = []string{"/v1/completions", "/v1/chat/completions", "/v1/addresses", "/healthz"}
+
+// routeSet finds overlapping routes in a time that grows with the length of the
+// paths and not with the number of routes.
+type routeSet struct {
+	// paths holds the place of each route under its method and path.
+	paths map[routeKey]string
+	// below holds the place of one route under each prefix of its path.
+	below map[routeKey]string
+}
+
+func (s *routeSet) add(place, path string, methods []string) {
+	if s.paths == nil {
+		s.paths, s.below = map[routeKey]string{}, map[routeKey]string{}
+	}
+	for _, method := range methods {
+		s.paths[routeKey{method, path}] = place
+		for _, prefix := range prefixesOf(path) {
+			s.below[routeKey{method, prefix}] = place
+		}
+	}
+}
+
+func (s *routeSet) overlaps(path string, methods []string) []string {
+	var list []string
+	for _, reserved := range callerPaths {
+		if path == reserved || (isPrefix(path) && slices.Contains(prefixesOf(reserved), path)) {
+			list = append(list, fmt.Sprintf("route overlaps with the path %s of the caller API", reserved))
+		}
+	}
+	for _, method := range methods {
+		if place := s.overlap(path, method); place != "" {
+			list = append(list, fmt.Sprintf("route overlaps with %s for %s", place, method))
+		}
+	}
+	return list
+}
+
+func (s *routeSet) overlap(path, method string) string {
+	if place := s.paths[routeKey{method, path}]; place != "" {
+		return place
+	}
+	if isPrefix(path) && s.below[routeKey{method, path}] != "" {
+		return s.below[routeKey{method, path}]
+	}
+	for _, prefix := range prefixesOf(path) {
+		if place := s.paths[routeKey{method, prefix}]; place != "" {
+			return place
+		}
+	}
+	return ""
+}
+
+// prefixesOf returns the prefixes that match every path that the given path
+// matches, without the path itself.
+func prefixesOf(path string) []string {
+	exact := strings.TrimSuffix(path, "/*")
+	if exact == path {
+		exact = path[:strings.LastIndexByte(path, '/')]
+	} else if exact == "" {
+		return nil
+	} else {
+		exact = exact[:strings.LastIndexByte(exact, '/')]
+	}
+	list := []string{exact + "/*"}
+	for exact != "" {
+		exact = exact[:strings.LastIndexByte(exact, '/')]
+		list = append(list, exact+"/*")
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/config/reader.go
@@ -0,0 +1,319 @@
+package config
+
+import (
+	"bytes"
+	"encoding"
+	"fmt"
+	"regexp"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// maxFindings bounds the memory and the output of a document that is wrong
+// throughout, such as one in another format.
+const maxFindings = 1000
+
+// reader turns syntax into typed values and collects findings.
+type reader struct {
+	file     string
+	lines    []int // offset of the first byte of each line
+	findings Findings
+	omitted  int
+}
+
+func newReader(file string, text []byte) *reader {
+	r := &reader{file: file, lines: []int{0}}
+	for i := range text {
+		if text[i] == '\n' {
+			r.lines = append(r.lines, i+1)
+		}
+	}
+	return r
+}
+
+func (r *reader) report(offset int, path, message string) {
+	if len(r.findings) >= maxFindings {
+		r.omitted++
+		return
+	}
+	line := sort.SearchInts(r.lines, offset+1)
+	column := offset - r.lines[line-1] + 1
+	r.findings = append(r.findings, Finding{r.file, line, column, path, message})
+}
+
+func (r *reader) finish() Findings {
+	if r.omitted > 0 {
+		last := Finding{File: r.file, Line: len(r.lines), Column: 1}
+		last.Message = fmt.Sprintf("%d more findings are not listed", r.omitted)
+		r.findings = append(r.findings, last)
+	}
+	r.findings.sort()
+	return r.findings
+}
+
+// field is a value with its place in the document.
+type field struct {
+	r       *reader
+	path    string
+	offset  int
+	value   hujson.ValueTrimmed
+	present bool
+}
+
+func (f field) fail(format string, args ...any) {
+	f.r.report(f.offset, f.path, fmt.Sprintf(format, args...))
+}
+
+// object is the members of an object that has only known fields.
+type object struct {
+	field
+	members map[string]field
+}
+
+// object reads an object and reports unknown and repeated fields.
+func (f field) object(known ...string) (object, bool) {
+	o := object{field: f}
+	if !f.present {
+		return o, false
+	}
+	syntax, ok := f.value.(*hujson.Object)
+	if !ok {
+		f.fail("want an object, got %s", kindOf(f.value))
+		return o, false
+	}
+	o.members = make(map[string]field, len(syntax.Members))
+	for i := range syntax.Members {
+		o.add(&syntax.Members[i], known)
+	}
+	return o, true
+}
+
+func (o *object) add(m *hujson.ObjectMember, known []string) {
+	name := m.Name.Value.(hujson.Literal).String()
+	member := field{
+		r: o.r, path: join(o.path, name), offset: m.Value.StartOffset,
+		value: m.Value.Value, present: true,
+	}
+	if !slices.Contains(known, name) {
+		o.r.report(m.Name.StartOffset, member.path,
+			fmt.Sprintf("unknown field %q; known fields: %s", name, strings.Join(known, ", ")))
+		return
+	}
+	if _, twice := o.members[name]; twice {
+		o.r.report(m.Name.StartOffset, member.path, fmt.Sprintf("field %q is set twice", name))
+		return
+	}
+	o.members[name] = member
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// get returns a member, or an absent field at the place of the object.
+func (o object) get(name string) field {
+	if member, ok := o.members[name]; ok {
+		return member
+	}
+	return field{r: o.r, path: join(o.path, name), offset: o.offset}
+}
+
+// need returns a member and reports its absence.
+func (o object) need(name string) field {
+	f := o.get(name)
+	if !f.present {
+		f.fail("field %q is missing", name)
+	}
+	return f
+}
+
+// list returns the elements of an array of at most limit elements.
+func (f field) list(limit int) []field {
+	if !f.present {
+		return nil
+	}
+	syntax, ok := f.value.(*hujson.Array)
+	if !ok {
+		f.fail("want an array, got %s", kindOf(f.value))
+		return nil
+	}
+	if len(syntax.Elements) > limit {
+		f.fail("has %d elements, at most %d are allowed", len(syntax.Elements), limit)
+		return nil
+	}
+	elements := make([]field, len(syntax.Elements))
+	for i := range syntax.Elements {
+		element := &syntax.Elements[i]
+		elements[i] = field{
+			r: f.r, path: f.path + "[" + strconv.Itoa(i) + "]", offset: element.StartOffset,
+			value: element.Value, present: true,
+		}
+	}
+	return elements
+}
+
+func (f field) literal(kind hujson.Kind, want string) (hujson.Literal, bool) {
+	if !f.present {
+		return nil, false
+	}
+	literal, ok := f.value.(hujson.Literal)
+	if !ok || literal.Kind() != kind {
+		f.fail("want %s, got %s", want, kindOf(f.value))
+		return nil, false
+	}
+	return literal, true
+}
+
+// text reads a string.
+func (f field) text() (string, bool) {
+	literal, ok := f.literal('"', "a string")
+	if !ok {
+		return "", false
+	}
+	return literal.String(), true
+}
+
+// match reads a string that has the given form.
+func (f field) match(form *regexp.Regexp, limit int, want string) (string, bool) {
+	text, ok := f.text()
+	if !ok {
+		return "", false
+	}
+	if len(text) > limit || !form.MatchString(text) {
+		f.fail("%s is not valid: want %s, at most %d characters", quote(text), want, limit)
+		return "", false
+	}
+	return text, true
+}
+
+// oneOf reads a string from a list. An absent field gives the first entry.
+func (f field) oneOf(allowed ...string) string {
+	if !f.present {
+		return allowed[0]
+	}
+	text, ok := f.text()
+	if ok && !slices.Contains(allowed, text) {
+		f.fail("%s is not one of %s", quote(text), strings.Join(allowed, ", "))
+	}
+	return text
+}
+
+// decode reads a string into a type with a text form.
+func (f field) decode(into encoding.TextUnmarshaler) {
+	text, ok := f.text()
+	if !ok {
+		return
+	}
+	if err := into.UnmarshalText([]byte(text)); err != nil {
+		f.fail("%v", err)
+	}
+}
+
+// integer reads a whole number within bounds. An absent field gives fallback.
+func (f field) integer(fallback, low, high int64) int64 {
+	literal, ok := f.literal('0', "a whole number")
+	if !ok {
+		return fallback
+	}
+	n, err := strconv.ParseInt(string(literal), 10, 64)
+	if err != nil || n < low || n > high {
+		f.fail("%s is not a whole number from %d to %d", shorten(string(literal)), low, high)
+		return fallback
+	}
+	return n
+}
+
+// truth reads a boolean. An absent field gives false.
+func (f field) truth() bool {
+	if !f.present {
+		return false
+	}
+	literal, ok := f.value.(hujson.Literal)
+	if !ok || (literal.Kind() != 't' && literal.Kind() != 'f') {
+		f.fail("want true or false, got %s", kindOf(f.value))
+		return false
+	}
+	return literal.Bool()
+}
+
+func kindOf(value hujson.ValueTrimmed) string {
+	switch value.Kind() {
+	case '{':
+		return "an object"
+	case '[':
+		return "an array"
+	case '"':
+		return "a string"
+	case '0':
+		return "a number"
+	case 'n':
+		return "null"
+	}
+	return "a boolean"
+}
+
+func quote(text string) string { return strconv.Quote(shorten(text)) }
+
+func shorten(text string) string {
+	const limit = 80
+	if len(text) <= limit {
+		return text
+	}
+	return text[:limit] + "..."
+}
+
+// depthOf returns the greatest nesting of arrays and objects in the text, read
+// without recursion. Brackets in strings and comments don't count.
+func depthOf(text []byte) (deepest, offset int) {
+	depth := 0
+	for i := 0; i < len(text); i++ {
+		switch text[i] {
+		case '"':
+			i = endOfString(text, i)
+		case '/':
+			i = endOfComment(text, i)
+		case '[', '{':
+			depth++
+			if depth > deepest {
+				deepest, offset = depth, i
+			}
+		case ']', '}':
+			depth--
+		}
+	}
+	return deepest, offset
+}
+
+func endOfString(text []byte, i int) int {
+	for i++; i < len(text) && text[i] != '"'; i++ {
+		if text[i] == '\\' {
+			i++
+		}
+	}
+	return i
+}
+
+func endOfComment(text []byte, i int) int {
+	end := -1
+	switch {
+	case bytes.HasPrefix(text[i:], []byte("//")):
+		end = bytes.IndexByte(text[i:], '\n')
+	case bytes.HasPrefix(text[i:], []byte("/*")):
+		if end = bytes.Index(text[i+2:], []byte("*/")); end >= 0 {
+			end += len("/*") + 1
+		}
+	default:
+		return i
+	}
+	if end < 0 {
+		return len(text)
+	}
+	return i + end
+}
--- /dev/null
+++ b/pkg/config/snapshot.go
@@ -0,0 +1,299 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sort"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Snapshot is a compiled version of the document. It never changes; pointers
+// that its methods return must only be read.
+type Snapshot struct {
+	root      Root
+	accounts  tree[ClientAccount]
+	services  tree[Service]
+	upstreams tree[placedUpstream]
+	tables    *tables
+}
+
+// Lookup returns the body of a piece.
+type Lookup func(Hash) ([]byte, bool)
+
+// Compile compiles a document.
+func Compile(doc *Document, version core.Version) *Snapshot {
+	root, pieces := Split(doc)
+	root.Version = version
+	snap, err := CompilePieces(nil, root, func(h Hash) ([]byte, bool) {
+		body, ok := pieces[h]
+		return body, ok
+	})
+	if err != nil {
+		panic(fmt.Sprintf("config: compile the pieces of Split: %v", err))
+	}
+	return snap
+}
+
+// CompilePieces compiles a root and its pieces. It takes over every node and
+// leaf that prev already has, so that its cost follows the size of the change.
+// It fails when a piece is missing or does not decode.
+func CompilePieces(prev *Snapshot, root Root, get Lookup) (*Snapshot, error) {
+	if prev == nil {
+		prev = &Snapshot{}
+	}
+	snap := &Snapshot{root: root}
+	var err error
+	if snap.accounts, err = prev.accounts.next(root.Accounts, get, accountName); err != nil {
+		return nil, fmt.Errorf("accounts: %w", err)
+	}
+	if snap.services, err = prev.services.next(root.Services, get, serviceName); err != nil {
+		return nil, fmt.Errorf("services: %w", err)
+	}
+	if snap.upstreams, err = prev.upstreams.next(root.Upstreams, get, upstreamName); err != nil {
+		return nil, fmt.Errorf("upstreams: %w", err)
+	}
+	if prev.sameTables(root) {
+		snap.tables = prev.tables
+		return snap, nil
+	}
+	snap.tables = newTables(snap)
+	return snap, nil
+}
+
+func (s *Snapshot) sameTables(root Root) bool {
+	return s.tables != nil &&
+		slices.Equal(s.root.Services, root.Services) &&
+		slices.Equal(s.root.Upstreams, root.Upstreams) &&
+		slices.Equal(s.root.DataCentres, root.DataCentres)
+}
+
+func accountName(a *ClientAccount) string   { return string(a.ID) }
+func serviceName(s *Service) string         { return string(s.Name) }
+func upstreamName(u *placedUpstream) string { return string(u.ID) }
+
+// Version returns the version of the configuration.
+func (s *Snapshot) Version() core.Version { return s.root.Version }
+
+// Root returns the root that the Snapshot was compiled from.
+func (s *Snapshot) Root() Root { return s.root }
+
+// Account finds a ClientAccount.
+func (s *Snapshot) Account(id core.AccountID) (*ClientAccount, bool) {
+	return s.accounts.find(string(id), accountName)
+}
+
+// Key finds a key of a ClientAccount. A revoked key is found too.
+func (s *Snapshot) Key(account core.AccountID, key core.KeyID) (*Key, bool) {
+	owner, ok := s.Account(account)
+	if !ok {
+		return nil, false
+	}
+	for i := range owner.Keys {
+		if owner.Keys[i].ID == key {
+			return &owner.Keys[i], true
+		}
+	}
+	return nil, false
+}
+
+// Service finds a service.
+func (s *Snapshot) Service(name core.ServiceName) (*Service, bool) {
+	service, ok := s.tables.services[name]
+	return service, ok
+}
+
+// Services returns all services, sorted by name.
+func (s *Snapshot) Services() []*Service { return s.tables.sorted }
+
+// ModelService finds the service that offers a model.
+func (s *Snapshot) ModelService(model core.ModelName) (*Service, bool) {
+	service, ok := s.tables.models[model]
+	return service, ok
+}
+
+// DataCentre finds a DataCentre.
+func (s *Snapshot) DataCentre(name core.DataCentreName) (*DataCentre, bool) {
+	dc, ok := s.tables.dataCentres[name]
+	return dc, ok
+}
+
+// PlainRoute finds the route of a plain service for a request. The path is the
+// escaped path of the URL. A path that an Upstream could resolve to another one
+// matches no route, so that an open route never leads to a keyed one.
+func (s *Snapshot) PlainRoute(method, path string) (*Service, *Route, bool) {
+	if !plainPath(path) {
+		return nil, nil, false
+	}
+	target, ok := s.tables.routes.find(method, path)
+	return target.service, target.route, ok
+}
+
+// tree is a section of a Snapshot in the shape of its pieces.
+type tree[T any] struct {
+	nodes []*treeNode[T]
+}
+
+type treeNode[T any] struct {
+	hash   Hash
+	leaves []*treeLeaf[T]
+}
+
+type treeLeaf[T any] struct {
+	hash    Hash
+	first   uint64 // place of the first entry
+	entries []T
+}
+
+// next returns the tree of the listed nodes and reuses the parts it has.
+func (t tree[T]) next(hashes []Hash, get Lookup, name func(*T) string) (tree[T], error) {
+	known := map[Hash]*treeNode[T]{}
+	for _, node := range t.nodes {
+		known[node.hash] = node
+	}
+	fresh := tree[T]{nodes: make([]*treeNode[T], len(hashes))}
+	wanted := map[Hash]bool{}
+	for _, hash := range hashes {
+		wanted[hash] = true
+	}
+	leaves := map[Hash]*treeLeaf[T]{}
+	for _, node := range t.nodes {
+		if wanted[node.hash] {
+			continue
+		}
+		for _, leaf := range node.leaves {
+			leaves[leaf.hash] = leaf
+		}
+	}
+	for i, hash := range hashes {
+		node := known[hash]
+		if node == nil {
+			var err error
+			if node, err = compileNode(hash, leaves, get, name); err != nil {
+				return tree[T]{}, err
+			}
+		}
+		fresh.nodes[i] = node
+	}
+	return fresh, fresh.checkOrder()
+}
+
+func compileNode[T any](hash Hash, known map[Hash]*treeLeaf[T], get Lookup, name func(*T) string) (*treeNode[T], error) {
+	hashes, err := nodeLeaves(hash, get)
+	if err != nil {
+		return nil, err
+	}
+	node := &treeNode[T]{hash: hash, leaves: make([]*treeLeaf[T], len(hashes))}
+	for i, leafHash := range hashes {
+		leaf := known[leafHash]
+		if leaf == nil {
+			if leaf, err = compileLeaf(leafHash, get, name); err != nil {
+				return nil, err
+			}
+		}
+		node.leaves[i] = leaf
+	}
+	return node, nil
+}
+
+// ParseNode returns the hashes of the leaves that a node lists.
+func ParseNode(body []byte) ([]Hash, error) {
+	var hashes []Hash
+	if err := json.Unmarshal(body, &hashes); err != nil {
+		return nil, err
+	}
+	if len(hashes) == 0 {
+		return nil, fmt.Errorf("node lists no leaves")
+	}
+	return hashes, nil
+}
+
+func nodeLeaves(hash Hash, get Lookup) ([]Hash, error) {
+	body, ok := get(hash)
+	if !ok {
+		return nil, fmt.Errorf("node %v is missing", hash)
+	}
+	hashes, err := ParseNode(body)
+	if err != nil {
+		return nil, fmt.Errorf("node %v: %w", hash, err)
+	}
+	return hashes, nil
+}
+
+func compileLeaf[T any](hash Hash, get Lookup, name func(*T) string) (*treeLeaf[T], error) {
+	body, ok := get(hash)
+	if !ok {
+		return nil, fmt.Errorf("leaf %v is missing", hash)
+	}
+	leaf := &treeLeaf[T]{hash: hash}
+	if err := json.Unmarshal(body, &leaf.entries); err != nil {
+		return nil, fmt.Errorf("leaf %v: %w", hash, err)
+	}
+	if len(leaf.entries) == 0 {
+		return nil, fmt.Errorf("leaf %v has no entries", hash)
+	}
+	leaf.entries = append(make([]T, 0, len(leaf.entries)), leaf.entries...) // drops the decoder's spare capacity
+	leaf.first = placeOf(name(&leaf.entries[0]))
+	return leaf, nil
+}
+
+// checkOrder verifies the order that find depends on.
+func (t tree[T]) checkOrder() error {
+	last := uint64(0)
+	for _, node := range t.nodes {
+		for _, leaf := range node.leaves {
+			if leaf.first < last {
+				return fmt.Errorf("leaf %v is out of order", leaf.hash)
+			}
+			last = leaf.first
+		}
+	}
+	return nil
+}
+
+func (t tree[T]) find(key string, name func(*T) string) (*T, bool) {
+	place := placeOf(key)
+	n := sort.Search(len(t.nodes), func(i int) bool { return t.nodes[i].leaves[0].first > place })
+	if n == 0 {
+		return nil, false
+	}
+	leaves := t.nodes[n-1].leaves
+	l := sort.Search(len(leaves), func(i int) bool { return leaves[i].first > place })
+	entries := leaves[l-1].entries
+	for i := range entries {
+		if name(&entries[i]) == key {
+			return &entries[i], true
+		}
+	}
+	return nil, false
+}
+
+// all calls f with every entry.
+func (t tree[T]) all(f func(*T)) {
+	for _, node := range t.nodes {
+		for _, leaf := range node.leaves {
+			for i := range leaf.entries {
+				f(&leaf.entries[i])
+			}
+		}
+	}
+}
+
+// Pieces returns the hashes of all pieces of the Snapshot.
+func (s *Snapshot) Pieces() map[Hash]bool {
+	used := map[Hash]bool{}
+	s.accounts.hashes(used)
+	s.services.hashes(used)
+	s.upstreams.hashes(used)
+	return used
+}
+
+func (t tree[T]) hashes(into map[Hash]bool) {
+	for _, node := range t.nodes {
+		into[node.hash] = true
+		for _, leaf := range node.leaves {
+			into[leaf.hash] = true
+		}
+	}
+}
--- /dev/null
+++ b/pkg/keys/checker.go
@@ -0,0 +1,361 @@
+// Package keys checks the keys of callers and decides for how long a
+// configuration may be trusted without a fresh confirmation.
+//
+// A confirmation (version, age) says that the store held that version so long
+// ago. While one is recent, the Instance is Fresh. When the last one is too old,
+// the Checker separates two cases by what peers of the store's region report. If
+// at least one was heard lately and all of those report an old confirmation,
+// nobody can read the store: in a StoreOutage keyed requests are still served,
+// since no revocation can be promoted either. Otherwise the Instance is
+// Partitioned, or Behind when it knows that a newer version exists whose root it
+// has not read. Then keyed requests are refused after a grace period, as not run,
+// except for services whose document entry says "serve".
+//
+// Cost: an Instance that loses the store and every peer of its region refuses
+// keyed requests from FreshFor + PartitionGrace after its last confirmation on,
+// 8 s by default, also when the store is down at the same time. A promoted
+// revocation can be missed for at most FreshFor + PeerFor + PartitionGrace, 11 s
+// by default, and for FreshFor + PartitionGrace when no store outage preceded the
+// partition.
+//
+// Remaining risk: a promote that takes effect during an outage for readers, whose
+// response may be lost, is not seen until a read succeeds; the rule serves on. A
+// store that answers reads with an old value counts as a confirmation until any
+// peer reports a higher version. The rule trusts the ages that peers report, as
+// upper bounds; see AgeBound. A service with on_partition "serve" accepts a
+// revoked key for as long as its Instance is cut off.
+package keys
+
+import (
+	"math"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Default periods. They are multiples of a heartbeat of one second: two lost
+// heartbeats in a row change nothing.
+const (
+	DefaultFreshFor       = 3 * time.Second
+	DefaultPeerFor        = 3 * time.Second
+	DefaultPartitionGrace = 5 * time.Second
+)
+
+// Params are the settings of a Checker. A period of 0 takes its default.
+type Params struct {
+	Region      core.RegionName
+	StoreRegion core.RegionName
+	// FreshFor is how long a confirmation counts as recent.
+	FreshFor time.Duration
+	// PeerFor is how long a peer counts as reachable after it was heard. It must
+	// exceed the interval of heartbeats.
+	PeerFor time.Duration
+	// PartitionGrace is the time from the beginning of a partition to the first
+	// refusal. It must exceed the interval of heartbeats, since in a store outage
+	// the peers' reports of an old confirmation arrive with the next heartbeat.
+	PartitionGrace time.Duration
+}
+
+func (p Params) withDefaults() Params {
+	if p.FreshFor == 0 {
+		p.FreshFor = DefaultFreshFor
+	}
+	if p.PeerFor == 0 {
+		p.PeerFor = DefaultPeerFor
+	}
+	if p.PartitionGrace == 0 {
+		p.PartitionGrace = DefaultPartitionGrace
+	}
+	return p
+}
+
+// Mode is the freshness of the configuration.
+type Mode string
+
+// The modes.
+const (
+	// Fresh means that a confirmation is recent.
+	Fresh Mode = "fresh"
+	// StoreOutage means that no reachable Instance of the store's region has a
+	// recent confirmation.
+	StoreOutage Mode = "store_outage"
+	// Partitioned means that no Instance of the store's region is reachable.
+	Partitioned Mode = "partitioned"
+	// Behind means that peers have a recent confirmation of a version whose root
+	// this Instance has not read. Keyed requests are refused as in Partitioned.
+	Behind Mode = "behind"
+)
+
+// longAgo is earlier than every instant and can still be subtracted from.
+const longAgo = core.Instant(math.MinInt64 / 4)
+
+// Checker checks credentials. All methods are called from one goroutine.
+type Checker struct {
+	p Params
+	// known is the highest version whose revocations this Instance applies.
+	known core.Version
+	// freshAt is the latest instant at which the store held no version above
+	// known.
+	freshAt core.Instant
+	ahead   confirmation
+	peers   map[core.InstanceID]report
+	// servedUntil is the instant at which the last Fresh or StoreOutage period
+	// ends or ended.
+	servedUntil core.Instant
+	revoked     map[keyName]core.Version
+	pruned      core.Version
+}
+
+// confirmation says that the store held version at the given instant.
+type confirmation struct {
+	version core.Version
+	at      core.Instant
+}
+
+// report is what a peer of the store's region said last.
+type report struct {
+	incarnation core.Incarnation
+	heard       core.Instant
+	recent      bool
+}
+
+type keyName struct {
+	account core.AccountID
+	key     core.KeyID
+}
+
+// New returns a Checker without any confirmation, which refuses keyed requests.
+func New(p Params) *Checker {
+	return &Checker{
+		p:           p.withDefaults(),
+		freshAt:     longAgo,
+		servedUntil: longAgo,
+		peers:       map[core.InstanceID]report{},
+		revoked:     map[keyName]core.Version{},
+	}
+}
+
+// Seen says that the root of a version was read and that all its revocations
+// were passed to RevokeIn, or that the version is in force.
+func (c *Checker) Seen(now core.Instant, v core.Version) {
+	if v <= c.known {
+		return
+	}
+	c.known = v
+	if c.ahead.version <= v {
+		c.freshAt = max(c.freshAt, c.aheadAt())
+		c.ahead = confirmation{}
+	}
+	c.settle(now)
+}
+
+func (c *Checker) aheadAt() core.Instant {
+	if c.ahead.version == 0 {
+		return longAgo
+	}
+	return c.ahead.at
+}
+
+// Confirm records that the store held version v at most age ago, read from the
+// store or passed on by a peer. For a read, age is the time since the request was
+// sent; for a peer's message it comes from AgeBound. A version below the known
+// one comes from a stale read and is ignored.
+func (c *Checker) Confirm(now core.Instant, v core.Version, age time.Duration) {
+	at := now - core.Instant(age)
+	switch {
+	case v == 0 || age < 0 || v < c.known:
+		return
+	case v == c.known:
+		c.freshAt = max(c.freshAt, at)
+	case v > c.ahead.version:
+		c.ahead = confirmation{version: v, at: at}
+	case v == c.ahead.version:
+		c.ahead.at = max(c.ahead.at, at)
+	}
+	c.settle(now)
+}
+
+// PeerHeard records a message of a peer in the given region, whose most recent
+// confirmation has the given age.
+func (c *Checker) PeerHeard(now core.Instant, peer core.InstanceRef, region core.RegionName, age time.Duration) {
+	if region != c.p.StoreRegion || peer.Incarnation < c.peers[peer.ID].incarnation {
+		return
+	}
+	for id, r := range c.peers {
+		if !c.reachable(now, r) {
+			delete(c.peers, id)
+		}
+	}
+	c.peers[peer.ID] = report{incarnation: peer.Incarnation, heard: now, recent: age < c.p.FreshFor}
+	c.settle(now)
+}
+
+func (c *Checker) reachable(now core.Instant, r report) bool {
+	return now < r.heard.Add(c.p.PeerFor)
+}
+
+// settle moves servedUntil after an event.
+func (c *Checker) settle(now core.Instant) {
+	mode, until := c.evidence(now)
+	if mode == Fresh || mode == StoreOutage {
+		c.servedUntil = until
+		return
+	}
+	c.servedUntil = min(c.servedUntil, now)
+}
+
+// evidence returns the mode and the instant until which it holds without further
+// events.
+func (c *Checker) evidence(now core.Instant) (Mode, core.Instant) {
+	freshUntil := c.freshAt.Add(c.p.FreshFor)
+	outageUntil := c.outageUntil(now)
+	switch {
+	case c.known == 0:
+		return Partitioned, now
+	case now < freshUntil:
+		return Fresh, max(freshUntil, outageUntil)
+	case now < outageUntil:
+		return StoreOutage, outageUntil
+	case c.regionReachable(now):
+		return Behind, now
+	}
+	return Partitioned, now
+}
+
+// outageUntil returns the instant at which the last of the reachable peers of the
+// store's region is no longer reachable, or longAgo when one of them has a recent
+// confirmation.
+func (c *Checker) outageUntil(now core.Instant) core.Instant {
+	until := longAgo
+	for _, r := range c.peers {
+		if !c.reachable(now, r) {
+			continue
+		}
+		if r.recent {
+			return longAgo
+		}
+		until = max(until, r.heard.Add(c.p.PeerFor))
+	}
+	return until
+}
+
+func (c *Checker) regionReachable(now core.Instant) bool {
+	for _, r := range c.peers {
+		if c.reachable(now, r) {
+			return true
+		}
+	}
+	return false
+}
+
+// Mode returns the freshness of the configuration.
+func (c *Checker) Mode(now core.Instant) Mode {
+	mode, _ := c.evidence(now)
+	return mode
+}
+
+// Youngest returns the most recent confirmation of the highest version and its
+// age, which the heartbeat passes on. The version is 0 when there is none.
+func (c *Checker) Youngest(now core.Instant) (core.Version, time.Duration) {
+	switch {
+	case c.ahead.version > 0:
+		return c.ahead.version, now.Sub(c.ahead.at)
+	case c.freshAt == longAgo:
+		return 0, 0
+	}
+	return c.known, now.Sub(c.freshAt)
+}
+
+// Revoke refuses a key until the process ends.
+func (c *Checker) Revoke(account core.AccountID, key core.KeyID) {
+	c.RevokeIn(math.MaxUint64, account, key)
+}
+
+// RevokeIn refuses a key as long as the Snapshot is older than version v, which
+// revoked the key.
+func (c *Checker) RevokeIn(v core.Version, account core.AccountID, key core.KeyID) {
+	name := keyName{account, key}
+	c.revoked[name] = max(c.revoked[name], v)
+}
+
+// Check decides whether a credential may use a service. It returns nil when the
+// request is allowed. With a nil service, only the key is checked.
+func (c *Checker) Check(now core.Instant, snap *config.Snapshot, cred Credential, service *config.Service) *core.Refusal {
+	if snap == nil {
+		return refuse(core.CodeNotConfigured, "no configuration is in force yet", time.Second)
+	}
+	c.Seen(now, snap.Version())
+	c.prune(snap.Version())
+	account, refusal := c.checkKey(snap, cred)
+	if refusal != nil {
+		return refusal
+	}
+	if service != nil && !account.Allows(service.Name) {
+		return core.Refuse(core.CodeNotAllowed, "the account may not use service "+string(service.Name))
+	}
+	return c.checkFreshness(now, service)
+}
+
+// absent takes the place of a key that does not exist, so that the answer takes
+// as long as for one that does.
+var absent config.Key
+
+func (c *Checker) checkKey(snap *config.Snapshot, cred Credential) (*config.ClientAccount, *core.Refusal) {
+	account, _ := snap.Account(cred.Account)
+	key, found := snap.Key(cred.Account, cred.Key)
+	if !found {
+		key = &absent
+	}
+	if !cred.Secret.matches(key) || !found {
+		return nil, core.Refuse(core.CodeUnknownKey, "the key is not known")
+	}
+	early := c.revoked[keyName{cred.Account, cred.Key}] > snap.Version()
+	if key.Revoked || early {
+		return nil, core.Refuse(core.CodeKeyRevoked, "the key is revoked")
+	}
+	return account, nil
+}
+
+func (c *Checker) checkFreshness(now core.Instant, service *config.Service) *core.Refusal {
+	mode := c.Mode(now)
+	if mode == Fresh || mode == StoreOutage {
+		return nil
+	}
+	if service != nil && service.OnPartition == config.PartitionServe && c.freshAt != longAgo {
+		return nil
+	}
+	if now < c.servedUntil.Add(c.p.PartitionGrace) {
+		return nil
+	}
+	return refuse(core.CodeKeysStale, "the Instance cannot confirm that the key is still valid", time.Second)
+}
+
+// prune forgets early revocations that the Snapshot contains.
+func (c *Checker) prune(v core.Version) {
+	if v <= c.pruned {
+		return
+	}
+	c.pruned = v
+	for name, revokedIn := range c.revoked {
+		if revokedIn <= v {
+			delete(c.revoked, name)
+		}
+	}
+}
+
+func refuse(code core.Code, message string, retryAfter time.Duration) *core.Refusal {
+	refusal := core.Refuse(code, message)
+	refusal.RetryAfter = retryAfter
+	return refusal
+}
+
+// AgeBound returns an upper bound of the age of a confirmation in a peer's
+// message. The message echoes a message of ours, sent at the instant echoed; the
+// peer held the echo for held, and reported the given age. It covers clock rates
+// that differ by 2% and any delay of the network.
+func AgeBound(now, echoed core.Instant, held, age time.Duration) time.Duration {
+	const margin = 50 // parts: 2%
+	roundTrip := now.Sub(echoed)
+	return age + age/margin + max(0, roundTrip-held+held/margin)
+}
--- /dev/null
+++ b/pkg/rollout/rollout.go
@@ -0,0 +1,377 @@
+// Package rollout brings new configuration versions into force on one Instance.
+//
+// It learns of versions from reads of the root in the store and from peers, never
+// returns to a lower version whatever the source says, applies revocations when it
+// first sees a root, and puts the rest in force when every piece has arrived.
+// Pieces come from peers first and from the store second. The package does no I/O:
+// methods return Outputs, which the caller carries out.
+package rollout
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Params are the settings of a Rollout. A value of 0 takes its default.
+type Params struct {
+	// ReadEvery is the time after a confirmation at which the root is read again.
+	ReadEvery time.Duration
+	// ReadSpread is the width of the random addition to ReadEvery. Among many
+	// Instances the first ones read, and their confirmations delay the others.
+	ReadSpread time.Duration
+	// OwnReadEvery is the longest time between own reads of the store, so that a
+	// stale read of a peer cannot keep this Instance from reading.
+	OwnReadEvery time.Duration
+	// CallTimeout is the time after which a read or fetch counts as failed.
+	CallTimeout time.Duration
+	// RetryMin and RetryMax bound the wait before a retry, which doubles.
+	RetryMin, RetryMax time.Duration
+	// MaxFetches and MaxStoreFetches bound the fetches under way, in total and
+	// from the store.
+	MaxFetches, MaxStoreFetches int
+	// PeerTries is the number of peers asked for a piece before the store.
+	PeerTries int
+	// MaxRounds is the number of times that the store is asked for a piece. Then
+	// the piece waits for the next confirmation of the version.
+	MaxRounds int
+	// PeerFor is how long a peer counts as a source after it was heard.
+	PeerFor time.Duration
+	// Random is the source of jitter and of the choice of peers. It is required.
+	Random *rand.Rand
+}
+
+func (p Params) withDefaults() Params {
+	setDefault(&p.ReadEvery, time.Second)
+	setDefault(&p.ReadSpread, time.Second)
+	setDefault(&p.OwnReadEvery, 10*time.Second)
+	setDefault(&p.CallTimeout, 2*time.Second)
+	setDefault(&p.RetryMin, 100*time.Millisecond)
+	setDefault(&p.RetryMax, 5*time.Second)
+	setDefault(&p.MaxFetches, 64)
+	setDefault(&p.MaxStoreFetches, 8)
+	setDefault(&p.PeerTries, 2)
+	setDefault(&p.MaxRounds, 6)
+	setDefault(&p.PeerFor, 5*time.Second)
+	return p
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+// Source is where a root or piece comes from: a peer, or the store when Peer is
+// empty.
+type Source struct {
+	Peer core.InstanceRef
+}
+
+// Store is the object store.
+var Store = Source{}
+
+// IsStore reports whether the source is the store.
+func (s Source) IsStore() bool { return s == Store }
+
+// Want names a read or fetch under way, for OnFailure.
+type Want struct {
+	// Hash is the piece; it is zero for the root.
+	Hash config.Hash
+	From Source
+}
+
+// Output is an effect for the caller to carry out, in the order returned.
+type Output interface{ output() }
+
+// ReadRoot asks for the current root. The answer goes to OnRoot, a failure to
+// OnFailure.
+type ReadRoot struct{ From Source }
+
+// FetchPiece asks for a piece. The answer goes to OnPiece, a failure to OnFailure.
+type FetchPiece struct {
+	Hash config.Hash
+	From Source
+}
+
+// Revoked says that a key must be refused by every Snapshot older than Version.
+type Revoked struct {
+	Account core.AccountID
+	Key     core.KeyID
+	Version core.Version
+}
+
+// Confirmed says that the store held Version at most Age ago and that every
+// revocation up to this version was returned in Revoked or is in force.
+type Confirmed struct {
+	Version core.Version
+	Age     time.Duration
+}
+
+// InForce says that a complete version replaces the one before.
+type InForce struct{ Snapshot *config.Snapshot }
+
+// Rejected says that a root or version cannot be used. The version in force stays.
+type Rejected struct {
+	Version core.Version
+	Reason  string
+}
+
+func (ReadRoot) output()   {}
+func (FetchPiece) output() {}
+func (Revoked) output()    {}
+func (Confirmed) output()  {}
+func (InForce) output()    {}
+func (Rejected) output()   {}
+
+// Rollout is the state of the configuration on one Instance. All methods are
+// called from one goroutine.
+type Rollout struct {
+	p    Params
+	snap *config.Snapshot
+	// target is the root of the highest version seen. It is in force, being
+	// fetched, or rejected.
+	target config.Root
+	// announced is the highest version that any confirmation named.
+	announced core.Version
+	timer     rootTimer
+	pieces    map[config.Hash][]byte
+	fetch     fetcher
+	peers     peerSet
+	// pending is the instant of the latest confirmation that waits for InForce,
+	// because the root did not list every revocation.
+	pending   core.Instant
+	isPending bool
+	broken    bool // target was rejected
+}
+
+// New returns a Rollout without a version. The first Tick reads the root.
+func New(p Params) *Rollout {
+	p = p.withDefaults()
+	return &Rollout{
+		p:      p,
+		timer:  rootTimer{p: p},
+		pieces: map[config.Hash][]byte{},
+		fetch:  newFetcher(p),
+		peers:  peerSet{known: map[core.InstanceID]peerState{}},
+	}
+}
+
+// Snapshot returns the version in force, or nil before the first.
+func (r *Rollout) Snapshot() *config.Snapshot { return r.snap }
+
+// Root returns the root of the highest version seen, which peers may ask for. Its
+// version is 0 when there is none.
+func (r *Rollout) Root() config.Root { return r.target }
+
+// Piece returns a piece that a peer asks for.
+func (r *Rollout) Piece(hash config.Hash) ([]byte, bool) {
+	body, ok := r.pieces[hash]
+	return body, ok
+}
+
+// OnRoot takes a root that the source held age ago. For a read of the store, age
+// is the time since the request was sent; for a peer it adds the age of the
+// peer's confirmation.
+func (r *Rollout) OnRoot(now core.Instant, root config.Root, age time.Duration, from Source) []Output {
+	r.timer.answered(now, from)
+	if root.Version == 0 || root.Version < r.target.Version {
+		return r.run(now, nil) // a stale read confirms nothing
+	}
+	if root.Version == r.target.Version && !sameRoot(root, r.target) {
+		outs := []Output{Rejected{root.Version, "another root has the same version"}}
+		return r.run(now, outs)
+	}
+	var outs []Output
+	if root.Version > r.target.Version {
+		outs = r.adopt(root)
+	}
+	outs = append(outs, r.confirm(now, age)...)
+	return r.run(now, outs)
+}
+
+// OnConfirmation takes a confirmation that a peer passes on: its version and age.
+// A higher version than the one seen is read from that peer.
+func (r *Rollout) OnConfirmation(now core.Instant, v core.Version, age time.Duration, peer core.InstanceRef) []Output {
+	if v == 0 {
+		return nil
+	}
+	r.peers.heard(now, peer, v, r.p.PeerFor)
+	r.announced = max(r.announced, v)
+	var outs []Output
+	if v == r.target.Version {
+		outs = r.confirm(now, age)
+	}
+	if v > r.target.Version {
+		outs = r.timer.readFromPeer(now, peer, outs)
+	}
+	return r.run(now, outs)
+}
+
+// confirm handles a confirmation of the target version.
+func (r *Rollout) confirm(now core.Instant, age time.Duration) []Output {
+	r.timer.confirmed(now - core.Instant(age))
+	r.fetch.unpark()
+	if r.applied() {
+		return []Output{Confirmed{r.target.Version, age}}
+	}
+	at := now - core.Instant(age)
+	if !r.isPending || at > r.pending {
+		r.pending, r.isPending = at, true
+	}
+	return nil
+}
+
+// applied reports whether every revocation up to the target version applies.
+func (r *Rollout) applied() bool {
+	return r.version() == r.target.Version || r.target.ListsAllSince(r.version())
+}
+
+func (r *Rollout) version() core.Version {
+	if r.snap == nil {
+		return 0
+	}
+	return r.snap.Version()
+}
+
+// adopt makes a higher root the target. A fetch under way continues only with the
+// pieces that the new root needs too.
+func (r *Rollout) adopt(root config.Root) []Output {
+	var outs []Output
+	for _, revocation := range root.Revoked {
+		if revocation.Version > r.version() {
+			outs = append(outs, Revoked{revocation.Account, revocation.Key, revocation.Version})
+		}
+	}
+	r.target = root
+	r.announced = max(r.announced, root.Version)
+	r.broken = false
+	r.isPending = false
+	list, err := r.missing(root)
+	if err != nil {
+		return append(outs, r.reject(err)...)
+	}
+	r.fetch.replace(list)
+	return outs
+}
+
+// missing returns the pieces that are known to be needed and not there.
+func (r *Rollout) missing(root config.Root) ([]missing, error) {
+	var list []missing
+	for _, node := range root.Nodes() {
+		body, ok := r.pieces[node]
+		if !ok {
+			list = append(list, missing{node, true})
+			continue
+		}
+		leaves, err := r.missingLeaves(body)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, leaves...)
+	}
+	return list, nil
+}
+
+func (r *Rollout) missingLeaves(node []byte) ([]missing, error) {
+	hashes, err := config.ParseNode(node)
+	if err != nil {
+		return nil, err
+	}
+	var list []missing
+	for _, hash := range hashes {
+		if _, ok := r.pieces[hash]; !ok {
+			list = append(list, missing{hash, false})
+		}
+	}
+	return list, nil
+}
+
+// OnPiece takes a piece. A body that does not have the hash counts as a failure
+// of its source.
+func (r *Rollout) OnPiece(now core.Instant, hash config.Hash, body []byte) []Output {
+	if !r.fetch.wants(hash) {
+		return r.run(now, nil)
+	}
+	if config.HashOf(body) != hash {
+		r.fetch.failed(now, hash)
+		return r.run(now, nil)
+	}
+	r.pieces[hash] = body
+	if r.fetch.arrived(hash) {
+		leaves, err := r.missingLeaves(body)
+		if err != nil {
+			return r.run(now, r.reject(err))
+		}
+		r.fetch.add(leaves)
+	}
+	return r.run(now, nil)
+}
+
+// OnFailure takes the failure of a read or fetch.
+func (r *Rollout) OnFailure(now core.Instant, want Want) []Output {
+	if want.Hash == (config.Hash{}) {
+		r.timer.failed(now, want.From)
+	} else if r.fetch.isFrom(want.Hash, want.From) {
+		r.fetch.failed(now, want.Hash)
+	}
+	return r.run(now, nil)
+}
+
+// Tick returns what is due.
+func (r *Rollout) Tick(now core.Instant) []Output { return r.run(now, nil) }
+
+// NextWake returns the instant at which Tick has something to do.
+func (r *Rollout) NextWake() core.Instant {
+	return core.Earliest(r.timer.nextWake(), r.fetch.nextWake())
+}
+
+// run completes the target if it can, and starts what is due.
+func (r *Rollout) run(now core.Instant, outs []Output) []Output {
+	outs = append(outs, r.complete(now)...)
+	outs = r.timer.run(now, outs)
+	return r.fetch.run(now, &r.peers, r.target.Version, outs)
+}
+
+// complete puts the target in force when all its pieces are there. A version
+// below one that a peer has confirmed is not put in force as the first version:
+// after a restart it could be lower than the one in force before.
+func (r *Rollout) complete(now core.Instant) []Output {
+	if r.broken || r.version() == r.target.Version || !r.fetch.done() {
+		return nil
+	}
+	if r.snap == nil && r.target.Version < r.announced {
+		return nil
+	}
+	snap, err := config.CompilePieces(r.snap, r.target, r.Piece)
+	if err != nil {
+		return r.reject(err)
+	}
+	r.snap = snap
+	r.dropUnused()
+	outs := []Output{InForce{snap}}
+	if r.isPending {
+		r.isPending = false
+		outs = append(outs, Confirmed{r.target.Version, now.Sub(r.pending)})
+	}
+	return outs
+}
+
+func (r *Rollout) reject(err error) []Output {
+	r.broken = true
+	r.fetch.replace(nil)
+	return []Output{Rejected{r.target.Version, err.Error()}}
+}
+
+// dropUnused removes the pieces of earlier versions.
+func (r *Rollout) dropUnused() {
+	used := r.snap.Pieces()
+	for hash := range r.pieces {
+		if !used[hash] {
+			delete(r.pieces, hash)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/rollout/timer.go
@@ -0,0 +1,130 @@
+package rollout
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// rootTimer decides when to read the root. One read of the store and one of a
+// peer may be under way, so that a slow store does not hold up a version that a
+// peer has.
+type rootTimer struct {
+	p     Params
+	due   core.Instant
+	store call
+	peer  call
+	// lastOwn is the instant of the last answer of the store; ownRead is false
+	// before the first.
+	lastOwn  core.Instant
+	ownRead  bool
+	failures int
+}
+
+// call is a read that may be under way.
+type call struct {
+	active   bool
+	from     Source
+	deadline core.Instant
+}
+
+func sameRoot(a, b config.Root) bool { return bytes.Equal(a.Encode(), b.Encode()) }
+
+// answered ends the read of a source.
+func (t *rootTimer) answered(now core.Instant, from Source) {
+	if !from.IsStore() {
+		t.endPeer(from)
+		return
+	}
+	t.store.active = false
+	t.failures = 0
+	t.lastOwn, t.ownRead = now, true
+	t.due = now.Add(t.interval())
+}
+
+func (t *rootTimer) endPeer(from Source) {
+	if t.peer.from == from {
+		t.peer.active = false
+	}
+}
+
+// interval is random, so that Instances that got the same confirmation don't
+// read at the same time.
+func (t *rootTimer) interval() time.Duration {
+	return t.p.ReadEvery + time.Duration(t.p.Random.Int64N(int64(t.p.ReadSpread)+1))
+}
+
+// confirmed puts off the next read after a confirmation that was made at the
+// given instant, but not beyond OwnReadEvery after the last own read.
+func (t *rootTimer) confirmed(at core.Instant) {
+	t.due = max(t.due, at.Add(t.interval()))
+	if t.ownRead {
+		t.due = min(t.due, t.lastOwn.Add(t.p.OwnReadEvery))
+	}
+}
+
+// failed ends the read of a source and plans a retry with the store.
+func (t *rootTimer) failed(now core.Instant, from Source) {
+	if !from.IsStore() {
+		t.endPeer(from)
+		t.due = min(t.due, now.Add(jitter(t.p, t.p.RetryMin)))
+		return
+	}
+	if !t.store.active {
+		return
+	}
+	t.store.active = false
+	t.failures++
+	t.due = now.Add(backoff(t.p, t.failures))
+}
+
+// backoff returns a wait that doubles with each failure.
+func backoff(p Params, failures int) time.Duration {
+	wait := p.RetryMin
+	for i := 1; i < failures && wait < p.RetryMax; i++ {
+		wait *= 2
+	}
+	return jitter(p, min(wait, p.RetryMax))
+}
+
+// jitter returns a random part of d of at least one half.
+func jitter(p Params, d time.Duration) time.Duration {
+	return d/2 + time.Duration(p.Random.Int64N(int64(d)/2+1))
+}
+
+// readFromPeer starts a read of a peer unless one is under way.
+func (t *rootTimer) readFromPeer(now core.Instant, peer core.InstanceRef, outs []Output) []Output {
+	if t.peer.active {
+		return outs
+	}
+	from := Source{Peer: peer}
+	t.peer = call{active: true, from: from, deadline: now.Add(t.p.CallTimeout)}
+	return append(outs, ReadRoot{from})
+}
+
+func (t *rootTimer) run(now core.Instant, outs []Output) []Output {
+	if t.peer.active && now >= t.peer.deadline {
+		t.failed(now, t.peer.from)
+	}
+	if t.store.active && now >= t.store.deadline {
+		t.failed(now, Store)
+	}
+	if t.store.active || now < t.due {
+		return outs
+	}
+	t.store = call{active: true, from: Store, deadline: now.Add(t.p.CallTimeout)}
+	return append(outs, ReadRoot{Store})
+}
+
+func (t *rootTimer) nextWake() core.Instant {
+	next := t.due
+	if t.store.active {
+		next = t.store.deadline
+	}
+	if t.peer.active {
+		next = core.Earliest(next, t.peer.deadline)
+	}
+	return next
+}
