--- /dev/null
+++ b/pkg/membership/types.go
@@ -0,0 +1,190 @@
+// Package membership decides which entry Instances form the fleet. It combines
+// the platform's lagging list with peer heartbeats, proposes rosters for one
+// store object that is changed by conditional update, and tells the other
+// modules when a roster is in force and when the entitlements that it moves may
+// be used. The package is pure: time, randomness and messages are inputs, and
+// effects are returned as data.
+package membership
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Member describes one Instance of a roster.
+type Member struct {
+	Ref        core.InstanceRef    `json:"ref"`
+	DataCentre core.DataCentreName `json:"data_centre"`
+	Region     core.RegionName     `json:"region"`
+	PeerAddr   string              `json:"peer_addr"`
+	CallerAddr string              `json:"caller_addr"`
+	Leaving    bool                `json:"leaving,omitempty"`
+}
+
+// Generation is an earlier set of holders whose entitlements may still be in
+// use: it has not been observed that all of them stopped.
+type Generation struct {
+	Epoch   core.Epoch         `json:"epoch"`
+	Holders []core.InstanceRef `json:"holders"`
+}
+
+// Roster is the value of the store object "roster". Members are sorted by id.
+type Roster struct {
+	Epoch   core.Epoch   `json:"epoch"`
+	Members []Member     `json:"members"`
+	Former  []Generation `json:"former,omitempty"`
+	// Settled is local to one Instance and not stored: every former holder has
+	// stopped, so entitlements that this roster moves may be used.
+	Settled bool `json:"-"`
+}
+
+// Member returns the member with the id.
+func (r Roster) Member(id core.InstanceID) (Member, bool) {
+	for _, m := range r.Members {
+		if m.Ref.ID == id {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// State is the state of an Instance in the platform's list.
+type State string
+
+// The states of the platform's list.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Listed is one entry of the platform's list. The list carries no incarnation.
+type Listed struct {
+	ID         core.InstanceID
+	PeerAddr   string
+	CallerAddr string
+	DataCentre core.DataCentreName
+	Region     core.RegionName
+	State      State
+}
+
+// Row is what the fleet knows about one Instance. Rows travel in heartbeats; of
+// two rows for an Instance, the one with the higher incarnation and then the
+// higher epoch wins.
+type Row struct {
+	Ref     core.InstanceRef
+	Epoch   core.Epoch // highest roster that this run has acknowledged
+	Leaving bool
+}
+
+// Heartbeat is a one-way message between two Instances.
+type Heartbeat struct {
+	From    core.InstanceRef
+	Seq     uint64     // numbers the sender's heartbeat rounds
+	Epoch   core.Epoch // acknowledges the sender's roster
+	Leaving bool
+	// Echo is the highest Seq that the sender has received from the run EchoOf of
+	// the addressee, 0 for none. It proves that the heartbeat is later than that Seq.
+	Echo   uint64
+	EchoOf core.Incarnation
+	Digest uint64 // digest of the sender's rows
+	Rows   []Row  // rows that the addressee may lack
+}
+
+// Addresses is the answer to a caller that asks which Instances to use.
+type Addresses struct {
+	CallerAddrs []string
+	KeepFor     time.Duration
+}
+
+// Output is an effect that the daemon carries out or another module consumes.
+type Output interface{ output() }
+
+// SendHeartbeat sends a heartbeat to a peer.
+type SendHeartbeat struct {
+	To        core.InstanceID
+	PeerAddr  string
+	Heartbeat Heartbeat
+}
+
+// WriteRoster writes the roster object by conditional update. After success, the
+// daemon calls OnRosterRead with the roster and its new store version, and after
+// any other result OnWriteFailed.
+type WriteRoster struct {
+	Base   uint64 // store version that must be current; 0 creates the object
+	Roster Roster
+}
+
+// ReadRoster reads the roster object. From names a peer that has a newer roster
+// and can be asked instead when the store is unreachable; it is empty when only
+// the store will do.
+type ReadRoster struct{ From core.InstanceID }
+
+// RosterInForce gives a new roster, or the same one again once it has settled.
+type RosterInForce struct{ Roster Roster }
+
+// HoldUntil extends the instant until which this Instance may use its
+// entitlements. It is passed to the limiter.
+type HoldUntil struct{ Until core.Instant }
+
+// IncarnationDead reports a run that has certainly ended.
+type IncarnationDead struct{ Ref core.InstanceRef }
+
+// StopServing says that this Instance may no longer serve.
+type StopServing struct{ Reason string }
+
+func (SendHeartbeat) output()   {}
+func (WriteRoster) output()     {}
+func (ReadRoster) output()      {}
+func (RosterInForce) output()   {}
+func (HoldUntil) output()       {}
+func (IncarnationDead) output() {}
+func (StopServing) output()     {}
+
+// Params are the settings of a Membership. Zero values take the defaults.
+type Params struct {
+	Random      *rand.Rand    // source of jitter
+	Period      time.Duration // time between two heartbeat rounds
+	Fanout      int           // largest number of heartbeats in a round
+	RowsPerBeat int           // largest number of rows in a heartbeat
+	ListGrace   time.Duration // how long an Instance may be missing from the list before it is dropped
+	HoldFor     time.Duration // how long evidence from a majority permits holding entitlements
+	FenceWait   time.Duration // wait before the entitlements of a silent holder move
+	WriteRetry  time.Duration // time after which a roster write without an answer is resolved by a read
+	KeepFor     time.Duration // how long callers keep an address answer
+}
+
+// The defaults of Params.
+const (
+	DefaultPeriod      = time.Second
+	DefaultFanout      = 33 // 329 peers are met in 10 rounds, within a third of DefaultHoldFor
+	DefaultRowsPerBeat = 4  // keeps a heartbeat below 150 bytes
+	DefaultListGrace   = 5 * time.Second
+	DefaultHoldFor     = 30 * time.Second
+	DefaultFenceWait   = 31 * time.Second // over 30 s * 1.01 / 0.99, the clocks being up to 1% off
+	DefaultWriteRetry  = 2 * time.Second
+	DefaultKeepFor     = 10 * time.Second
+)
+
+func (p Params) withDefaults() Params {
+	setDefault(&p.Period, DefaultPeriod)
+	setDefault(&p.Fanout, DefaultFanout)
+	setDefault(&p.RowsPerBeat, DefaultRowsPerBeat)
+	setDefault(&p.ListGrace, DefaultListGrace)
+	setDefault(&p.HoldFor, DefaultHoldFor)
+	setDefault(&p.FenceWait, DefaultFenceWait)
+	setDefault(&p.WriteRetry, DefaultWriteRetry)
+	setDefault(&p.KeepFor, DefaultKeepFor)
+	if p.Random == nil {
+		p.Random = rand.New(rand.NewPCG(1, 1))
+	}
+	return p
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
