--- /dev/null
+++ b/pkg/platform/http.go
@@ -0,0 +1,313 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Options are the settings of the HTTP client. Zero fields take the default.
+type Options struct {
+	// CallTimeout bounds each call but Watch. Default 2 s.
+	CallTimeout time.Duration
+	// WatchWait is how long the platform holds a watch open. A watch that is
+	// silent for CallTimeout longer is abandoned. Default DefaultWatchWait.
+	WatchWait time.Duration
+	// MaxPending bounds the calls in progress, and separately the watches. A
+	// call above it fails at once with ErrUnavailable. Default 64.
+	MaxPending int
+	// Transport replaces the HTTP transport.
+	Transport http.RoundTripper
+}
+
+func (o Options) withDefaults() Options {
+	if o.CallTimeout <= 0 {
+		o.CallTimeout = 2 * time.Second
+	}
+	if o.WatchWait <= 0 {
+		o.WatchWait = DefaultWatchWait
+	}
+	if o.MaxPending <= 0 {
+		o.MaxPending = 64
+	}
+	if o.Transport == nil {
+		o.Transport = &http.Transport{
+			MaxIdleConnsPerHost: o.MaxPending,
+			IdleConnTimeout:     time.Minute,
+		}
+	}
+	return o
+}
+
+type httpClient struct {
+	base    *url.URL
+	baseErr error
+	opts    Options
+	http    http.Client
+	calls   chan struct{}
+	watches chan struct{}
+}
+
+// NewHTTP returns a client of the platform at baseURL.
+func NewHTTP(baseURL string, opts Options) Client { return newHTTP(baseURL, opts) }
+
+// NewRegistrar returns a client that changes the list of Instances.
+func NewRegistrar(baseURL string, opts Options) Registrar { return newHTTP(baseURL, opts) }
+
+func newHTTP(baseURL string, opts Options) *httpClient {
+	opts = opts.withDefaults()
+	base, err := url.Parse(strings.TrimSuffix(baseURL, "/"))
+	return &httpClient{
+		base:    base,
+		baseErr: err,
+		opts:    opts,
+		http: http.Client{
+			Transport:     opts.Transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		calls:   make(chan struct{}, opts.MaxPending),
+		watches: make(chan struct{}, opts.MaxPending),
+	}
+}
+
+// call describes one HTTP request.
+type call struct {
+	method  string
+	path    string
+	query   url.Values
+	header  http.Header
+	body    []byte
+	timeout time.Duration
+	pending chan struct{}
+}
+
+// reply is a complete HTTP response.
+type reply struct {
+	status  int
+	version uint64
+	body    []byte
+}
+
+func (c *httpClient) Get(ctx context.Context, name string) (Object, error) {
+	if err := CheckName(name); err != nil {
+		return Object{}, err
+	}
+	r, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/objects/" + name})
+	if err != nil {
+		return Object{}, errorx.Decorate(err, "get object %q", name)
+	}
+	return Object{Name: name, Version: r.version, Value: r.body}, nil
+}
+
+func (c *httpClient) Put(ctx context.Context, name string, value []byte, base uint64) (uint64, error) {
+	if err := CheckName(name); err != nil {
+		return 0, err
+	}
+	if len(value) > MaxValueBytes {
+		return 0, errorx.Decorate(ErrTooLarge, "put object %q: %d bytes", name, len(value))
+	}
+	header := http.Header{}
+	if base == 0 {
+		header.Set("If-None-Match", "*")
+	} else {
+		header.Set("If-Match", formatETag(base))
+	}
+	r, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/objects/" + name, header: header, body: value})
+	if err != nil {
+		return 0, errorx.Decorate(err, "put object %q", name)
+	}
+	return r.version, nil
+}
+
+func (c *httpClient) Delete(ctx context.Context, name string, base uint64) error {
+	if err := CheckName(name); err != nil {
+		return err
+	}
+	header := http.Header{"If-Match": {formatETag(base)}}
+	_, err := c.do(ctx, call{method: http.MethodDelete, path: "/v1/objects/" + name, header: header})
+	if err != nil {
+		return errorx.Decorate(err, "delete object %q", name)
+	}
+	return nil
+}
+
+func (c *httpClient) List(ctx context.Context, prefix string) ([]ObjectInfo, error) {
+	query := url.Values{"prefix": {prefix}}
+	var infos []ObjectInfo
+	if err := c.getJSON(ctx, "/v1/objects", query, &infos); err != nil {
+		return nil, errorx.Decorate(err, "list objects %q", prefix)
+	}
+	return infos, nil
+}
+
+func (c *httpClient) Watch(ctx context.Context, name string, after uint64) (Object, error) {
+	if err := CheckName(name); err != nil {
+		return Object{}, err
+	}
+	r, err := c.do(ctx, call{
+		method: http.MethodGet,
+		path:   "/v1/watch",
+		query: url.Values{
+			"name":    {name},
+			"after":   {strconv.FormatUint(after, 10)},
+			"wait_ms": {strconv.FormatInt(c.opts.WatchWait.Milliseconds(), 10)},
+		},
+		timeout: c.opts.WatchWait + c.opts.CallTimeout,
+		pending: c.watches,
+	})
+	if err != nil {
+		return Object{}, errorx.Decorate(err, "watch object %q", name)
+	}
+	return Object{Name: name, Version: r.version, Value: r.body}, nil
+}
+
+func (c *httpClient) Instances(ctx context.Context) ([]Instance, error) {
+	var list []Instance
+	if err := c.getJSON(ctx, "/v1/instances", nil, &list); err != nil {
+		return nil, errorx.Decorate(err, "list instances")
+	}
+	return list, nil
+}
+
+func (c *httpClient) PutInstance(ctx context.Context, instance Instance) error {
+	body, err := json.Marshal(instance)
+	if err != nil {
+		return errorx.Decorate(err, "encode instance %q", instance.ID)
+	}
+	_, err = c.do(ctx, call{method: http.MethodPut, path: "/v1/instances/" + instance.ID, body: body})
+	if err != nil {
+		return errorx.Decorate(err, "put instance %q", instance.ID)
+	}
+	return nil
+}
+
+func (c *httpClient) DeleteInstance(ctx context.Context, id string) error {
+	_, err := c.do(ctx, call{method: http.MethodDelete, path: "/v1/instances/" + id})
+	if err != nil {
+		return errorx.Decorate(err, "delete instance %q", id)
+	}
+	return nil
+}
+
+func (c *httpClient) getJSON(ctx context.Context, path string, query url.Values, into any) error {
+	r, err := c.do(ctx, call{method: http.MethodGet, path: path, query: query})
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(r.body, into); err != nil {
+		return fmt.Errorf("%w: malformed answer: %w", ErrUnavailable, err)
+	}
+	return nil
+}
+
+// do runs one call. A failure before a connection was obtained had no effect; a
+// failed write after that may have taken effect.
+func (c *httpClient) do(ctx context.Context, q call) (reply, error) {
+	if c.baseErr != nil {
+		return reply{}, fmt.Errorf("%w: %w", ErrInvalid, c.baseErr)
+	}
+	if q.pending == nil {
+		q.pending = c.calls
+	}
+	select {
+	case q.pending <- struct{}{}:
+		defer func() { <-q.pending }()
+	default:
+		return reply{}, fmt.Errorf("%w: %d calls are pending", ErrUnavailable, cap(q.pending))
+	}
+	if q.timeout == 0 {
+		q.timeout = c.opts.CallTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, q.timeout)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	r, err := c.roundTrip(ctx, q)
+	if err == nil {
+		return r, r.failure(q.method)
+	}
+	if connected.Load() && q.method != http.MethodGet {
+		return reply{}, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	return reply{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+}
+
+func (c *httpClient) roundTrip(ctx context.Context, q call) (reply, error) {
+	target := *c.base
+	target.Path += q.path
+	target.RawQuery = q.query.Encode()
+	request, err := http.NewRequestWithContext(ctx, q.method, target.String(), bytes.NewReader(q.body))
+	if err != nil {
+		return reply{}, err
+	}
+	for name, values := range q.header {
+		request.Header[name] = values
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return reply{}, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return reply{}, err
+	}
+	version, err := parseETag(response.Header.Get("ETag"))
+	if err != nil {
+		return reply{}, err
+	}
+	return reply{status: response.StatusCode, version: version, body: body}, nil
+}
+
+// failure returns the error that the status stands for, nil for success.
+func (r reply) failure(method string) error {
+	switch r.status {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return nil
+	case http.StatusNotModified:
+		return ErrNotModified
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusPreconditionFailed:
+		return ErrConflict{Current: r.version}
+	case http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: status %d", ErrUnavailable, r.status)
+	}
+	if r.status < http.StatusInternalServerError {
+		return fmt.Errorf("%w: status %d", ErrInvalid, r.status)
+	}
+	if method == http.MethodGet {
+		return fmt.Errorf("%w: status %d", ErrUnavailable, r.status)
+	}
+	return fmt.Errorf("%w: status %d", ErrUnknown, r.status)
+}
+
+// formatETag returns the entity tag of a version.
+func formatETag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
+
+// parseETag returns the version of an entity tag, 0 for none.
+func parseETag(tag string) (uint64, error) {
+	if tag == "" {
+		return 0, nil
+	}
+	version, err := strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("entity tag %q is not a version", tag)
+	}
+	return version, nil
+}
--- /dev/null
+++ b/pkg/platform/memory.go
@@ -0,0 +1,178 @@
+package platform
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// DefaultWatchWait is how long a watch waits for a newer version.
+const DefaultWatchWait = 10 * time.Second
+
+// Memory is the object API held in memory, without limits or faults. It is safe
+// for concurrent use.
+type Memory struct {
+	// WatchWait bounds a watch. Set it before the first call.
+	WatchWait time.Duration
+
+	mu        sync.Mutex
+	version   uint64
+	objects   map[string]Object
+	changed   map[string]chan struct{}
+	instances map[string]Instance
+}
+
+var (
+	_ Client    = (*Memory)(nil)
+	_ Registrar = (*Memory)(nil)
+)
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{
+		WatchWait: DefaultWatchWait,
+		objects:   map[string]Object{},
+		changed:   map[string]chan struct{}{},
+		instances: map[string]Instance{},
+	}
+}
+
+// Get implements Client.
+func (m *Memory) Get(ctx context.Context, name string) (Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	object, found := m.objects[name]
+	if !found {
+		return Object{}, ErrNotFound
+	}
+	object.Value = bytes.Clone(object.Value)
+	return object, nil
+}
+
+// Put implements Client.
+func (m *Memory) Put(ctx context.Context, name string, value []byte, base uint64) (uint64, error) {
+	if err := CheckName(name); err != nil {
+		return 0, err
+	}
+	if len(value) > MaxValueBytes {
+		return 0, ErrTooLarge
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if current := m.objects[name].Version; current != base {
+		return 0, ErrConflict{Current: current}
+	}
+	// One counter for all objects: a version is not reused after a delete.
+	m.version++
+	m.objects[name] = Object{Name: name, Version: m.version, Value: bytes.Clone(value)}
+	m.notify(name)
+	return m.version, nil
+}
+
+// Delete implements Client.
+func (m *Memory) Delete(ctx context.Context, name string, base uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	object, found := m.objects[name]
+	if !found {
+		return ErrNotFound
+	}
+	if object.Version != base {
+		return ErrConflict{Current: object.Version}
+	}
+	m.version++
+	delete(m.objects, name)
+	m.notify(name)
+	return nil
+}
+
+// List implements Client.
+func (m *Memory) List(ctx context.Context, prefix string) ([]ObjectInfo, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	infos := []ObjectInfo{}
+	for name, object := range m.objects {
+		if strings.HasPrefix(name, prefix) {
+			infos = append(infos, ObjectInfo{Name: name, Version: object.Version, Size: len(object.Value)})
+		}
+	}
+	slices.SortFunc(infos, func(a, b ObjectInfo) int { return cmp.Compare(a.Name, b.Name) })
+	return infos, nil
+}
+
+// Watch implements Client.
+func (m *Memory) Watch(ctx context.Context, name string, after uint64) (Object, error) {
+	timer := time.NewTimer(m.WatchWait)
+	defer timer.Stop()
+	for {
+		object, changed, err := m.newer(name, after)
+		if changed == nil {
+			return object, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return Object{}, ErrNotModified
+		case <-ctx.Done():
+			return Object{}, ErrUnavailable
+		}
+	}
+}
+
+// newer returns the object when it is newer than after, an error when it is
+// gone, or else a channel that is closed at its next change.
+func (m *Memory) newer(name string, after uint64) (Object, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	object, found := m.objects[name]
+	if found && object.Version > after {
+		object.Value = bytes.Clone(object.Value)
+		return object, nil, nil
+	}
+	if !found && after > 0 {
+		return Object{}, nil, ErrNotFound
+	}
+	if m.changed[name] == nil {
+		m.changed[name] = make(chan struct{})
+	}
+	return Object{}, m.changed[name], nil
+}
+
+func (m *Memory) notify(name string) {
+	if changed := m.changed[name]; changed != nil {
+		close(changed)
+		delete(m.changed, name)
+	}
+}
+
+// Instances implements Client.
+func (m *Memory) Instances(ctx context.Context) ([]Instance, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := make([]Instance, 0, len(m.instances))
+	for _, instance := range m.instances {
+		list = append(list, instance)
+	}
+	slices.SortFunc(list, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return list, nil
+}
+
+// PutInstance implements Registrar.
+func (m *Memory) PutInstance(ctx context.Context, instance Instance) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instances[instance.ID] = instance
+	return nil
+}
+
+// DeleteInstance implements Registrar.
+func (m *Memory) DeleteInstance(ctx context.Context, id string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.instances, id)
+	return nil
+}
--- /dev/null
+++ b/pkg/platform/platform.go
@@ -0,0 +1,112 @@
+// Package platform is the client of the platform's object API and of its list
+// of Instances. Objects have versions that only grow and are changed by
+// conditional update. NewHTTP returns the client over HTTP, NewMemory an
+// in-memory implementation for tests of other packages.
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// MaxValueBytes is the largest value that the platform stores.
+const MaxValueBytes = 1 << 20
+
+// Errors of all calls. Test them with errors.Is; the conflict with errors.As.
+var (
+	// ErrNotFound means that the object does not exist.
+	ErrNotFound = errors.New("object does not exist")
+	// ErrNotModified means that a watch ended without a newer version.
+	ErrNotModified = errors.New("no newer version")
+	// ErrUnavailable means that the call had no effect and may be repeated.
+	ErrUnavailable = errors.New("platform is unavailable")
+	// ErrUnknown means that a write may have taken effect: its answer was lost.
+	ErrUnknown = errors.New("outcome of the write is unknown")
+	// ErrTooLarge means that the value is larger than MaxValueBytes.
+	ErrTooLarge = errors.New("value is larger than the platform allows")
+	// ErrInvalid means that the platform rejects the call in every repeat.
+	ErrInvalid = errors.New("invalid call")
+)
+
+// ErrConflict means that a conditional write did not match the stored version.
+type ErrConflict struct {
+	// Current is the stored version, 0 when the object does not exist.
+	Current uint64
+}
+
+// Error returns the stored version.
+func (e ErrConflict) Error() string {
+	return fmt.Sprintf("conflict with stored version %d", e.Current)
+}
+
+// Object is one version of a named value.
+type Object struct {
+	Name    string
+	Version uint64
+	Value   []byte
+}
+
+// ObjectInfo is an entry of a list of objects.
+type ObjectInfo struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Size    int    `json:"size"`
+}
+
+// InstanceState is the state of an Instance in the platform's list.
+type InstanceState string
+
+// The states of a listed Instance.
+const (
+	Live    InstanceState = "live"
+	Leaving InstanceState = "leaving"
+)
+
+// Instance is an entry of the platform's list, which lags behind.
+type Instance struct {
+	ID         string        `json:"id"`
+	PeerAddr   string        `json:"peer_addr"`
+	CallerAddr string        `json:"caller_addr"`
+	DataCentre string        `json:"data_centre"`
+	State      InstanceState `json:"state"`
+}
+
+// Client is the object API. Each call ends at its deadline or that of ctx.
+type Client interface {
+	// Get reads an object. Errors: ErrNotFound, ErrUnavailable.
+	Get(ctx context.Context, name string) (Object, error)
+	// Put replaces version base of an object, or creates it when base is 0, and
+	// returns the new version. Errors: ErrConflict, ErrUnavailable, ErrUnknown,
+	// ErrTooLarge.
+	Put(ctx context.Context, name string, value []byte, base uint64) (version uint64, err error)
+	// Delete removes version base of an object. Errors: ErrConflict,
+	// ErrNotFound, ErrUnavailable, ErrUnknown.
+	Delete(ctx context.Context, name string, base uint64) error
+	// List returns the objects whose names start with prefix, sorted by name.
+	List(ctx context.Context, prefix string) ([]ObjectInfo, error)
+	// Watch waits for a version higher than after. Errors: ErrNotModified after
+	// the wait, ErrNotFound when an object with after > 0 is gone.
+	Watch(ctx context.Context, name string, after uint64) (Object, error)
+	// Instances returns the lagging list of Instances, sorted by ID.
+	Instances(ctx context.Context) ([]Instance, error)
+}
+
+// Registrar changes the list of Instances. The platform's scheduler does so in
+// production; tests and rhubarbsill-lab use it.
+type Registrar interface {
+	PutInstance(ctx context.Context, instance Instance) error
+	DeleteInstance(ctx context.Context, id string) error
+}
+
+// CheckName reports whether name is a slash-separated path without empty, "."
+// or ".." segments, which HTTP routers would rewrite.
+func CheckName(name string) error {
+	for segment := range strings.SplitSeq(name, "/") {
+		if segment == "" || segment == "." || segment == ".." {
+			return fmt.Errorf("%w: object name %q", ErrInvalid, name)
+		}
+	}
+	return nil
+}
