placement: two-step choice, slot ledger, fair queue, prefix hints, links

The plain version picked the least used pair from local counts: several instances overcommit one decode engine, and the prefill ignores slots, links and caches.

Now a decode slot is reserved at the ledger holder before a prefill engine is chosen, waiting jobs are served start-time fair by weight, and one decision looks at a sample of 4+log2(n) engines plus at most 4 hinted ones.

Ruled out: renewing each reservation, which costs a message per request and interval.

--- /dev/null
+++ b/pkg/placement/fluid.go
@@ -0,0 +1,42 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// fluid is an amount of work that drains at a constant rate: tokens that wait at
+// a prefill engine, or bytes that wait on a link.
+type fluid struct {
+	rate   float64 // units per second, 0 for unlimited
+	amount float64 // units left at the instant at
+	at     core.Instant
+}
+
+// left returns the amount that remains at the instant t.
+func (f *fluid) left(t core.Instant) float64 {
+	if t <= f.at {
+		return f.amount
+	}
+	return max(0, f.amount-f.rate*t.Sub(f.at).Seconds())
+}
+
+// add puts amount on top of what remains at t.
+func (f *fluid) add(t core.Instant, amount float64) {
+	if t > f.at {
+		f.amount = f.left(t)
+		f.at = t
+	}
+	f.amount = max(0, f.amount+amount)
+}
+
+// wait returns the time that amount takes at t behind what remains then.
+func (f *fluid) wait(t core.Instant, amount float64) time.Duration {
+	if f.rate == 0 {
+		return 0
+	}
+	return seconds((f.left(t) + amount) / f.rate)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/pkg/placement/hints.go
@@ -0,0 +1,170 @@
+package placement
+
+import "github.com/rhubarbsill/rhubarbsill/pkg/core"
+
+const (
+	// startAccuracy is the assumed accuracy of the hints of an unmeasured engine.
+	startAccuracy = 0.5
+	// accuracyStep is the weight of one measured prefill in the moving average.
+	accuracyStep = 0.2
+	// gapPenalty scales the accuracy when cache events are missing.
+	gapPenalty = 0.5
+	// maxHinted bounds the engines that hints add to a sample.
+	maxHinted = 4
+)
+
+// hints is what an engine is believed to hold in its prefix cache. The events
+// that feed it are late and have gaps, so it is worth only its accuracy.
+type hints struct {
+	accuracy float64
+	next     uint64 // sequence number of the next cache event, 0 for unknown
+	blocks   map[uint64]bool
+	order    []uint64 // insertion order, for the bound
+}
+
+func newHints() hints { return hints{accuracy: startAccuracy, blocks: map[uint64]bool{}} }
+
+// hintIndex finds the engines that are believed to hold a block.
+type hintIndex map[uint64][]*engine
+
+func (x hintIndex) store(e *engine, block uint64, limit int) {
+	if e.hints.blocks[block] {
+		return
+	}
+	e.hints.blocks[block] = true
+	e.hints.order = append(e.hints.order, block)
+	x[block] = append(x[block], e)
+	for len(e.hints.blocks) > limit {
+		oldest := e.hints.order[0]
+		e.hints.order = e.hints.order[1:]
+		x.evict(e, oldest)
+	}
+	if len(e.hints.order) > 2*limit {
+		e.compactOrder()
+	}
+}
+
+// compactOrder drops evicted and repeated blocks from the insertion order.
+func (e *engine) compactOrder() {
+	seen := make(map[uint64]bool, len(e.hints.blocks))
+	kept := e.hints.order[:0]
+	for _, block := range e.hints.order {
+		if e.hints.blocks[block] && !seen[block] {
+			kept = append(kept, block)
+			seen[block] = true
+		}
+	}
+	e.hints.order = kept
+}
+
+func (x hintIndex) evict(e *engine, block uint64) {
+	if !e.hints.blocks[block] {
+		return
+	}
+	delete(e.hints.blocks, block)
+	holders := x[block]
+	for i, other := range holders {
+		if other == e {
+			holders[i] = holders[len(holders)-1]
+			holders = holders[:len(holders)-1]
+			break
+		}
+	}
+	if len(holders) == 0 {
+		delete(x, block)
+		return
+	}
+	x[block] = holders
+}
+
+func (x hintIndex) forget(e *engine) {
+	for block := range e.hints.blocks {
+		x.evict(e, block)
+	}
+	e.hints = newHints()
+}
+
+// hinted appends to found the usable engines that hold the longest known part of
+// the prefix, at most maxHinted.
+func (x hintIndex) hinted(now core.Instant, found []*engine, prefix []uint64, usable func(*engine) bool) []*engine {
+	for i := len(prefix) - 1; i >= 0 && len(found) < maxHinted; i-- {
+		for _, e := range x[prefix[i]] {
+			if len(found) == maxHinted {
+				break
+			}
+			if usable(e) && !contains(found, e) {
+				found = append(found, e)
+			}
+		}
+	}
+	return found
+}
+
+func contains(list []*engine, e *engine) bool {
+	for _, other := range list {
+		if other == e {
+			return true
+		}
+	}
+	return false
+}
+
+// hintedTokens returns the number of prompt tokens that the engine is believed to
+// hold, before the accuracy is applied.
+func (e *engine) hintedTokens(prefix []uint64, prompt int) int {
+	for i := len(prefix) - 1; i >= 0; i-- {
+		if e.hints.blocks[prefix[i]] {
+			return min((i+1)*core.BlockTokens, prompt)
+		}
+	}
+	return 0
+}
+
+// measure updates the accuracy from a prefill for which hinted tokens were
+// expected and cached tokens were found.
+func (h *hints) measure(hinted, cached int) {
+	if hinted == 0 {
+		return
+	}
+	rate := min(1, float64(cached)/float64(hinted))
+	h.accuracy += accuracyStep * (rate - h.accuracy)
+}
+
+// OnCacheEvents takes in cache events of a prefill engine. Missing events lower
+// the accuracy of its hints until prefills have measured it again.
+func (p *Placer) OnCacheEvents(now core.Instant, up core.UpstreamID, events CacheEvents) {
+	e := p.engines[up]
+	if e == nil || len(events.Events) == 0 {
+		return
+	}
+	last := events.First + uint64(len(events.Events))
+	if e.hints.next != 0 && events.First > e.hints.next {
+		e.hints.accuracy *= gapPenalty
+	}
+	for i, event := range events.Events {
+		if events.First+uint64(i) < e.hints.next {
+			continue // repeated
+		}
+		if event.Stored {
+			p.index.store(e, event.Block, p.params.MaxHints)
+		} else {
+			p.index.evict(e, event.Block)
+		}
+	}
+	e.hints.next = max(e.hints.next, last)
+}
+
+// OnPrefillResult takes in the outcome of a prefill: it measures the hints of the
+// engine and notes that the engine now holds the prompt.
+func (p *Placer) OnPrefillResult(now core.Instant, up core.UpstreamID, r PrefillResult) {
+	j := p.jobs[r.ID]
+	e := p.engines[up]
+	if j == nil || e == nil || j.prefill != e {
+		return
+	}
+	e.hints.measure(j.hinted, r.CachedTokens)
+	j.hinted = 0
+	for _, block := range j.Prefix {
+		p.index.store(e, block, p.params.MaxHints)
+	}
+}
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -1,124 +1,354 @@
-// Package placement chooses the Upstreams of each request.
 package placement
 
 import (
-	"sort"
+	"container/heap"
+	"fmt"
+	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
 
+const (
+	// holdStep is the weight of one request in the mean time of a slot.
+	holdStep = 0.05
+	// intervalStep is the weight of one dispatch in the mean interval of a queue.
+	intervalStep = 0.1
+)
+
+type jobState int
+
+const (
+	jobQueued jobState = iota
+	jobReserving
+	jobPlaced
+)
+
+// job is a submitted Job with its state.
+type job struct {
+	Job
+	seq         uint64
+	state       jobState
+	pool        *pool
+	queuedClass int
+	arrived     core.Instant
+	giveUp      core.Instant
+
+	// While a reservation is asked for, and until it is released.
+	nonce  uint64
+	decode *engine // for a plain job: its replica
+	holder core.InstanceID
+	denied []*engine
+	tries  int
+
+	// Once placed.
+	prefill *engine
+	hinted  int          // tokens that hints promised, before the accuracy
+	starts  core.Instant // of the decode
+	until   core.Instant // end of the unused reservation
+}
+
 // Placer chooses Upstreams for the requests of one Instance.
 type Placer struct {
-	self     core.InstanceRef
-	dc       core.DataCentreName
-	params   Params
-	topology Topology
-	used     map[core.UpstreamID]int
-	placed   map[core.RequestID][]core.UpstreamID
+	self   core.InstanceRef
+	dc     core.DataCentreName
+	region core.RegionName
+	params Params
+
+	sites    map[core.DataCentreName]*site
+	services map[core.ServiceName]*service
+	pools    []*pool
+	engines  map[core.UpstreamID]*engine
+	index    hintIndex
+	unshared map[core.UpstreamID]*Placed
+
+	members          []Member
+	rosterGeneration int
+	holderDown       map[core.InstanceID]core.Instant
+
+	jobs   map[core.RequestID]*job
+	seq    uint64
+	nonce  uint64
+	timers timerHeap
 }
 
 // New returns a Placer of the Instance self in the DataCentre dc.
 func New(self core.InstanceRef, dc core.DataCentreName, p Params) *Placer {
 	return &Placer{
-		self:   self,
-		dc:     dc,
-		params: p.withDefaults(),
-		used:   map[core.UpstreamID]int{},
-		placed: map[core.RequestID][]core.UpstreamID{},
+		self:       self,
+		dc:         dc,
+		params:     p.withDefaults(),
+		sites:      map[core.DataCentreName]*site{},
+		services:   map[core.ServiceName]*service{},
+		engines:    map[core.UpstreamID]*engine{},
+		index:      hintIndex{},
+		unshared:   map[core.UpstreamID]*Placed{},
+		holderDown: map[core.InstanceID]core.Instant{},
+		jobs:       map[core.RequestID]*job{},
 	}
 }
 
-// SetTopology replaces the services and their Upstreams.
-func (p *Placer) SetTopology(now core.Instant, t Topology) []Output {
-	p.topology = t
-	return nil
+// Submit places the job, asks for its reservation or queues it. A job with the id
+// of an earlier one replaces it.
+func (p *Placer) Submit(now core.Instant, work Job) []Output {
+	outputs := p.Release(now, work.ID)
+	target := p.poolFor(work)
+	p.seq++
+	j := &job{Job: work, seq: p.seq, pool: target, arrived: now, giveUp: work.Deadline}
+	switch {
+	case target == nil || len(target.decode.regions) == 0:
+		return append(outputs, j.refuse(core.CodeNoUpstream, 0, "the service has no upstream for the model"))
+	case work.Deadline <= now:
+		return append(outputs, j.refuse(core.CodeDeadline, 0, "the deadline has passed"))
+	}
+	j.queuedClass = j.class(target.service.Policy)
+	queue := target.queue.of(j.queuedClass)
+	if queue.waiting(work.Account) >= p.params.MaxQueued {
+		return append(outputs, j.refuse(core.CodeNoCapacity, time.Second, "too many requests of the account are waiting"))
+	}
+	if j.refusesEarly() {
+		first := target.service.Targets.FirstToken
+		j.giveUp = min(j.giveUp, now.Add(first))
+		if wait := target.interval * time.Duration(target.queue.ahead(j.queuedClass)); wait > first {
+			return append(outputs, j.refuse(core.CodeTargetUnreachable, wait-first, "the queue is longer than the first-token target"))
+		}
+	}
+	p.jobs[work.ID] = j
+	target.queue.push(j)
+	outputs = append(outputs, p.pumpOne(now, target)...)
+	if j.state == jobQueued && p.jobs[work.ID] == j {
+		p.after(timer{at: j.giveUp, id: work.ID, seq: j.seq})
+	}
+	return outputs
 }
 
-// SetMembers replaces the Instances that may hold slot ledgers.
-func (p *Placer) SetMembers(now core.Instant, members []Member) []Output { return nil }
+// refusesEarly reports whether the first-token target decides over the job.
+func (j *job) refusesEarly() bool {
+	s := j.pool.service
+	return s.Policy != PolicyFair && !j.Retry && s.Targets.FirstToken > 0
+}
 
-// Submit places the job or queues it.
-func (p *Placer) Submit(now core.Instant, job Job) []Output {
-	for _, service := range p.topology.Services {
-		if service.Name != job.Service {
-			continue
+func (j *job) refuse(code core.Code, retryAfter time.Duration, message string) Refused {
+	refusal := core.Refuse(code, message)
+	refusal.RetryAfter = retryAfter
+	if j.Retry {
+		refusal.Ran = core.Unknown
+	}
+	return Refused{ID: j.ID, Refusal: refusal}
+}
+
+// drop refuses a known job and forgets it.
+func (p *Placer) drop(now core.Instant, j *job, code core.Code, message string) []Output {
+	outputs := p.Release(now, j.ID)
+	return append(outputs, j.refuse(code, 0, message))
+}
+
+// Withdraw removes a job that isn't placed yet.
+func (p *Placer) Withdraw(now core.Instant, id core.RequestID) []Output {
+	if j := p.jobs[id]; j == nil || j.state == jobPlaced {
+		return nil
+	}
+	return p.Release(now, id)
+}
+
+// Release forgets a job: it ends its reservation and its share of the load. An
+// unknown id is ignored.
+func (p *Placer) Release(now core.Instant, id core.RequestID) []Output {
+	j := p.jobs[id]
+	if j == nil {
+		return nil
+	}
+	delete(p.jobs, id)
+	switch j.state {
+	case jobQueued:
+		j.pool.queue.remove(j)
+		return nil
+	case jobReserving:
+		return p.endReservation(now, j)
+	}
+	outputs := p.releasePlaced(now, j)
+	return append(outputs, p.pump(now, j.decode.service.poolsOf(j.decode))...)
+}
+
+func (p *Placer) releasePlaced(now core.Instant, j *job) []Output {
+	j.decode.release(now, j.ID)
+	p.share(j.decode, 0, -1, 0)
+	if j.prefill == nil {
+		return nil
+	}
+	j.prefill.outstanding--
+	if used := now.Sub(j.starts); used > 0 {
+		s := j.decode.service
+		s.hold += time.Duration(holdStep * float64(used-s.hold))
+	}
+	return p.endReservation(now, j)
+}
+
+// pump dispatches waiting jobs of the pools that have any.
+func (p *Placer) pump(now core.Instant, pools []*pool) []Output {
+	var outputs []Output
+	for _, one := range pools {
+		if one.queue.length > 0 {
+			outputs = append(outputs, p.pumpOne(now, one)...)
 		}
-		if service.Kind == KindPlain {
-			up, ok := p.leastUsed(service, RolePlain)
-			if ok {
-				p.take(job.ID, up)
-				return []Output{Call{ID: job.ID, Upstream: up}}
-			}
-			break
+	}
+	return outputs
+}
+
+// pumpOne dispatches jobs in queue order until the first one has to wait.
+func (p *Placer) pumpOne(now core.Instant, from *pool) []Output {
+	var outputs []Output
+	from.nextTry = core.Never
+	for {
+		j := from.queue.peek()
+		if j == nil {
+			return outputs
+		}
+		c := p.choose(now, j)
+		if c.verdict == verdictWait {
+			from.nextTry = now.Add(p.params.RetryEvery)
+			return outputs
+		}
+		from.queue.pop()
+		if c.verdict == verdictRefuse {
+			delete(p.jobs, j.ID)
+			outputs = append(outputs, j.refuse(core.CodeTargetUnreachable, c.firstToken, c.reason()))
+			continue
 		}
-		prefill, okPrefill := p.leastUsed(service, RolePrefill)
-		decode, okDecode := p.leastUsed(service, RoleDecode)
-		if okPrefill && okDecode {
-			p.take(job.ID, prefill, decode)
-			return []Output{Place{ID: job.ID, Prefill: prefill, Decode: decode, StartPrefillAt: now, ReservedUntil: now.Add(p.params.ReservationTerm)}}
+		from.noteDispatch(now, j)
+		outputs = append(outputs, p.dispatch(now, j, c)...)
+		if j.state == jobQueued {
+			return outputs // put back: the engines were full after all
 		}
 	}
-	refusal := core.Refuse(core.CodeNoUpstream, "no upstream of the service is usable")
-	return []Output{Refused{ID: job.ID, Refusal: refusal}}
 }
 
-func (p *Placer) leastUsed(service Service, role Role) (core.UpstreamID, bool) {
-	var ids []core.UpstreamID
-	for _, up := range service.Upstreams {
-		if up.Role == role && !up.Leaving {
-			ids = append(ids, up.ID)
-		}
+// noteDispatch updates the mean interval between dispatches of waiting jobs.
+func (from *pool) noteDispatch(now core.Instant, j *job) {
+	if j.arrived < now && from.lastPop > j.arrived {
+		sample := now.Sub(from.lastPop)
+		from.interval += time.Duration(intervalStep * float64(sample-from.interval))
 	}
-	if len(ids) == 0 {
-		return "", false
+	from.lastPop = now
+}
+
+func (c choice) reason() string {
+	return fmt.Sprintf("the first token would take %d ms", c.firstToken.Milliseconds())
+}
+
+// dispatch starts a popped job on the chosen engines.
+func (p *Placer) dispatch(now core.Instant, j *job, c choice) []Output {
+	if j.pool.service.Kind == KindPlain {
+		j.state = jobPlaced
+		j.decode = c.decode
+		j.decode.outstanding++
+		j.decode.correct(now, correction{id: j.ID, at: now, slots: 1})
+		p.share(j.decode, 0, 1, 0)
+		return []Output{Call{ID: j.ID, Upstream: c.decode.ID}}
 	}
-	sort.SliceStable(ids, func(i, j int) bool { return p.used[ids[i]] < p.used[ids[j]] })
-	return ids[0], true
+	return p.reserve(now, j, c)
 }
 
-func (p *Placer) take(id core.RequestID, ups ...core.UpstreamID) {
-	p.placed[id] = ups
-	for _, up := range ups {
-		p.used[up]++
+// place starts a job whose slot is free in freeIn and reserved for term.
+func (p *Placer) place(now core.Instant, j *job, c choice, term time.Duration) []Output {
+	lead := c.queue + c.prefillTime
+	start := now.Add(max(0, c.freeIn-lead))
+	j.state = jobPlaced
+	j.prefill = c.prefill
+	j.hinted = c.hinted
+	j.until = now.Add(term)
+	j.starts = now.Add(c.firstToken)
+	bytes := p.kvBytes(j)
+	p.addTransfer(now, c.prefill.site, c.decode.site, bytes)
+	c.prefill.outstanding++
+	c.prefill.correct(now, correction{id: j.ID, at: start, tokens: c.tokens})
+	c.decode.outstanding++
+	c.decode.correct(now, correction{id: j.ID, at: j.starts, slots: 1})
+	p.share(c.prefill, c.tokens, 0, bytes)
+	decodeBytes := bytes
+	if c.prefill.site == c.decode.site {
+		decodeBytes = 0
 	}
+	p.share(c.decode, 0, 1, decodeBytes)
+	return []Output{Place{
+		ID:             j.ID,
+		Prefill:        c.prefill.ID,
+		Decode:         c.decode.ID,
+		StartPrefillAt: start,
+		ReservedUntil:  j.until,
+	}}
 }
 
-// Withdraw removes a job that still waits.
-func (p *Placer) Withdraw(now core.Instant, id core.RequestID) []Output { return nil }
+// Tick does the work that is due at now.
+func (p *Placer) Tick(now core.Instant) []Output {
+	var outputs []Output
+	for len(p.timers) > 0 && p.timers[0].at <= now {
+		due := heap.Pop(&p.timers).(timer)
+		outputs = append(outputs, p.onTimer(now, due)...)
+	}
+	for _, one := range p.pools {
+		if one.nextTry <= now {
+			outputs = append(outputs, p.pumpOne(now, one)...)
+		}
+	}
+	return outputs
+}
 
-// Release ends the slot and load accounting of a placed request.
-func (p *Placer) Release(now core.Instant, id core.RequestID) []Output {
-	for _, up := range p.placed[id] {
-		p.used[up]--
+func (p *Placer) onTimer(now core.Instant, due timer) []Output {
+	j := p.jobs[due.id]
+	if j == nil || j.seq != due.seq || j.state == jobPlaced {
+		return nil
+	}
+	if due.nonce != 0 {
+		return p.onReserveTimeout(now, j, due.nonce)
 	}
-	delete(p.placed, id)
-	return nil
+	if j.Deadline <= now {
+		return p.drop(now, j, core.CodeDeadline, "the deadline passed while the request was waiting")
+	}
+	return p.drop(now, j, core.CodeTargetUnreachable, "the first-token target passed while the request was waiting")
 }
 
-// OnLoad takes in the load report of an Upstream.
-func (p *Placer) OnLoad(now core.Instant, up core.UpstreamID, r LoadReport) []Output { return nil }
+// NextWake returns the time at which Tick is due.
+func (p *Placer) NextWake() core.Instant {
+	first := core.Never
+	if len(p.timers) > 0 {
+		first = p.timers[0].at
+	}
+	for _, one := range p.pools {
+		first = min(first, one.nextTry)
+	}
+	return first
+}
 
-// OnCacheEvents takes in cache events of a prefill engine.
-func (p *Placer) OnCacheEvents(now core.Instant, up core.UpstreamID, events CacheEvents) {}
+// timer wakes a job at its give-up time, or a reservation when nonce is set.
+type timer struct {
+	at    core.Instant
+	id    core.RequestID
+	seq   uint64
+	nonce uint64
+}
 
-// OnPrefillResult takes in the outcome of a prefill.
-func (p *Placer) OnPrefillResult(now core.Instant, up core.UpstreamID, r PrefillResult) {}
+func (p *Placer) after(t timer) { heap.Push(&p.timers, t) }
 
-// OnReserve answers a reservation request of a peer.
-func (p *Placer) OnReserve(now core.Instant, from core.InstanceRef, q ReserveRequest) ReserveReply {
-	return ReserveReply{Nonce: q.Nonce, ID: q.ID, Upstream: q.Upstream, Granted: true, Term: p.params.ReservationTerm}
-}
+type timerHeap []timer
 
-// OnReserveReply takes in the answer of a ledger holder.
-func (p *Placer) OnReserveReply(now core.Instant, r ReserveReply) []Output { return nil }
+func (h timerHeap) Len() int { return len(h) }
 
-// OnReleaseNotice ends a reservation of a peer.
-func (p *Placer) OnReleaseNotice(now core.Instant, from core.InstanceRef, n ReleaseNotice) []Output {
-	return nil
+func (h timerHeap) Less(i, k int) bool {
+	if h[i].at != h[k].at {
+		return h[i].at < h[k].at
+	}
+	return h[i].seq < h[k].seq
 }
 
-// Tick does the work that is due at now.
-func (p *Placer) Tick(now core.Instant) []Output { return nil }
+func (h timerHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
 
-// NextWake returns the time at which Tick is due.
-func (p *Placer) NextWake() core.Instant { return core.Never }
+// Push is part of heap.Interface.
+func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
+
+// Pop is part of heap.Interface.
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	*h = (*h)[:last]
+	return t
+}
--- /dev/null
+++ b/pkg/placement/queue.go
@@ -0,0 +1,237 @@
+package placement
+
+import (
+	"container/heap"
+	"slices"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// fairQueue orders jobs by start-time fair queueing. Two accounts that both stay
+// backlogged receive service in proportion to their weights; the difference of
+// their normalised service stays below one largest job of each over its weight.
+type fairQueue struct {
+	virtual float64
+	flows   map[core.AccountID]*flow
+	heads   flowHeap
+	length  int
+}
+
+// flow is the queue of one ClientAccount.
+type flow struct {
+	account core.AccountID
+	jobs    []*job
+	// start is the virtual start time of the first job, or of the next one.
+	start    float64
+	priority int // of the first job, breaks ties
+	index    int // in the heap, -1 when empty
+}
+
+func newFairQueue() *fairQueue { return &fairQueue{flows: map[core.AccountID]*flow{}} }
+
+func (j *job) normalisedCost() float64 {
+	return float64(j.PromptTokens+j.MaxOutput+1) / float64(max(1, j.Weight))
+}
+
+func (q *fairQueue) flow(account core.AccountID) *flow {
+	f := q.flows[account]
+	if f == nil {
+		f = &flow{account: account, index: -1, start: q.virtual}
+		q.flows[account] = f
+	}
+	return f
+}
+
+func (q *fairQueue) push(j *job) {
+	f := q.flow(j.Account)
+	if len(f.jobs) == 0 {
+		f.start = max(f.start, q.virtual)
+	}
+	f.jobs = append(f.jobs, j)
+	q.length++
+	q.fix(f)
+}
+
+// putBack returns a popped job to the front of its flow and refunds its cost.
+func (q *fairQueue) putBack(j *job) {
+	f := q.flow(j.Account)
+	f.start -= j.normalisedCost()
+	f.jobs = slices.Insert(f.jobs, 0, j)
+	q.length++
+	q.fix(f)
+}
+
+func (q *fairQueue) peek() *job {
+	if len(q.heads) == 0 {
+		return nil
+	}
+	return q.heads[0].jobs[0]
+}
+
+func (q *fairQueue) pop() *job {
+	f := q.heads[0]
+	j := f.jobs[0]
+	q.virtual = max(q.virtual, f.start)
+	f.start += j.normalisedCost()
+	f.jobs[0] = nil
+	f.jobs = f.jobs[1:]
+	q.length--
+	q.fix(f)
+	return j
+}
+
+func (q *fairQueue) remove(j *job) {
+	f := q.flows[j.Account]
+	if f == nil {
+		return
+	}
+	i := slices.Index(f.jobs, j)
+	if i < 0 {
+		return
+	}
+	f.jobs = slices.Delete(f.jobs, i, i+1)
+	q.length--
+	q.fix(f)
+}
+
+// fix restores the heap after the jobs or the start of f have changed.
+func (q *fairQueue) fix(f *flow) {
+	switch {
+	case len(f.jobs) == 0 && f.index >= 0:
+		heap.Remove(&q.heads, f.index)
+	case len(f.jobs) > 0:
+		f.priority = f.jobs[0].Priority
+		if f.index < 0 {
+			heap.Push(&q.heads, f)
+		} else {
+			heap.Fix(&q.heads, f.index)
+		}
+	}
+	if q.length == 0 {
+		q.dropIdle()
+	}
+}
+
+// dropIdle forgets flows that owe nothing to the others.
+func (q *fairQueue) dropIdle() {
+	for account, f := range q.flows {
+		if f.start <= q.virtual {
+			delete(q.flows, account)
+		}
+	}
+}
+
+// waiting returns the number of waiting jobs of the account.
+func (q *fairQueue) waiting(account core.AccountID) int {
+	if f := q.flows[account]; f != nil {
+		return len(f.jobs)
+	}
+	return 0
+}
+
+type flowHeap []*flow
+
+func (h flowHeap) Len() int { return len(h) }
+
+func (h flowHeap) Less(i, k int) bool {
+	if h[i].start != h[k].start {
+		return h[i].start < h[k].start
+	}
+	if h[i].priority != h[k].priority {
+		return h[i].priority > h[k].priority
+	}
+	return h[i].account < h[k].account
+}
+
+func (h flowHeap) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].index, h[k].index = i, k
+}
+
+// Push is part of heap.Interface.
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+
+// Pop is part of heap.Interface.
+func (h *flowHeap) Pop() any {
+	last := len(*h) - 1
+	f := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	f.index = -1
+	return f
+}
+
+// classQueue serves the fair queues of its priorities, highest first.
+type classQueue struct {
+	priorities []int // descending
+	classes    map[int]*fairQueue
+	length     int
+}
+
+func newClassQueue() classQueue { return classQueue{classes: map[int]*fairQueue{}} }
+
+// class returns the class of a job: its priority under PolicyGoodput, one class
+// for all under PolicyFair.
+func (j *job) class(policy Policy) int {
+	if policy == PolicyFair {
+		return 0
+	}
+	return j.Priority
+}
+
+func (c *classQueue) of(class int) *fairQueue {
+	q := c.classes[class]
+	if q == nil {
+		q = newFairQueue()
+		c.classes[class] = q
+		c.priorities = append(c.priorities, class)
+		slices.SortFunc(c.priorities, func(a, b int) int { return b - a })
+	}
+	return q
+}
+
+func (c *classQueue) push(j *job) { c.of(j.queuedClass).push(j); c.length++ }
+
+func (c *classQueue) putBack(j *job) { c.of(j.queuedClass).putBack(j); c.length++ }
+
+func (c *classQueue) remove(j *job) {
+	q := c.of(j.queuedClass)
+	before := q.length
+	q.remove(j)
+	c.length -= before - q.length
+}
+
+func (c *classQueue) peek() *job {
+	for _, class := range c.priorities {
+		if j := c.classes[class].peek(); j != nil {
+			return j
+		}
+	}
+	return nil
+}
+
+func (c *classQueue) pop() *job {
+	for _, class := range c.priorities {
+		if q := c.classes[class]; q.length > 0 {
+			c.length--
+			return q.pop()
+		}
+	}
+	return nil
+}
+
+// ahead returns the number of jobs that go before a new job of the class, when
+// each account has the same share.
+func (c *classQueue) ahead(class int) int {
+	n := 0
+	for _, other := range c.priorities {
+		if other >= class {
+			n += c.classes[other].length
+		}
+	}
+	return n
+}
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -101,9 +101,9 @@
 	Deadline core.Instant
 	// Avoid lists Upstreams that are used only when no other one is usable.
 	Avoid []core.UpstreamID
-	// Continued says that a part of the answer has been sent, so that the
-	// first-token target no longer applies.
-	Continued bool
+	// Retry says that an earlier attempt may have reached an Upstream: a refusal
+	// then says unknown, and the job isn't refused early.
+	Retry bool
 }
 
 // LoadReport is what an engine says about itself.
@@ -173,6 +173,18 @@
 	Upstream core.UpstreamID `json:"upstream"`
 }
 
+// Placed sums up the placements of one Instance on one Upstream. Peers of a
+// DataCentre exchange it to correct the load that engines report late.
+type Placed struct {
+	Upstream core.UpstreamID `json:"upstream"`
+	// Tokens is the number of prefill tokens.
+	Tokens int64 `json:"tokens,omitempty"`
+	// Slots is the number of slots taken less those released.
+	Slots int `json:"slots,omitempty"`
+	// LinkBytes is the size of the KV transfers over the link of the DataCentre.
+	LinkBytes int64 `json:"link_bytes,omitempty"`
+}
+
 // Output is one thing that the caller of the Placer must do.
 type Output interface{ output() }
 
