--- /dev/null
+++ b/pkg/lab/engine/cache.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+// maxEvents bounds the cache events that are kept for readers.
+const maxEvents = 4096
+
+// prefixCache holds the least recently used blocks of prompts and publishes late
+// and gappy events about them.
+type prefixCache struct {
+	limit  int
+	lag    time.Duration
+	gap    int
+	blocks []uint64 // least recently used first
+	events []timedEvent
+	seq    uint64
+}
+
+type timedEvent struct {
+	upstream.CacheEvent
+	visible time.Time
+}
+
+func newPrefixCache(opts Options) prefixCache {
+	return prefixCache{limit: opts.CacheBlocks, lag: opts.EventLag, gap: opts.EventGap}
+}
+
+// lookup returns the number of leading blocks that are cached.
+func (c *prefixCache) lookup(hashes []uint64) int {
+	for n, hash := range hashes {
+		at := slices.Index(c.blocks, hash)
+		if at < 0 {
+			return n
+		}
+		c.blocks = append(slices.Delete(c.blocks, at, at+1), hash)
+	}
+	return len(hashes)
+}
+
+// insert adds the blocks. It keeps the first ones of a prompt that is larger than
+// the cache, because a prefix without its beginning is of no use.
+func (c *prefixCache) insert(now time.Time, hashes []uint64) {
+	if len(hashes) > c.limit {
+		hashes = hashes[:c.limit]
+	}
+	for _, hash := range hashes {
+		if slices.Contains(c.blocks, hash) {
+			continue
+		}
+		if len(c.blocks) >= c.limit {
+			c.publish(now, upstream.CacheEvent{Block: c.blocks[0], Evicted: true})
+			c.blocks = slices.Delete(c.blocks, 0, 1)
+		}
+		c.blocks = append(c.blocks, hash)
+		c.publish(now, upstream.CacheEvent{Block: hash})
+	}
+}
+
+func (c *prefixCache) publish(now time.Time, e upstream.CacheEvent) {
+	c.seq++
+	if c.gap > 0 && c.seq%uint64(c.gap) == 0 {
+		return
+	}
+	e.Seq = c.seq
+	if len(c.events) >= maxEvents {
+		c.events = slices.Delete(c.events, 0, maxEvents/4)
+	}
+	c.events = append(c.events, timedEvent{CacheEvent: e, visible: now.Add(c.lag)})
+}
+
+// after returns the visible events with a higher sequence number.
+func (c *prefixCache) after(now time.Time, seq uint64) []upstream.CacheEvent {
+	list := make([]upstream.CacheEvent, 0)
+	for _, e := range c.events {
+		if e.Seq > seq && !e.visible.After(now) {
+			list = append(list, e.CacheEvent)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/lab/engine/decode.go
@@ -0,0 +1,364 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+// attempt is one request in the decode role. It runs until its last token or a
+// cancel, with or without a reader. It is guarded by Server.mu.
+type attempt struct {
+	id         string
+	seed       uint64
+	blocks     int
+	offset     int
+	max        int
+	ready      bool // the KV cache was imported
+	tokens     []upstream.Token
+	generation uint64
+	code       string // why it ended early
+	ended      bool
+	endedAt    time.Time
+	changed    chan struct{} // closed and replaced at each change
+}
+
+func (a *attempt) notify() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+func (s *Server) serveDecode(x *exchange) *failure {
+	var q upstream.DecodeRequest
+	if fail := x.decode(&q); fail != nil {
+		return fail
+	}
+	if q.Attempt == "" || q.MaxTokens <= 0 || q.Offset < 0 || q.Offset >= q.MaxTokens {
+		return &failure{http.StatusBadRequest, upstream.CodeMalformed, "attempt, max_tokens and offset must fit"}
+	}
+	s.mu.Lock()
+	x.log.Attempt = q.Attempt
+	s.mu.Unlock()
+	kv, fail := s.describeKV(x, q)
+	if fail != nil {
+		return fail
+	}
+	s.crashes(kv.Text)
+	a, fail := s.reserve(x.state, q, kv)
+	if fail != nil {
+		return fail
+	}
+	x.startStream(a.generation)
+	if !s.importKV(x, a, kv) {
+		s.finish(x.state, a, upstream.CodeCanceled)
+		return nil
+	}
+	s.begin(x.state, a)
+	s.relay(x, a, 1, q.Offset)
+	return nil
+}
+
+// describeKV asks the prefill engine for the KV cache.
+func (s *Server) describeKV(x *exchange, q upstream.DecodeRequest) (*kvCache, *failure) {
+	gone := &failure{http.StatusGone, upstream.CodeKVGone, "KV cache can't be imported"}
+	ctx, cancel := context.WithTimeout(x.request.Context(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, q.Source+upstream.PathKV+"/"+url.PathEscape(string(q.KV)), nil)
+	if err != nil {
+		return nil, &failure{http.StatusBadRequest, upstream.CodeMalformed, err.Error()}
+	}
+	response, err := s.kv.Do(request)
+	if err != nil {
+		return nil, gone
+	}
+	defer response.Body.Close()
+	var kv kvCache
+	err = json.NewDecoder(io.LimitReader(response.Body, maxBody)).Decode(&kv)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return nil, gone
+	}
+	return &kv, nil
+}
+
+// reserve takes a slot and memory for the whole attempt.
+func (s *Server) reserve(st *state, q upstream.DecodeRequest, kv *kvCache) (*attempt, *failure) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.opts.Clock.Now()
+	st.forget(now)
+	if _, ok := st.attempts[q.Attempt]; ok {
+		return nil, &failure{http.StatusConflict, upstream.CodeAttemptExists, "attempt exists"}
+	}
+	blocks := blocksFor(kv.Token + q.MaxTokens - q.Offset)
+	if len(st.running()) >= s.opts.Slots || blocks > st.freeBlocks {
+		return nil, &failure{http.StatusServiceUnavailable, upstream.CodeFull, "no free slot or memory"}
+	}
+	a := &attempt{
+		id: q.Attempt, seed: kv.Seed, blocks: blocks, offset: q.Offset, max: q.MaxTokens,
+		generation: 1, changed: make(chan struct{}),
+	}
+	st.freeBlocks -= blocks
+	st.attempts[q.Attempt] = a
+	st.observe(now)
+	return a, nil
+}
+
+// forget drops attempts that ended long ago.
+func (st *state) forget(now time.Time) {
+	for id, a := range st.attempts {
+		if a.ended && now.Sub(a.endedAt) >= st.server.opts.FinishedFor {
+			delete(st.attempts, id)
+		}
+	}
+}
+
+// finish ends an attempt and frees its memory. Code is empty after the last token.
+func (s *Server) finish(st *state, a *attempt, code string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st.finish(a, code)
+}
+
+func (st *state) finish(a *attempt, code string) {
+	if a.ended {
+		return
+	}
+	now := st.server.opts.Clock.Now()
+	a.ended, a.code, a.endedAt = true, code, now
+	st.freeBlocks += a.blocks
+	a.blocks = 0
+	a.notify()
+	st.observe(now)
+}
+
+// transferStep is the part of a transfer after which the caller is told about it.
+const transferStep = 100 * time.Millisecond
+
+// importKV takes the time of the transfer over the link, which all imports of this
+// engine share. It returns false when the attempt was canceled or its caller has
+// gone: before the first token there is nothing to resume.
+func (s *Server) importKV(x *exchange, a *attempt, kv *kvCache) bool {
+	s.mu.Lock()
+	now := s.opts.Clock.Now()
+	if x.state.linkFree.Before(now) {
+		x.state.linkFree = now
+	}
+	duration := time.Duration(float64(kv.Bytes) / float64(s.opts.LinkBytesPerSecond) * float64(time.Second))
+	x.state.linkFree = x.state.linkFree.Add(duration)
+	left := x.state.linkFree.Sub(now)
+	s.mu.Unlock()
+	for left > 0 || s.transfersStalled() {
+		part := min(max(left, time.Millisecond), transferStep)
+		if !s.wait(x.request.Context(), x.state, part) {
+			return false
+		}
+		s.mu.Lock()
+		ended, stalled := a.ended, s.faults.StallTransfers
+		s.mu.Unlock()
+		if ended {
+			return false
+		}
+		if !stalled {
+			left -= part
+			x.write(": transferring\n\n")
+		}
+	}
+	return true
+}
+
+func (s *Server) transfersStalled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.StallTransfers
+}
+
+// begin puts an attempt into the batch and starts the batch when it was idle.
+func (s *Server) begin(st *state, a *attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.ready = true
+	if !st.stepping {
+		st.stepping = true
+		go s.runBatch(st)
+	}
+}
+
+// runBatch gives one token to each running attempt per step until none is left.
+func (s *Server) runBatch(st *state) {
+	for {
+		s.mu.Lock()
+		members := st.batch()
+		if len(members) == 0 {
+			st.stepping = false
+			s.mu.Unlock()
+			return
+		}
+		stalled := s.faults.StallDecode
+		s.mu.Unlock()
+		step := s.opts.PerOutputToken + time.Duration(len(members))*s.opts.PerBatchMember
+		select {
+		case <-s.opts.Clock.After(s.slowed(step)):
+		case <-st.done:
+			return
+		}
+		if !stalled {
+			s.step(st, members)
+		}
+	}
+}
+
+func (st *state) batch() []*attempt {
+	members := make([]*attempt, 0, len(st.attempts))
+	for _, a := range st.attempts {
+		if a.ready && !a.ended {
+			members = append(members, a)
+		}
+	}
+	return members
+}
+
+func (s *Server) step(st *state, members []*attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range members {
+		if a.ended {
+			continue
+		}
+		index := a.offset + len(a.tokens)
+		token := upstream.Token{Index: index, Text: tokenText(a.seed, index)}
+		if index == a.max-1 {
+			token.Done, token.Reason = true, "length"
+		}
+		a.tokens = append(a.tokens, token)
+		if token.Done {
+			st.finish(a, "")
+		} else {
+			a.notify()
+		}
+	}
+}
+
+func (s *Server) serveCancel(x *exchange) *failure {
+	id := x.request.PathValue("id")
+	s.mu.Lock()
+	a, ok := x.state.attempts[id]
+	if ok {
+		x.state.finish(a, upstream.CodeCanceled)
+	}
+	s.mu.Unlock()
+	if !ok {
+		return &failure{http.StatusNotFound, upstream.CodeUnknownAttempt, "attempt is not known"}
+	}
+	s.reply(x, http.StatusOK, struct{}{})
+	return nil
+}
+
+func (s *Server) serveResume(x *exchange) *failure {
+	var q upstream.ResumeRequest
+	if fail := x.decode(&q); fail != nil {
+		return fail
+	}
+	a, fail := s.takeOver(x.state, x.request.PathValue("id"), &q)
+	if fail != nil {
+		return fail
+	}
+	x.startStream(q.Generation)
+	s.relay(x, a, q.Generation, q.Offset)
+	return nil
+}
+
+// takeOver raises the generation of an attempt, which cuts the earlier reader.
+func (s *Server) takeOver(st *state, id string, q *upstream.ResumeRequest) (*attempt, *failure) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st.forget(s.opts.Clock.Now())
+	a, ok := st.attempts[id]
+	if !ok || a.code == upstream.CodeCanceled {
+		return nil, &failure{http.StatusNotFound, upstream.CodeUnknownAttempt, "attempt is not known"}
+	}
+	if q.Generation == 0 {
+		q.Generation = a.generation + 1
+	}
+	if q.Generation <= a.generation {
+		return nil, &failure{http.StatusConflict, upstream.CodeStaleGeneration, "a later reader has the attempt"}
+	}
+	if q.Offset < a.offset || q.Offset > a.offset+len(a.tokens) {
+		return nil, &failure{http.StatusBadRequest, upstream.CodeBadOffset, "offset was not generated by this attempt"}
+	}
+	a.generation = q.Generation
+	a.notify()
+	return a, nil
+}
+
+func (x *exchange) startStream(generation uint64) {
+	x.Header().Set("Content-Type", "text/event-stream")
+	x.Header().Set(upstream.HeaderGeneration, strconv.FormatUint(generation, 10))
+	x.WriteHeader(http.StatusOK)
+	x.flush()
+}
+
+func (x *exchange) flush() { _ = http.NewResponseController(x.ResponseWriter).Flush() }
+
+// write sends text at once. An error means that the reader has gone, which ends
+// the request's context as well.
+func (x *exchange) write(text string) {
+	_, _ = io.WriteString(x, text)
+	x.flush()
+}
+
+// relay sends the tokens from next on until the attempt ends, a later reader takes
+// over, or the reader goes. The attempt runs on without a reader.
+func (s *Server) relay(x *exchange, a *attempt, generation uint64, next int) {
+	for {
+		s.mu.Lock()
+		superseded := a.generation != generation
+		pending := a.tokens[max(0, min(next-a.offset, len(a.tokens))):]
+		ended, code, changed := a.ended, a.code, a.changed
+		s.mu.Unlock()
+		if superseded {
+			x.writeError(upstream.CodeSuperseded)
+			return
+		}
+		for _, token := range pending {
+			x.writeToken(token)
+			next = token.Index + 1
+		}
+		if ended {
+			if code != "" {
+				x.writeError(code)
+			}
+			return
+		}
+		select {
+		case <-changed:
+		case <-x.request.Context().Done():
+			return
+		case <-x.state.done:
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (x *exchange) writeToken(token upstream.Token) {
+	data, err := json.Marshal(token)
+	if err != nil {
+		panic(errors.Join(http.ErrAbortHandler, err))
+	}
+	x.write(fmt.Sprintf("id: %d\ndata: %s\n\n", token.Index, data))
+}
+
+func (x *exchange) writeError(code string) {
+	data, err := json.Marshal((&failure{code: code, message: "attempt ended early"}).body())
+	if err != nil {
+		panic(errors.Join(http.ErrAbortHandler, err))
+	}
+	x.write(fmt.Sprintf("event: error\ndata: %s\n\n", data))
+}
--- /dev/null
+++ b/pkg/lab/engine/engine.go
@@ -0,0 +1,383 @@
+// Package engine is a small fake of a model engine for tests and trials. One type
+// plays the prefill or the decode role. It speaks the protocol of package
+// upstream and can be given faults.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/lab/faultnet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+// Role says what an engine does.
+type Role string
+
+// The roles of an engine.
+const (
+	Prefill Role = "prefill"
+	Decode  Role = "decode"
+)
+
+// Clock supplies time, so that a test can run faster than real time.
+type Clock interface {
+	Now() time.Time
+	// After returns a channel that receives when d has passed on this clock.
+	After(d time.Duration) <-chan time.Time
+}
+
+// Scaled is a clock that runs Factor times as fast as real time.
+type Scaled struct {
+	Start  time.Time
+	Factor float64
+}
+
+// Now returns the scaled time.
+func (c Scaled) Now() time.Time {
+	return c.Start.Add(time.Duration(float64(time.Since(c.Start)) * c.Factor))
+}
+
+// After returns a channel that receives after d of scaled time.
+func (c Scaled) After(d time.Duration) <-chan time.Time {
+	return time.After(time.Duration(float64(d) / c.Factor))
+}
+
+// Options are the settings of an engine. Zero values select the defaults.
+type Options struct {
+	Role  Role
+	Clock Clock
+	// PerPromptToken is the prefill time of one token that is not cached.
+	// Default 50 µs.
+	PerPromptToken time.Duration
+	// PerOutputToken is the time of one step of the batch. Each step gives every
+	// running attempt one token. Default 20 ms.
+	PerOutputToken time.Duration
+	// PerBatchMember is added to a step for each running attempt. Default 200 µs.
+	PerBatchMember time.Duration
+	// Slots bounds the running attempts. Default 20.
+	Slots int
+	// Blocks is the memory in blocks of core.BlockTokens tokens. Default 80.
+	Blocks int
+	// QueueLimit bounds the requests that wait: for the processor in the prefill
+	// role (default 64), for a slot in the decode role (default 0: refuse as full).
+	QueueLimit int
+	// KeptFor is how long a prefill result is kept. Default 800 ms.
+	KeptFor time.Duration
+	// KVBytesPerToken is the size of the KV cache of one token. Default 2 KiB,
+	// which is small so that trials finish; real models need far more.
+	KVBytesPerToken int64
+	// LinkBytesPerSecond is the rate of the KV transfers to one engine, which they
+	// share. Default 1 GB/s.
+	LinkBytesPerSecond int64
+	// CacheBlocks is the size of the prefix cache in blocks. Default 64.
+	CacheBlocks int
+	// EventLag delays cache events. Default 300 ms.
+	EventLag time.Duration
+	// EventGap loses every n-th cache event. Default 10; -1 loses none.
+	EventGap int
+	// ReportLag is the age of load reports. Default 200 ms.
+	ReportLag time.Duration
+	// FinishedFor is how long the text of a finished attempt can be resumed.
+	// Default 5 s.
+	FinishedFor time.Duration
+	// CheckFencing refuses orders with a fencing number below the highest seen.
+	CheckFencing bool
+	// CrashMarker is the prompt text that crashes the engine. Default
+	// DefaultCrashMarker.
+	CrashMarker string
+	// Downtime is how long the engine refuses connections after a crash.
+	Downtime time.Duration
+	// Generation is the generation of the first start. Default 1.
+	Generation uint64
+}
+
+// DefaultCrashMarker is the prompt text that crashes an engine.
+const DefaultCrashMarker = "[[crash-engine]]"
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Role, Decode)
+	setDefault(&o.PerPromptToken, 50*time.Microsecond)
+	setDefault(&o.PerOutputToken, 20*time.Millisecond)
+	setDefault(&o.PerBatchMember, 200*time.Microsecond)
+	setDefault(&o.Slots, 20)
+	setDefault(&o.Blocks, 80)
+	if o.Role == Prefill {
+		setDefault(&o.QueueLimit, 64)
+	}
+	setDefault(&o.KeptFor, 800*time.Millisecond)
+	setDefault(&o.KVBytesPerToken, 2<<10)
+	setDefault(&o.LinkBytesPerSecond, 1_000_000_000)
+	setDefault(&o.CacheBlocks, 64)
+	setDefault(&o.EventLag, 300*time.Millisecond)
+	setDefault(&o.EventGap, 10)
+	setDefault(&o.ReportLag, 200*time.Millisecond)
+	setDefault(&o.FinishedFor, 5*time.Second)
+	setDefault(&o.CrashMarker, DefaultCrashMarker)
+	setDefault(&o.Generation, 1)
+	if o.Clock == nil {
+		o.Clock = Scaled{Start: time.Now(), Factor: 1}
+	}
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Faults are the faults that POST /lab/faults sets. A field that is left out is
+// switched off; Crash and Silent happen once per request.
+type Faults struct {
+	// Slow multiplies all times, when above 1.
+	Slow float64 `json:"slow,omitempty"`
+	// Refuse declines all requests of the engine protocol with status 503.
+	Refuse bool `json:"refuse,omitempty"`
+	// StallTransfers stops KV imports.
+	StallTransfers bool `json:"stall_transfers,omitempty"`
+	// StallDecode stops the batch without closing any connection.
+	StallDecode bool `json:"stall_decode,omitempty"`
+	// Silent makes the connections that are open now silent for good.
+	Silent bool `json:"silent,omitempty"`
+	// Crash closes all connections and forgets all state.
+	Crash bool `json:"crash,omitempty"`
+}
+
+// Execution is one request as the engine received it.
+type Execution struct {
+	Method  string      `json:"method"`
+	Path    string      `json:"path"`
+	Header  http.Header `json:"header"`
+	Body    string      `json:"body"`
+	Attempt string      `json:"attempt,omitempty"`
+	// Status is the status of the answer, 0 while it runs or after a crash.
+	Status int `json:"status"`
+}
+
+// maxExecutions bounds the log of requests.
+const maxExecutions = 10_000
+
+// Server is a fake engine.
+type Server struct {
+	opts Options
+	mux  *http.ServeMux
+	net  *faultnet.Server
+	kv   *http.Client
+
+	mu         sync.Mutex
+	faults     Faults
+	downUntil  time.Time
+	executions []*Execution
+	fence      core.Fence
+	orders     []upstream.OrderRequest
+	state      *state
+}
+
+// New returns an engine.
+func New(opts Options) *Server {
+	opts = opts.withDefaults()
+	s := &Server{opts: opts, mux: http.NewServeMux(), kv: &http.Client{}}
+	s.state = newState(s, opts.Generation)
+	s.net = faultnet.NewServer(s)
+	s.route("POST "+upstream.PathPrefill, s.servePrefill)
+	s.route("POST "+upstream.PathDecode, s.serveDecode)
+	s.route("GET "+upstream.PathAttempts, s.serveAttempts)
+	s.route("POST "+upstream.PathAttempts+"/{id}/cancel", s.serveCancel)
+	s.route("POST "+upstream.PathAttempts+"/{id}/resume", s.serveResume)
+	s.route("GET "+upstream.PathLoad, s.serveLoad)
+	s.route("GET "+upstream.PathCacheEvents, s.serveCacheEvents)
+	s.route("POST "+upstream.PathOrders, s.serveOrder)
+	s.route("GET "+upstream.PathKV+"/{handle}", s.serveKV)
+	s.mux.HandleFunc("POST /lab/faults", s.serveFaults)
+	s.mux.HandleFunc("GET /lab/executions", s.serveExecutions)
+	return s
+}
+
+// Serve accepts connections until Close. The silent and crash faults reach idle
+// connections only when the engine is served by this method.
+func (s *Server) Serve(l net.Listener) error { return s.net.Serve(l) }
+
+// Close ends the engine, its connections and its goroutines.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.state.stop()
+	s.mu.Unlock()
+	s.kv.CloseIdleConnections()
+	return s.net.Close()
+}
+
+// ServeHTTP serves the engine protocol and the controls under /lab.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	crash, silent := f.Crash, f.Silent
+	f.Crash, f.Silent = false, false
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	if silent {
+		s.net.Silence()
+	}
+	if crash {
+		s.Crash()
+	}
+}
+
+// Crash closes all connections and forgets all state. The generation rises.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	s.state.stop()
+	s.state = newState(s, s.state.generation+1)
+	s.fence = 0
+	s.downUntil = s.opts.Clock.Now().Add(s.opts.Downtime)
+	s.mu.Unlock()
+	s.net.CloseConns()
+}
+
+// Executions returns a copy of the log of received requests.
+func (s *Server) Executions() []Execution {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]Execution, len(s.executions))
+	for i, e := range s.executions {
+		list[i] = *e
+	}
+	return list
+}
+
+// Running returns the identifiers of the attempts that hold memory.
+func (s *Server) Running() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.running()
+}
+
+// Generation returns the generation of the present start.
+func (s *Server) Generation() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.generation
+}
+
+// failure is an answer other than 200.
+type failure struct {
+	status  int
+	code    string
+	message string
+}
+
+func (f *failure) body() upstream.ErrorBody {
+	var body upstream.ErrorBody
+	body.Error.Code, body.Error.Message = f.code, f.message
+	return body
+}
+
+// exchange is one request in the handler.
+type exchange struct {
+	http.ResponseWriter
+	request *http.Request
+	body    []byte
+	state   *state
+	log     *Execution
+}
+
+// route registers a handler of the engine protocol behind the faults.
+func (s *Server) route(pattern string, serve func(*exchange) *failure) {
+	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		x := s.receive(w, r)
+		fail := s.admit(x)
+		if fail == nil {
+			fail = serve(x)
+		}
+		status := http.StatusOK
+		if fail != nil {
+			status = fail.status
+			s.reply(x, status, fail.body())
+		}
+		s.mu.Lock()
+		x.log.Status = status
+		s.mu.Unlock()
+	})
+}
+
+// maxBody bounds the body of a request.
+const maxBody = 8 << 20
+
+func (s *Server) receive(w http.ResponseWriter, r *http.Request) *exchange {
+	body, err := readBody(w, r)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	log := &Execution{Method: r.Method, Path: r.URL.Path, Header: r.Header.Clone(), Body: string(body), Attempt: r.PathValue("id")}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.executions) < maxExecutions {
+		s.executions = append(s.executions, log)
+	}
+	return &exchange{ResponseWriter: w, request: r, body: body, state: s.state, log: log}
+}
+
+func (s *Server) admit(x *exchange) *failure {
+	s.mu.Lock()
+	down := s.opts.Clock.Now().Before(s.downUntil)
+	refuse := s.faults.Refuse
+	s.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	if refuse {
+		return &failure{http.StatusServiceUnavailable, upstream.CodeRefused, "engine refuses all requests"}
+	}
+	return nil
+}
+
+func (s *Server) reply(x *exchange, status int, body any) {
+	if x.state.stopped() {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(x, status, body)
+}
+
+func (x *exchange) decode(into any) *failure {
+	if err := json.Unmarshal(x.body, into); err != nil {
+		return &failure{http.StatusBadRequest, upstream.CodeMalformed, err.Error()}
+	}
+	return nil
+}
+
+// wait sleeps for d on the engine's clock, times the slow fault. It returns false
+// when the caller has gone. When the engine crashes, it ends the connection.
+func (s *Server) wait(ctx context.Context, st *state, d time.Duration) bool {
+	select {
+	case <-s.opts.Clock.After(s.slowed(d)):
+		return true
+	case <-ctx.Done():
+		return false
+	case <-st.done:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) slowed(d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(float64(d) * math.Max(1, s.faults.Slow))
+}
+
+// crashes crashes the engine when the text holds the marker.
+func (s *Server) crashes(text string) {
+	if strings.Contains(text, s.opts.CrashMarker) {
+		s.Crash()
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/pkg/lab/engine/state.go
@@ -0,0 +1,110 @@
+package engine
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+// state is all that a crash forgets. It is guarded by Server.mu, except for done.
+type state struct {
+	server     *Server
+	generation uint64
+	done       chan struct{}
+
+	// Prefill role.
+	kept    map[upstream.KVHandle]*kvCache
+	nextKV  uint64
+	cache   prefixCache
+	queue   waitQueue
+	busy    bool
+	working string
+
+	// Decode role.
+	attempts   map[string]*attempt
+	freeBlocks int
+	linkFree   time.Time
+	stepping   bool
+
+	reports []upstream.LoadReport
+}
+
+func newState(s *Server, generation uint64) *state {
+	return &state{
+		server:     s,
+		generation: generation,
+		done:       make(chan struct{}),
+		kept:       make(map[upstream.KVHandle]*kvCache),
+		cache:      newPrefixCache(s.opts),
+		attempts:   make(map[string]*attempt),
+		freeBlocks: s.opts.Blocks,
+	}
+}
+
+// stop ends all handlers and goroutines of this state.
+func (st *state) stop() {
+	if !st.stopped() {
+		close(st.done)
+	}
+}
+
+func (st *state) stopped() bool {
+	select {
+	case <-st.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// running returns the attempts that hold memory, sorted.
+func (st *state) running() []string {
+	ids := make([]string, 0, len(st.attempts)+1)
+	for id, a := range st.attempts {
+		if a.blocks > 0 {
+			ids = append(ids, id)
+		}
+	}
+	if st.working != "" {
+		ids = append(ids, st.working)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// kvCache is the result of a prefill. Its handle is forgotten after KeptFor.
+type kvCache struct {
+	// Seed determines the output.
+	Seed  uint64 `json:"seed"`
+	Text  string `json:"text"`
+	Token int    `json:"tokens"`
+	Bytes int64  `json:"bytes"`
+	until time.Time
+}
+
+// OutputToken returns output token i for a prompt. It depends on both only, so a
+// test can check a continuation at another engine.
+func OutputToken(prompt string, i int) string { return tokenText(seedOf(prompt), i) }
+
+// Output returns the text of the first n output tokens for a prompt.
+func Output(prompt string, n int) string {
+	text := ""
+	for i := range n {
+		text += OutputToken(prompt, i)
+	}
+	return text
+}
+
+func seedOf(prompt string) uint64 { return xxhash.Sum64String(prompt) }
+
+func tokenText(seed uint64, i int) string {
+	sum := xxhash.Sum64String(strconv.FormatUint(seed, 16) + "." + strconv.Itoa(i))
+	return " w" + strconv.FormatUint(sum%100_000, 36)
+}
+
+func blocksFor(tokens int) int { return max(1, (tokens+core.BlockTokens-1)/core.BlockTokens) }
--- /dev/null
+++ b/pkg/lab/plain/plain.go
@@ -0,0 +1,230 @@
+// Package plain is a small fake of a plain HTTP service for tests and trials. Its
+// lookups are idempotent; its calls are not, and it counts them by body.
+package plain
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/lab/faultnet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+// Options are the settings of a service. Zero values select the defaults.
+type Options struct {
+	// Work is the time of one request. Default 1 ms.
+	Work time.Duration
+	// Slots is the number of requests that the load report gives as the limit.
+	// Default 32.
+	Slots int
+	// Downtime is how long the service closes every connection after a crash.
+	Downtime time.Duration
+}
+
+// Faults are the faults that POST /lab/faults sets. A field that is left out is
+// switched off; Crash and Silent happen once per request.
+type Faults struct {
+	// LoseAnswers closes the connection after the effect, without an answer.
+	LoseAnswers bool `json:"lose_answers,omitempty"`
+	// SlowMS is added to the time of each request, in milliseconds.
+	SlowMS int `json:"slow_ms,omitempty"`
+	// Refuse declines all requests with status 503 before any effect.
+	Refuse bool `json:"refuse,omitempty"`
+	// Silent makes the connections that are open now silent for good.
+	Silent bool `json:"silent,omitempty"`
+	// Crash closes all connections. The counts stay, as the effects of a service
+	// in its database would.
+	Crash bool `json:"crash,omitempty"`
+}
+
+// Execution is one request that had its effect.
+type Execution struct {
+	Method string      `json:"method"`
+	Path   string      `json:"path"`
+	Header http.Header `json:"header"`
+	Body   string      `json:"body"`
+}
+
+const (
+	maxBody       = 1 << 20
+	maxExecutions = 10_000
+)
+
+// Server is a fake plain service.
+type Server struct {
+	opts Options
+	mux  *http.ServeMux
+	net  *faultnet.Server
+
+	mu         sync.Mutex
+	faults     Faults
+	crashed    chan struct{}
+	downUntil  time.Time
+	executions []Execution
+	counts     map[string]int
+	running    int
+}
+
+// New returns a service. GET /lookup/{name} is idempotent, POST /call is not.
+func New(opts Options) *Server {
+	if opts.Work <= 0 {
+		opts.Work = time.Millisecond
+	}
+	if opts.Slots <= 0 {
+		opts.Slots = 32
+	}
+	s := &Server{opts: opts, mux: http.NewServeMux(), crashed: make(chan struct{}), counts: make(map[string]int)}
+	s.net = faultnet.NewServer(s)
+	s.mux.HandleFunc("GET /lookup/{name...}", s.work)
+	s.mux.HandleFunc("POST /call", s.work)
+	s.mux.HandleFunc("POST /call/{rest...}", s.work)
+	s.mux.HandleFunc("GET /v1/load", s.serveLoad)
+	s.mux.HandleFunc("POST /lab/faults", s.serveFaults)
+	s.mux.HandleFunc("GET /lab/executions", s.serveExecutions)
+	return s
+}
+
+// Serve accepts connections until Close. The silent and crash faults reach idle
+// connections only when the service is served by this method.
+func (s *Server) Serve(l net.Listener) error { return s.net.Serve(l) }
+
+// Close closes the listener and all connections.
+func (s *Server) Close() error { return s.net.Close() }
+
+// ServeHTTP serves the service and the controls under /lab.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	crash, silent := f.Crash, f.Silent
+	f.Crash, f.Silent = false, false
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	if silent {
+		s.net.Silence()
+	}
+	if crash {
+		s.Crash()
+	}
+}
+
+// Crash closes all connections.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	close(s.crashed)
+	s.crashed = make(chan struct{})
+	s.downUntil = time.Now().Add(s.opts.Downtime)
+	s.mu.Unlock()
+	s.net.CloseConns()
+}
+
+// Count returns how often POST /call had its effect for a body.
+func (s *Server) Count(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts[body]
+}
+
+// Executions returns a copy of the log of requests that had their effect.
+func (s *Server) Executions() []Execution {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Execution(nil), s.executions...)
+}
+
+func (s *Server) work(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	s.mu.Lock()
+	s.running++
+	faults, crashed := s.faults, s.crashed
+	down := time.Now().Before(s.downUntil)
+	s.mu.Unlock()
+	defer s.leave()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.Refuse {
+		http.Error(w, `{"error":{"code":"refused"}}`, http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case <-time.After(s.opts.Work + time.Duration(faults.SlowMS)*time.Millisecond):
+	case <-crashed:
+		panic(http.ErrAbortHandler)
+	}
+	count := s.execute(r, body)
+	if faults.LoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, r, body, count)
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// serveLoad reports the present load in the form that engines use.
+func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	used := s.running
+	s.mu.Unlock()
+	writeJSON(w, upstream.LoadReport{Slots: s.opts.Slots, Used: used, AsOfMS: time.Now().UnixMilli(), Generation: 1})
+}
+
+// execute is the effect of a request.
+func (s *Server) execute(r *http.Request, body []byte) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.executions) < maxExecutions {
+		s.executions = append(s.executions, Execution{Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header.Clone(), Body: string(body)})
+	}
+	if r.Method == http.MethodPost {
+		s.counts[string(body)]++
+	}
+	return s.counts[string(body)]
+}
+
+func answer(w http.ResponseWriter, r *http.Request, body []byte, count int) {
+	w.Header().Set("Content-Type", "application/json")
+	if r.Method == http.MethodPost {
+		writeJSON(w, map[string]any{"count": count, "body": string(body)})
+		return
+	}
+	name := strings.TrimPrefix(r.URL.Path, "/lookup/")
+	writeJSON(w, map[string]any{"name": name, "value": fmt.Sprintf("value of %s", strconv.Quote(name))})
+}
+
+func writeJSON(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that has gone does not read the answer.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, faults)
+	// The answer is sent before a crash closes its connection.
+	_ = http.NewResponseController(w).Flush()
+	s.SetFaults(faults)
+}
+
+func (s *Server) serveExecutions(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Executions())
+}
--- /dev/null
+++ b/pkg/peer/handshake.go
@@ -0,0 +1,273 @@
+package peer
+
+import (
+	"bufio"
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/crypto/chacha20poly1305"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+var (
+	namespace = errorx.NewNamespace("peer").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+	// Rejected means that the other side does not hold the fleet secret, is not
+	// the Instance that was meant, or does not speak the protocol.
+	Rejected = namespace.NewType("rejected")
+	// Unreachable means that no connection could be made.
+	Unreachable = namespace.NewType("unreachable")
+	// TimedOut means that the answer did not come within the deadline. The call
+	// may have had its effect.
+	TimedOut = namespace.NewType("timed_out")
+	// Failed means that the other side answered with an error or the connection
+	// ended.
+	Failed = namespace.NewType("failed")
+	// Busy means that too many calls to the peer are pending.
+	Busy = namespace.NewType("busy")
+	// Closed means that the transport was closed.
+	Closed = namespace.NewType("closed")
+)
+
+// class separates control from bulk connections.
+type class byte
+
+const (
+	classControl class = 'c'
+	classBulk    class = 'b'
+)
+
+const (
+	magic      = "rhubarbsill-peer-1"
+	nonceBytes = 32
+	proofBytes = sha256.Size
+	maxName    = 255
+)
+
+// hello is what the dialing side says first.
+type hello struct {
+	class class
+	from  core.InstanceRef
+	// to is the Instance that is meant; an address may belong to another one by
+	// now. It is empty for bulk calls, which name only an address.
+	to    core.InstanceID
+	nonce [nonceBytes]byte
+}
+
+func (h hello) encode() []byte {
+	raw := append([]byte(magic), byte(h.class))
+	raw = append(raw, h.nonce[:]...)
+	raw = binary.BigEndian.AppendUint64(raw, uint64(h.from.Incarnation))
+	raw = append(raw, byte(len(h.from.ID)))
+	raw = append(raw, h.from.ID...)
+	raw = append(raw, byte(len(h.to)))
+	return append(raw, h.to...)
+}
+
+func readHello(r io.Reader) (hello, error) {
+	var h hello
+	fixed := make([]byte, len(magic)+1+nonceBytes+8)
+	if _, err := io.ReadFull(r, fixed); err != nil {
+		return h, err
+	}
+	if string(fixed[:len(magic)]) != magic {
+		return h, Rejected.New("unknown protocol")
+	}
+	rest := fixed[len(magic):]
+	h.class = class(rest[0])
+	copy(h.nonce[:], rest[1:])
+	h.from.Incarnation = core.Incarnation(binary.BigEndian.Uint64(rest[1+nonceBytes:]))
+	from, err := readName(r)
+	if err != nil {
+		return h, err
+	}
+	to, err := readName(r)
+	h.from.ID, h.to = core.InstanceID(from), core.InstanceID(to)
+	return h, err
+}
+
+func readName(r io.Reader) (string, error) {
+	var size [1]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return "", err
+	}
+	name := make([]byte, size[0])
+	_, err := io.ReadFull(r, name)
+	return string(name), err
+}
+
+// proof shows that a side holds the secret. The role keeps a proof from being sent
+// back to its author.
+func proof(secret []byte, role string, transcript []byte) []byte {
+	mac := hmac.New(sha256.New, secret)
+	mac.Write([]byte(role))
+	mac.Write(transcript)
+	return mac.Sum(nil)
+}
+
+// dialHandshake runs the dialing side: hello, then the server's nonce and proof,
+// then the own proof.
+func dialHandshake(conn net.Conn, secret []byte, h hello, deadline time.Time) (net.Conn, error) {
+	if err := conn.SetDeadline(deadline); err != nil {
+		return nil, err
+	}
+	if len(h.from.ID) > maxName || len(h.to) > maxName {
+		return nil, Rejected.New("instance id is longer than %d bytes", maxName)
+	}
+	if _, err := rand.Read(h.nonce[:]); err != nil {
+		return nil, err
+	}
+	first := h.encode()
+	if _, err := conn.Write(first); err != nil {
+		return nil, err
+	}
+	answer := make([]byte, nonceBytes+proofBytes)
+	if _, err := io.ReadFull(conn, answer); err != nil {
+		return nil, Rejected.Wrap(err, "no proof from the other side")
+	}
+	transcript := append(first, answer[:nonceBytes]...)
+	if !hmac.Equal(answer[nonceBytes:], proof(secret, "server", transcript)) {
+		return nil, Rejected.New("other side does not hold the fleet secret")
+	}
+	if _, err := conn.Write(proof(secret, "client", transcript)); err != nil {
+		return nil, err
+	}
+	return secure(conn, secret, transcript, "client", "server")
+}
+
+// acceptHandshake runs the accepting side.
+func acceptHandshake(conn net.Conn, secret []byte, self core.InstanceID, deadline time.Time) (net.Conn, hello, error) {
+	if err := conn.SetDeadline(deadline); err != nil {
+		return nil, hello{}, err
+	}
+	h, err := readHello(conn)
+	if err != nil {
+		return nil, h, err
+	}
+	if h.to != "" && h.to != self {
+		return nil, h, Rejected.New("connection is meant for instance %q", h.to)
+	}
+	var nonce [nonceBytes]byte
+	if _, err := rand.Read(nonce[:]); err != nil {
+		return nil, h, err
+	}
+	transcript := append(h.encode(), nonce[:]...)
+	if _, err := conn.Write(append(nonce[:], proof(secret, "server", transcript)...)); err != nil {
+		return nil, h, err
+	}
+	answer := make([]byte, proofBytes)
+	if _, err := io.ReadFull(conn, answer); err != nil {
+		return nil, h, err
+	}
+	if !hmac.Equal(answer, proof(secret, "client", transcript)) {
+		return nil, h, Rejected.New("other side does not hold the fleet secret")
+	}
+	sealed, err := secure(conn, secret, transcript, "server", "client")
+	return sealed, h, err
+}
+
+// maxRecord is the largest plain text of one record.
+const maxRecord = 16 << 10
+
+// recordConn encrypts and authenticates the stream after the handshake, so that
+// a stranger on the path can't inject messages into it either. Each record is a
+// 2-byte length and the sealed text; the nonce counts records.
+type recordConn struct {
+	net.Conn
+	reader *bufio.Reader
+	open   cipher.AEAD
+	opened uint64
+	plain  []byte
+
+	mu     sync.Mutex
+	seal   cipher.AEAD
+	sealed uint64
+	out    []byte
+}
+
+// secure derives one key per direction and clears the deadline of the handshake.
+func secure(conn net.Conn, secret, transcript []byte, self, other string) (net.Conn, error) {
+	seal, err := directionKey(secret, transcript, self)
+	if err != nil {
+		return nil, err
+	}
+	open, err := directionKey(secret, transcript, other)
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+	return &recordConn{Conn: conn, reader: bufio.NewReaderSize(conn, 4<<10), open: open, seal: seal}, nil
+}
+
+func directionKey(secret, transcript []byte, from string) (cipher.AEAD, error) {
+	key, err := hkdf.Key(sha256.New, secret, transcript, "records from "+from, chacha20poly1305.KeySize)
+	if err != nil {
+		return nil, err
+	}
+	return chacha20poly1305.New(key)
+}
+
+func countNonce(count uint64) []byte {
+	nonce := make([]byte, chacha20poly1305.NonceSize)
+	binary.BigEndian.PutUint64(nonce[chacha20poly1305.NonceSize-8:], count)
+	return nonce
+}
+
+func (c *recordConn) Read(p []byte) (int, error) {
+	if len(c.plain) == 0 {
+		if err := c.readRecord(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, c.plain)
+	c.plain = c.plain[n:]
+	return n, nil
+}
+
+func (c *recordConn) readRecord() error {
+	var size [2]byte
+	if _, err := io.ReadFull(c.reader, size[:]); err != nil {
+		return err
+	}
+	record := make([]byte, binary.BigEndian.Uint16(size[:]))
+	if _, err := io.ReadFull(c.reader, record); err != nil {
+		return err
+	}
+	plain, err := c.open.Open(record[:0], countNonce(c.opened), record, size[:])
+	if err != nil {
+		return Rejected.New("record is not authentic")
+	}
+	c.opened++
+	c.plain = plain
+	return nil
+}
+
+func (c *recordConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.out = c.out[:0]
+	for rest := p; len(rest) > 0; {
+		part := rest[:min(len(rest), maxRecord)]
+		rest = rest[len(part):]
+		at := len(c.out)
+		c.out = binary.BigEndian.AppendUint16(c.out, uint16(len(part)+chacha20poly1305.Overhead))
+		c.out = c.seal.Seal(c.out, countNonce(c.sealed), part, c.out[at:at+2])
+		c.sealed++
+	}
+	if _, err := c.Conn.Write(c.out); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/pkg/peer/link.go
@@ -0,0 +1,296 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// link sends the messages for one peer in order, over one control connection.
+type link[M any] struct {
+	t   *Transport[M]
+	key linkKey
+
+	mu    sync.Mutex
+	queue []M
+	wake  chan struct{}
+
+	// These belong to the goroutine of run.
+	conn     *rpcConn
+	lastCall time.Time
+	lastSend time.Time
+	backoff  time.Duration
+	failing  bool
+}
+
+const minBackoff = 50 * time.Millisecond
+
+func newLink[M any](t *Transport[M], key linkKey) *link[M] {
+	return &link[M]{t: t, key: key, wake: make(chan struct{}, 1), lastSend: time.Now()}
+}
+
+// push queues a message. The caller holds Transport.mu.
+func (l *link[M]) push(m M) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.queue) >= l.t.opts.MaxPending {
+		var none M
+		l.queue[0] = none
+		l.queue = l.queue[1:]
+		l.t.dropped.Add(1)
+	}
+	l.queue = append(l.queue, m)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take removes the next messages for one call.
+func (l *link[M]) take() []M {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := min(len(l.queue), l.t.opts.MaxBatch)
+	batch := append([]M(nil), l.queue[:n]...)
+	l.queue = l.queue[n:]
+	if len(l.queue) == 0 {
+		l.queue = nil
+	}
+	return batch
+}
+
+func (l *link[M]) empty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue) == 0
+}
+
+// run sends until the transport closes or the link has been idle for long.
+func (l *link[M]) run() {
+	defer l.disconnect()
+	timer := time.NewTimer(l.t.opts.PingAfter)
+	defer timer.Stop()
+	for {
+		select {
+		case <-l.wake:
+			if !l.sendAll() {
+				return
+			}
+		case <-timer.C:
+			if l.retire() {
+				return
+			}
+			l.ping()
+			timer.Reset(l.t.opts.PingAfter)
+		case <-l.t.done:
+			return
+		}
+	}
+}
+
+// sendAll sends the queue in batches. It returns false when the transport closed.
+func (l *link[M]) sendAll() bool {
+	if !l.pause(l.t.opts.Coalesce) {
+		return false
+	}
+	for !l.empty() {
+		if err := l.connect(); err != nil {
+			if !l.pause(l.nextBackoff()) {
+				return false
+			}
+			continue
+		}
+		l.send(l.take())
+	}
+	l.lastSend = time.Now()
+	return true
+}
+
+// send makes one call. Messages of a failed call are not sent again, because the
+// peer may have received them.
+func (l *link[M]) send(messages []M) {
+	batch := Batch[M]{Incarnation: l.t.ref().Incarnation, Messages: messages}
+	if err := l.call("Peer.Deliver", batch, l.t.opts.CallTimeout); err != nil {
+		l.t.lost.Add(int64(len(messages)))
+		l.report(err)
+		return
+	}
+	l.t.messages.Add(int64(len(messages)))
+	l.t.batches.Add(1)
+}
+
+// ping checks a connection that has not been used for a while.
+func (l *link[M]) ping() {
+	if l.conn == nil || time.Since(l.lastCall) < l.t.opts.PingAfter {
+		return
+	}
+	if err := l.call("Peer.Ping", Nothing{}, l.t.opts.PingTimeout); err != nil {
+		l.report(err)
+	}
+}
+
+func (l *link[M]) call(method string, args any, timeout time.Duration) error {
+	l.conn.budget.renew(l.t.opts.MaxMessage)
+	err := l.conn.call(context.Background(), l.t.done, method, args, &Nothing{}, timeout)
+	l.lastCall = time.Now()
+	if !reusable(err) {
+		l.disconnect()
+	}
+	return err
+}
+
+func (l *link[M]) connect() error {
+	if l.conn != nil {
+		return nil
+	}
+	conn, err := l.t.dial(context.Background(), l.key.to, l.key.addr, classControl)
+	if err != nil {
+		l.report(err)
+		return err
+	}
+	l.conn, l.backoff, l.failing = conn, 0, false
+	return nil
+}
+
+func (l *link[M]) disconnect() {
+	if l.conn != nil {
+		l.conn.close()
+		l.conn = nil
+	}
+}
+
+// nextBackoff doubles the wait up to the limit. Between half and all of it is
+// waited, so that Instances do not connect to a restarted peer all at once.
+func (l *link[M]) nextBackoff() time.Duration {
+	l.backoff = min(max(minBackoff, 2*l.backoff), l.t.opts.MaxBackoff)
+	return l.backoff/2 + rand.N(l.backoff/2+1)
+}
+
+// report logs the first failure of a series.
+func (l *link[M]) report(err error) {
+	if !l.failing {
+		l.failing = true
+		l.t.opts.Log.Warn("call to peer failed", zap.String("instance", string(l.key.to)), zap.String("address", l.key.addr), zap.Error(err))
+	}
+}
+
+// retire ends a link that has sent nothing for IdleAfter. A replaced peer must not
+// leave a goroutine and a connection behind.
+func (l *link[M]) retire() bool {
+	if time.Since(l.lastSend) < l.t.opts.IdleAfter {
+		return false
+	}
+	l.t.mu.Lock()
+	defer l.t.mu.Unlock()
+	if !l.empty() {
+		return false
+	}
+	delete(l.t.links, l.key)
+	return true
+}
+
+func (l *link[M]) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-l.t.done:
+		return false
+	}
+}
+
+// bulkPeer holds the bulk connection to one address.
+type bulkPeer struct {
+	slots chan struct{}
+	mu    sync.Mutex
+	conn  *rpcConn
+}
+
+// FetchRequest is the argument of a bulk call.
+type FetchRequest struct {
+	Name string
+	Body []byte
+}
+
+// FetchReply is the answer to a bulk call.
+type FetchReply struct{ Body []byte }
+
+// Nothing is an empty argument or answer.
+type Nothing struct{}
+
+// Fetch asks the Instance at an address by a bulk call, which does not delay
+// control messages. The errors are of this package's types.
+func (t *Transport[M]) Fetch(ctx context.Context, addr, name string, request []byte) ([]byte, error) {
+	peer, err := t.bulkPeer(addr)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case peer.slots <- struct{}{}:
+		defer func() { <-peer.slots }()
+	case <-ctx.Done():
+		return nil, Busy.Wrap(ctx.Err(), "%d bulk calls to %s are pending", t.opts.MaxFetches, addr)
+	case <-t.done:
+		return nil, Closed.New("transport is closed")
+	}
+	peer.mu.Lock()
+	if peer.conn == nil {
+		peer.conn, err = t.dial(ctx, "", addr, classBulk)
+	}
+	conn := peer.conn
+	peer.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	// Each pending call may receive one answer of full size.
+	conn.budget.renew(t.opts.MaxMessage * int64(t.opts.MaxFetches))
+	var reply FetchReply
+	err = conn.call(ctx, t.done, "Peer.Fetch", FetchRequest{Name: name, Body: request}, &reply, t.opts.CallTimeout)
+	if !reusable(err) {
+		peer.drop(conn)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return reply.Body, nil
+}
+
+func (t *Transport[M]) bulkPeer(addr string) (*bulkPeer, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, Closed.New("transport is closed")
+	}
+	peer, ok := t.bulk[addr]
+	if !ok {
+		peer = &bulkPeer{slots: make(chan struct{}, t.opts.MaxFetches)}
+		t.bulk[addr] = peer
+	}
+	return peer, nil
+}
+
+func (p *bulkPeer) drop(conn *rpcConn) {
+	conn.close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == conn {
+		p.conn = nil
+	}
+}
+
+// accept reports whether a batch is of the newest known incarnation of its sender.
+func (t *Transport[M]) accept(from core.InstanceRef) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if from.Incarnation < t.newest[from.ID] {
+		return false
+	}
+	t.newest[from.ID] = from.Incarnation
+	return true
+}
--- /dev/null
+++ b/pkg/peer/peer.go
@@ -0,0 +1,285 @@
+// Package peer carries messages between Instances over net/rpc. net/rpc has no
+// deadline, no cancel and no bound on pending calls, so this package adds them:
+// a timeout per call, bounded queues, separate connections for control and bulk
+// traffic, pings, reconnects with jitter, and a handshake with the fleet secret.
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Options are the settings of a Transport. Zero values select the defaults.
+type Options struct {
+	// Secret is the fleet secret. It must have at least MinSecret bytes.
+	Secret []byte
+	// Coalesce is how long the first message of a batch waits for others.
+	// Default 2 ms.
+	Coalesce time.Duration
+	// CallTimeout bounds each call and each handshake. Default 2 s.
+	CallTimeout time.Duration
+	// MaxPending bounds the messages that wait for one peer. Default 4096.
+	MaxPending int
+	// MaxBatch bounds the messages of one call. Default 512.
+	MaxBatch int
+	// MaxMessage bounds the bytes of one call or answer. Default 4 MiB.
+	MaxMessage int64
+	// PingAfter is the time without a call after which a connection is pinged.
+	// Default 5 s.
+	PingAfter time.Duration
+	// PingTimeout bounds a ping. Default 1 s.
+	PingTimeout time.Duration
+	// IdleAfter is the time without a message after which the connection to a peer
+	// is closed. Default 30 s.
+	IdleAfter time.Duration
+	// MaxBackoff bounds the time between attempts to connect. Default 2 s.
+	MaxBackoff time.Duration
+	// MaxFetches bounds the concurrent bulk calls to one address and from one
+	// connection. Default 4.
+	MaxFetches int
+	// MaxConns bounds the connections that are accepted. Default 2048, which is
+	// above control and bulk connections from 330 Instances.
+	MaxConns int
+	// Serve answers Fetch. It runs on its own goroutine.
+	Serve func(from core.InstanceRef, name string, request []byte) ([]byte, error)
+	// Log receives connection failures. Default: none.
+	Log *zap.Logger
+}
+
+// MinSecret is the shortest fleet secret, in bytes.
+const MinSecret = 16
+
+func (o Options) withDefaults() Options {
+	o.Coalesce = orDefault(o.Coalesce, 2*time.Millisecond)
+	o.CallTimeout = orDefault(o.CallTimeout, 2*time.Second)
+	o.MaxPending = orDefault(o.MaxPending, 4096)
+	o.MaxBatch = orDefault(o.MaxBatch, 512)
+	o.MaxMessage = orDefault(o.MaxMessage, 4<<20)
+	o.PingAfter = orDefault(o.PingAfter, 5*time.Second)
+	o.PingTimeout = orDefault(o.PingTimeout, time.Second)
+	o.IdleAfter = orDefault(o.IdleAfter, 30*time.Second)
+	o.MaxBackoff = orDefault(o.MaxBackoff, 2*time.Second)
+	o.MaxFetches = orDefault(o.MaxFetches, 4)
+	o.MaxConns = orDefault(o.MaxConns, 2048)
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	return o
+}
+
+func orDefault[T int | int64 | time.Duration](value, fallback T) T {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
+
+// Stats counts the traffic of a Transport since its start.
+type Stats struct {
+	BytesSent, BytesReceived int64
+	// Messages and Batches count what peers confirmed.
+	Messages, Batches int64
+	// Dropped counts messages that were pushed out of a full queue.
+	Dropped int64
+	// Lost counts messages in calls that failed. A peer may have received them.
+	Lost int64
+	// Stale counts received messages of older incarnations.
+	Stale int64
+	// Rejected counts failed handshakes of incoming connections.
+	Rejected int64
+}
+
+// Batch is what one call carries.
+type Batch[M any] struct {
+	Incarnation core.Incarnation
+	Messages    []M
+}
+
+// Transport sends and receives messages. It is safe for concurrent use.
+type Transport[M any] struct {
+	opts    Options
+	deliver func(from core.InstanceRef, batch []M)
+	done    chan struct{}
+	wait    sync.WaitGroup
+
+	traffic   traffic
+	messages  atomic.Int64
+	batches   atomic.Int64
+	dropped   atomic.Int64
+	lost      atomic.Int64
+	stale     atomic.Int64
+	rejected  atomic.Int64
+	mu        sync.Mutex
+	self      core.InstanceRef
+	closed    bool
+	listeners []net.Listener
+	conns     map[net.Conn]struct{}
+	links     map[linkKey]*link[M]
+	bulk      map[string]*bulkPeer
+	newest    map[core.InstanceID]core.Incarnation
+}
+
+type linkKey struct {
+	to   core.InstanceID
+	addr string
+}
+
+// NewTransport returns a transport. deliver is called with each received batch:
+// in order for one sender, concurrently for several. Delivery is at most once.
+func NewTransport[M any](self core.InstanceRef, opts Options, deliver func(from core.InstanceRef, batch []M)) *Transport[M] {
+	return &Transport[M]{
+		opts:    opts.withDefaults(),
+		deliver: deliver,
+		done:    make(chan struct{}),
+		self:    self,
+		conns:   make(map[net.Conn]struct{}),
+		links:   make(map[linkKey]*link[M]),
+		bulk:    make(map[string]*bulkPeer),
+		newest:  make(map[core.InstanceID]core.Incarnation),
+	}
+}
+
+// SetIncarnation changes the incarnation that batches carry from now on.
+func (t *Transport[M]) SetIncarnation(n core.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self.Incarnation = n
+}
+
+func (t *Transport[M]) ref() core.InstanceRef {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.self
+}
+
+// Stats returns the counts so far.
+func (t *Transport[M]) Stats() Stats {
+	return Stats{
+		BytesSent: t.traffic.sent.Load(), BytesReceived: t.traffic.received.Load(),
+		Messages: t.messages.Load(), Batches: t.batches.Load(),
+		Dropped: t.dropped.Load(), Lost: t.lost.Load(), Stale: t.stale.Load(), Rejected: t.rejected.Load(),
+	}
+}
+
+// Send queues a message for a peer and returns at once. When the queue is full,
+// the oldest message is dropped and counted.
+func (t *Transport[M]) Send(to core.InstanceID, addr string, m M) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return
+	}
+	key := linkKey{to: to, addr: addr}
+	l, ok := t.links[key]
+	if !ok {
+		l = newLink(t, key)
+		t.links[key] = l
+		t.wait.Go(l.run)
+	}
+	l.push(m)
+}
+
+// Close ends all connections and goroutines. Queued messages are dropped.
+func (t *Transport[M]) Close() {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return
+	}
+	t.closed = true
+	close(t.done)
+	for _, l := range t.listeners {
+		l.Close()
+	}
+	for c := range t.conns {
+		c.Close()
+	}
+	t.mu.Unlock()
+	t.wait.Wait()
+}
+
+// register keeps a connection for Close. It closes the connection and returns
+// false when the transport is closed already.
+func (t *Transport[M]) register(c net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		c.Close()
+		return false
+	}
+	t.conns[c] = struct{}{}
+	return true
+}
+
+func (t *Transport[M]) unregister(c net.Conn) {
+	c.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+}
+
+// rpcConn is an outgoing connection.
+type rpcConn struct {
+	client *rpc.Client
+	budget *budgetConn
+	close  func()
+}
+
+// dial connects and runs the handshake within the call timeout.
+func (t *Transport[M]) dial(ctx context.Context, to core.InstanceID, addr string, kind class) (*rpcConn, error) {
+	deadline := time.Now().Add(t.opts.CallTimeout)
+	dialer := net.Dialer{Deadline: deadline}
+	raw, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, Unreachable.Wrap(err, "dial %s", addr)
+	}
+	counted := &countedConn{Conn: raw, traffic: &t.traffic, writeTimeout: t.opts.CallTimeout}
+	if !t.register(counted) {
+		return nil, Closed.New("transport is closed")
+	}
+	sealed, err := dialHandshake(counted, t.opts.Secret, hello{class: kind, from: t.ref(), to: to}, deadline)
+	if err != nil {
+		t.unregister(counted)
+		return nil, Rejected.Wrap(err, "handshake with %s", addr)
+	}
+	budget := &budgetConn{Conn: sealed}
+	budget.renew(t.opts.MaxMessage)
+	client := rpc.NewClient(budget)
+	return &rpcConn{client: client, budget: budget, close: func() { client.Close(); t.unregister(counted) }}, nil
+}
+
+// call makes one call. After an error other than one that the peer's method
+// returned, the connection must not be used again: an answer may still arrive.
+func (c *rpcConn) call(ctx context.Context, done <-chan struct{}, method string, args, reply any, timeout time.Duration) error {
+	pending := c.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-pending.Done:
+	case <-timer.C:
+		return TimedOut.New("no answer to %s within %s", method, timeout)
+	case <-ctx.Done():
+		return TimedOut.Wrap(ctx.Err(), "%s was abandoned", method)
+	case <-done:
+		return Closed.New("transport is closed")
+	}
+	if pending.Error != nil {
+		return Failed.Wrap(pending.Error, "%s", method)
+	}
+	return nil
+}
+
+// reusable reports whether a connection can be used after a call's error.
+func reusable(err error) bool {
+	var remote rpc.ServerError
+	return err == nil || errors.As(err, &remote)
+}
--- /dev/null
+++ b/pkg/peer/serve.go
@@ -0,0 +1,171 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/gob"
+	"errors"
+	"net"
+	"net/rpc"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Listen accepts connections of peers at a TCP address. It returns when the
+// listener is open; Addr gives its address.
+func (t *Transport[M]) Listen(addr string) error {
+	if len(t.opts.Secret) < MinSecret {
+		return Rejected.New("fleet secret has %d bytes, want at least %d", len(t.opts.Secret), MinSecret)
+	}
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		listener.Close()
+		return Closed.New("transport is closed")
+	}
+	t.listeners = append(t.listeners, listener)
+	t.wait.Go(func() { t.acceptAll(listener) })
+	return nil
+}
+
+// Addr returns the address of the first listener, "" without one.
+func (t *Transport[M]) Addr() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.listeners) == 0 {
+		return ""
+	}
+	return t.listeners[0].Addr().String()
+}
+
+func (t *Transport[M]) acceptAll(listener net.Listener) {
+	slots := make(chan struct{}, t.opts.MaxConns)
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// Accept fails for a while when file descriptors have run out.
+			time.Sleep(minBackoff)
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			conn.Close()
+			continue
+		}
+		t.wait.Go(func() {
+			defer func() { <-slots }()
+			t.serveConn(conn)
+		})
+	}
+}
+
+func (t *Transport[M]) serveConn(raw net.Conn) {
+	counted := &countedConn{Conn: raw, traffic: &t.traffic, writeTimeout: t.opts.CallTimeout}
+	if !t.register(counted) {
+		return
+	}
+	defer t.unregister(counted)
+	deadline := time.Now().Add(t.opts.CallTimeout)
+	sealed, h, err := acceptHandshake(counted, t.opts.Secret, t.ref().ID, deadline)
+	if err != nil {
+		t.rejected.Add(1)
+		t.opts.Log.Warn("connection was rejected", zap.String("address", raw.RemoteAddr().String()), zap.Error(err))
+		return
+	}
+	server := rpc.NewServer()
+	if err := server.RegisterName("Peer", &service[M]{t: t, from: h.from, class: h.class}); err != nil {
+		t.opts.Log.Error("rpc service can't be registered", zap.Error(err))
+		return
+	}
+	server.ServeCodec(newServerCodec(sealed, t.opts))
+}
+
+// service is what net/rpc calls for one connection.
+type service[M any] struct {
+	t     *Transport[M]
+	from  core.InstanceRef
+	class class
+}
+
+// Deliver receives a batch.
+func (s *service[M]) Deliver(batch Batch[M], _ *Nothing) error {
+	if s.class != classControl {
+		return errors.New("batches need a control connection")
+	}
+	from := core.InstanceRef{ID: s.from.ID, Incarnation: batch.Incarnation}
+	if !s.t.accept(from) {
+		s.t.stale.Add(int64(len(batch.Messages)))
+		return errors.New("batch is from an older incarnation")
+	}
+	s.t.deliver(from, batch.Messages)
+	return nil
+}
+
+// Ping answers at once.
+func (s *service[M]) Ping(_ Nothing, _ *Nothing) error { return nil }
+
+// Fetch answers a bulk call.
+func (s *service[M]) Fetch(q FetchRequest, reply *FetchReply) error {
+	if s.class != classBulk || s.t.opts.Serve == nil {
+		return errors.New("no bulk calls on this connection")
+	}
+	body, err := s.t.opts.Serve(s.from, q.Name, q.Body)
+	reply.Body = body
+	return err
+}
+
+// serverCodec is the gob codec of net/rpc with a limit on the size of a request
+// and on the calls that run at once: net/rpc starts a goroutine for each.
+type serverCodec struct {
+	conn    *budgetConn
+	limit   int64
+	slots   chan struct{}
+	decoder *gob.Decoder
+	encoder *gob.Encoder
+	out     *bufio.Writer
+}
+
+func newServerCodec(conn net.Conn, opts Options) *serverCodec {
+	budget := &budgetConn{Conn: conn}
+	out := bufio.NewWriter(conn)
+	return &serverCodec{
+		conn: budget, limit: opts.MaxMessage, slots: make(chan struct{}, opts.MaxFetches),
+		decoder: gob.NewDecoder(bufio.NewReader(budget)), encoder: gob.NewEncoder(out), out: out,
+	}
+}
+
+// ReadRequestHeader waits until fewer than the limit of calls run.
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	c.slots <- struct{}{}
+	c.conn.renew(c.limit)
+	return c.decoder.Decode(r)
+}
+
+func (c *serverCodec) ReadRequestBody(body any) error { return c.decoder.Decode(body) }
+
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	defer func() { <-c.slots }()
+	err := c.encoder.Encode(r)
+	if err == nil {
+		err = c.encoder.Encode(body)
+	}
+	if err == nil {
+		err = c.out.Flush()
+	}
+	if err != nil {
+		c.Close()
+	}
+	return err
+}
+
+func (c *serverCodec) Close() error { return c.conn.Close() }
--- /dev/null
+++ b/pkg/telemetry/metrics.go
@@ -0,0 +1,227 @@
+// Package telemetry holds the metrics and the logger of an Instance. Metrics are
+// recorded with OpenTelemetry and exposed to Prometheus.
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Options are the settings of Metrics. Zero values select the defaults.
+type Options struct {
+	// Window is the time over which the worst-served account is computed.
+	// Default 1 minute.
+	Window time.Duration
+	// MinRequests is the number of requests within the window from which on an
+	// account counts. Default 5.
+	MinRequests int
+	// MaxAccounts bounds the accounts that the window follows. Default 30000,
+	// which is above the 27,000 accounts of the target size.
+	MaxAccounts int
+	// Now reads the monotonic clock. Default time.Now.
+	Now func() time.Time
+}
+
+// Answer describes a request whose answer is complete.
+type Answer struct {
+	Service       core.ServiceName
+	Account       core.AccountID
+	FirstToken    time.Duration
+	BetweenTokens time.Duration
+	Tokens        int64
+	// FirstTokenTarget and BetweenTokensTarget are the targets of the service;
+	// 0 means that there is none.
+	FirstTokenTarget    time.Duration
+	BetweenTokensTarget time.Duration
+}
+
+// WithinTargets reports whether the answer met both latency targets.
+func (a Answer) WithinTargets() bool {
+	first := a.FirstTokenTarget == 0 || a.FirstToken <= a.FirstTokenTarget
+	between := a.BetweenTokensTarget == 0 || a.BetweenTokens <= a.BetweenTokensTarget
+	return first && between
+}
+
+// Direction is the direction of control traffic.
+type Direction string
+
+// The directions of control traffic.
+const (
+	Sent     Direction = "sent"
+	Received Direction = "received"
+)
+
+// Metrics holds the instruments. They are created once. No label has the name of
+// an account or a request; services, models and codes come from the configuration.
+type Metrics struct {
+	provider *sdk.MeterProvider
+	handler  http.Handler
+	accounts *window
+
+	answers       metric.Int64Counter
+	goodput       metric.Int64Counter
+	goodputTokens metric.Int64Counter
+	firstToken    metric.Float64Histogram
+	betweenTokens metric.Float64Histogram
+	wastedPrefill metric.Int64Counter
+	refusals      metric.Int64Counter
+	insideRate    metric.Int64Counter
+	controlCPU    metric.Float64Counter
+	controlBytes  metric.Int64Counter
+	lateAnswers   metric.Int64Counter
+	queueLength   metric.Int64Gauge
+}
+
+// New creates the instruments and the Prometheus exporter.
+func New(opts Options) (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithNamespace("rhubarbsill"), exporter.WithoutScopeInfo())
+	if err != nil {
+		return nil, fmt.Errorf("prometheus exporter: %w", err)
+	}
+	m := &Metrics{
+		provider: sdk.NewMeterProvider(sdk.WithReader(reader)),
+		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		accounts: newWindow(opts),
+	}
+	if err := m.create(m.provider.Meter("github.com/rhubarbsill/rhubarbsill")); err != nil {
+		return nil, fmt.Errorf("create instruments: %w", err)
+	}
+	return m, nil
+}
+
+func (m *Metrics) create(meter metric.Meter) error {
+	b := builder{meter: meter}
+	m.answers = b.counter("answers", "{request}", "Requests with a complete answer.")
+	m.goodput = b.counter("goodput", "{request}", "Requests answered within both latency targets.")
+	m.goodputTokens = b.counter("goodput_tokens", "{token}", "Output tokens of requests answered within both latency targets.")
+	m.firstToken = b.histogram("first_token", "Time from arrival to the first token.", 0.05, 0.1, 0.2, 0.5, 1, 1.5, 1.9, 2.5, 5, 10)
+	m.betweenTokens = b.histogram("between_tokens", "Mean time between the tokens of an answer.", 0.005, 0.01, 0.02, 0.03, 0.037, 0.05, 0.1, 0.5, 1)
+	m.wastedPrefill = b.counter("wasted_prefill", "{token}", "Prompt tokens prefilled for an attempt that gave no complete answer.")
+	m.refusals = b.counter("refusals", "{request}", "Refused requests by code.")
+	m.insideRate = b.counter("refusals_inside_rate", "{request}", "Requests refused although inside the rate of their account.")
+	m.controlCPU = b.seconds("control_cpu", "Processor time spent on control work.")
+	m.controlBytes = b.counter("control", "By", "Bytes of control traffic by direction.")
+	m.lateAnswers = b.counter("late_answers_dropped", "{answer}", "Answers that arrived after their attempt had ended.")
+	m.queueLength = b.gauge("queue_length", "{request}", "Requests that wait for an engine.")
+	b.observe("worst_account_service", "1", "Share of requests answered within both targets, of the account with the lowest share in the window. 1 when no account has enough requests.", m.accounts.worst)
+	return b.err
+}
+
+// Handler serves the metrics in Prometheus text format.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close stops the meter provider.
+func (m *Metrics) Close(ctx context.Context) error { return m.provider.Shutdown(ctx) }
+
+// Answered records a complete answer.
+func (m *Metrics) Answered(a Answer) {
+	ctx := context.Background()
+	service := metric.WithAttributes(serviceLabel(a.Service))
+	m.answers.Add(ctx, 1, service)
+	m.firstToken.Record(ctx, a.FirstToken.Seconds(), service)
+	m.betweenTokens.Record(ctx, a.BetweenTokens.Seconds(), service)
+	good := a.WithinTargets()
+	if good {
+		m.goodput.Add(ctx, 1, service)
+		m.goodputTokens.Add(ctx, a.Tokens, service)
+	}
+	m.accounts.add(a.Account, good)
+}
+
+// Refused records a refusal. insideRate says that the account was inside its rate;
+// such a request counts against the service that the account receives.
+func (m *Metrics) Refused(service core.ServiceName, account core.AccountID, code core.Code, insideRate bool) {
+	ctx := context.Background()
+	m.refusals.Add(ctx, 1, metric.WithAttributes(serviceLabel(service), attribute.String("code", string(code))))
+	if !insideRate {
+		return
+	}
+	m.insideRate.Add(ctx, 1, metric.WithAttributes(serviceLabel(service)))
+	m.accounts.add(account, false)
+}
+
+// WastedPrefill records prompt tokens that were prefilled in vain.
+func (m *Metrics) WastedPrefill(service core.ServiceName, tokens int64) {
+	m.wastedPrefill.Add(context.Background(), tokens, metric.WithAttributes(serviceLabel(service)))
+}
+
+// ControlCPU records processor time spent on control work.
+func (m *Metrics) ControlCPU(d time.Duration) {
+	m.controlCPU.Add(context.Background(), d.Seconds())
+}
+
+// ControlBytes records bytes of control traffic.
+func (m *Metrics) ControlBytes(direction Direction, n int64) {
+	m.controlBytes.Add(context.Background(), n, metric.WithAttributes(attribute.String("direction", string(direction))))
+}
+
+// LateAnswer records an answer that was dropped because its attempt had ended.
+func (m *Metrics) LateAnswer(service core.ServiceName) {
+	m.lateAnswers.Add(context.Background(), 1, metric.WithAttributes(serviceLabel(service)))
+}
+
+// QueueLength records the number of requests that wait for an engine.
+func (m *Metrics) QueueLength(service core.ServiceName, n int) {
+	m.queueLength.Record(context.Background(), int64(n), metric.WithAttributes(serviceLabel(service)))
+}
+
+func serviceLabel(name core.ServiceName) attribute.KeyValue {
+	return attribute.String("service", string(name))
+}
+
+// builder creates instruments and keeps the first error.
+type builder struct {
+	meter metric.Meter
+	err   error
+}
+
+func (b *builder) counter(name, unit, text string) metric.Int64Counter {
+	c, err := b.meter.Int64Counter(name, metric.WithUnit(unit), metric.WithDescription(text))
+	b.keep(err)
+	return c
+}
+
+func (b *builder) seconds(name, text string) metric.Float64Counter {
+	c, err := b.meter.Float64Counter(name, metric.WithUnit("s"), metric.WithDescription(text))
+	b.keep(err)
+	return c
+}
+
+func (b *builder) histogram(name, text string, bounds ...float64) metric.Float64Histogram {
+	h, err := b.meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithDescription(text), metric.WithExplicitBucketBoundaries(bounds...))
+	b.keep(err)
+	return h
+}
+
+func (b *builder) gauge(name, unit, text string) metric.Int64Gauge {
+	g, err := b.meter.Int64Gauge(name, metric.WithUnit(unit), metric.WithDescription(text))
+	b.keep(err)
+	return g
+}
+
+func (b *builder) observe(name, unit, text string, read func() float64) {
+	_, err := b.meter.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(text),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	b.keep(err)
+}
+
+func (b *builder) keep(err error) {
+	if b.err == nil {
+		b.err = err
+	}
+}
--- /dev/null
+++ b/pkg/timeline/ring.go
@@ -0,0 +1,140 @@
+package timeline
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+	"unicode/utf8"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Event is one entry of the timeline.
+type Event struct {
+	Stamp
+	// Part is the component, as in the log prefix.
+	Part     string          `json:"part"`
+	Kind     string          `json:"kind"`
+	Request  core.RequestID  `json:"request,omitempty"`
+	Account  core.AccountID  `json:"account,omitempty"`
+	Upstream core.UpstreamID `json:"upstream,omitempty"`
+	Detail   string          `json:"detail,omitempty"`
+}
+
+// MaxDetail is the longest detail, in bytes, that a ring keeps of an event. It
+// bounds the memory of a ring together with its size.
+const MaxDetail = 512
+
+// Ring keeps the most recent events of one process. It is safe for concurrent use.
+type Ring struct {
+	mu     sync.Mutex
+	events []Event
+	next   int
+	total  uint64
+}
+
+// NewRing returns a ring that keeps size events, at least one.
+func NewRing(size int) *Ring { return &Ring{events: make([]Event, 0, max(1, size))} }
+
+// Add records an event. It replaces the oldest one when the ring is full.
+func (r *Ring) Add(e Event) {
+	e.Detail = truncate(e.Detail, MaxDetail)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.total++
+	if len(r.events) < cap(r.events) {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[r.next] = e
+	r.next = (r.next + 1) % len(r.events)
+}
+
+// Overwritten returns the number of events that the ring no longer holds.
+func (r *Ring) Overwritten() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.total - uint64(len(r.events))
+}
+
+// Select returns the events that match, ordered by stamp. With a limit it returns
+// the latest of them.
+func (r *Ring) Select(f Filter) []Event {
+	r.mu.Lock()
+	found := make([]Event, 0)
+	for i := range r.events {
+		e := &r.events[(r.next+i)%len(r.events)]
+		if f.Match(*e) {
+			found = append(found, *e)
+		}
+	}
+	r.mu.Unlock()
+	return f.latest(Merge([][]Event{found}))
+}
+
+func truncate(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	for limit > 0 && !utf8.RuneStart(text[limit]) {
+		limit--
+	}
+	return text[:limit]
+}
+
+// Filter selects events. A zero field matches everything.
+type Filter struct {
+	Request  core.RequestID
+	Account  core.AccountID
+	Upstream core.UpstreamID
+	// From is inclusive, To exclusive.
+	From, To time.Time
+	// Limit is the largest number of events to return, 0 for all.
+	Limit int
+}
+
+// Match reports whether the filter selects the event.
+func (f Filter) Match(e Event) bool {
+	if f.Request != "" && f.Request != e.Request {
+		return false
+	}
+	if f.Account != "" && f.Account != e.Account {
+		return false
+	}
+	if f.Upstream != "" && f.Upstream != e.Upstream {
+		return false
+	}
+	if !f.From.IsZero() && e.Time().Before(f.From) {
+		return false
+	}
+	return f.To.IsZero() || e.Time().Before(f.To)
+}
+
+func (f Filter) latest(events []Event) []Event {
+	if f.Limit > 0 && len(events) > f.Limit {
+		return events[len(events)-f.Limit:]
+	}
+	return events
+}
+
+// Merge returns the events of several processes in one order, without repeats: a
+// process can be asked twice when it answers late.
+func Merge(lists [][]Event) []Event {
+	merged := slices.Concat(lists...)
+	slices.SortFunc(merged, compareEvents)
+	return slices.Compact(merged)
+}
+
+func compareEvents(a, b Event) int {
+	return cmp.Or(
+		a.Compare(b.Stamp),
+		strings.Compare(a.Part, b.Part),
+		strings.Compare(a.Kind, b.Kind),
+		cmp.Compare(a.Request, b.Request),
+		cmp.Compare(a.Account, b.Account),
+		cmp.Compare(a.Upstream, b.Upstream),
+		strings.Compare(a.Detail, b.Detail),
+	)
+}
--- /dev/null
+++ b/pkg/upstream/client.go
@@ -0,0 +1,414 @@
+// Package upstream is the client of engines and plain services over HTTP. It
+// builds requests from an allow list of headers plus the Instance's own
+// credential, puts a deadline on every step of progress, and says truthfully
+// whether a failed request can have reached the Upstream.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Options are the settings of a Client. Zero values select the defaults.
+type Options struct {
+	// Credential is the Instance's own credential, sent as a bearer token.
+	Credential string
+	// ConnectTimeout bounds the dial. Default 1 s.
+	ConnectTimeout time.Duration
+	// WriteTimeout bounds each write to a connection. Default 2 s.
+	WriteTimeout time.Duration
+	// Silence is the longest time without a byte of progress: while sending,
+	// while waiting for the answer, and between bytes of it. Default 2 s.
+	Silence time.Duration
+	// CallSilence replaces Silence for calls to plain services, which send
+	// nothing while they work. Default 30 s.
+	CallSilence time.Duration
+	// ConnsPerHost bounds the connections to one Upstream. Default 64.
+	ConnsPerHost int
+	// MaxReply bounds the body of an answer that isn't a stream. Default 8 MiB.
+	MaxReply int64
+	// MaxEvent bounds one event of a stream. Default 64 KiB.
+	MaxEvent int
+}
+
+func (o Options) withDefaults() Options {
+	o.ConnectTimeout = orDefault(o.ConnectTimeout, time.Second)
+	o.WriteTimeout = orDefault(o.WriteTimeout, 2*time.Second)
+	o.Silence = orDefault(o.Silence, 2*time.Second)
+	o.CallSilence = orDefault(o.CallSilence, 30*time.Second)
+	o.ConnsPerHost = orDefault(o.ConnsPerHost, 64)
+	o.MaxReply = orDefault(o.MaxReply, 8<<20)
+	o.MaxEvent = orDefault(o.MaxEvent, 64<<10)
+	return o
+}
+
+func orDefault[T int | int64 | time.Duration](value, fallback T) T {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
+
+// Client calls Upstreams. It is safe for concurrent use.
+type Client struct {
+	opts Options
+
+	mu    sync.Mutex
+	hosts map[string]*http.Transport
+}
+
+// New returns a client.
+func New(opts Options) *Client {
+	return &Client{opts: opts.withDefaults(), hosts: make(map[string]*http.Transport)}
+}
+
+// transport returns the connections to one host. Each host has a transport of
+// its own so that a silent Upstream loses its idle connections and no other does.
+func (c *Client) transport(host string) *http.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t, ok := c.hosts[host]; ok {
+		return t
+	}
+	t := &http.Transport{
+		DialContext:            c.dial,
+		MaxConnsPerHost:        c.opts.ConnsPerHost,
+		MaxIdleConnsPerHost:    c.opts.ConnsPerHost,
+		IdleConnTimeout:        time.Minute,
+		TLSHandshakeTimeout:    c.opts.ConnectTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: 64 << 10,
+	}
+	c.hosts[host] = t
+	return t
+}
+
+func (c *Client) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: c.opts.ConnectTimeout}
+	conn, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &trackedConn{Conn: conn, writeTimeout: c.opts.WriteTimeout}, nil
+}
+
+// Forget closes the idle connections to an Upstream that has left and drops its
+// entry. Running calls continue.
+func (c *Client) Forget(baseURL string) {
+	u, err := url.Parse(baseURL)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	t, ok := c.hosts[u.Host]
+	delete(c.hosts, u.Host)
+	c.mu.Unlock()
+	if ok {
+		t.CloseIdleConnections()
+	}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.hosts {
+		t.CloseIdleConnections()
+	}
+}
+
+// call is one request in progress.
+type call struct {
+	client   *Client
+	url      string
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	silence  time.Duration
+	watchdog *time.Timer
+	sends    sendTracker
+	host     *http.Transport
+	response *http.Response
+}
+
+// singleUseBody hides the type of a body from net/http. A body that net/http can
+// rewind lets it repeat a request with an Idempotency-Key header on its own, even
+// after bytes were sent.
+type singleUseBody struct {
+	reader   io.Reader
+	progress func()
+}
+
+func (b *singleUseBody) Read(p []byte) (int, error) {
+	b.progress()
+	return b.reader.Read(p)
+}
+
+func (b *singleUseBody) Close() error { return nil }
+
+// start sends a request and waits for the header of the answer.
+func (c *Client) start(ctx context.Context, method string, u *url.URL, header http.Header, body []byte, silence time.Duration) (*call, error) {
+	k := &call{client: c, url: u.Scheme + "://" + u.Host + u.Path, silence: silence, host: c.transport(u.Host)}
+	k.ctx, k.cancel = context.WithCancelCause(ctx)
+	k.watchdog = time.AfterFunc(silence, func() { k.cancel(errStalled) })
+	traced := httptrace.WithClientTrace(k.ctx, &httptrace.ClientTrace{
+		GotConn:        k.sends.gotConn,
+		Got1xxResponse: func(int, textproto.MIMEHeader) error { k.progress(); return nil },
+	})
+	request, err := http.NewRequestWithContext(traced, method, u.String(), &singleUseBody{reader: bytes.NewReader(body), progress: k.progress})
+	if err != nil {
+		k.end()
+		return nil, &Error{Kind: Refused, URL: k.url, Code: CodeMalformed, Err: err}
+	}
+	request.ContentLength = int64(len(body))
+	request.Header = header
+	request.Header.Set("User-Agent", "rhubarbsill")
+	if c.opts.Credential != "" {
+		request.Header.Set("Authorization", "Bearer "+c.opts.Credential)
+	}
+	k.response, err = k.host.RoundTrip(request)
+	if err != nil {
+		failure := k.failure(err)
+		k.end()
+		return nil, failure
+	}
+	k.progress()
+	return k, nil
+}
+
+// progress postpones the silence deadline.
+func (k *call) progress() {
+	if k.watchdog.Stop() {
+		k.watchdog.Reset(k.silence)
+	}
+}
+
+// Read reads from the body of the answer and counts as progress.
+func (k *call) Read(p []byte) (int, error) {
+	n, err := k.response.Body.Read(p)
+	if n > 0 {
+		k.progress()
+	}
+	return n, err
+}
+
+// end releases the connection. A body that hasn't been read to its end closes it.
+func (k *call) end() {
+	k.watchdog.Stop()
+	k.cancel(context.Canceled)
+	if k.response != nil {
+		k.response.Body.Close()
+	}
+}
+
+// failure turns an error of net/http into an *Error.
+func (k *call) failure(err error) *Error {
+	failure := &Error{Kind: Crashed, URL: k.url, Err: err, Sent: true}
+	if k.response == nil {
+		failure.Sent = k.sends.sent()
+	}
+	var netErr net.Error
+	switch {
+	case errors.Is(context.Cause(k.ctx), errStalled):
+		failure.Kind, failure.Err = Stalled, errStalled
+	case k.ctx.Err() != nil:
+		failure.Kind, failure.Err = Canceled, context.Cause(k.ctx)
+	case !failure.Sent:
+		failure.Kind = Connect
+	case errors.As(err, &netErr) && netErr.Timeout():
+		failure.Kind = Stalled
+	}
+	if failure.Kind == Stalled {
+		// The other idle connections to a silent Upstream are likely silent too.
+		k.host.CloseIdleConnections()
+	}
+	return failure
+}
+
+// readAll reads the whole answer, up to the size limit.
+func (k *call) readAll() ([]byte, error) {
+	limit := k.client.opts.MaxReply
+	body, err := io.ReadAll(io.LimitReader(k, limit+1))
+	if err != nil {
+		return nil, k.failure(err)
+	}
+	if int64(len(body)) > limit {
+		return nil, &Error{Kind: Status, Sent: true, URL: k.url, HTTPStatus: k.response.StatusCode, Err: fmt.Errorf("answer is larger than %d bytes", limit)}
+	}
+	return body, nil
+}
+
+// refusal reads the body of an answer whose status isn't 200.
+func (k *call) refusal() error {
+	status := k.response.StatusCode
+	body, err := k.readAll()
+	if err != nil {
+		return err
+	}
+	var text ErrorBody
+	failure := &Error{Kind: Status, Sent: true, URL: k.url, HTTPStatus: status}
+	if json.Unmarshal(body, &text) == nil {
+		failure.Code = text.Error.Code
+	}
+	failure.Err = fmt.Errorf("HTTP status %d %s", status, text.Error.Message)
+	switch {
+	case failure.Code == CodeFull:
+		failure.Kind = Full
+	case failure.Code == CodeKVGone:
+		failure.Kind = KVGone
+	case failure.Code == CodeCanceled, failure.Code == CodeSuperseded:
+		failure.Kind = Canceled
+	case failure.Code != "" && status < 500, status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		failure.Kind = Refused
+	}
+	return failure
+}
+
+// exchange sends a JSON request to an engine and reads the JSON answer.
+func (c *Client) exchange(ctx context.Context, method, baseURL, path string, query url.Values, request, reply any) error {
+	k, err := c.startEngine(ctx, method, baseURL, path, query, request)
+	if err != nil {
+		return err
+	}
+	defer k.end()
+	if k.response.StatusCode != http.StatusOK {
+		return k.refusal()
+	}
+	body, err := k.readAll()
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, reply); err != nil {
+		return &Error{Kind: Status, Sent: true, URL: k.url, HTTPStatus: http.StatusOK, Err: err}
+	}
+	return nil
+}
+
+func (c *Client) startEngine(ctx context.Context, method, baseURL, path string, query url.Values, request any) (*call, error) {
+	u, err := url.Parse(baseURL)
+	if err != nil {
+		return nil, &Error{Kind: Connect, URL: baseURL, Err: err}
+	}
+	u = u.JoinPath(path)
+	u.RawQuery = query.Encode()
+	var body []byte
+	header := make(http.Header)
+	if request != nil {
+		if body, err = json.Marshal(request); err != nil {
+			return nil, &Error{Kind: Connect, URL: baseURL, Err: err}
+		}
+		header.Set("Content-Type", "application/json")
+	}
+	return c.start(ctx, method, u, header, body, c.opts.Silence)
+}
+
+// Prefill computes the KV cache of a prompt at a prefill engine. The engine sends
+// 102 responses while it works, which count as progress.
+func (c *Client) Prefill(ctx context.Context, baseURL string, q PrefillRequest) (PrefillReply, error) {
+	var reply PrefillReply
+	err := c.exchange(ctx, http.MethodPost, baseURL, PathPrefill, nil, q, &reply)
+	return reply, err
+}
+
+// Decode starts an attempt at a decode engine.
+func (c *Client) Decode(ctx context.Context, baseURL string, q DecodeRequest) (TokenStream, error) {
+	return c.openStream(ctx, baseURL, PathDecode, q, q.Offset)
+}
+
+// Resume continues to read a running attempt from offset on and disconnects its
+// earlier reader. Generation 0 asks the engine for the next one.
+func (c *Client) Resume(ctx context.Context, baseURL, attempt string, offset int, generation uint64) (TokenStream, error) {
+	path := PathAttempts + "/" + url.PathEscape(attempt) + "/resume"
+	return c.openStream(ctx, baseURL, path, ResumeRequest{Offset: offset, Generation: generation}, offset)
+}
+
+func (c *Client) openStream(ctx context.Context, baseURL, path string, request any, offset int) (TokenStream, error) {
+	k, err := c.startEngine(ctx, http.MethodPost, baseURL, path, nil, request)
+	if err != nil {
+		return nil, err
+	}
+	if k.response.StatusCode != http.StatusOK {
+		defer k.end()
+		return nil, k.refusal()
+	}
+	generation, _ := strconv.ParseUint(k.response.Header.Get(HeaderGeneration), 10, 64)
+	return &stream{call: k, generation: generation, next: offset, events: newEventReader(k, c.opts.MaxEvent)}, nil
+}
+
+// Cancel ends an attempt and frees its memory. It succeeds when the engine
+// doesn't know the attempt.
+func (c *Client) Cancel(ctx context.Context, baseURL, attempt string) error {
+	var reply struct{}
+	path := PathAttempts + "/" + url.PathEscape(attempt) + "/cancel"
+	err := c.exchange(ctx, http.MethodPost, baseURL, path, nil, nil, &reply)
+	var failure *Error
+	if errors.As(err, &failure) && failure.Code == CodeUnknownAttempt {
+		return nil
+	}
+	return err
+}
+
+// Attempts returns the identifiers of the attempts that hold memory now.
+func (c *Client) Attempts(ctx context.Context, baseURL string) ([]string, error) {
+	var reply []string
+	err := c.exchange(ctx, http.MethodGet, baseURL, PathAttempts, nil, nil, &reply)
+	return reply, err
+}
+
+// Load returns the engine's lagging report of its load.
+func (c *Client) Load(ctx context.Context, baseURL string) (LoadReport, error) {
+	var reply LoadReport
+	err := c.exchange(ctx, http.MethodGet, baseURL, PathLoad, nil, nil, &reply)
+	return reply, err
+}
+
+// CacheEvents returns the published cache events after a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, baseURL string, after uint64) (CacheEvents, error) {
+	var reply CacheEvents
+	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
+	err := c.exchange(ctx, http.MethodGet, baseURL, PathCacheEvents, query, nil, &reply)
+	return reply, err
+}
+
+// Order sends an order with its fencing number.
+func (c *Client) Order(ctx context.Context, baseURL string, q OrderRequest) error {
+	var reply struct{}
+	return c.exchange(ctx, http.MethodPost, baseURL, PathOrders, nil, q, &reply)
+}
+
+// Call sends a request to a plain service and reads the whole answer. Every
+// status but 503 is an answer.
+func (c *Client) Call(ctx context.Context, baseURL string, q PlainRequest) (PlainReply, error) {
+	base, err := url.Parse(baseURL)
+	if err != nil {
+		return PlainReply{}, &Error{Kind: Connect, URL: baseURL, Err: err}
+	}
+	u, err := joinPath(base, q.Path)
+	if err != nil {
+		return PlainReply{}, &Error{Kind: Refused, URL: baseURL, Code: CodeMalformed, Err: err}
+	}
+	k, err := c.start(ctx, q.Method, u, copyAllowed(q.Header, requestHeaders), q.Body, c.opts.CallSilence)
+	if err != nil {
+		return PlainReply{}, err
+	}
+	defer k.end()
+	if k.response.StatusCode == http.StatusServiceUnavailable {
+		return PlainReply{}, k.refusal()
+	}
+	body, err := k.readAll()
+	if err != nil {
+		return PlainReply{}, err
+	}
+	return PlainReply{Status: k.response.StatusCode, Header: copyAllowed(k.response.Header, replyHeaders), Body: body}, nil
+}
--- /dev/null
+++ b/pkg/upstream/header.go
@@ -0,0 +1,84 @@
+package upstream
+
+import (
+	"errors"
+	"net/http"
+	"net/url"
+	"regexp"
+	"strings"
+)
+
+// requestHeaders is the allow list of caller headers that an Upstream may see.
+// Headers that can carry a credential must not be added (G4).
+var requestHeaders = []string{
+	"Accept", "Accept-Language", "Content-Language", "Content-Type",
+	"Idempotency-Key", "If-Match", "If-None-Match", "Traceparent", "X-Request-Id",
+}
+
+// replyHeaders is the allow list of Upstream headers that a caller may see.
+var replyHeaders = []string{
+	"Cache-Control", "Content-Disposition", "Content-Language", "Content-Type",
+	"Etag", "Last-Modified", "Location", "Retry-After",
+}
+
+// keyText matches the text of a caller's key.
+var keyText = regexp.MustCompile(`(?i)rsk_[^\s_/?&=]+_`)
+
+var (
+	errPath      = errors.New("path must be absolute, without host and dot segments")
+	errKeyInPath = errors.New("path or query holds the text of a caller's key")
+)
+
+// copyAllowed returns the headers of from that are on the list. A value that
+// holds the text of a caller's key is left out.
+func copyAllowed(from http.Header, list []string) http.Header {
+	to := make(http.Header, len(list))
+	for _, name := range list {
+		for _, value := range from[name] {
+			if !keyText.MatchString(value) {
+				to[name] = append(to[name], value)
+			}
+		}
+	}
+	return to
+}
+
+// joinPath returns base extended by a caller's path and query. The result has
+// always the host of base.
+func joinPath(base *url.URL, path string) (*url.URL, error) {
+	if !strings.HasPrefix(path, "/") || strings.HasPrefix(path, "//") {
+		return nil, errPath
+	}
+	ref, err := url.ParseRequestURI(path)
+	if err != nil {
+		return nil, err
+	}
+	if ref.Host != "" || ref.Scheme != "" {
+		return nil, errPath
+	}
+	for segment := range strings.SplitSeq(ref.Path, "/") {
+		if segment == "." || segment == ".." {
+			return nil, errPath
+		}
+	}
+	if holdsKey(ref) {
+		return nil, errKeyInPath
+	}
+	joined := *base
+	prefix := strings.TrimSuffix(base.Path, "/")
+	joined.Path = prefix + ref.Path
+	joined.RawPath = ""
+	if ref.RawPath != "" {
+		joined.RawPath = strings.TrimSuffix(base.EscapedPath(), "/") + ref.RawPath
+	}
+	joined.RawQuery = ref.RawQuery
+	return &joined, nil
+}
+
+func holdsKey(ref *url.URL) bool {
+	query, err := url.QueryUnescape(ref.RawQuery)
+	if err != nil {
+		query = ref.RawQuery
+	}
+	return keyText.MatchString(ref.Path) || keyText.MatchString(query)
+}
