--- a/pkg/lab/engine/prefill.go
+++ b/pkg/lab/engine/prefill.go
@@ -81,12 +81,14 @@
 		return nil, &failure{http.StatusServiceUnavailable, upstream.CodeFull, "prefill queue is full"}
 	}
 	st.queue.push(w)
+	st.observe(s.opts.Clock.Now())
 	return w, nil
 }
 
 func (st *state) begin(w *waiter) {
 	st.busy, st.working = true, w.attempt
 	close(w.ready)
+	st.observe(st.server.opts.Clock.Now())
 }
 
 func (s *Server) awaitTurn(x *exchange, w *waiter) bool {
@@ -116,7 +118,9 @@
 		w := st.queue[0]
 		st.queue = st.queue[1:]
 		st.begin(w)
+		return
 	}
+	st.observe(st.server.opts.Clock.Now())
 }
 
 func (s *Server) finishTurn(st *state) {
--- a/pkg/lab/engine/state.go
+++ b/pkg/lab/engine/state.go
@@ -35,7 +35,7 @@
 }
 
 func newState(s *Server, generation uint64) *state {
-	return &state{
+	st := &state{
 		server:     s,
 		generation: generation,
 		done:       make(chan struct{}),
@@ -44,6 +44,8 @@
 		attempts:   make(map[string]*attempt),
 		freeBlocks: s.opts.Blocks,
 	}
+	st.observe(s.opts.Clock.Now())
+	return st
 }
 
 // stop ends all handlers and goroutines of this state.
--- /dev/null
+++ b/pkg/peer/bulk.go
@@ -0,0 +1,125 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// bulkPeer holds the bulk connection to one address.
+type bulkPeer struct {
+	slots chan struct{}
+
+	mu    sync.Mutex
+	conn  *rpcConn
+	users int
+	idle  *time.Timer
+}
+
+// FetchRequest is the argument of a bulk call.
+type FetchRequest struct {
+	Name string
+	Body []byte
+}
+
+// FetchReply is the answer to a bulk call.
+type FetchReply struct{ Body []byte }
+
+// Nothing is an empty argument or answer.
+type Nothing struct{}
+
+// Fetch asks the Instance at an address by a bulk call, which does not delay
+// control messages. The errors are of this package's types.
+func (t *Transport[M]) Fetch(ctx context.Context, addr, name string, request []byte) ([]byte, error) {
+	peer, err := t.bulkPeer(addr)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case peer.slots <- struct{}{}:
+		defer func() { <-peer.slots }()
+	case <-ctx.Done():
+		return nil, Busy.Wrap(ctx.Err(), "%d bulk calls to %s are pending", t.opts.MaxFetches, addr)
+	case <-t.done:
+		return nil, Closed.New("transport is closed")
+	}
+	body, fate, err := t.fetchOnce(ctx, peer, addr, FetchRequest{Name: name, Body: request})
+	if fate == unsent {
+		// The pooled connection had ended, as after a restart of the peer.
+		body, _, err = t.fetchOnce(ctx, peer, addr, FetchRequest{Name: name, Body: request})
+	}
+	return body, err
+}
+
+func (t *Transport[M]) fetchOnce(ctx context.Context, peer *bulkPeer, addr string, q FetchRequest) ([]byte, fate, error) {
+	conn, err := t.borrow(ctx, peer, addr)
+	if err != nil {
+		return nil, broken, err
+	}
+	// Each pending call may receive one answer of full size.
+	conn.budget.renew(t.opts.MaxMessage * int64(t.opts.MaxFetches))
+	var reply FetchReply
+	fate, err := conn.call(ctx, t.done, "Peer.Fetch", q, &reply, t.opts.CallTimeout)
+	peer.giveBack(conn, fate == answered, t.opts.IdleAfter)
+	if err != nil {
+		return nil, fate, err
+	}
+	return reply.Body, fate, nil
+}
+
+func (t *Transport[M]) bulkPeer(addr string) (*bulkPeer, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, Closed.New("transport is closed")
+	}
+	peer, ok := t.bulk[addr]
+	if !ok {
+		peer = &bulkPeer{slots: make(chan struct{}, t.opts.MaxFetches)}
+		t.bulk[addr] = peer
+	}
+	return peer, nil
+}
+
+// borrow returns the connection, after connecting when there is none.
+func (t *Transport[M]) borrow(ctx context.Context, peer *bulkPeer, addr string) (*rpcConn, error) {
+	peer.mu.Lock()
+	defer peer.mu.Unlock()
+	if peer.conn == nil {
+		conn, err := t.dial(ctx, "", addr, classBulk)
+		if err != nil {
+			return nil, err
+		}
+		peer.conn = conn
+	}
+	if peer.idle != nil {
+		peer.idle.Stop()
+	}
+	peer.users++
+	return peer.conn, nil
+}
+
+// giveBack ends the use of a connection. An unused one is closed after a while.
+func (p *bulkPeer) giveBack(conn *rpcConn, reusable bool, idleAfter time.Duration) {
+	if !reusable {
+		conn.close()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.users--
+	if !reusable && p.conn == conn {
+		p.conn = nil
+	}
+	if p.users == 0 {
+		p.idle = time.AfterFunc(idleAfter, p.closeIdle)
+	}
+}
+
+func (p *bulkPeer) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.users == 0 && p.conn != nil {
+		p.conn.close()
+		p.conn = nil
+	}
+}
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
 
 // link sends the messages for one peer in order, over one control connection.
@@ -64,6 +62,17 @@
 	return batch
 }
 
+// putBack returns messages that were not sent to the front of the queue. The
+// oldest are dropped when the queue has filled up meanwhile.
+func (l *link[M]) putBack(messages []M) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	room := max(0, l.t.opts.MaxPending-len(l.queue))
+	excess := max(0, len(messages)-room)
+	l.t.dropped.Add(int64(excess))
+	l.queue = append(messages[excess:], l.queue...)
+}
+
 func (l *link[M]) empty() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -115,7 +124,12 @@
 // peer may have received them.
 func (l *link[M]) send(messages []M) {
 	batch := Batch[M]{Incarnation: l.t.ref().Incarnation, Messages: messages}
-	if err := l.call("Peer.Deliver", batch, l.t.opts.CallTimeout); err != nil {
+	fate, err := l.call("Peer.Deliver", batch, l.t.opts.CallTimeout)
+	if fate == unsent {
+		l.putBack(messages)
+		return
+	}
+	if err != nil {
 		l.t.lost.Add(int64(len(messages)))
 		l.report(err)
 		return
@@ -129,19 +143,19 @@
 	if l.conn == nil || time.Since(l.lastCall) < l.t.opts.PingAfter {
 		return
 	}
-	if err := l.call("Peer.Ping", Nothing{}, l.t.opts.PingTimeout); err != nil {
+	if _, err := l.call("Peer.Ping", Nothing{}, l.t.opts.PingTimeout); err != nil {
 		l.report(err)
 	}
 }
 
-func (l *link[M]) call(method string, args any, timeout time.Duration) error {
+func (l *link[M]) call(method string, args any, timeout time.Duration) (fate, error) {
 	l.conn.budget.renew(l.t.opts.MaxMessage)
-	err := l.conn.call(context.Background(), l.t.done, method, args, &Nothing{}, timeout)
+	fate, err := l.conn.call(context.Background(), l.t.done, method, args, &Nothing{}, timeout)
 	l.lastCall = time.Now()
-	if !reusable(err) {
+	if fate != answered {
 		l.disconnect()
 	}
-	return err
+	return fate, err
 }
 
 func (l *link[M]) connect() error {
@@ -204,93 +218,3 @@
 		return false
 	}
 }
-
-// bulkPeer holds the bulk connection to one address.
-type bulkPeer struct {
-	slots chan struct{}
-	mu    sync.Mutex
-	conn  *rpcConn
-}
-
-// FetchRequest is the argument of a bulk call.
-type FetchRequest struct {
-	Name string
-	Body []byte
-}
-
-// FetchReply is the answer to a bulk call.
-type FetchReply struct{ Body []byte }
-
-// Nothing is an empty argument or answer.
-type Nothing struct{}
-
-// Fetch asks the Instance at an address by a bulk call, which does not delay
-// control messages. The errors are of this package's types.
-func (t *Transport[M]) Fetch(ctx context.Context, addr, name string, request []byte) ([]byte, error) {
-	peer, err := t.bulkPeer(addr)
-	if err != nil {
-		return nil, err
-	}
-	select {
-	case peer.slots <- struct{}{}:
-		defer func() { <-peer.slots }()
-	case <-ctx.Done():
-		return nil, Busy.Wrap(ctx.Err(), "%d bulk calls to %s are pending", t.opts.MaxFetches, addr)
-	case <-t.done:
-		return nil, Closed.New("transport is closed")
-	}
-	peer.mu.Lock()
-	if peer.conn == nil {
-		peer.conn, err = t.dial(ctx, "", addr, classBulk)
-	}
-	conn := peer.conn
-	peer.mu.Unlock()
-	if err != nil {
-		return nil, err
-	}
-	// Each pending call may receive one answer of full size.
-	conn.budget.renew(t.opts.MaxMessage * int64(t.opts.MaxFetches))
-	var reply FetchReply
-	err = conn.call(ctx, t.done, "Peer.Fetch", FetchRequest{Name: name, Body: request}, &reply, t.opts.CallTimeout)
-	if !reusable(err) {
-		peer.drop(conn)
-	}
-	if err != nil {
-		return nil, err
-	}
-	return reply.Body, nil
-}
-
-func (t *Transport[M]) bulkPeer(addr string) (*bulkPeer, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.closed {
-		return nil, Closed.New("transport is closed")
-	}
-	peer, ok := t.bulk[addr]
-	if !ok {
-		peer = &bulkPeer{slots: make(chan struct{}, t.opts.MaxFetches)}
-		t.bulk[addr] = peer
-	}
-	return peer, nil
-}
-
-func (p *bulkPeer) drop(conn *rpcConn) {
-	conn.close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn == conn {
-		p.conn = nil
-	}
-}
-
-// accept reports whether a batch is of the newest known incarnation of its sender.
-func (t *Transport[M]) accept(from core.InstanceRef) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if from.Incarnation < t.newest[from.ID] {
-		return false
-	}
-	t.newest[from.ID] = from.Incarnation
-	return true
-}
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -125,7 +125,14 @@
 	conns     map[net.Conn]struct{}
 	links     map[linkKey]*link[M]
 	bulk      map[string]*bulkPeer
-	newest    map[core.InstanceID]core.Incarnation
+	senders   map[core.InstanceID]*sender
+}
+
+// sender is a peer whose batches are received. It stays when the peer leaves, so
+// that a late batch of an old incarnation is still recognized.
+type sender struct {
+	mu     sync.Mutex
+	newest core.Incarnation
 }
 
 type linkKey struct {
@@ -133,8 +140,9 @@
 	addr string
 }
 
-// NewTransport returns a transport. deliver is called with each received batch:
-// in order for one sender, concurrently for several. Delivery is at most once.
+// NewTransport returns a transport. deliver is called with each received batch,
+// by one goroutine at a time for one sender and concurrently for several. It must
+// return within the call timeout of the peers. Delivery is at most once.
 func NewTransport[M any](self core.InstanceRef, opts Options, deliver func(from core.InstanceRef, batch []M)) *Transport[M] {
 	return &Transport[M]{
 		opts:    opts.withDefaults(),
@@ -144,7 +152,7 @@
 		conns:   make(map[net.Conn]struct{}),
 		links:   make(map[linkKey]*link[M]),
 		bulk:    make(map[string]*bulkPeer),
-		newest:  make(map[core.InstanceID]core.Incarnation),
+		senders: make(map[core.InstanceID]*sender),
 	}
 }
 
@@ -257,29 +265,44 @@
 	return &rpcConn{client: client, budget: budget, close: func() { client.Close(); t.unregister(counted) }}, nil
 }
 
-// call makes one call. After an error other than one that the peer's method
-// returned, the connection must not be used again: an answer may still arrive.
-func (c *rpcConn) call(ctx context.Context, done <-chan struct{}, method string, args, reply any, timeout time.Duration) error {
+// fate says what is known about a call that returned.
+type fate int
+
+const (
+	// answered means that the peer's method returned, perhaps with an error.
+	answered fate = iota
+	// unsent means that the connection had ended before the call was written.
+	unsent
+	// broken means that the peer may or may not have run the method. The
+	// connection must not be used again: an answer may still arrive.
+	broken
+)
+
+// call makes one call.
+func (c *rpcConn) call(ctx context.Context, done <-chan struct{}, method string, args, reply any, timeout time.Duration) (fate, error) {
 	pending := c.client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-pending.Done:
 	case <-timer.C:
-		return TimedOut.New("no answer to %s within %s", method, timeout)
+		return broken, TimedOut.New("no answer to %s within %s", method, timeout)
 	case <-ctx.Done():
-		return TimedOut.Wrap(ctx.Err(), "%s was abandoned", method)
+		return broken, TimedOut.Wrap(ctx.Err(), "%s was abandoned", method)
 	case <-done:
-		return Closed.New("transport is closed")
+		return broken, Closed.New("transport is closed")
 	}
-	if pending.Error != nil {
-		return Failed.Wrap(pending.Error, "%s", method)
+	if pending.Error == nil {
+		return answered, nil
 	}
-	return nil
-}
-
-// reusable reports whether a connection can be used after a call's error.
-func reusable(err error) bool {
 	var remote rpc.ServerError
-	return err == nil || errors.As(err, &remote)
+	err := Failed.Wrap(pending.Error, "%s", method)
+	switch {
+	case errors.As(pending.Error, &remote):
+		return answered, err
+	case errors.Is(pending.Error, rpc.ErrShutdown):
+		// net/rpc returns this before it writes, when the read side has ended.
+		return unsent, err
+	}
+	return broken, err
 }
--- a/pkg/peer/serve.go
+++ b/pkg/peer/serve.go
@@ -103,14 +103,31 @@
 		return errors.New("batches need a control connection")
 	}
 	from := core.InstanceRef{ID: s.from.ID, Incarnation: batch.Incarnation}
-	if !s.t.accept(from) {
+	sender := s.t.sender(from.ID)
+	// The lock covers the delivery, so that no batch of an older incarnation is
+	// delivered after one of a newer.
+	sender.mu.Lock()
+	defer sender.mu.Unlock()
+	if from.Incarnation < sender.newest {
 		s.t.stale.Add(int64(len(batch.Messages)))
 		return errors.New("batch is from an older incarnation")
 	}
+	sender.newest = from.Incarnation
 	s.t.deliver(from, batch.Messages)
 	return nil
 }
 
+func (t *Transport[M]) sender(id core.InstanceID) *sender {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, ok := t.senders[id]
+	if !ok {
+		known = &sender{}
+		t.senders[id] = known
+	}
+	return known
+}
+
 // Ping answers at once.
 func (s *service[M]) Ping(_ Nothing, _ *Nothing) error { return nil }
 
@@ -129,6 +146,7 @@
 type serverCodec struct {
 	conn    *budgetConn
 	limit   int64
+	idle    time.Duration
 	slots   chan struct{}
 	decoder *gob.Decoder
 	encoder *gob.Encoder
@@ -139,7 +157,7 @@
 	budget := &budgetConn{Conn: conn}
 	out := bufio.NewWriter(conn)
 	return &serverCodec{
-		conn: budget, limit: opts.MaxMessage, slots: make(chan struct{}, opts.MaxFetches),
+		conn: budget, limit: opts.MaxMessage, idle: 2 * opts.IdleAfter, slots: make(chan struct{}, opts.MaxFetches),
 		decoder: gob.NewDecoder(bufio.NewReader(budget)), encoder: gob.NewEncoder(out), out: out,
 	}
 }
@@ -148,6 +166,11 @@
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	c.slots <- struct{}{}
 	c.conn.renew(c.limit)
+	// A peer closes its idle connections earlier, so one that is idle for longer
+	// has gone without a trace.
+	if err := c.conn.SetReadDeadline(time.Now().Add(c.idle)); err != nil {
+		return err
+	}
 	return c.decoder.Decode(r)
 }
 
--- /dev/null
+++ b/pkg/resume/resume_test.go
@@ -0,0 +1,184 @@
+package resume
+
+import (
+	"bytes"
+	"encoding/base64"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+func key(id string, fill byte) Key { return Key{ID: id, Secret: bytes.Repeat([]byte{fill}, KeyBytes)} }
+
+func newSealer(t interface{ Fatal(...any) }, keys ...Key) *Sealer {
+	s, err := New(keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func drawPosition(t *rapid.T) Position {
+	return Position{
+		Account:  core.AccountID(rapid.StringN(0, 20, 40).Draw(t, "account")),
+		Request:  core.RequestID(rapid.StringN(0, 36, 72).Draw(t, "request")),
+		Upstream: core.UpstreamID(rapid.StringN(0, 20, 40).Draw(t, "upstream")),
+		Attempt: core.AttemptID{
+			Owner: core.InstanceRef{
+				ID:          core.InstanceID(rapid.StringN(0, 20, 40).Draw(t, "instance")),
+				Incarnation: core.Incarnation(rapid.Uint64().Draw(t, "incarnation")),
+			},
+			Seq: rapid.Uint64().Draw(t, "seq"),
+		},
+		Offset: rapid.IntRange(0, 1<<40).Draw(t, "offset"),
+	}
+}
+
+// Guards against a caller that can't resume at another Instance, also during a
+// rotation of the key.
+func TestAnyInstanceOpensDuringRotation(t *testing.T) {
+	before, during, after := newSealer(t, key("1", 1)), newSealer(t, key("1", 1), key("2", 2)), newSealer(t, key("2", 2), key("1", 1))
+	steps := []struct{ seal, open *Sealer }{{before, during}, {during, before}, {during, after}, {after, during}, {after, after}}
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawPosition(t)
+		for i, step := range steps {
+			got, err := step.open.Open(p.Account, step.seal.Seal(p))
+			if err != nil || got != p {
+				t.Fatalf("step %d: got %v, %v; want %v", i, got, err, p)
+			}
+		}
+		if _, err := newSealer(t, key("3", 3)).Open(p.Account, after.Seal(p)); !errorx.IsOfType(err, UnknownKey) {
+			t.Fatalf("unknown key id: got %v", err)
+		}
+		if _, err := newSealer(t, key("2", 9)).Open(p.Account, after.Seal(p)); !errorx.IsOfType(err, Tampered) {
+			t.Fatalf("other secret under the same key id: got %v", err)
+		}
+		if _, err := after.Open(p.Account+"x", after.Seal(p)); !errorx.IsOfType(err, WrongAccount) {
+			t.Fatalf("wrong account: got %v", err)
+		}
+	})
+}
+
+// Guards against an id that still opens after any one bit of it has changed, or
+// after it was cut, extended or joined from two ids.
+func TestTamperedIDsAreRefused(t *testing.T) {
+	s := newSealer(t, key("1", 1), key("2", 2))
+	rapid.Check(t, func(t *rapid.T) {
+		p, q := drawPosition(t), drawPosition(t)
+		q.Account = p.Account
+		id := s.Seal(p)
+		raw, err := base64.RawURLEncoding.DecodeString(id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		other, _ := base64.RawURLEncoding.DecodeString(s.Seal(q))
+		changed := bytes.Clone(raw)
+		bit := rapid.IntRange(0, len(raw)*8-1).Draw(t, "bit")
+		changed[bit/8] ^= 1 << (bit % 8)
+		cut := rapid.IntRange(0, len(raw)-1).Draw(t, "cut")
+		// The nonce counts up, so a join of the two is an id only by chance when
+		// the cut leaves one of them whole.
+		joined := append(bytes.Clone(raw[:len(raw)-16]), other[len(other)-16:]...)
+		for name, bad := range map[string][]byte{"bit": changed, "cut": raw[:cut], "extended": append(bytes.Clone(raw), 0), "joined": joined} {
+			if got, err := s.Open(p.Account, base64.RawURLEncoding.EncodeToString(bad)); err == nil {
+				t.Fatalf("%s: id opened as %v", name, got)
+			}
+		}
+	})
+}
+
+// Guards against two ids under one nonce, which would reveal their content.
+func TestNoncesAreUnique(t *testing.T) {
+	is := is.New(t)
+	a, b := newSealer(t, key("1", 1)), newSealer(t, key("1", 1))
+	seen := make(map[string]bool)
+	for range 1000 {
+		for _, s := range []*Sealer{a, b} {
+			raw, err := base64.RawURLEncoding.DecodeString(s.Seal(Position{}))
+			is.NoErr(err)
+			nonce := string(raw[3 : 3+24])
+			is.True(!seen[nonce])
+			seen[nonce] = true
+		}
+	}
+}
+
+// Guards against a key ring that seals with a weak key or can't tell keys apart.
+func TestKeyRingIsChecked(t *testing.T) {
+	short := Key{ID: "1", Secret: make([]byte, 16)}
+	for name, keys := range map[string][]Key{
+		"none": {}, "three": {key("1", 1), key("2", 2), key("3", 3)}, "short": {short}, "no id": {key("", 1)}, "same id": {key("1", 1), key("1", 2)},
+	} {
+		if _, err := New(keys); !errorx.IsOfType(err, BadKey) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+// Guards against an id that is too long for an SSE field of ordinary names.
+func TestIDIsCompact(t *testing.T) {
+	is := is.New(t)
+	id := newSealer(t, key("k1", 1)).Seal(ordinary)
+	is.True(len(id) <= 200)
+}
+
+var ordinary = Position{
+	Account: "acme", Request: "018f5a9e-7b1c-7cc0-9d3e-1f2a3b4c5d6e", Upstream: "decode-17",
+	Attempt: core.AttemptID{Owner: core.InstanceRef{ID: "santander-a-3", Incarnation: 1_770_000_000}, Seq: 991_234}, Offset: 512,
+}
+
+// Guards against a panic on, or an acceptance of, ids that were never sealed.
+func FuzzOpen(f *testing.F) {
+	s := newSealer(f, key("1", 1))
+	genuine := s.Seal(ordinary)
+	f.Add(genuine)
+	f.Add("")
+	f.Add(genuine[:40])
+	f.Add("AQExAAAA")
+	f.Fuzz(func(t *testing.T, id string) {
+		p, err := s.Open(ordinary.Account, id)
+		if err == nil && (id != genuine || p != ordinary) {
+			t.Fatalf("forged id %q opened as %v", id, p)
+		}
+	})
+}
+
+// Guards against a panic on a sealed position of another format, as an Instance of
+// another release may seal.
+func FuzzParsePosition(f *testing.F) {
+	f.Add(appendPosition(nil, ordinary))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01})
+	f.Fuzz(func(t *testing.T, plain []byte) {
+		p, ok := parsePosition(plain)
+		if !ok {
+			return
+		}
+		if again, ok := parsePosition(appendPosition(nil, p)); !ok || again != p {
+			t.Fatalf("got %v, then %v", p, again)
+		}
+	})
+}
+
+func BenchmarkSeal(b *testing.B) {
+	s := newSealer(b, key("1", 1))
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Seal(ordinary)
+	}
+	b.ReportMetric(float64(len(s.Seal(ordinary))), "chars/id")
+}
+
+func BenchmarkOpen(b *testing.B) {
+	s := newSealer(b, key("1", 1))
+	id := s.Seal(ordinary)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := s.Open(ordinary.Account, id); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -18,6 +18,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -138,8 +139,10 @@
 	silence  time.Duration
 	watchdog *time.Timer
 	sends    sendTracker
-	host     *http.Transport
-	response *http.Response
+	// connected is set when the request was given a connection.
+	connected atomic.Bool
+	host      *http.Transport
+	response  *http.Response
 }
 
 // singleUseBody hides the type of a body from net/http. A body that net/http can
@@ -161,9 +164,9 @@
 func (c *Client) start(ctx context.Context, method string, u *url.URL, header http.Header, body []byte, silence time.Duration) (*call, error) {
 	k := &call{client: c, url: u.Scheme + "://" + u.Host + u.Path, silence: silence, host: c.transport(u.Host)}
 	k.ctx, k.cancel = context.WithCancelCause(ctx)
-	k.watchdog = time.AfterFunc(silence, func() { k.cancel(errStalled) })
+	k.watchdog = time.AfterFunc(silence, k.expire)
 	traced := httptrace.WithClientTrace(k.ctx, &httptrace.ClientTrace{
-		GotConn:        k.sends.gotConn,
+		GotConn:        k.gotConn,
 		Got1xxResponse: func(int, textproto.MIMEHeader) error { k.progress(); return nil },
 	})
 	request, err := http.NewRequestWithContext(traced, method, u.String(), &singleUseBody{reader: bytes.NewReader(body), progress: k.progress})
@@ -187,6 +190,23 @@
 	return k, nil
 }
 
+// gotConn notes the connection of the request.
+func (k *call) gotConn(info httptrace.GotConnInfo) {
+	k.sends.gotConn(info)
+	k.connected.Store(true)
+	k.progress()
+}
+
+// expire ends a call without progress. A call that still waits for a connection
+// says nothing about the Upstream: all connections may be in use.
+func (k *call) expire() {
+	if k.connected.Load() {
+		k.cancel(errStalled)
+		return
+	}
+	k.cancel(errNoConnection)
+}
+
 // progress postpones the silence deadline.
 func (k *call) progress() {
 	if k.watchdog.Stop() {
@@ -222,6 +242,8 @@
 	switch {
 	case errors.Is(context.Cause(k.ctx), errStalled):
 		failure.Kind, failure.Err = Stalled, errStalled
+	case errors.Is(context.Cause(k.ctx), errNoConnection):
+		failure.Kind, failure.Err = Connect, errNoConnection
 	case k.ctx.Err() != nil:
 		failure.Kind, failure.Err = Canceled, context.Cause(k.ctx)
 	case !failure.Sent:
--- a/pkg/upstream/errors.go
+++ b/pkg/upstream/errors.go
@@ -69,3 +69,7 @@
 
 // errStalled is the cancellation cause set by the progress watchdog.
 var errStalled = errors.New("no progress within the deadline")
+
+// errNoConnection is the cause when the deadline passes before the request was
+// given a connection.
+var errNoConnection = errors.New("no connection within the deadline")
--- /dev/null
+++ b/pkg/upstream/fault_test.go
@@ -0,0 +1,281 @@
+package upstream_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/lab/engine"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+// silence is the progress deadline of the tests. It is far above the scheduling
+// delays of a busy machine.
+const silence = 400 * time.Millisecond
+
+type server interface {
+	Serve(net.Listener) error
+	Close() error
+}
+
+// serve runs a fake on loopback and returns its base URL.
+func serve(t testing.TB, s server) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return "http://" + l.Addr().String()
+}
+
+// pair is a prefill engine and a decode engine with a client.
+type pair struct {
+	client             *upstream.Client
+	prefill, decode    *engine.Server
+	prefillURL, decURL string
+}
+
+func newPair(t testing.TB, opts engine.Options) *pair {
+	opts.Role = engine.Prefill
+	p := &pair{prefill: engine.New(opts)}
+	opts.Role = engine.Decode
+	p.decode = engine.New(opts)
+	p.prefillURL, p.decURL = serve(t, p.prefill), serve(t, p.decode)
+	p.client = upstream.New(upstream.Options{Credential: "instance", Silence: silence, CallSilence: silence})
+	t.Cleanup(p.client.Close)
+	return p
+}
+
+func testContext(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// start prefills a prompt and begins to decode it.
+func (p *pair) start(ctx context.Context, attempt, prompt, emitted string, offset, tokens int) (upstream.TokenStream, error) {
+	reply, err := p.client.Prefill(ctx, p.prefillURL, upstream.PrefillRequest{Attempt: attempt, Model: "m", Prompt: prompt, Emitted: emitted})
+	if err != nil {
+		return nil, err
+	}
+	return p.client.Decode(ctx, p.decURL, upstream.DecodeRequest{
+		Attempt: attempt, Source: p.prefillURL, KV: reply.KV, MaxTokens: tokens, Offset: offset,
+	})
+}
+
+// read returns the text of up to n tokens.
+func read(s upstream.TokenStream, n int) (string, error) {
+	var text strings.Builder
+	for range n {
+		token, err := s.Next()
+		if err != nil {
+			return text.String(), err
+		}
+		text.WriteString(token.Text)
+	}
+	return text.String(), nil
+}
+
+func wantError(t testing.TB, err error, kind upstream.Kind, sent bool) {
+	t.Helper()
+	var failure *upstream.Error
+	if !errors.As(err, &failure) {
+		t.Fatalf("got error %v, want kind %s", err, kind)
+	}
+	if failure.Kind != kind || failure.Sent != sent {
+		t.Fatalf("got kind %s, sent %v (%v); want kind %s, sent %v", failure.Kind, failure.Sent, err, kind, sent)
+	}
+}
+
+// Guards against an answer that differs when another engine continues it.
+func TestContinuationGivesTheSameAnswer(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	p := newPair(t, engine.Options{PerOutputToken: time.Millisecond})
+	whole := engine.Output("tell me", 12)
+
+	s, err := p.start(ctx, "a.1.1", "tell me", "", 0, 12)
+	is.NoErr(err)
+	begin, err := read(s, 5)
+	is.NoErr(err)
+	s.Close()
+
+	s, err = p.start(ctx, "a.1.2", "tell me", begin, 5, 12)
+	is.NoErr(err)
+	rest, err := read(s, 100)
+	is.True(errors.Is(err, io.EOF))
+	is.Equal(begin+rest, whole)
+}
+
+// Guards against a request that hangs on a silent connection, and against the
+// next request being given another silent one.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	p := newPair(t, engine.Options{PerOutputToken: 20 * time.Millisecond})
+	// Three concurrent streams leave three idle connections.
+	var streams []upstream.TokenStream
+	for _, attempt := range []string{"a", "b", "c"} {
+		s, err := p.start(ctx, attempt, "x", "", 0, 3)
+		is.NoErr(err)
+		streams = append(streams, s)
+	}
+	for _, s := range streams {
+		_, err := read(s, 3)
+		is.NoErr(err)
+		s.Close()
+	}
+	p.decode.SetFaults(engine.Faults{Silent: true})
+
+	begin := time.Now()
+	_, err := p.client.Load(ctx, p.decURL)
+	wantError(t, err, upstream.Stalled, true)
+	is.True(time.Since(begin) < 5*silence)
+	_, err = p.client.Load(ctx, p.decURL)
+	is.NoErr(err) // the second call has a new connection
+}
+
+// Guards against a stream that goes silent in the middle and hangs for ever.
+func TestSilentStreamIsStalled(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, engine.Options{PerOutputToken: 10 * time.Millisecond})
+	s, err := p.start(testContext(t), "a", "x", "", 0, 1000)
+	is.NoErr(err)
+	_, err = read(s, 3)
+	is.NoErr(err)
+	p.decode.SetFaults(engine.Faults{Silent: true})
+	_, err = read(s, 1000)
+	wantError(t, err, upstream.Stalled, true)
+}
+
+// Guards against a partial answer that looks complete after a crash.
+func TestCrashMidStream(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	p := newPair(t, engine.Options{PerOutputToken: 10 * time.Millisecond})
+	s, err := p.start(ctx, "a", "x", "", 0, 1000)
+	is.NoErr(err)
+	_, err = read(s, 3)
+	is.NoErr(err)
+	p.decode.Crash()
+	_, err = read(s, 1000)
+	wantError(t, err, upstream.Crashed, true)
+	is.Equal(len(p.decode.Running()), 0)
+	is.Equal(p.decode.Generation(), uint64(2))
+	report, err := p.client.Load(ctx, p.decURL)
+	is.NoErr(err)
+	is.Equal(report.Generation, uint64(2))
+}
+
+// Guards against an engine error that hides which request crashed it.
+func TestCrashingPrompt(t *testing.T) {
+	p := newPair(t, engine.Options{})
+	_, err := p.start(testContext(t), "a", "x "+engine.DefaultCrashMarker, "", 0, 5)
+	wantError(t, err, upstream.Crashed, true)
+}
+
+// Guards against a stalled transfer that goes unnoticed because TCP is alive, and
+// against engine memory that stays allocated after the caller has gone (G1).
+func TestStalledTransfer(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	p := newPair(t, engine.Options{})
+	p.decode.SetFaults(engine.Faults{StallTransfers: true})
+	s, err := p.start(ctx, "a", "x", "", 0, 5)
+	is.NoErr(err)
+	_, err = s.Next()
+	wantError(t, err, upstream.Stalled, true)
+	is.Equal(p.decode.Running(), []string{"a"}) // the engine keeps the memory
+	is.NoErr(p.client.Cancel(ctx, p.decURL, "a"))
+	is.Equal(len(p.decode.Running()), 0)
+}
+
+// Guards against a slow transfer or a long prefill being taken for a stalled one.
+func TestSlowProgressIsNotStalled(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, engine.Options{
+		PerPromptToken: 2 * silence / 100, KVBytesPerToken: 1, LinkBytesPerSecond: 100, PerOutputToken: time.Millisecond,
+		KeptFor: 5 * time.Second,
+	})
+	s, err := p.start(testContext(t), "a", strings.Repeat("four", 100), "", 0, 2)
+	is.NoErr(err)
+	_, err = read(s, 2)
+	is.NoErr(err)
+}
+
+// Guards against a full engine being treated as failed.
+func TestFullEngine(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	p := newPair(t, engine.Options{Slots: 1})
+	_, err := p.start(ctx, "a", "x", "", 0, 1000)
+	is.NoErr(err)
+	_, err = p.start(ctx, "b", "x", "", 0, 1000)
+	wantError(t, err, upstream.Full, true)
+	p.decode.SetFaults(engine.Faults{Refuse: true})
+	_, err = p.start(ctx, "c", "x", "", 0, 1000)
+	wantError(t, err, upstream.Refused, true)
+}
+
+// Guards against decoding from a KV cache that the prefill engine has dropped.
+func TestKVGone(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	p := newPair(t, engine.Options{KeptFor: 20 * time.Millisecond})
+	reply, err := p.client.Prefill(ctx, p.prefillURL, upstream.PrefillRequest{Attempt: "a", Prompt: "x"})
+	is.NoErr(err)
+	time.Sleep(40 * time.Millisecond)
+	_, err = p.client.Decode(ctx, p.decURL, upstream.DecodeRequest{Attempt: "a", Source: p.prefillURL, KV: reply.KV, MaxTokens: 5})
+	wantError(t, err, upstream.KVGone, true)
+}
+
+// Guards against a canceled attempt that keeps its memory or looks complete.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	p := newPair(t, engine.Options{PerOutputToken: 10 * time.Millisecond})
+	s, err := p.start(ctx, "i-1.3.7", "x", "", 0, 1000)
+	is.NoErr(err)
+	_, err = read(s, 2)
+	is.NoErr(err)
+	is.NoErr(p.client.Cancel(ctx, p.decURL, "i-1.3.7"))
+	_, err = read(s, 1000)
+	wantError(t, err, upstream.Canceled, true)
+	running, err := p.client.Attempts(ctx, p.decURL)
+	is.NoErr(err)
+	is.Equal(len(running), 0)
+	is.NoErr(p.client.Cancel(ctx, p.decURL, "never seen")) // a repeat succeeds
+}
+
+// Guards against an attempt that ends when its reader disconnects, and against two
+// readers of one attempt (G2).
+func TestResumeCutsTheEarlierReader(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	p := newPair(t, engine.Options{PerOutputToken: 10 * time.Millisecond})
+	first, err := p.start(ctx, "a", "x", "", 0, 30)
+	is.NoErr(err)
+	begin, err := read(first, 4)
+	is.NoErr(err)
+	second, err := p.client.Resume(ctx, p.decURL, "a", 4, 0)
+	is.NoErr(err)
+	is.Equal(second.Generation(), uint64(2))
+	_, err = read(first, 1000)
+	wantError(t, err, upstream.Canceled, true)
+	_, err = p.client.Resume(ctx, p.decURL, "a", 4, 2)
+	wantError(t, err, upstream.Refused, true) // not later than the reader it would cut
+	second.Close()
+	third, err := p.client.Resume(ctx, p.decURL, "a", 4, 9)
+	is.NoErr(err)
+	rest, err := read(third, 1000)
+	is.True(errors.Is(err, io.EOF))
+	is.Equal(begin+rest, engine.Output("x", 30))
+}
--- /dev/null
+++ b/pkg/upstream/sent_test.go
@@ -0,0 +1,216 @@
+package upstream_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/lab/plain"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+func newClient(t testing.TB, opts upstream.Options) *upstream.Client {
+	opts.Credential = "instance"
+	c := upstream.New(opts)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func post(body string) upstream.PlainRequest {
+	return upstream.PlainRequest{Method: http.MethodPost, Path: "/call", Body: []byte(body)}
+}
+
+// Guards against a refusal that says "not run" for a request that may have run
+// (G8), and against one that says "unknown" without need.
+func TestSentOfFailedCalls(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	service := plain.New(plain.Options{})
+	url := serve(t, service)
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+
+	tests := []struct {
+		name   string
+		ctx    context.Context
+		url    string
+		faults plain.Faults
+		path   string
+		kind   upstream.Kind
+		sent   bool
+	}{
+		{"no listener", testContext(t), "http://" + closed.Addr().String(), plain.Faults{}, "/call", upstream.Connect, false},
+		{"canceled before", canceled, url, plain.Faults{}, "/call", upstream.Canceled, false},
+		{"other host in path", testContext(t), url, plain.Faults{}, "//other/call", upstream.Refused, false},
+		{"dot segments", testContext(t), url, plain.Faults{}, "/call/%2e%2e/lab/faults", upstream.Refused, false},
+		{"key in query", testContext(t), url, plain.Faults{}, "/call?k=rsk_a.k%5Fs", upstream.Refused, false},
+		{"answer lost", testContext(t), url, plain.Faults{LoseAnswers: true}, "/call", upstream.Crashed, true},
+		{"slow", testContext(t), url, plain.Faults{SlowMS: 3000}, "/call", upstream.Stalled, true},
+		{"refused", testContext(t), url, plain.Faults{Refuse: true}, "/call", upstream.Refused, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := newClient(t, upstream.Options{CallSilence: silence})
+			service.SetFaults(test.faults)
+			q := post("body")
+			q.Path = test.path
+			_, err := c.Call(test.ctx, test.url, q)
+			wantError(t, err, test.kind, test.sent)
+		})
+	}
+}
+
+// Guards against Sent being read while net/http is still about to write: calls are
+// canceled at random moments, and none of those with Sent false may ever arrive.
+func TestCallsReportedAsNotSentNeverArrive(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	arrived := make(map[string]bool)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		arrived[r.Header.Get("X-Request-Id")] = true
+		mu.Unlock()
+		// The body is read, because only then the server waits for the next request.
+		_, _ = io.Copy(io.Discard, r.Body)
+	}))
+	defer s.Close()
+	c := newClient(t, upstream.Options{})
+	var unsent []string
+	for i := range 1500 {
+		id := fmt.Sprint(i)
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(rand.N(150*time.Microsecond), cancel)
+		q := post(strings.Repeat("x", 100))
+		q.Header = http.Header{"X-Request-Id": {id}}
+		_, err := c.Call(ctx, s.URL, q)
+		var failure *upstream.Error
+		if errors.As(err, &failure) && !failure.Sent {
+			unsent = append(unsent, id)
+		}
+		cancel()
+	}
+	time.Sleep(100 * time.Millisecond)
+	mu.Lock()
+	defer mu.Unlock()
+	is.True(len(unsent) > 0)
+	for _, id := range unsent {
+		if arrived[id] {
+			t.Fatalf("request %s arrived although Sent was false", id)
+		}
+	}
+}
+
+// Guards against net/http repeating a request on its own (G9): it does so on a
+// reused connection when an Idempotency-Key header is set.
+func TestIdempotencyKeyDoesNotMakeNetHTTPRepeat(t *testing.T) {
+	for _, body := range []string{"", "order 1"} {
+		t.Run("body "+body, func(t *testing.T) {
+			is := is.New(t)
+			service := plain.New(plain.Options{})
+			url := serve(t, service)
+			c := newClient(t, upstream.Options{})
+			_, err := c.Call(testContext(t), url, post("warm up"))
+			is.NoErr(err)
+			service.SetFaults(plain.Faults{LoseAnswers: true})
+			q := post(body)
+			q.Header = http.Header{"Idempotency-Key": {"k"}}
+			_, err = c.Call(testContext(t), url, q)
+			wantError(t, err, upstream.Crashed, true)
+			is.Equal(service.Count(body), 1)
+		})
+	}
+}
+
+// Guards against an Upstream that sees a caller's key (G4), in any spelling of any
+// header, and against one that doesn't get the Instance's credential.
+func TestCallerHeadersAreNeverForwarded(t *testing.T) {
+	service := plain.New(plain.Options{})
+	url := serve(t, service)
+	c := newClient(t, upstream.Options{})
+	names := []string{
+		"Authorization", "Proxy-Authorization", "X-Api-Key", "Api-Key", "Cookie", "X-Auth-Token",
+		"X-Forwarded-Authorization", "Content-Type", "X-Request-Id", "Accept", "Connection", "Te", "User-Agent",
+	}
+	var calls int
+	rapid.Check(t, func(t *rapid.T) {
+		header := make(http.Header)
+		for range rapid.IntRange(1, 6).Draw(t, "headers") {
+			name := []byte(rapid.SampledFrom(names).Draw(t, "name"))
+			for i := range name {
+				if rapid.Bool().Draw(t, "other case") && name[i] != '-' {
+					name[i] ^= 0x20
+				}
+			}
+			value := rapid.SampledFrom([]string{"Bearer rsk_acme.k1_s3cret", "rsk_acme.k1_s3cret", "RSK_acme.k1_s3cret", "s3cret"}).Draw(t, "value")
+			if strings.Contains("Content-Type X-Request-Id Accept", http.CanonicalHeaderKey(string(name))) {
+				value = "rsk_acme.k1_s3cret"
+			}
+			header[string(name)] = append(header[string(name)], value)
+		}
+		q := post("x")
+		q.Header = header
+		if _, err := c.Call(context.Background(), url, q); err != nil {
+			t.Fatal(err)
+		}
+		calls++
+		seen := service.Executions()[calls-1].Header
+		for name, values := range seen {
+			if strings.Contains(strings.ToLower(strings.Join(values, " ")), "s3cret") {
+				t.Fatalf("upstream got %s: %q", name, values)
+			}
+		}
+		if got := seen["Authorization"]; len(got) != 1 || got[0] != "Bearer instance" {
+			t.Fatalf("upstream got credential %q", got)
+		}
+	})
+}
+
+// Guards against an unbounded number of connections to one Upstream, and against
+// the wait for one of them being blamed on the Upstream.
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	open, most := 0, 0
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		open++
+		most = max(most, open)
+		mu.Unlock()
+		<-release
+	}))
+	defer s.Close()
+	defer close(release)
+	c := newClient(t, upstream.Options{ConnsPerHost: 2, CallSilence: silence})
+	results := make(chan error, 6)
+	for range 6 {
+		go func() {
+			_, err := c.Call(testContext(t), s.URL, post("x"))
+			results <- err
+		}()
+	}
+	kinds := make(map[upstream.Kind]int)
+	for range 6 {
+		kinds[upstream.KindOf(<-results)]++
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	is.True(most <= 2)
+	is.True(kinds[upstream.Connect] >= 1)
+	is.Equal(kinds[upstream.Connect]+kinds[upstream.Stalled], 6)
+}
--- a/pkg/upstream/stream.go
+++ b/pkg/upstream/stream.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
+	"time"
 )
 
 // TokenStream reads the tokens of one attempt. It is not safe for concurrent use,
@@ -25,15 +27,23 @@
 	events     *eventReader
 	generation uint64
 	next       int
-	done       bool
+	done       atomic.Bool
 	err        error
 }
 
 // Generation returns the generation of this reader at the engine.
 func (s *stream) Generation() uint64 { return s.generation }
 
-// Close disconnects from the engine.
+// drainTimeout bounds the wait for the end of the body after the last token.
+const drainTimeout = 50 * time.Millisecond
+
+// Close disconnects from the engine. After the last token it reads the end of the
+// body, so that the connection can be used again.
 func (s *stream) Close() error {
+	if s.done.Load() && s.call.watchdog.Stop() {
+		s.call.watchdog.Reset(drainTimeout)
+		_, _ = io.CopyN(io.Discard, s.call.response.Body, 1)
+	}
 	s.call.end()
 	return nil
 }
@@ -47,16 +57,16 @@
 	token, err := s.read()
 	if err != nil {
 		s.err = err
-		s.call.end()
+		if !s.done.Load() {
+			s.call.end()
+		}
 		return Token{}, err
 	}
 	return token, nil
 }
 
 func (s *stream) read() (Token, error) {
-	if s.done {
-		// The terminating chunk is read so that the connection can be used again.
-		_, _ = io.CopyN(io.Discard, s.call, 1)
+	if s.done.Load() {
 		return Token{}, io.EOF
 	}
 	ev, err := s.events.next()
@@ -74,7 +84,7 @@
 		return Token{}, s.malformed(fmt.Errorf("token index %d, want %d", token.Index, s.next))
 	}
 	s.next++
-	s.done = token.Done
+	s.done.Store(token.Done)
 	return token, nil
 }
 
--- /dev/null
+++ b/pkg/upstream/stream_test.go
@@ -0,0 +1,120 @@
+package upstream
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+)
+
+// Guards against tokens that are lost, repeated or out of order, and against an
+// engine that makes an Instance hold an event of any size (G7).
+func TestStreamChecksTokens(t *testing.T) {
+	tests := []struct {
+		name, body string
+		tokens     int
+		kind       Kind
+	}{
+		{"whole", "data: {\"index\":0}\n\ndata: {\"index\":1,\"done\":true}\n\n", 2, ""},
+		{"carriage returns", "data: {\"index\":0}\r\n\r\ndata:{\"index\":1,\"done\":true}\r\n\r\n", 2, ""},
+		{"comments", ": a\n\n: b\ndata: {\"index\":0,\"done\":true}\n\n", 1, ""},
+		{"two data lines", "data: {\"index\":0,\ndata: \"done\":true}\n\n", 1, ""},
+		{"gap", "data: {\"index\":0}\n\ndata: {\"index\":2}\n\n", 1, Status},
+		{"repeat", "data: {\"index\":0}\n\ndata: {\"index\":0}\n\n", 1, Status},
+		{"not from the start", "data: {\"index\":1}\n\n", 0, Status},
+		{"no end", "data: {\"index\":0}\n\n", 1, Crashed},
+		{"cut event", "data: {\"index\":0,\"done\":true}\n", 0, Crashed},
+		{"large event", "data: {\"index\":0,\"text\":\"" + strings.Repeat("x", 2000) + "\"}\n\n", 0, Status},
+		{"large by many lines", strings.Repeat("data: 0123456789\n", 100), 0, Status},
+		{"no JSON", "data: x\n\n", 0, Status},
+		{"error event", "event: error\ndata: {\"error\":{\"code\":\"kv_gone\"}}\n\n", 0, KVGone},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				io.WriteString(w, test.body)
+			}))
+			defer s.Close()
+			c := New(Options{MaxEvent: 1000})
+			defer c.Close()
+			stream, err := c.Decode(t.Context(), s.URL, DecodeRequest{})
+			is.NoErr(err)
+			n := 0
+			for err == nil {
+				_, err = stream.Next()
+				n++
+			}
+			is.Equal(n-1, test.tokens)
+			is.Equal(KindOf(err), test.kind)
+			is.Equal(errors.Is(err, io.EOF), test.kind == "")
+		})
+	}
+}
+
+// Guards against a parser that depends on how the bytes were cut into reads, that
+// exceeds its limit, or that invents an event which the input doesn't hold.
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("data: {\"index\":0}\n\nevent: error\ndata: x\n\n"))
+	f.Add([]byte(": c\r\n\r\ndata:a\r\ndata: b\r\n\r\n"))
+	f.Add([]byte("data\n\n\n\ndata: cut"))
+	const limit = 64
+	parse := func(r io.Reader) (events []string, err error) {
+		reader := newEventReader(r, limit)
+		for {
+			ev, err := reader.next()
+			if err != nil {
+				return events, err
+			}
+			events = append(events, fmt.Sprintf("%s|%s", ev.kind, ev.data))
+			if len(ev.data) > limit {
+				return events, fmt.Errorf("event of %d bytes", len(ev.data))
+			}
+		}
+	}
+	f.Fuzz(func(t *testing.T, input []byte) {
+		whole, errWhole := parse(bytes.NewReader(input))
+		bytewise, errBytewise := parse(iotest.OneByteReader(bytes.NewReader(input)))
+		if fmt.Sprint(whole, errWhole) != fmt.Sprint(bytewise, errBytewise) {
+			t.Fatalf("whole: %q %v; byte by byte: %q %v", whole, errWhole, bytewise, errBytewise)
+		}
+		if !errors.Is(errWhole, io.EOF) && !errors.Is(errWhole, errEventTooLarge) {
+			t.Fatalf("unexpected error: %v", errWhole)
+		}
+		ends := bytes.Count(input, []byte("\n\n")) + bytes.Count(input, []byte("\n\r\n"))
+		if len(whole) > ends {
+			t.Fatalf("%d events from %d blank lines", len(whole), ends)
+		}
+	})
+}
+
+// BenchmarkTokenStream measures the tokens that one core relays: parse, check of
+// the order and the write of an event.
+func BenchmarkTokenStream(b *testing.B) {
+	var body bytes.Buffer
+	const tokens = 1000
+	for i := range tokens {
+		fmt.Fprintf(&body, "id: %d\ndata: {\"index\":%d,\"text\":\" word\"}\n\n", i, i)
+	}
+	b.ReportAllocs()
+	b.SetBytes(int64(body.Len() / tokens))
+	for done := 0; done < b.N; {
+		s := &stream{call: &call{}, events: newEventReader(bytes.NewReader(body.Bytes()), 64<<10)}
+		for range min(tokens, b.N-done) {
+			token, err := s.read()
+			if err != nil {
+				b.Fatal(err)
+			}
+			fmt.Fprintf(io.Discard, "data: %s\n\n", token.Text)
+			done++
+		}
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tokens/s")
+}
