--- /dev/null
+++ b/pkg/config/order.go
@@ -0,0 +1,28 @@
+package config
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// SortedHashes returns the hashes of the pieces in a fixed order.
+func SortedHashes(pieces map[Hash][]byte) []Hash {
+	return slices.SortedFunc(maps.Keys(pieces), func(a, b Hash) int { return bytes.Compare(a[:], b[:]) })
+}
+
+// WithVersion returns the root under a higher version. Revocations that the root
+// adds take effect with that version.
+func (r Root) WithVersion(version core.Version) Root {
+	revoked := slices.Clone(r.Revoked)
+	for i := range revoked {
+		if revoked[i].Version == r.Version {
+			revoked[i].Version = version
+		}
+	}
+	r.Version = version
+	r.Revoked = revoked
+	return r
+}
--- a/pkg/lab/plain/plain.go
+++ b/pkg/lab/plain/plain.go
@@ -83,6 +83,7 @@
 	s := &Server{opts: opts, mux: http.NewServeMux(), crashed: make(chan struct{}), counts: make(map[string]int)}
 	s.net = faultnet.NewServer(s)
 	s.mux.HandleFunc("GET /lookup/{name...}", s.work)
+	s.mux.HandleFunc("GET /public/{name...}", s.work)
 	s.mux.HandleFunc("POST /call", s.work)
 	s.mux.HandleFunc("POST /call/{rest...}", s.work)
 	s.mux.HandleFunc("GET /v1/load", s.serveLoad)
--- /dev/null
+++ b/pkg/operator/command.go
@@ -0,0 +1,383 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/keys"
+	"github.com/rhubarbsill/rhubarbsill/pkg/platform"
+	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK          = 0
+	ExitFindings    = 1 // findings in a document, or another refusal
+	ExitUsage       = 2
+	ExitConflict    = 3
+	ExitUnreachable = 4
+)
+
+// errFindings says that findings were printed.
+var errFindings = errors.New("the document has findings")
+
+// usageError is an error in how the command line was called.
+type usageError struct{ error }
+
+// cli is the command line with its streams and global flags.
+type cli struct {
+	out, errOut io.Writer
+	output      string // text or json
+	platformURL string
+}
+
+// Main runs the command line and returns its exit code.
+func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
+	c := &cli{out: out, errOut: errOut}
+	root := c.command()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	if err != nil && !errors.Is(err, errFindings) {
+		fmt.Fprintf(errOut, "rhubarbsill: %v\n", err)
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var conflict *ConflictError
+	var usage usageError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &usage), strings.HasPrefix(err.Error(), "unknown command"):
+		return ExitUsage
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnknown), errors.Is(err, errUnreachable):
+		return ExitUnreachable
+	default:
+		return ExitFindings
+	}
+}
+
+func (c *cli) command() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "rhubarbsill",
+		Short:         "Check, try and promote configurations, and read what the fleet reports",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if c.output != "text" && c.output != "json" {
+				return usageError{fmt.Errorf("--output is %q, want text or json", c.output)}
+			}
+			return nil
+		},
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	flags := root.PersistentFlags()
+	flags.StringVar(&c.output, "output", "text", "text or json")
+	flags.StringVar(&c.platformURL, "platform", os.Getenv("RHUBARBSILL_PLATFORM"), "base URL of the platform (default $RHUBARBSILL_PLATFORM)")
+	root.AddCommand(c.configCommand(), c.keyCommand(), c.statusCommand(), c.timelineCommand(), c.versionCommand())
+	return root
+}
+
+func args(n int) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, given []string) error {
+		if len(given) != n {
+			return usageError{fmt.Errorf("%s takes %d arguments, got %d", cmd.CommandPath(), n, len(given))}
+		}
+		return nil
+	}
+}
+
+func (c *cli) store() (platform.Client, error) {
+	if c.platformURL == "" {
+		return nil, usageError{errors.New("--platform or $RHUBARBSILL_PLATFORM must be set")}
+	}
+	return platform.NewHTTP(c.platformURL, platform.Options{}), nil
+}
+
+func (c *cli) operator() (*Operator, error) {
+	store, err := c.store()
+	if err != nil {
+		return nil, err
+	}
+	return New(store), nil
+}
+
+// print writes a result as JSON, or as the given text.
+func (c *cli) print(result any, format string, values ...any) error {
+	if c.output == "json" {
+		return json.NewEncoder(c.out).Encode(result)
+	}
+	_, err := fmt.Fprintf(c.out, format, values...)
+	return err
+}
+
+func (c *cli) configCommand() *cobra.Command {
+	command := &cobra.Command{Use: "config", Short: "Work on the configuration of an environment"}
+	command.AddCommand(
+		&cobra.Command{
+			Use:     "check FILE",
+			Short:   "Report every finding of a document with its place",
+			Example: "  rhubarbsill config check production.jsonc",
+			Args:    args(1),
+			RunE:    func(_ *cobra.Command, given []string) error { return c.check(given[0]) },
+		},
+		&cobra.Command{
+			Use:     "trial FILE",
+			Short:   "Put a document in trial, which takes no production traffic",
+			Example: "  rhubarbsill config trial production.jsonc --platform http://10.0.0.5:8080",
+			Args:    args(1),
+			RunE:    func(cmd *cobra.Command, given []string) error { return c.trial(cmd.Context(), given[0]) },
+		},
+		&cobra.Command{
+			Use:     "promote",
+			Short:   "Promote the document in trial to production",
+			Example: "  rhubarbsill config promote",
+			Args:    args(0),
+			RunE:    func(cmd *cobra.Command, _ []string) error { return c.promote(cmd.Context()) },
+		},
+		c.showCommand(),
+		c.historyCommand(),
+	)
+	return command
+}
+
+// readDocument parses a file. Findings are printed, all of them.
+func (c *cli) readDocument(file string) (*config.Document, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	doc, findings := config.Parse(file, text)
+	if len(findings) == 0 {
+		return doc, nil
+	}
+	if c.output == "json" {
+		err = json.NewEncoder(c.out).Encode(findings)
+	} else {
+		for _, finding := range findings {
+			fmt.Fprintln(c.out, finding)
+		}
+		fmt.Fprintf(c.out, "%d findings\n", len(findings))
+	}
+	return nil, errors.Join(err, errFindings)
+}
+
+func (c *cli) check(file string) error {
+	doc, err := c.readDocument(file)
+	if err != nil {
+		return err
+	}
+	if c.output == "json" {
+		return json.NewEncoder(c.out).Encode([]config.Finding{})
+	}
+	_, err = fmt.Fprintf(c.out, "%s: no findings, %d services, %d accounts\n", file, len(doc.Services), len(doc.Accounts))
+	return err
+}
+
+func (c *cli) trial(ctx context.Context, file string) error {
+	doc, err := c.readDocument(file)
+	if err != nil {
+		return err
+	}
+	op, err := c.operator()
+	if err != nil {
+		return err
+	}
+	result, err := op.Try(ctx, doc)
+	if err != nil {
+		return err
+	}
+	return c.print(result, "version %d is in trial, on top of production version %d: %d pieces, %d bytes written\n",
+		result.Version, result.Base, result.Pieces, result.Bytes)
+}
+
+func (c *cli) promote(ctx context.Context) error {
+	op, err := c.operator()
+	if err != nil {
+		return err
+	}
+	result, err := op.Promote(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(result, "version %d is in production, it replaces version %d\n", result.Version, result.Base)
+}
+
+func (c *cli) showCommand() *cobra.Command {
+	var environment string
+	command := &cobra.Command{
+		Use:     "show",
+		Short:   "Print the document of an environment",
+		Example: "  rhubarbsill config show --environment trial",
+		Args:    args(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if environment != Trial && environment != Production {
+				return usageError{fmt.Errorf("--environment is %q, want trial or production", environment)}
+			}
+			op, err := c.operator()
+			if err != nil {
+				return err
+			}
+			doc, version, err := op.Document(cmd.Context(), environment)
+			if err != nil {
+				return err
+			}
+			if doc == nil {
+				return fmt.Errorf("%s has no configuration yet", environment)
+			}
+			_, err = fmt.Fprintf(c.out, "// version %d\n%s\n", version, config.Format(doc))
+			return err
+		},
+	}
+	command.Flags().StringVar(&environment, "environment", Production, "trial or production")
+	return command
+}
+
+func (c *cli) historyCommand() *cobra.Command {
+	var limit int
+	command := &cobra.Command{
+		Use:   "history",
+		Short: "List the promotions, the latest first",
+		Args:  args(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			op, err := c.operator()
+			if err != nil {
+				return err
+			}
+			entries, err := op.History(cmd.Context(), limit)
+			if err != nil {
+				return err
+			}
+			if c.output == "json" {
+				return json.NewEncoder(c.out).Encode(entries)
+			}
+			for _, entry := range entries {
+				fmt.Fprintf(c.out, "%d\t%s\n", entry.Version, entry.At.Format(time.RFC3339))
+			}
+			return nil
+		},
+	}
+	command.Flags().IntVar(&limit, "limit", 20, "largest number of promotions")
+	return command
+}
+
+func (c *cli) keyCommand() *cobra.Command {
+	command := &cobra.Command{Use: "key", Short: "Work on the keys of client accounts"}
+	command.AddCommand(&cobra.Command{
+		Use:     "new ACCOUNT ID",
+		Short:   "Make a key: its text for the client, its entry for the document",
+		Example: "  rhubarbsill key new taberna-sol k2",
+		Args:    args(2),
+		RunE: func(_ *cobra.Command, given []string) error {
+			text, entry, err := keys.Generate(rand.Reader, core.AccountID(given[0]), core.KeyID(given[1]))
+			if err != nil {
+				return usageError{err}
+			}
+			encoded, err := json.Marshal(entry)
+			if err != nil {
+				return err
+			}
+			result := newKey{Text: text, Entry: encoded}
+			return c.print(result, "key (shown once): %s\nentry: %s\n", text, encoded)
+		},
+	})
+	return command
+}
+
+type newKey struct {
+	Text  string          `json:"key"`
+	Entry json.RawMessage `json:"entry"`
+}
+
+func (c *cli) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "status",
+		Short:   "Show every live instance and the configuration version that it has in force",
+		Example: "  rhubarbsill status --output json",
+		Args:    args(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			op, err := c.operator()
+			if err != nil {
+				return err
+			}
+			report, err := op.Status(cmd.Context())
+			if err != nil {
+				return err
+			}
+			if c.output == "json" {
+				return json.NewEncoder(c.out).Encode(report)
+			}
+			return report.write(c.out)
+		},
+	}
+}
+
+func (c *cli) timelineCommand() *cobra.Command {
+	var request, account, up string
+	var since time.Duration
+	command := &cobra.Command{
+		Use:   "timeline",
+		Short: "Show the events of all instances in one order",
+		Example: "  rhubarbsill timeline --request 01a23f4e-b945-7824-81ff-fe7668667ab7\n" +
+			"  rhubarbsill timeline --account taberna-sol --since 5m",
+		Args: args(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			op, err := c.operator()
+			if err != nil {
+				return err
+			}
+			events, missing, err := op.Timeline(cmd.Context(), Query{
+				Request: request, Account: account, Upstream: up, Since: since,
+			})
+			if err != nil {
+				return err
+			}
+			for _, id := range missing {
+				fmt.Fprintf(c.errOut, "instance %s did not answer: its events are missing\n", id)
+			}
+			if c.output == "json" {
+				return timeline.WriteJSON(c.out, events)
+			}
+			return timeline.WriteText(c.out, events)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&request, "request", "", "events of this request")
+	flags.StringVar(&account, "account", "", "events of this account")
+	flags.StringVar(&up, "upstream", "", "events of this upstream")
+	flags.DurationVar(&since, "since", 0, "events of this last period, 0 for all that are kept")
+	return command
+}
+
+func (c *cli) versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version of this program",
+		Args:  args(0),
+		RunE: func(*cobra.Command, []string) error {
+			info, ok := debug.ReadBuildInfo()
+			if !ok {
+				return errors.New("the program has no build information")
+			}
+			result := map[string]string{"version": info.Main.Version, "go": info.GoVersion}
+			return c.print(result, "rhubarbsill %s (%s)\n", info.Main.Version, info.GoVersion)
+		},
+	}
+}
--- /dev/null
+++ b/pkg/operator/promote.go
@@ -0,0 +1,305 @@
+// Package operator does the work of the operator's command line: it tries and
+// promotes configuration documents, shows them, and gathers status and timeline
+// from the Instances.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/platform"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+)
+
+// The places of the platform that hold a configuration. Trial takes no
+// production traffic.
+const (
+	Trial      = "trial"
+	Production = "production"
+)
+
+const (
+	trialBaseObject = "config/trial/base"
+	historyPrefix   = "config/history/"
+)
+
+// trialBase says on which production version a trial builds.
+type trialBase struct {
+	// Root is the hash of the trial root that this base belongs to.
+	Root config.Hash `json:"root"`
+	// Production is the configuration version, StoreVersion the object version
+	// that production had.
+	Production   core.Version `json:"production_version"`
+	StoreVersion uint64       `json:"production_store_version"`
+}
+
+// ConflictError says that production has changed since the trial.
+type ConflictError struct {
+	Tried   core.Version // the production version that the trial builds on
+	Current core.Version // the production version now
+}
+
+// Error names both versions.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("the trial builds on production version %d, but production is at version %d: try the document again", e.Tried, e.Current)
+}
+
+// Entry is one promotion in the history.
+type Entry struct {
+	Version core.Version `json:"version"`
+	At      time.Time    `json:"at"`
+	Root    config.Root  `json:"root"`
+}
+
+// Result is the outcome of a trial or a promotion.
+type Result struct {
+	Version core.Version `json:"version"`
+	// Base is the production version that this one replaces.
+	Base   core.Version `json:"base"`
+	Pieces int          `json:"pieces_written"`
+	Bytes  int          `json:"bytes_written"`
+}
+
+// storedRoot is a root together with the version of its object.
+type storedRoot struct {
+	root         config.Root
+	storeVersion uint64
+}
+
+// Operator acts on the configuration in the platform's store.
+type Operator struct {
+	store platform.Client
+	now   func() time.Time
+}
+
+// New returns an Operator on the store.
+func New(store platform.Client) *Operator {
+	return &Operator{store: store, now: time.Now}
+}
+
+// readRoot returns the root of an environment, empty when there is none.
+func (o *Operator) readRoot(ctx context.Context, environment string) (storedRoot, error) {
+	object, err := o.store.Get(ctx, router.RootObject(environment))
+	if errors.Is(err, platform.ErrNotFound) {
+		return storedRoot{}, nil
+	}
+	if err != nil {
+		return storedRoot{}, fmt.Errorf("read the %s root: %w", environment, err)
+	}
+	root, err := config.ParseRoot(object.Value)
+	if err != nil {
+		return storedRoot{}, fmt.Errorf("the %s root: %w", environment, err)
+	}
+	return storedRoot{root: root, storeVersion: object.Version}, nil
+}
+
+// Document returns the configuration of an environment, nil when there is none.
+func (o *Operator) Document(ctx context.Context, environment string) (*config.Document, core.Version, error) {
+	stored, err := o.readRoot(ctx, environment)
+	if err != nil || stored.root.Version == 0 {
+		return nil, 0, err
+	}
+	doc, err := o.assemble(ctx, stored.root)
+	return doc, stored.root.Version, err
+}
+
+func (o *Operator) assemble(ctx context.Context, root config.Root) (*config.Document, error) {
+	var failed error
+	doc, err := config.Assemble(root, func(hash config.Hash) ([]byte, bool) {
+		object, err := o.store.Get(ctx, router.PieceObject(hash))
+		if err != nil {
+			failed = fmt.Errorf("read piece %s: %w", hash, err)
+			return nil, false
+		}
+		return object.Value, true
+	})
+	if failed != nil {
+		return nil, failed
+	}
+	return doc, err
+}
+
+// Try puts a checked document in trial, on top of the current production
+// version. The pieces are written first, so that a root never names a piece
+// that the store lacks.
+func (o *Operator) Try(ctx context.Context, doc *config.Document) (Result, error) {
+	production, err := o.readRoot(ctx, Production)
+	if err != nil {
+		return Result{}, err
+	}
+	trial, err := o.readRoot(ctx, Trial)
+	if err != nil {
+		return Result{}, err
+	}
+	var before *config.Document
+	if production.root.Version != 0 {
+		if before, err = o.assemble(ctx, production.root); err != nil {
+			return Result{}, err
+		}
+	}
+	root, pieces := config.Succeed(production.root, before, doc)
+	// Two trials on the same base have different versions, so that an Instance
+	// that follows the trial sees the later one as newer.
+	root = root.WithVersion(max(root.Version, trial.root.Version+1))
+	result := Result{Version: root.Version, Base: production.root.Version}
+	if err := o.writePieces(ctx, pieces, &result); err != nil {
+		return Result{}, err
+	}
+	encoded := root.Encode()
+	base, err := json.Marshal(trialBase{
+		Root:         config.HashOf(encoded),
+		Production:   production.root.Version,
+		StoreVersion: production.storeVersion,
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	if err := o.replace(ctx, trialBaseObject, base); err != nil {
+		return Result{}, err
+	}
+	_, err = o.put(ctx, router.RootObject(Trial), encoded, trial.storeVersion)
+	var conflict platform.ErrConflict
+	if errors.As(err, &conflict) {
+		return Result{}, fmt.Errorf("another operator changed the trial at the same time: %w", err)
+	}
+	return result, err
+}
+
+func (o *Operator) writePieces(ctx context.Context, pieces map[config.Hash][]byte, result *Result) error {
+	for _, hash := range config.SortedHashes(pieces) {
+		body := pieces[hash]
+		_, err := o.put(ctx, router.PieceObject(hash), body, 0)
+		var conflict platform.ErrConflict
+		if errors.As(err, &conflict) {
+			continue // the store holds this content already
+		}
+		if err != nil {
+			return fmt.Errorf("write piece %s: %w", hash, err)
+		}
+		result.Pieces++
+		result.Bytes += len(body)
+	}
+	return nil
+}
+
+// Promote makes the trial the production configuration, if production is still
+// the version that the trial builds on. Otherwise it returns a *ConflictError
+// and changes nothing.
+func (o *Operator) Promote(ctx context.Context) (Result, error) {
+	trial, err := o.readRoot(ctx, Trial)
+	if err != nil {
+		return Result{}, err
+	}
+	if trial.root.Version == 0 {
+		return Result{}, errors.New("no document is in trial")
+	}
+	encoded := trial.root.Encode()
+	base, err := o.readBase(ctx, config.HashOf(encoded))
+	if err != nil {
+		return Result{}, err
+	}
+	result := Result{Version: trial.root.Version, Base: base.Production}
+	_, err = o.put(ctx, router.RootObject(Production), encoded, base.StoreVersion)
+	var conflict platform.ErrConflict
+	if errors.As(err, &conflict) {
+		return o.afterConflict(ctx, result, encoded)
+	}
+	if err != nil {
+		return Result{}, fmt.Errorf("promote: %w", err)
+	}
+	return result, o.writeHistory(ctx, trial.root)
+}
+
+func (o *Operator) readBase(ctx context.Context, root config.Hash) (trialBase, error) {
+	object, err := o.store.Get(ctx, trialBaseObject)
+	if err != nil {
+		return trialBase{}, fmt.Errorf("read the base of the trial: %w", err)
+	}
+	var base trialBase
+	if err := json.Unmarshal(object.Value, &base); err != nil {
+		return trialBase{}, fmt.Errorf("the base of the trial: %w", err)
+	}
+	if base.Root != root {
+		return trialBase{}, errors.New("the trial was being changed by another operator: try the document again")
+	}
+	return base, nil
+}
+
+func (o *Operator) afterConflict(ctx context.Context, result Result, encoded []byte) (Result, error) {
+	current, err := o.readRoot(ctx, Production)
+	if err != nil {
+		return Result{}, err
+	}
+	if bytes.Equal(current.root.Encode(), encoded) {
+		return result, o.writeHistory(ctx, current.root) // promoted already
+	}
+	return Result{}, &ConflictError{Tried: result.Base, Current: current.root.Version}
+}
+
+func (o *Operator) writeHistory(ctx context.Context, root config.Root) error {
+	value, err := json.Marshal(Entry{Version: root.Version, At: o.now().UTC(), Root: root})
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("%s%020d", historyPrefix, root.Version)
+	_, err = o.put(ctx, name, value, 0)
+	var conflict platform.ErrConflict
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	return err
+}
+
+// History returns the promotions, the latest first, at most limit.
+func (o *Operator) History(ctx context.Context, limit int) ([]Entry, error) {
+	infos, err := o.store.List(ctx, historyPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var entries []Entry
+	for i := len(infos) - 1; i >= 0 && len(entries) < limit; i-- {
+		object, err := o.store.Get(ctx, infos[i].Name)
+		if err != nil {
+			return nil, err
+		}
+		var entry Entry
+		if err := json.Unmarshal(object.Value, &entry); err != nil {
+			return nil, fmt.Errorf("%s: %w", infos[i].Name, err)
+		}
+		entries = append(entries, entry)
+	}
+	return entries, nil
+}
+
+// put writes an object and settles an answer that was lost by reading back.
+func (o *Operator) put(ctx context.Context, name string, value []byte, base uint64) (uint64, error) {
+	version, err := o.store.Put(ctx, name, value, base)
+	if !errors.Is(err, platform.ErrUnknown) {
+		return version, err
+	}
+	object, readErr := o.store.Get(ctx, name)
+	switch {
+	case readErr == nil && object.Version > base && bytes.Equal(object.Value, value):
+		return object.Version, nil
+	case readErr == nil && object.Version != base:
+		return 0, platform.ErrConflict{Current: object.Version}
+	default:
+		return 0, fmt.Errorf("%w; reading %s back did not settle it", err, name)
+	}
+}
+
+// replace writes an object whatever its version.
+func (o *Operator) replace(ctx context.Context, name string, value []byte) error {
+	object, err := o.store.Get(ctx, name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	_, err = o.put(ctx, name, value, object.Version)
+	return err
+}
--- /dev/null
+++ b/pkg/operator/status.go
@@ -0,0 +1,210 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/platform"
+	"github.com/rhubarbsill/rhubarbsill/pkg/server"
+	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
+)
+
+// errUnreachable says that no Instance could be asked.
+var errUnreachable = errors.New("no instance could be reached")
+
+// askTimeout bounds the question to one Instance, askAtOnce the questions at a
+// time.
+const (
+	askTimeout = 3 * time.Second
+	askAtOnce  = 32
+)
+
+// Report is the state of the fleet.
+type Report struct {
+	// Production is the promoted version.
+	Production core.Version `json:"production_version"`
+	// Versions lists for each version the live Instances that have it in force.
+	Versions  []VersionReport  `json:"versions"`
+	Instances []InstanceReport `json:"instances"`
+}
+
+// VersionReport names the Instances that have a version in force.
+type VersionReport struct {
+	Version   core.Version `json:"version"`
+	Instances []string     `json:"instances"`
+}
+
+// InstanceReport is the state of one listed Instance.
+type InstanceReport struct {
+	ID         string                 `json:"id"`
+	DataCentre string                 `json:"data_centre"`
+	State      platform.InstanceState `json:"state"`
+	// Status is nil when the Instance did not answer.
+	Status *server.Status `json:"status,omitempty"`
+}
+
+// Status asks every listed Instance for its status.
+func (o *Operator) Status(ctx context.Context) (Report, error) {
+	production, err := o.readRoot(ctx, Production)
+	if err != nil {
+		return Report{}, err
+	}
+	report := Report{Production: production.root.Version}
+	listed, addrs, err := o.instances(ctx)
+	if err != nil {
+		return Report{}, err
+	}
+	report.Instances = make([]InstanceReport, len(listed))
+	each(len(listed), func(i int) {
+		entry := InstanceReport{ID: listed[i].ID, DataCentre: listed[i].DataCentre, State: listed[i].State}
+		var status server.Status
+		if ask(ctx, addrs[listed[i].ID], "/status", nil, &status) == nil {
+			entry.Status = &status
+		}
+		report.Instances[i] = entry
+	})
+	report.Versions = versionsOf(report.Instances)
+	return report, nil
+}
+
+func versionsOf(instances []InstanceReport) []VersionReport {
+	var versions []VersionReport
+	for _, instance := range instances {
+		if instance.Status == nil {
+			continue
+		}
+		version := instance.Status.Version
+		i, found := slices.BinarySearchFunc(versions, version, func(v VersionReport, want core.Version) int {
+			return int(int64(v.Version) - int64(want))
+		})
+		if !found {
+			versions = slices.Insert(versions, i, VersionReport{Version: version})
+		}
+		versions[i].Instances = append(versions[i].Instances, instance.ID)
+	}
+	return versions
+}
+
+// instances returns the platform's list and the status addresses that the
+// Instances have published.
+func (o *Operator) instances(ctx context.Context) ([]platform.Instance, map[string]string, error) {
+	listed, err := o.store.Instances(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	addrs := make([]string, len(listed))
+	each(len(listed), func(i int) {
+		object, err := o.store.Get(ctx, server.StatusObject(core.InstanceID(listed[i].ID)))
+		if err != nil {
+			return
+		}
+		var published server.InstanceStatus
+		if json.Unmarshal(object.Value, &published) == nil {
+			addrs[i] = published.StatusAddr
+		}
+	})
+	byID := map[string]string{}
+	for i, instance := range listed {
+		byID[instance.ID] = addrs[i]
+	}
+	return listed, byID, nil
+}
+
+func each(n int, work func(int)) {
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, askAtOnce)
+	for i := range n {
+		slots <- struct{}{}
+		wait.Go(func() {
+			work(i)
+			<-slots
+		})
+	}
+	wait.Wait()
+}
+
+func ask(ctx context.Context, addr, path string, query url.Values, answer any) error {
+	if addr == "" {
+		return errUnreachable
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	target := url.URL{Scheme: "http", Host: addr, Path: path, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", target.String(), response.Status)
+	}
+	return json.NewDecoder(response.Body).Decode(answer)
+}
+
+func (r Report) write(out io.Writer) error {
+	fmt.Fprintf(out, "production version %d\n", r.Production)
+	for _, version := range r.Versions {
+		fmt.Fprintf(out, "version %d in force on %d instances: %s\n", version.Version, len(version.Instances), strings.Join(version.Instances, " "))
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "INSTANCE\tDATA CENTRE\tLIST\tVERSION\tKEYS\tROSTER\tREQUESTS")
+	for _, instance := range r.Instances {
+		if instance.Status == nil {
+			fmt.Fprintf(table, "%s\t%s\t%s\tno answer\t\t\t\n", instance.ID, instance.DataCentre, instance.State)
+			continue
+		}
+		s := instance.Status
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%d\t%d\n",
+			instance.ID, instance.DataCentre, instance.State, s.Version, s.Keys, s.Epoch, s.Requests)
+	}
+	return table.Flush()
+}
+
+// Query selects events of the timeline. Empty fields match everything.
+type Query struct {
+	Request, Account, Upstream string
+	Since                      time.Duration
+}
+
+// Timeline returns the matching events of all Instances in one order, and the
+// Instances that did not answer.
+func (o *Operator) Timeline(ctx context.Context, q Query) ([]timeline.Event, []string, error) {
+	listed, addrs, err := o.instances(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	query := url.Values{"request": {q.Request}, "account": {q.Account}, "upstream": {q.Upstream}}
+	if q.Since > 0 {
+		query.Set("since", o.now().Add(-q.Since).UTC().Format(time.RFC3339Nano))
+	}
+	lists := make([][]timeline.Event, len(listed))
+	failed := make([]bool, len(listed))
+	each(len(listed), func(i int) {
+		failed[i] = ask(ctx, addrs[listed[i].ID], "/timeline", query, &lists[i]) != nil
+	})
+	var missing []string
+	for i, instance := range listed {
+		if failed[i] {
+			missing = append(missing, instance.ID)
+		}
+	}
+	if len(missing) == len(listed) {
+		return nil, missing, errUnreachable
+	}
+	return timeline.Merge(lists), missing, nil
+}
--- a/pkg/platform/http.go
+++ b/pkg/platform/http.go
@@ -13,8 +13,6 @@
 	"strings"
 	"sync/atomic"
 	"time"
-
-	"github.com/joomcode/errorx"
 )
 
 // Options are the settings of the HTTP client. Zero fields take the default.
@@ -105,7 +103,7 @@
 	}
 	r, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/objects/" + name})
 	if err != nil {
-		return Object{}, errorx.Decorate(err, "get object %q", name)
+		return Object{}, decorate(err, "get object %q", name)
 	}
 	return Object{Name: name, Version: r.version, Value: r.body}, nil
 }
@@ -115,7 +113,7 @@
 		return 0, err
 	}
 	if len(value) > MaxValueBytes {
-		return 0, errorx.Decorate(ErrTooLarge, "put object %q: %d bytes", name, len(value))
+		return 0, decorate(ErrTooLarge, "put object %q: %d bytes", name, len(value))
 	}
 	header := http.Header{}
 	if base == 0 {
@@ -125,7 +123,7 @@
 	}
 	r, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/objects/" + name, header: header, body: value})
 	if err != nil {
-		return 0, errorx.Decorate(err, "put object %q", name)
+		return 0, decorate(err, "put object %q", name)
 	}
 	return r.version, nil
 }
@@ -137,7 +135,7 @@
 	header := http.Header{"If-Match": {formatETag(base)}}
 	_, err := c.do(ctx, call{method: http.MethodDelete, path: "/v1/objects/" + name, header: header})
 	if err != nil {
-		return errorx.Decorate(err, "delete object %q", name)
+		return decorate(err, "delete object %q", name)
 	}
 	return nil
 }
@@ -146,7 +144,7 @@
 	query := url.Values{"prefix": {prefix}}
 	var infos []ObjectInfo
 	if err := c.getJSON(ctx, "/v1/objects", query, &infos); err != nil {
-		return nil, errorx.Decorate(err, "list objects %q", prefix)
+		return nil, decorate(err, "list objects %q", prefix)
 	}
 	return infos, nil
 }
@@ -167,7 +165,7 @@
 		pending: c.watches,
 	})
 	if err != nil {
-		return Object{}, errorx.Decorate(err, "watch object %q", name)
+		return Object{}, decorate(err, "watch object %q", name)
 	}
 	return Object{Name: name, Version: r.version, Value: r.body}, nil
 }
@@ -175,7 +173,7 @@
 func (c *httpClient) Instances(ctx context.Context) ([]Instance, error) {
 	var list []Instance
 	if err := c.getJSON(ctx, "/v1/instances", nil, &list); err != nil {
-		return nil, errorx.Decorate(err, "list instances")
+		return nil, decorate(err, "list instances")
 	}
 	return list, nil
 }
@@ -183,11 +181,11 @@
 func (c *httpClient) PutInstance(ctx context.Context, instance Instance) error {
 	body, err := json.Marshal(instance)
 	if err != nil {
-		return errorx.Decorate(err, "encode instance %q", instance.ID)
+		return decorate(err, "encode instance %q", instance.ID)
 	}
 	_, err = c.do(ctx, call{method: http.MethodPut, path: "/v1/instances/" + instance.ID, body: body})
 	if err != nil {
-		return errorx.Decorate(err, "put instance %q", instance.ID)
+		return decorate(err, "put instance %q", instance.ID)
 	}
 	return nil
 }
@@ -195,7 +193,7 @@
 func (c *httpClient) DeleteInstance(ctx context.Context, id string) error {
 	_, err := c.do(ctx, call{method: http.MethodDelete, path: "/v1/instances/" + id})
 	if err != nil {
-		return errorx.Decorate(err, "delete instance %q", id)
+		return decorate(err, "delete instance %q", id)
 	}
 	return nil
 }
--- a/pkg/router/effect.go
+++ b/pkg/router/effect.go
@@ -25,6 +25,9 @@
 	Outcome claims.Outcome
 }
 
+// Dropped says that nothing is left to do for a request whose caller has gone.
+type Dropped struct{ Request core.RequestID }
+
 // Complete says that the whole answer of a request was relayed.
 type Complete struct{ Request core.RequestID }
 
@@ -81,6 +84,7 @@
 
 // Cancel frees what an Upstream holds for an attempt, and ends its stream.
 type Cancel struct {
+	Request  core.RequestID // empty when the attempt is not of this Instance
 	Attempt  core.AttemptID
 	Upstream core.UpstreamID
 	URL      string
@@ -131,7 +135,13 @@
 // FetchPiece asks a peer for a piece of the configuration.
 type FetchPiece struct {
 	Hash config.Hash
-	From core.InstanceID
+	From core.InstanceRef
+	Addr string
+}
+
+// FetchRoot asks a peer for the root of the highest version that it has seen.
+type FetchRoot struct {
+	From core.InstanceRef
 	Addr string
 }
 
@@ -142,6 +152,9 @@
 type PollLoad struct {
 	Upstream core.UpstreamID
 	URL      string
+	// CacheEvents asks for the cache events from CacheAfter on, too.
+	CacheEvents bool
+	CacheAfter  uint64
 }
 
 // SendPeer sends a message to another Instance.
@@ -199,6 +212,8 @@
 func (StoreGet) effect()      {}
 func (StorePut) effect()      {}
 func (FetchPiece) effect()    {}
+func (FetchRoot) effect()     {}
+func (Dropped) effect()       {}
 func (ListInstances) effect() {}
 func (PollLoad) effect()      {}
 func (SendPeer) effect()      {}
--- a/pkg/router/event.go
+++ b/pkg/router/event.go
@@ -98,6 +98,8 @@
 	Attempt core.AttemptID
 	// Tokens counts all output tokens that the caller has.
 	Tokens int
+	// BetweenTokens is the 95th percentile of the time between two tokens.
+	BetweenTokens time.Duration
 	// Status is the HTTP status of a plain call.
 	Status int
 }
@@ -109,7 +111,10 @@
 }
 
 // CancelConfirmed says that an Upstream no longer runs an attempt.
-type CancelConfirmed struct{ Attempt core.AttemptID }
+type CancelConfirmed struct {
+	Attempt  core.AttemptID
+	Upstream core.UpstreamID
+}
 
 // LoadReported is the load of an Upstream, with the attempts that hold memory.
 type LoadReported struct {
@@ -123,26 +128,37 @@
 // CacheReported holds the prefix cache events of an Upstream.
 type CacheReported struct {
 	Upstream core.UpstreamID
-	Events   placement.CacheEvents
+	Events   []placement.CacheEvents
+	// Next is the sequence number from which to ask again.
+	Next uint64
 }
 
 // InstancesListed is the platform's list of Instances.
 type InstancesListed struct{ List []membership.Listed }
 
-// RootRead is a read of the configuration root.
+// RootRead is the configuration root that a peer has answered.
 type RootRead struct {
+	From core.InstanceRef
 	Root config.Root
-	// AskedAt is the instant at which the read was sent: the confirmation is as
-	// old as the question.
-	AskedAt core.Instant
+	// Age is an upper bound of the time since the store held the root.
+	Age time.Duration
 }
 
+// RootFailed says that a peer did not answer with its root.
+type RootFailed struct{ From core.InstanceRef }
+
 // PieceRead is a piece of the configuration.
 type PieceRead struct {
 	Hash config.Hash
 	Body []byte
 }
 
+// PieceFailed says that a peer did not answer with a piece.
+type PieceFailed struct {
+	From core.InstanceRef
+	Hash config.Hash
+}
+
 // StoreFailure is how a call of the object store failed.
 type StoreFailure string
 
@@ -199,6 +215,8 @@
 func (InstancesListed) event() {}
 func (RootRead) event()        {}
 func (PieceRead) event()       {}
+func (RootFailed) event()      {}
+func (PieceFailed) event()     {}
 func (StoreReplied) event()    {}
 func (PeerReceived) event()    {}
 func (EffectExpired) event()   {}
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -85,7 +85,7 @@
 	r.flows[q.ID] = f
 	r.record(now, "request", "accepted", f, string(f.service.Name))
 	if q.Resume != nil {
-		r.resume(now, f)
+		r.refuse(now, f, core.Refuse(core.CodeResumeInvalid, "answers can't be resumed yet"))
 		return
 	}
 	if refusal := r.attempts.Check(now, q.Fingerprint); refusal != nil {
@@ -266,7 +266,6 @@
 		Prefix:       f.request.Prefix,
 		Deadline:     min(f.request.Deadline, f.startBefore),
 		Avoid:        f.avoid,
-		Continued:    f.tokensSent > 0,
 	}
 	if f.account != nil {
 		job.Weight = f.account.Weight
@@ -336,7 +335,7 @@
 		case attempts.StartCall:
 			r.startCall(now, o)
 		case attempts.Cancel:
-			r.emit(Cancel{Attempt: o.Attempt, Upstream: o.Upstream, URL: r.upstreams[o.Upstream].url})
+			r.emit(Cancel{Request: r.running[o.Attempt], Attempt: o.Attempt, Upstream: o.Upstream, URL: r.upstreams[o.Upstream].url})
 		case attempts.Replace:
 			r.replace(now, o)
 		case attempts.Finished:
@@ -427,37 +426,6 @@
 	r.place(now, f)
 }
 
-// resume continues an answer that another Instance has begun. The tokens were
-// charged there.
-func (r *Router) resume(now core.Instant, f *flow) {
-	from := f.request.Resume
-	upstream, known := r.upstreams[from.Upstream]
-	if from.Account != f.accountID() || !known {
-		r.refuse(now, f, core.Refuse(core.CodeResumeInvalid, "the event id does not belong to an answer of this account"))
-		return
-	}
-	f.tokensSent = from.Offset
-	outputs := r.attempts.Adopt(now, attempts.Request{
-		ID:          f.request.ID,
-		Fingerprint: f.request.Fingerprint,
-		Idempotent:  true,
-		Deadline:    f.request.Deadline,
-		MaxOutput:   f.request.MaxOutput,
-	}, from.Attempt, from.Upstream)
-	r.running[from.Attempt] = f.request.ID
-	f.attempt = from.Attempt
-	r.emit(StartResume{
-		Request:  f.request.ID,
-		Attempt:  from.Attempt,
-		Upstream: from.Upstream,
-		URL:      upstream.url,
-		Offset:   from.Offset,
-		NotAfter: f.request.Deadline,
-	})
-	r.recordAt(now, "attempts", "resumed", f, from.Upstream, fmt.Sprintf("offset=%d", from.Offset))
-	r.applyAttempts(now, outputs)
-}
-
 func (r *Router) prefillDone(now core.Instant, e PrefillDone) {
 	f := r.flows[r.running[e.Attempt]]
 	if f == nil || f.attempt != e.Attempt {
@@ -521,6 +489,7 @@
 	if f.started() {
 		used = int64(f.request.PromptTokens + f.relayed)
 	}
+	r.emit(Dropped{Request: id})
 	r.finish(now, f, used)
 }
 
--- /dev/null
+++ b/pkg/router/heartbeat.go
@@ -0,0 +1,112 @@
+package router
+
+import (
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/keys"
+	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
+)
+
+// Heartbeat carries the membership heartbeat and the sender's youngest
+// confirmation of the configuration.
+type Heartbeat struct {
+	Membership membership.Heartbeat
+	// Version is 0 when the sender has no confirmation.
+	Version core.Version
+	Age     time.Duration
+	// Held is the time from the receipt of the heartbeat that Membership.Echo
+	// names to the sending of this one.
+	Held time.Duration
+}
+
+// sentRounds bounds the heartbeat rounds whose sending time is kept. A peer
+// echoes a round that is at most a few rounds old.
+const sentRounds = 128
+
+// heartbeats keeps the times that bound the age of a confirmation in a peer's
+// heartbeat without comparing clocks.
+type heartbeats struct {
+	sent     map[uint64]core.Instant
+	received map[core.InstanceRef]receipt
+}
+
+type receipt struct {
+	seq uint64
+	at  core.Instant
+}
+
+func newHeartbeats() heartbeats {
+	return heartbeats{sent: map[uint64]core.Instant{}, received: map[core.InstanceRef]receipt{}}
+}
+
+func (h *heartbeats) noteSent(now core.Instant, seq uint64) {
+	if _, known := h.sent[seq]; known {
+		return
+	}
+	h.sent[seq] = now
+	if seq > sentRounds {
+		delete(h.sent, seq-sentRounds)
+	}
+}
+
+func (h *heartbeats) noteReceived(now core.Instant, from core.InstanceRef, seq uint64) {
+	if seq > h.received[from].seq {
+		h.received[from] = receipt{seq: seq, at: now}
+	}
+}
+
+// forget drops the peers that are no longer members.
+func (h *heartbeats) forget(roster membership.Roster) {
+	for ref := range h.received {
+		if member, found := roster.Member(ref.ID); !found || member.Ref.Incarnation > ref.Incarnation {
+			delete(h.received, ref)
+		}
+	}
+}
+
+func (r *Router) sendHeartbeat(now core.Instant, o membership.SendHeartbeat) {
+	r.beats.noteSent(now, o.Heartbeat.Seq)
+	beat := &Heartbeat{Membership: o.Heartbeat}
+	beat.Version, beat.Age = r.keys.Youngest(now)
+	echoed := core.InstanceRef{ID: o.To, Incarnation: o.Heartbeat.EchoOf}
+	if last, found := r.beats.received[echoed]; found && last.seq == o.Heartbeat.Echo {
+		beat.Held = now.Sub(last.at)
+	}
+	r.emit(SendPeer{To: o.To, Addr: o.PeerAddr, Message: Message{Heartbeat: beat}, NotAfter: core.Never})
+}
+
+func (r *Router) heartbeatReceived(now core.Instant, from core.InstanceRef, h *Heartbeat) {
+	r.beats.noteReceived(now, from, h.Membership.Seq)
+	r.applyMembership(now, r.membership.OnHeartbeat(now, h.Membership))
+	member, found := r.membership.Roster().Member(from.ID)
+	if !found {
+		return
+	}
+	age, bounded := r.confirmationAge(now, h)
+	if !bounded {
+		return
+	}
+	r.keys.PeerHeard(now, from, member.Region, age)
+	if h.Version == 0 {
+		return
+	}
+	r.keys.Confirm(now, h.Version, age)
+	r.applyRollout(now, r.rollout.OnConfirmation(now, h.Version, age, from))
+}
+
+// confirmationAge bounds the age of the confirmation in a heartbeat. It needs
+// the echo of a heartbeat of this run; without one the message may be old.
+func (r *Router) confirmationAge(now core.Instant, h *Heartbeat) (time.Duration, bool) {
+	sent, known := r.beats.sent[h.Membership.Echo]
+	if !known || h.Membership.EchoOf != r.self.Ref.Incarnation {
+		return 0, false
+	}
+	if h.Version == 0 {
+		return noConfirmation, true
+	}
+	return keys.AgeBound(now, sent, h.Held, h.Age), true
+}
+
+// noConfirmation is the age given to a peer that has no confirmation.
+const noConfirmation = 365 * 24 * time.Hour
--- a/pkg/router/load.go
+++ b/pkg/router/load.go
@@ -76,6 +76,13 @@
 	r.forwardLoad(now, e)
 }
 
+func (r *Router) cacheReported(now core.Instant, e CacheReported) {
+	r.cacheAfter[e.Upstream] = e.Next
+	for _, run := range e.Events {
+		r.placement.OnCacheEvents(now, e.Upstream, run)
+	}
+}
+
 // forwardLoad passes a report on to the members of this region. KV cache does
 // not cross regions, so other regions have no use for it.
 func (r *Router) forwardLoad(now core.Instant, e LoadReported) {
--- a/pkg/router/message.go
+++ b/pkg/router/message.go
@@ -1,13 +1,14 @@
 package router
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/limits"
-	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
 	"github.com/rhubarbsill/rhubarbsill/pkg/placement"
+	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
 )
 
 // Message is a one-way message between two Instances. Exactly one field is set.
@@ -22,16 +23,6 @@
 	Load         *LoadNotice
 }
 
-// Heartbeat carries the membership heartbeat and the sender's youngest
-// confirmation of the configuration.
-type Heartbeat struct {
-	Membership membership.Heartbeat
-	Version    core.Version
-	// Age is the age of the confirmation when the heartbeat was sent. It is
-	// negative when the sender has none.
-	Age time.Duration
-}
-
 // LoadNotice passes the load of Upstreams on to the peers that do not poll them.
 type LoadNotice struct{ Upstreams []UpstreamLoad }
 
@@ -62,10 +53,9 @@
 	case m.LoanRequest != nil:
 		r.loanRequested(now, from, *m.LoanRequest)
 	case m.LoanReply != nil:
-		r.applyAdmitted(now, r.limits.OnLoanReply(now, from.ID, *m.LoanReply))
+		r.applyAdmitted(now, r.limits.OnLoanReply(now, from, *m.LoanReply))
 	case m.Reserve != nil:
-		reply := r.placement.OnReserve(now, from, *m.Reserve)
-		r.sendTo(from.ID, Message{ReserveReply: &reply}, core.Never)
+		r.reserveRequested(now, from, *m.Reserve)
 	case m.ReserveReply != nil:
 		r.applyPlacement(now, r.placement.OnReserveReply(now, *m.ReserveReply))
 	case m.Release != nil:
@@ -77,24 +67,18 @@
 	}
 }
 
-func (r *Router) heartbeatReceived(now core.Instant, from core.InstanceRef, h *Heartbeat) {
-	r.applyMembership(now, r.membership.OnHeartbeat(now, h.Membership))
-	member, found := r.membership.Roster().Member(from.ID)
-	if !found {
-		return
-	}
-	if h.Age < 0 {
-		r.keys.PeerHeard(now, from, member.Region, noConfirmation)
-		return
-	}
-	r.keys.PeerHeard(now, from, member.Region, h.Age)
-	r.keys.Confirm(now, h.Version, h.Age)
-	r.applyRollout(now, r.rollout.OnConfirmation(now, h.Version, h.Age, from.ID))
+func (r *Router) reserveRequested(now core.Instant, from core.InstanceRef, q placement.ReserveRequest) {
+	reply := r.placement.OnReserve(now, from, q)
+	r.emit(Record{Event: timeline.Event{
+		Part:     "placement",
+		Kind:     "slot_asked",
+		Request:  q.ID,
+		Upstream: q.Upstream,
+		Detail:   fmt.Sprintf("from=%s granted=%t", from, reply.Granted),
+	}})
+	r.sendTo(from.ID, Message{ReserveReply: &reply}, core.Never)
 }
 
-// noConfirmation is the age passed on for a peer that has no confirmation.
-const noConfirmation = time.Duration(1<<63 - 1)
-
 // loanRequested answers with a loan when the account is known and this Instance
 // is one of its homes. An unknown account gets no answer: the borrower's
 // configuration is ahead, and it asks the next home after its timeout.
@@ -106,7 +90,7 @@
 	if !found {
 		return
 	}
-	reply := r.limits.OnLoanRequest(now, from.ID, accountLimit(account), q)
+	reply := r.limits.OnLoanRequest(now, from, accountLimit(account), q)
 	r.sendTo(from.ID, Message{LoanReply: &reply}, core.Never)
 }
 
--- a/pkg/router/record.go
+++ b/pkg/router/record.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
 )
@@ -66,6 +67,11 @@
 	Upstreams []core.UpstreamID  `json:"upstreams_polled"`
 	Leaving   bool               `json:"leaving"`
 	Stopped   string             `json:"stopped,omitempty"`
+
+	// Root is the root of the highest version seen, and ConfirmedAt the instant
+	// at which the store is known to have held it. Peers ask for them.
+	Root        config.Root  `json:"-"`
+	ConfirmedAt core.Instant `json:"-"`
 }
 
 // View returns the state to show to operators at the instant now.
@@ -73,7 +79,7 @@
 	roster := r.membership.Roster()
 	view := View{
 		Instance:  r.self.Ref,
-		Keys:      r.keys.Mode(now).String(),
+		Keys:      string(r.keys.Mode(now)),
 		Epoch:     roster.Epoch,
 		Settled:   roster.Settled,
 		Requests:  len(r.flows),
@@ -81,6 +87,9 @@
 		Leaving:   r.leaving,
 		Stopped:   r.stopped,
 	}
+	_, age := r.keys.Youngest(now)
+	view.Root = r.rollout.Root()
+	view.ConfirmedAt = now.Add(-age)
 	if r.snapshot != nil {
 		view.Version = r.snapshot.Version()
 	}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -73,6 +73,9 @@
 	flows     map[core.RequestID]*flow
 	running   map[core.AttemptID]core.RequestID
 	polls     pollSchedule
+	// cacheAfter is the sequence number up to which cache events were read.
+	cacheAfter map[core.UpstreamID]uint64
+	beats      heartbeats
 
 	rosterWrite membership.Roster // the roster of the write in flight
 	nextList    core.Instant
@@ -105,6 +108,9 @@
 		flows:     map[core.RequestID]*flow{},
 		running:   map[core.AttemptID]core.RequestID{},
 		drainAt:   core.Never,
+
+		cacheAfter: map[core.UpstreamID]uint64{},
+		beats:      newHeartbeats(),
 	}
 	r.keys = keys.New(p.Keys)
 	r.rollout = rollout.New(p.Rollout)
@@ -169,11 +175,16 @@
 	case LoadFailed:
 		r.polls.failed(now, e.Upstream)
 	case CacheReported:
-		r.placement.OnCacheEvents(now, e.Upstream, e.Events)
+		r.cacheReported(now, e)
 	case InstancesListed:
 		r.applyMembership(now, r.membership.OnList(now, e.List))
 	case RootRead:
-		r.rootRead(now, e)
+		r.applyRollout(now, r.rollout.OnRoot(now, e.Root, e.Age, rollout.Source{Peer: e.From}))
+	case RootFailed:
+		r.applyRollout(now, r.rollout.OnFailure(now, rollout.Want{From: rollout.Source{Peer: e.From}}))
+	case PieceFailed:
+		want := rollout.Want{Hash: e.Hash, From: rollout.Source{Peer: e.From}}
+		r.applyRollout(now, r.rollout.OnFailure(now, want))
 	case PieceRead:
 		r.applyRollout(now, r.rollout.OnPiece(now, e.Hash, e.Body))
 	case StoreReplied:
@@ -201,7 +212,8 @@
 	r.applyPlacement(now, r.placement.Tick(now))
 	r.applyAttempts(now, r.attempts.Tick(now))
 	for _, up := range r.polls.due(now) {
-		r.emit(PollLoad{Upstream: up, URL: r.upstreams[up].url})
+		entry := r.upstreams[up]
+		r.emit(PollLoad{Upstream: up, URL: entry.url, CacheEvents: entry.role == config.RolePrefill, CacheAfter: r.cacheAfter[up]})
 	}
 }
 
@@ -237,5 +249,6 @@
 	if r.leaving {
 		r.applyMembership(now, r.membership.Leave(now))
 	}
+	r.beats = newHeartbeats()
 	r.nextList = now
 }
--- a/pkg/router/store.go
+++ b/pkg/router/store.go
@@ -32,12 +32,7 @@
 	for _, output := range outputs {
 		switch o := output.(type) {
 		case membership.SendHeartbeat:
-			version, age := r.keys.Youngest(now)
-			if version == 0 {
-				age = -1
-			}
-			beat := &Heartbeat{Membership: o.Heartbeat, Version: version, Age: age}
-			r.emit(SendPeer{To: o.To, Addr: o.PeerAddr, Message: Message{Heartbeat: beat}, NotAfter: core.Never})
+			r.sendHeartbeat(now, o)
 		case membership.ReadRoster:
 			r.emit(StoreGet{Op: StoreOp{Kind: OpRoster}, Name: rosterObject})
 		case membership.WriteRoster:
@@ -73,6 +68,7 @@
 
 func (r *Router) rosterInForce(now core.Instant, roster membership.Roster) {
 	r.limits.SetRoster(now, roster)
+	r.beats.forget(roster)
 	var members []placement.Member
 	var refs []core.InstanceRef
 	for _, m := range roster.Members {
@@ -142,8 +138,7 @@
 
 func (r *Router) configReplied(now core.Instant, e StoreReplied) {
 	if e.Failure != "" {
-		want := rollout.Want{Root: e.Op.Kind == OpRoot, Hash: e.Op.Hash}
-		r.applyRollout(now, r.rollout.OnFailure(now, want))
+		r.applyRollout(now, r.rollout.OnFailure(now, rollout.Want{Hash: e.Op.Hash}))
 		return
 	}
 	if e.Op.Kind == OpPiece {
@@ -155,43 +150,47 @@
 		r.recordEvent(now, "rollout", "malformed_root", err.Error())
 		return
 	}
-	r.rootRead(now, RootRead{Root: root, AskedAt: e.AskedAt})
-}
-
-// rootRead takes in a root that the store has answered. The confirmation is as
-// old as the question, since the answer may have been on its way for long.
-func (r *Router) rootRead(now core.Instant, e RootRead) {
-	age := now.Sub(e.AskedAt)
-	r.keys.Confirm(now, e.Root.Version, age)
-	r.applyRollout(now, r.rollout.OnRoot(now, e.Root, age, rollout.FromStore))
+	// The confirmation is as old as the question: the answer may have been on
+	// its way for long.
+	r.applyRollout(now, r.rollout.OnRoot(now, root, now.Sub(e.AskedAt), rollout.Store))
 }
 
 func (r *Router) applyRollout(now core.Instant, outputs []rollout.Output) {
 	for _, output := range outputs {
 		switch o := output.(type) {
 		case rollout.ReadRoot:
-			r.emit(StoreGet{Op: StoreOp{Kind: OpRoot}, Name: RootObject(r.params.Environment)})
+			r.readRoot(o.From)
 		case rollout.FetchPiece:
 			r.fetchPiece(o)
 		case rollout.Revoked:
-			r.keys.Revoke(o.Account, o.Key)
+			r.keys.RevokeIn(o.Version, o.Account, o.Key)
 			r.recordEvent(now, "keys", "revoked", string(o.Account)+"."+string(o.Key))
+		case rollout.Confirmed:
+			r.keys.Seen(now, o.Version)
+			r.keys.Confirm(now, o.Version, o.Age)
 		case rollout.InForce:
 			r.setSnapshot(now, o.Snapshot)
 			r.recordEvent(now, "rollout", "in_force", fmt.Sprintf("version=%d", o.Snapshot.Version()))
+		case rollout.Rejected:
+			r.recordEvent(now, "rollout", "rejected", fmt.Sprintf("version=%d: %s", o.Version, o.Reason))
 		}
 	}
 }
 
+func (r *Router) readRoot(from rollout.Source) {
+	if member, found := r.membership.Roster().Member(from.Peer.ID); found {
+		r.emit(FetchRoot{From: from.Peer, Addr: member.PeerAddr})
+		return
+	}
+	r.emit(StoreGet{Op: StoreOp{Kind: OpRoot}, Name: RootObject(r.params.Environment)})
+}
+
 func (r *Router) fetchPiece(o rollout.FetchPiece) {
-	op := StoreOp{Kind: OpPiece, Hash: o.Hash}
-	if o.From != "" {
-		if member, found := r.membership.Roster().Member(o.From); found {
-			r.emit(FetchPiece{Hash: o.Hash, From: o.From, Addr: member.PeerAddr})
-			return
-		}
+	if member, found := r.membership.Roster().Member(o.From.Peer.ID); found {
+		r.emit(FetchPiece{Hash: o.Hash, From: o.From.Peer, Addr: member.PeerAddr})
+		return
 	}
-	r.emit(StoreGet{Op: op, Name: PieceObject(o.Hash)})
+	r.emit(StoreGet{Op: StoreOp{Kind: OpPiece, Hash: o.Hash}, Name: PieceObject(o.Hash)})
 }
 
 // expired reports to its module that an effect was not carried out.
--- a/pkg/server/answer.go
+++ b/pkg/server/answer.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/rhubarbsill/rhubarbsill/pkg/claims"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
 )
@@ -24,9 +25,10 @@
 	writeTimeout time.Duration
 	created      int64
 
-	began bool
-	text  strings.Builder // the answer so far, when it is sent whole
-	count int
+	began  bool
+	text   strings.Builder // the answer so far, when it is sent whole
+	count  int
+	reason string // why generation ended
 }
 
 type choice struct {
@@ -71,6 +73,7 @@
 // token relays one token. The event id lets the caller resume after it.
 func (a *answer) token(t upstream.Token, eventID string) error {
 	a.count++
+	a.reason = t.Reason
 	if !a.stream {
 		a.text.WriteString(t.Text)
 		return nil
@@ -149,13 +152,13 @@
 }
 
 // complete writes the end of a stream, or the whole answer.
-func (a *answer) complete(promptTokens int, reason string) {
+func (a *answer) complete(promptTokens int) {
 	if a.stream {
 		a.beginStream()
 		_ = a.event("", "", []byte("[DONE]"))
 		return
 	}
-	part := choice{FinishReason: &reason}
+	part := choice{FinishReason: &a.reason}
 	object := "text_completion"
 	text := a.text.String()
 	if a.chat {
@@ -200,6 +203,19 @@
 	_, _ = a.w.Write(append(data, '\n'))
 }
 
+// replay answers a resent call with the outcome of the first one. The body of
+// that answer is not recorded.
+func (a *answer) replay(outcome claims.Outcome) {
+	a.w.Header().Set("Idempotent-Replayed", "true")
+	a.json(outcome.Status, replayBody{Replayed: true, Status: outcome.Status, RequestID: a.id})
+}
+
+type replayBody struct {
+	Replayed  bool           `json:"replayed"`
+	Status    int            `json:"status"`
+	RequestID core.RequestID `json:"request_id"`
+}
+
 // plainReply passes on the answer of a plain service.
 func (a *answer) plainReply(reply *upstream.PlainReply) {
 	header := a.w.Header()
--- a/pkg/server/call.go
+++ b/pkg/server/call.go
@@ -86,9 +86,9 @@
 	c.mu.Unlock()
 }
 
-func (c *call) setReply(reply upstream.PlainReply) {
+func (c *call) setReply(reply *upstream.PlainReply) {
 	c.mu.Lock()
-	c.reply = &reply
+	c.reply = reply
 	c.mu.Unlock()
 }
 
--- a/pkg/server/callers.go
+++ b/pkg/server/callers.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 	"github.com/kataras/iris/v12"
+	iriscontext "github.com/kataras/iris/v12/context"
 	"golang.org/x/sys/unix"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
@@ -88,6 +89,8 @@
 func (s *Server) handler(serve http.HandlerFunc) iris.Handler {
 	return func(ctx iris.Context) {
 		w := ctx.ResponseWriter().Naive()
+		// Otherwise iris writes a second header after the handler.
+		ctx.ResponseWriter().SetWritten(iriscontext.StatusCodeWritten)
 		if s.connections.Load() > int64(s.settings.Callers.MaxConnections) {
 			refusal := core.Refuse(core.CodeTooManyConnections, "this instance has too many connections")
 			refusal.RetryAfter = time.Second
@@ -168,7 +171,7 @@
 		return nil
 	}
 	for _, text := range texts {
-		if holdsSecret(text, credential.Secret.Reveal()) {
+		if credential.Secret.In(text) {
 			return core.Refuse(core.CodeKeyInRequest, "the key must stand only in the Authorization header")
 		}
 	}
--- a/pkg/server/completion.go
+++ b/pkg/server/completion.go
@@ -1,11 +1,9 @@
 package server
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"strings"
-	"unicode/utf8"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
@@ -109,64 +107,3 @@
 func malformed(format string, args ...any) *core.Refusal {
 	return core.Refuse(core.CodeMalformed, fmt.Sprintf(format, args...))
 }
-
-// holdsSecret reports whether text carries the secret of a key, plainly, in
-// JSON escapes or percent-encoded. Upper and lower case are not told apart,
-// since some encoders change it.
-func holdsSecret(text []byte, secret string) bool {
-	if secret == "" {
-		return false
-	}
-	needle := []byte(strings.ToLower(secret))
-	plain := bytes.ToLower(text)
-	if bytes.Contains(plain, needle) {
-		return true
-	}
-	if !bytes.ContainsAny(plain, `\%`) {
-		return false
-	}
-	return bytes.Contains(bytes.ToLower(unescape(plain)), needle)
-}
-
-// unescape replaces \uXXXX and %XX escapes by what they stand for, and drops
-// single backslashes. It is lenient: anything else stays as it is.
-func unescape(text []byte) []byte {
-	out := make([]byte, 0, len(text))
-	for i := 0; i < len(text); i++ {
-		switch {
-		case text[i] == '\\' && i+5 < len(text) && text[i+1] == 'u':
-			if r, ok := hexValue(text[i+2 : i+6]); ok {
-				out = utf8.AppendRune(out, rune(r))
-				i += 5
-				continue
-			}
-		case text[i] == '\\':
-			continue
-		case text[i] == '%' && i+2 < len(text):
-			if b, ok := hexValue(text[i+1 : i+3]); ok {
-				out = append(out, byte(b))
-				i += 2
-				continue
-			}
-		}
-		out = append(out, text[i])
-	}
-	return out
-}
-
-func hexValue(digits []byte) (int, bool) {
-	value := 0
-	for _, d := range digits {
-		switch {
-		case d >= '0' && d <= '9':
-			value = value<<4 | int(d-'0')
-		case d >= 'a' && d <= 'f':
-			value = value<<4 | int(d-'a'+10)
-		case d >= 'A' && d <= 'F':
-			value = value<<4 | int(d-'A'+10)
-		default:
-			return 0, false
-		}
-	}
-	return value, true
-}
--- a/pkg/server/peers.go
+++ b/pkg/server/peers.go
@@ -20,6 +20,7 @@
 
 // Names of the bulk calls between peers.
 const (
+	fetchRootName     = "root"
 	fetchPieceName    = "piece"
 	fetchTimelineName = "timeline"
 )
@@ -44,6 +45,8 @@
 // servePeer answers the bulk calls of peers.
 func (s *Server) servePeer(from core.InstanceRef, name string, request []byte) ([]byte, error) {
 	switch name {
+	case fetchRootName:
+		return s.serveRoot()
 	case fetchPieceName:
 		var hash config.Hash
 		if len(request) != len(hash) {
@@ -66,6 +69,15 @@
 	}
 }
 
+func (s *Server) serveRoot() ([]byte, error) {
+	view := s.view.Load()
+	if view == nil || view.Root.Version == 0 {
+		return nil, errorx.IllegalState.New("no configuration root is held here")
+	}
+	age := s.clock.now().Sub(view.ConfirmedAt)
+	return json.Marshal(rootAnswer{Root: view.Root, AgeMS: age.Milliseconds() + 1})
+}
+
 func limitFilter(f timeline.Filter) timeline.Filter {
 	if f.Limit <= 0 || f.Limit > timelineLimit {
 		f.Limit = timelineLimit
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -41,6 +41,8 @@
 	longestPause = 1500 * time.Millisecond
 	// longestWait bounds the time between two turns, so that a pause is noticed.
 	longestWait = 250 * time.Millisecond
+	// viewEvery is the shortest time between two refreshes of the status.
+	viewEvery = 100 * time.Millisecond
 	// timelineSize is the number of events that an Instance keeps.
 	timelineSize = 20_000
 )
@@ -65,6 +67,7 @@
 	sealer    atomic.Pointer[resume.Sealer]
 	snapshot  atomic.Pointer[config.Snapshot]
 	view      atomic.Pointer[router.View]
+	nextView  core.Instant // used by the event loop only
 
 	asks        sync.Map // ask number -> chan router.Addresses
 	askNumber   atomic.Uint64
@@ -145,14 +148,24 @@
 	return nil
 }
 
-// CallerAddr returns the address on which callers are served.
-func (s *Server) CallerAddr() string { return s.callerListener.Addr().String() }
-
-// StatusAddr returns the address of the status page.
-func (s *Server) StatusAddr() string { return s.statusListener.Addr().String() }
+// Listening is where an Instance can be reached. It is the line that
+// rhubarbsilld prints when its ports are open.
+type Listening struct {
+	Instance   core.InstanceID `json:"instance"`
+	CallerAddr string          `json:"caller_addr"`
+	PeerAddr   string          `json:"peer_addr"`
+	StatusAddr string          `json:"status_addr"`
+}
 
-// PeerAddr returns the address on which peers are served.
-func (s *Server) PeerAddr() string { return s.peers.Addr() }
+// Listening returns the addresses of the open listeners.
+func (s *Server) Listening() Listening {
+	return Listening{
+		Instance:   s.self.ID,
+		CallerAddr: s.callerListener.Addr().String(),
+		PeerAddr:   s.peers.Addr(),
+		StatusAddr: s.statusListener.Addr().String(),
+	}
+}
 
 // Run serves until ctx ends, then shuts down gracefully: it disappears from
 // address answers, waits until callers have stopped using it, lets every
@@ -175,7 +188,7 @@
 	defer stop()
 	s.start(inner)
 	telemetry.Component(s.log, "server").Info("serving callers",
-		zap.String("addr", s.CallerAddr()), zap.String("instance", s.self.String()))
+		zap.String("addr", s.callerListener.Addr().String()), zap.String("instance", s.self.String()))
 
 	select {
 	case err = <-failed:
@@ -241,12 +254,24 @@
 		if wake := s.router.NextWake(); wake <= s.clock.now() {
 			s.step(ctx, router.Tick{})
 		}
-		view := s.router.View(s.clock.now())
-		s.view.Store(&view)
+		s.refreshView()
 		timer.Reset(min(longestWait, max(time.Millisecond, s.clock.until(s.router.NextWake()))))
 	}
 }
 
+// refreshView publishes the state for the status page and for peers, at most
+// once in viewEvery: copying the roster for each event would cost more than the
+// event itself.
+func (s *Server) refreshView() {
+	now := s.clock.now()
+	if now < s.nextView {
+		return
+	}
+	s.nextView = now.Add(viewEvery)
+	view := s.router.View(now)
+	s.view.Store(&view)
+}
+
 func (s *Server) step(ctx context.Context, event router.Event) {
 	for _, effect := range s.router.Step(s.clock.now(), event) {
 		s.perform(ctx, effect)
@@ -272,6 +297,8 @@
 		s.calls.post(e.Request, e)
 	case router.Complete:
 		s.calls.post(e.Request, e)
+	case router.Dropped:
+		s.calls.post(e.Request, e)
 	case router.StartPrefill:
 		go s.prefill(ctx, e)
 	case router.StartDecode:
@@ -288,6 +315,8 @@
 		go s.storeGet(ctx, e)
 	case router.StorePut:
 		go s.storePut(ctx, e)
+	case router.FetchRoot:
+		go s.fetchRoot(ctx, e)
 	case router.FetchPiece:
 		go s.fetchPiece(ctx, e)
 	case router.ListInstances:
--- /dev/null
+++ b/pkg/server/status.go
@@ -0,0 +1,72 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/peer"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
+)
+
+// Status is the body of /status.
+type Status struct {
+	router.View
+	Peers       peer.Stats `json:"peer_traffic"`
+	Connections int64      `json:"caller_connections"`
+	HeapBytes   uint64     `json:"heap_bytes"`
+}
+
+// statusHandler serves the status page, the metrics and the timeline.
+func (s *Server) statusHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", s.serveStatus)
+	mux.HandleFunc("GET /timeline", s.serveTimeline)
+	mux.Handle("GET /metrics", s.metrics.Handler())
+	mux.HandleFunc("GET /healthz", s.serveHealth)
+	return mux
+}
+
+func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	view := s.view.Load()
+	if view == nil {
+		http.Error(w, "the event loop has not run yet", http.StatusServiceUnavailable)
+		return
+	}
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	writeJSON(w, Status{
+		View:        *view,
+		Peers:       s.peers.Stats(),
+		Connections: s.connections.Load(),
+		HeapBytes:   memory.HeapAlloc,
+	})
+}
+
+// serveTimeline answers with the events of this Instance that match the query
+// parameters request, account, upstream and since (RFC 3339).
+func (s *Server) serveTimeline(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	filter := timeline.Filter{
+		Request:  core.RequestID(query.Get("request")),
+		Account:  core.AccountID(query.Get("account")),
+		Upstream: core.UpstreamID(query.Get("upstream")),
+	}
+	if since := query.Get("since"); since != "" {
+		from, err := time.Parse(time.RFC3339Nano, since)
+		if err != nil {
+			http.Error(w, "since must be an RFC 3339 time", http.StatusBadRequest)
+			return
+		}
+		filter.From = from
+	}
+	writeJSON(w, s.ring.Select(limitFilter(filter)))
+}
+
+func writeJSON(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- a/pkg/server/store.go
+++ b/pkg/server/store.go
@@ -124,14 +124,35 @@
 func (s *Server) fetchPiece(ctx context.Context, e router.FetchPiece) {
 	body, err := s.peers.Fetch(ctx, e.Addr, fetchPieceName, e.Hash[:])
 	if err != nil || config.HashOf(body) != e.Hash {
-		op := router.StoreOp{Kind: router.OpPiece, Hash: e.Hash}
-		s.post(router.StoreReplied{Op: op, Failure: router.StoreUnavailable, AskedAt: s.clock.now()})
+		s.post(router.PieceFailed{From: e.From, Hash: e.Hash})
 		return
 	}
 	s.pieces.put(e.Hash, body)
 	s.post(router.PieceRead{Hash: e.Hash, Body: body})
 }
 
+// rootAnswer is what a peer answers about its configuration.
+type rootAnswer struct {
+	Root config.Root `json:"root"`
+	// AgeMS is the age of the confirmation of Root.Version, in milliseconds.
+	AgeMS int64 `json:"age_ms"`
+}
+
+func (s *Server) fetchRoot(ctx context.Context, e router.FetchRoot) {
+	asked := s.clock.now()
+	body, err := s.peers.Fetch(ctx, e.Addr, fetchRootName, nil)
+	var answer rootAnswer
+	if err == nil {
+		err = json.Unmarshal(body, &answer)
+	}
+	if err != nil || answer.Root.Version == 0 {
+		s.post(router.RootFailed{From: e.From})
+		return
+	}
+	age := time.Duration(answer.AgeMS)*time.Millisecond + s.clock.now().Sub(asked)
+	s.post(router.RootRead{From: e.From, Root: answer.Root, Age: age})
+}
+
 // InstanceStatus is what an Instance publishes about itself in the store.
 type InstanceStatus struct {
 	Instance    core.InstanceID  `json:"instance"`
@@ -152,7 +173,7 @@
 		Instance:    s.self.ID,
 		Incarnation: core.Incarnation(s.incarnation.Load()),
 		Version:     version,
-		StatusAddr:  s.StatusAddr(),
+		StatusAddr:  s.statusListener.Addr().String(),
 		AtMS:        time.Now().UnixMilli(),
 	}
 	value, err := json.Marshal(status)
--- a/pkg/server/upstreams.go
+++ b/pkg/server/upstreams.go
@@ -253,7 +253,7 @@
 		s.attemptFailed(ctx, e.Attempt, e.Upstream, err)
 		return
 	}
-	entry.setReply(reply)
+	entry.setReply(&reply)
 	s.post(router.AnswerEnded{Attempt: e.Attempt, Status: reply.Status})
 }
 
