lab/virtual: run several routers in virtual time

Cause: the promises depend on how several Routers act together, and a test over real processes can neither repeat a failure nor run minutes in milliseconds. One seed gives one run.

Ruled out: a simulator of its own for each module, which would not see faults in their composition.

--- /dev/null
+++ b/pkg/lab/virtual/store.go
@@ -0,0 +1,164 @@
+package virtual
+
+import (
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+)
+
+// storeTimeout is the time after which a call without an answer fails.
+const storeTimeout = 2 * time.Second
+
+// store is a model of the platform's object store.
+type store struct {
+	world   *World
+	objects map[string]*object
+	dc      core.DataCentreName
+
+	down       bool
+	slow       time.Duration
+	loseAnswer float64 // probability that the answer to a write is lost
+	staleRead  float64 // probability that a read returns the version before
+	reads      int64
+	writes     int64
+}
+
+type object struct {
+	version  uint64
+	value    []byte
+	previous []byte
+}
+
+func newStore(w *World) *store {
+	s := &store{world: w, objects: map[string]*object{}}
+	for _, dc := range w.opts.Document.DataCentres {
+		if dc.Region == w.opts.Document.StoreRegion {
+			s.dc = dc.Name
+			break
+		}
+	}
+	return s
+}
+
+func (s *store) latency(i *Instance) time.Duration {
+	return s.world.latency(i.opts.DataCentre, s.dc) + s.slow + 2*time.Millisecond
+}
+
+// unreachable reports whether a call fails, and whether it fails only on the
+// way back.
+func (s *store) unreachable(i *Instance) (there, back bool) {
+	name := string(i.opts.ID)
+	return s.down || s.world.isCut(name, StoreName), s.world.isCut(StoreName, name)
+}
+
+func (s *store) get(i *Instance, e router.StoreGet) {
+	asked := i.local()
+	s.reads++
+	there, back := s.unreachable(i)
+	if there || back {
+		i.later(storeTimeout, router.StoreReplied{Op: e.Op, AskedAt: asked, Failure: router.StoreUnavailable})
+		return
+	}
+	delay := s.latency(i)
+	s.world.after(delay, func() {
+		reply := router.StoreReplied{Op: e.Op, AskedAt: asked}
+		o := s.objects[e.Name]
+		switch {
+		case o == nil:
+			reply.Failure = router.StoreNotFound
+		case o.previous != nil && s.world.rand.Float64() < s.staleRead:
+			reply.Version, reply.Value = o.version-1, o.previous
+		default:
+			reply.Version, reply.Value = o.version, o.value
+		}
+		i.later(delay, reply)
+	})
+}
+
+func (s *store) put(i *Instance, e router.StorePut) {
+	asked := i.local()
+	s.writes++
+	there, back := s.unreachable(i)
+	if there {
+		i.later(storeTimeout, router.StoreReplied{Op: e.Op, AskedAt: asked, Failure: router.StoreUnavailable})
+		return
+	}
+	delay := s.latency(i)
+	s.world.after(delay, func() {
+		reply := router.StoreReplied{Op: e.Op, AskedAt: asked}
+		reply.Version, reply.Failure = s.write(e.Name, e.Base, e.Value)
+		if back || s.world.rand.Float64() < s.loseAnswer {
+			lost := router.StoreReplied{Op: e.Op, AskedAt: asked, Failure: router.StoreUnknown}
+			i.later(storeTimeout, lost)
+			return
+		}
+		i.later(delay, reply)
+	})
+}
+
+func (s *store) write(name string, base uint64, value []byte) (uint64, router.StoreFailure) {
+	o := s.objects[name]
+	if o == nil {
+		o = &object{}
+	}
+	if o.version != base {
+		return 0, router.StoreConflict
+	}
+	o.previous = o.value
+	o.value = value
+	o.version++
+	s.objects[name] = o
+	return o.version, ""
+}
+
+// StoreDown switches an outage of the store on or off.
+func (w *World) StoreDown(down bool) { w.store.down = down }
+
+// StoreSlow adds a delay to every call of the store.
+func (w *World) StoreSlow(d time.Duration) { w.store.slow = d }
+
+// StoreFaults sets the probabilities of lost answers and stale reads.
+func (w *World) StoreFaults(loseAnswer, staleRead float64) {
+	w.store.loseAnswer = loseAnswer
+	w.store.staleRead = staleRead
+}
+
+// StoreCalls returns the number of reads and writes so far.
+func (w *World) StoreCalls() (reads, writes int64) { return w.store.reads, w.store.writes }
+
+// Promote puts a document into the store as the next version, as an operator
+// does. It works during outages of the Instances' paths, too.
+func (w *World) Promote(doc *config.Document) core.Version {
+	name := router.RootObject("production")
+	var previous config.Root
+	var before *config.Document
+	base := uint64(0)
+	if o := w.store.objects[name]; o != nil {
+		base = o.version
+		previous = must(config.ParseRoot(o.value))
+		before = must(config.Assemble(previous, w.piece))
+	}
+	root, pieces := config.Succeed(previous, before, doc)
+	for _, hash := range config.SortedHashes(pieces) {
+		w.store.write(router.PieceObject(hash), 0, pieces[hash])
+	}
+	w.store.write(name, base, root.Encode())
+	return root.Version
+}
+
+func (w *World) piece(hash config.Hash) ([]byte, bool) {
+	o := w.store.objects[router.PieceObject(hash)]
+	if o == nil {
+		return nil, false
+	}
+	return o.value, true
+}
+
+func must[T any](value T, err error) T {
+	if err != nil {
+		panic(err) // the World wrote these bytes itself
+	}
+	return value
+}
--- /dev/null
+++ b/pkg/lab/virtual/world.go
@@ -0,0 +1,227 @@
+// Package virtual runs several Routers in virtual time against small models of
+// the object store, the engines and the callers. Tests use it to bring about
+// failures, measurements use it to compare policies. One seed gives one run.
+package virtual
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+)
+
+// Options describe a World.
+type Options struct {
+	Seed      uint64
+	Document  *config.Document
+	Instances []InstanceOptions
+	// SameDataCentre, SameRegion and OtherRegion are one-way latencies.
+	SameDataCentre, SameRegion, OtherRegion time.Duration
+	// ToCaller is the one-way latency between a caller and an Instance.
+	ToCaller time.Duration
+	Engine   EngineOptions
+	// Adjust changes the settings of each Router before it starts.
+	Adjust func(*router.Params)
+}
+
+// InstanceOptions describe one entry Instance.
+type InstanceOptions struct {
+	ID         core.InstanceID
+	DataCentre core.DataCentreName
+	// ClockRate is the rate of its clock, 1 by default.
+	ClockRate float64
+}
+
+// World is a set of Routers and what surrounds them.
+type World struct {
+	opts    Options
+	rand    *rand.Rand
+	now     time.Duration
+	queue   eventQueue
+	seq     uint64
+	regions map[core.DataCentreName]core.RegionName
+
+	instances []*Instance
+	byID      map[core.InstanceID]*Instance
+	store     *store
+	engines   map[core.UpstreamID]*engine
+	order     []core.UpstreamID
+	cuts      map[[2]string]bool
+	loss      float64 // probability that a message between Instances is lost
+	listed    []membership.Listed
+	secrets   map[core.AccountID]string
+
+	// Requests holds every request that a caller has sent, by identifier.
+	Requests map[core.RequestID]*Request
+	// Sequence holds them in the order of sending.
+	Sequence []*Request
+	// Messages and Bytes count the messages between Instances.
+	Messages int64
+	nextID   int
+}
+
+type scheduled struct {
+	at  time.Duration
+	seq uint64
+	run func()
+}
+
+type eventQueue []scheduled
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push adds an element, for container/heap.
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(scheduled)) }
+
+// Pop removes the last element, for container/heap.
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = scheduled{}
+	*q = old[:len(old)-1]
+	return last
+}
+
+// New returns a World whose Instances have started.
+func New(opts Options) *World {
+	opts.Engine = opts.Engine.withDefaults()
+	w := &World{
+		opts:     opts,
+		rand:     rand.New(rand.NewPCG(opts.Seed, 0x5eed)),
+		regions:  map[core.DataCentreName]core.RegionName{},
+		byID:     map[core.InstanceID]*Instance{},
+		engines:  map[core.UpstreamID]*engine{},
+		cuts:     map[[2]string]bool{},
+		secrets:  map[core.AccountID]string{},
+		Requests: map[core.RequestID]*Request{},
+	}
+	for _, dc := range opts.Document.DataCentres {
+		w.regions[dc.Name] = dc.Region
+	}
+	w.makeKeys(opts.Document)
+	w.store = newStore(w)
+	w.Promote(opts.Document)
+	for _, service := range opts.Document.Services {
+		for _, up := range service.Upstreams {
+			w.engines[up.ID] = newEngine(w, up)
+			w.order = append(w.order, up.ID)
+		}
+	}
+	for _, instance := range opts.Instances {
+		w.addInstance(instance)
+	}
+	w.publishList()
+	return w
+}
+
+// after runs a function d later.
+func (w *World) after(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.queue, scheduled{at: w.now + max(0, d), seq: w.seq, run: run})
+}
+
+// Now returns the virtual time since the start.
+func (w *World) Now() time.Duration { return w.now }
+
+// At runs a function at a virtual time.
+func (w *World) At(t time.Duration, run func()) { w.after(t-w.now, run) }
+
+// RunUntil runs everything that happens until the virtual time t.
+func (w *World) RunUntil(t time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= t {
+		next := heap.Pop(&w.queue).(scheduled)
+		w.now = next.at
+		next.run()
+	}
+	w.now = t
+}
+
+// latency returns the one-way latency between two data centres.
+func (w *World) latency(a, b core.DataCentreName) time.Duration {
+	base := w.opts.OtherRegion
+	switch {
+	case a == b:
+		base = w.opts.SameDataCentre
+	case w.regions[a] == w.regions[b]:
+		base = w.opts.SameRegion
+	}
+	return base + time.Duration(w.rand.Int64N(int64(base/5)+1))
+}
+
+// Names of parts of the World in Cut, beside the ids of Instances and Upstreams.
+const StoreName = "store"
+
+// Cut stops messages from one part to another. Heal lets them pass again.
+func (w *World) Cut(from, to string) { w.cuts[[2]string{from, to}] = true }
+
+// CutBoth stops messages between two parts in both directions.
+func (w *World) CutBoth(a, b string) {
+	w.Cut(a, b)
+	w.Cut(b, a)
+}
+
+// CutRegion separates a region from all others and from a store that is not in
+// it.
+func (w *World) CutRegion(region core.RegionName) {
+	var inside, outside []string
+	add := func(name string, in bool) {
+		if in {
+			inside = append(inside, name)
+		} else {
+			outside = append(outside, name)
+		}
+	}
+	for _, i := range w.instances {
+		add(string(i.opts.ID), w.regions[i.opts.DataCentre] == region)
+	}
+	for _, id := range w.order {
+		add(string(id), w.regions[w.engines[id].up.DataCentre] == region)
+	}
+	add(StoreName, w.opts.Document.StoreRegion == region)
+	for _, a := range inside {
+		for _, b := range outside {
+			w.CutBoth(a, b)
+		}
+	}
+}
+
+// Heal removes every cut.
+func (w *World) Heal() { clear(w.cuts) }
+
+func (w *World) isCut(from, to string) bool { return w.cuts[[2]string{from, to}] }
+
+// SetLoss sets the probability that a message between Instances is lost.
+func (w *World) SetLoss(p float64) { w.loss = p }
+
+// listLag is the lag of the platform's list.
+const listLag = time.Second
+
+func (w *World) publishList() {
+	var list []membership.Listed
+	for _, i := range w.instances {
+		if i.removed {
+			continue
+		}
+		state := membership.Live
+		if i.leaving {
+			state = membership.Leaving
+		}
+		list = append(list, membership.Listed{
+			ID: i.opts.ID, PeerAddr: string(i.opts.ID), CallerAddr: string(i.opts.ID),
+			DataCentre: i.opts.DataCentre, Region: w.regions[i.opts.DataCentre], State: state,
+		})
+	}
+	lag := listLag
+	if w.now == 0 {
+		lag = 0
+	}
+	w.after(lag, func() { w.listed = list })
+}
--- a/pkg/router/record.go
+++ b/pkg/router/record.go
@@ -98,3 +98,6 @@
 	}
 	return view
 }
+
+// Piece returns a piece of the configuration that a peer asks for.
+func (r *Router) Piece(hash config.Hash) ([]byte, bool) { return r.rollout.Piece(hash) }
