config: test findings, pieces and lookups

A document without services came back from Format as one that Parse refuses (found by FuzzParse), an empty list of models silently meant all models, and an open prefix matched /a/..;/b, which some servers resolve to another path. A key entry copied to another account let the holder of its secret act for that account too; Parse now reports a digest that is used twice.

--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -94,6 +94,7 @@
 	upstreams   map[core.UpstreamID]string
 	urls        map[string]string
 	accounts    map[core.AccountID]string
+	digests     map[string]string
 	routes      routeSet
 }
 
@@ -106,13 +107,14 @@
 		upstreams:   map[core.UpstreamID]string{},
 		urls:        map[string]string{},
 		accounts:    map[core.AccountID]string{},
+		digests:     map[string]string{},
 	}
 }
 
-// unique reports a second use of an id.
+// unique reports a second use of an id, which the field holds as a string.
 func unique[K ~string](f field, used map[K]string, id K, what string) {
 	if first, twice := used[id]; twice {
-		f.fail("%s %q is already used at %s", what, id, first)
+		f.fail("%s %s is already used at %s", what, f.shown(), first)
 		return
 	}
 	used[id] = f.path
@@ -140,7 +142,7 @@
 	if region := o.get("store_region"); region.present && doc.StoreRegion != "" && !p.regions[doc.StoreRegion] {
 		region.fail("no data centre is in region %q", doc.StoreRegion)
 	}
-	for _, element := range o.need("services").list(maxServices) {
+	for _, element := range o.get("services").list(maxServices) {
 		doc.Services = append(doc.Services, p.service(element))
 	}
 	if len(p.upstreams) > maxUpstreams {
@@ -212,7 +214,7 @@
 	account.Services = p.accountServices(o.get("services"))
 	used := map[core.KeyID]string{}
 	for _, element := range o.get("keys").list(maxKeys) {
-		account.Keys = append(account.Keys, readKey(element, used))
+		account.Keys = append(account.Keys, p.key(element, used))
 	}
 	return account
 }
@@ -236,7 +238,7 @@
 	return list
 }
 
-func readKey(f field, used map[core.KeyID]string) Key {
+func (p *parser) key(f field, used map[core.KeyID]string) Key {
 	o, ok := f.object("id", "salt", "digest", "revoked")
 	if !ok {
 		return Key{}
@@ -247,6 +249,11 @@
 	if key.ID != "" {
 		unique(o.get("id"), used, key.ID, "key")
 	}
+	// Whoever holds the secret of an entry copied from another account could use
+	// this account too.
+	if key.Digest != (Digest{}) {
+		unique(o.get("digest"), p.digests, string(key.Digest[:]), "digest")
+	}
 	return key
 }
 
--- a/pkg/config/parse_service.go
+++ b/pkg/config/parse_service.go
@@ -27,9 +27,10 @@
 	if service.Name != "" {
 		unique(o.get("name"), p.services, service.Name, "service")
 	}
-	if service.Kind == ServicePlain {
+	switch service.Kind {
+	case ServicePlain:
 		p.plainService(o, &service)
-	} else {
+	case ServiceModel:
 		p.modelService(o, &service)
 	}
 	return service
@@ -98,6 +99,9 @@
 	for _, model := range service.Models {
 		prefill := p.regionsOf(service, model, RolePrefill)
 		decode := p.regionsOf(service, model, RoleDecode)
+		if slices.Contains(prefill, "") || slices.Contains(decode, "") {
+			continue // a data centre that does not exist is reported by itself
+		}
 		if !slices.ContainsFunc(decode, func(r core.RegionName) bool { return slices.Contains(prefill, r) }) {
 			f.fail("no region has both a prefill and a decode engine for model %q", model)
 		}
@@ -188,6 +192,9 @@
 		unique(element, used, name, "model")
 		list = append(list, name)
 	}
+	if len(list) == 0 {
+		f.fail("an upstream needs at least one model; leave the field out for all of them")
+	}
 	return list
 }
 
--- a/pkg/config/reader.go
+++ b/pkg/config/reader.go
@@ -180,6 +180,12 @@
 	return literal.String(), true
 }
 
+// shown returns the string of the field for a message.
+func (f field) shown() string {
+	literal, _ := f.value.(hujson.Literal)
+	return quote(literal.String())
+}
+
 // match reads a string that has the given form.
 func (f field) match(form *regexp.Regexp, limit int, want string) (string, bool) {
 	text, ok := f.text()
--- a/pkg/config/tables.go
+++ b/pkg/config/tables.go
@@ -110,6 +110,7 @@
 	segments := strings.Split(path[1:], "/")
 	for i, segment := range segments {
 		last := i == len(segments)-1
+		segment, _, _ = strings.Cut(segment, ";") // some servers drop path parameters first
 		if segment == "." || segment == ".." || (segment == "" && !last) {
 			return false
 		}
--- /dev/null
+++ b/pkg/config/tree_test.go
@@ -0,0 +1,345 @@
+package config
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"runtime"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"pgregory.net/rapid"
+)
+
+// sizedDocument returns a document with the given number of accounts of two keys
+// each.
+func sizedDocument(accounts int) *Document {
+	doc, findings := Parse("test.jsonc", []byte(valid))
+	if len(findings) > 0 {
+		panic(findings)
+	}
+	doc.Accounts = nil
+	for i := range accounts {
+		doc.Accounts = append(doc.Accounts, sizedAccount(i))
+	}
+	return doc
+}
+
+func sizedAccount(i int) ClientAccount {
+	return ClientAccount{
+		ID: core.AccountID(fmt.Sprintf("account-%05d", i)), Weight: 1 + i%7,
+		RateTokensPerSecond: int64(100 + i), BurstTokens: 40_000,
+		Services: []core.ServiceName{"llm", "desk"},
+		Keys:     []Key{sizedKey(i, 1), sizedKey(i, 2)},
+	}
+}
+
+func sizedKey(account, n int) Key {
+	key := Key{ID: core.KeyID(fmt.Sprintf("key-%d", n))}
+	random := rand.New(rand.NewPCG(uint64(account), uint64(n)))
+	for i := 0; i < len(key.Salt); i += 8 {
+		binary.LittleEndian.PutUint64(key.Salt[i:], random.Uint64())
+	}
+	for i := 0; i < len(key.Digest); i += 8 {
+		binary.LittleEndian.PutUint64(key.Digest[i:], random.Uint64())
+	}
+	return key
+}
+
+// changes are what an operator does to one account of a large document.
+var changes = []struct {
+	name  string
+	apply func(*Document)
+}{
+	{"rate", func(d *Document) { d.Accounts[12_345].RateTokensPerSecond++ }},
+	{"revoked key", func(d *Document) { d.Accounts[7].Keys = []Key{d.Accounts[7].Keys[1]} }},
+	{"new account", func(d *Document) { d.Accounts = append(d.Accounts, sizedAccount(99_999)) }},
+	{"account gone", func(d *Document) { d.Accounts = slices.Delete(d.Accounts, 500, 501) }},
+}
+
+// movedBytes returns what an Instance that has the old pieces must fetch.
+func movedBytes(old map[Hash][]byte, root Root, pieces map[Hash][]byte) int {
+	total := len(root.Encode())
+	for hash, body := range pieces {
+		if _, have := old[hash]; !have {
+			total += len(body)
+		}
+	}
+	return total
+}
+
+// Guards against a change at 27,000 accounts that moves more than the 12 KB that
+// the control traffic of a node allows for.
+func TestChangeMovesFewBytes(t *testing.T) {
+	before := sizedDocument(27_000)
+	oldRoot, oldPieces := Split(before)
+	for range keptRevocations {
+		oldRoot.Revoked = append(oldRoot.Revoked, Revocation{"account-00000", "key-1", 1})
+	}
+	for _, change := range changes {
+		after := sizedDocument(27_000)
+		change.apply(after)
+		root, pieces := Succeed(oldRoot, before, after)
+		if got := movedBytes(oldPieces, root, pieces); got > 12*1024 {
+			t.Errorf("%s: %d bytes, want at most %d", change.name, got, 12*1024)
+		}
+	}
+}
+
+// drawDocument makes small documents whose trees have several nodes and leaves.
+func drawDocument(t *rapid.T) *Document {
+	doc := sizedDocument(0)
+	count := rapid.SampledFrom([]int{0, 1, 5, 60, 60, 900}).Draw(t, "accounts")
+	for i := range count {
+		doc.Accounts = append(doc.Accounts, sizedAccount(i))
+	}
+	return doc
+}
+
+// Guards against an incremental compile that differs from a full one, pieces that
+// depend on the order of the document, and a document that Assemble changes.
+func TestIncrementalCompile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		doc := drawDocument(t)
+		snap := Compile(doc, 1)
+		for v := core.Version(2); v <= 3; v++ {
+			editDocument(t, doc)
+			root, pieces := Split(doc)
+			root.Version = v
+			get := func(h Hash) ([]byte, bool) { b, ok := pieces[h]; return b, ok }
+			next, err := CompilePieces(snap, root, get)
+			if err != nil {
+				t.Fatalf("compile: %v", err)
+			}
+			full := Compile(doc, v)
+			if !reflect.DeepEqual(next.accounts, full.accounts) || !reflect.DeepEqual(next.tables, full.tables) {
+				t.Fatalf("incremental and full Snapshot differ")
+			}
+			assembled, err := Assemble(root, get)
+			if err != nil {
+				t.Fatalf("assemble: %v", err)
+			}
+			again, _ := Split(assembled)
+			if again.Version = v; !reflect.DeepEqual(again, root) {
+				t.Fatalf("assembled document has another root")
+			}
+			checkLookups(t, next, doc)
+			snap = next
+		}
+	})
+}
+
+func editDocument(t *rapid.T, doc *Document) {
+	random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+	random.Shuffle(len(doc.Accounts), func(i, j int) {
+		doc.Accounts[i], doc.Accounts[j] = doc.Accounts[j], doc.Accounts[i]
+	})
+	for range random.IntN(4) {
+		switch i := random.IntN(len(doc.Accounts) + 1); {
+		case i == len(doc.Accounts):
+			doc.Accounts = append(doc.Accounts, sizedAccount(10_000+random.IntN(1<<30)))
+		case random.IntN(2) == 0:
+			doc.Accounts[i].BurstTokens++
+		default:
+			doc.Accounts = slices.Delete(doc.Accounts, i, i+1)
+		}
+	}
+	doc.Services[0].Upstreams[1].Slots = 1 + random.IntN(3)
+}
+
+func checkLookups(t *rapid.T, snap *Snapshot, doc *Document) {
+	for i := range doc.Accounts {
+		want := &doc.Accounts[i]
+		got, ok := snap.Account(want.ID)
+		if !ok || !reflect.DeepEqual(got, want) {
+			t.Fatalf("account %q: got %v, %v", want.ID, got, ok)
+		}
+		if _, ok := snap.Key(want.ID, want.Keys[1].ID); !ok {
+			t.Fatalf("key of account %q not found", want.ID)
+		}
+	}
+	if _, ok := snap.Account("absent"); ok {
+		t.Fatalf("absent account found")
+	}
+}
+
+// Guards against a change of one account that compiles more than its leaf.
+func TestUnchangedLeavesAreShared(t *testing.T) {
+	is := is.New(t)
+	doc := sizedDocument(2000)
+	before := Compile(doc, 1)
+	doc.Accounts[1234].Weight++
+	root, pieces := Split(doc)
+	decoded := 0
+	after, err := CompilePieces(before, root, func(h Hash) ([]byte, bool) {
+		decoded++
+		return pieces[h], true
+	})
+	is.NoErr(err)
+	is.Equal(decoded, 2) // a node and a leaf
+	is.True(before.tables == after.tables)
+}
+
+// Guards against a request that matches a route of another path or method, and
+// an open prefix that leads to a keyed path.
+func TestPlainRoute(t *testing.T) {
+	snap := Compile(sizedDocument(0), 1)
+	cases := []struct{ method, path, want string }{
+		{"GET", "/desk/jobs", "/desk/jobs"},
+		{"POST", "/desk/jobs", ""},
+		{"GET", "/desk/jobs/", ""},
+		{"GET", "/desk/open/a/b", "/desk/open/*"},
+		{"GET", "/desk/open/", "/desk/open/*"},
+		{"GET", "/desk/open", ""},
+		{"GET", "/desk/open/*", "/desk/open/*"},
+		{"GET", "/desk/open/../jobs", ""},
+		{"GET", "/desk/open/%2e%2E/jobs", ""},
+		{"GET", "/desk/open/..%2fjobs", ""},
+		{"GET", "/desk/open/%252e%252e/jobs", ""},
+		{"GET", "/desk/open/..;/jobs", ""},
+		{"GET", `/desk/open/..\jobs`, ""},
+		{"GET", "/desk//jobs", ""},
+		{"GET", "", ""},
+	}
+	for _, c := range cases {
+		_, route, ok := snap.PlainRoute(c.method, c.path)
+		if ok != (c.want != "") || (ok && route.Path != c.want) {
+			t.Errorf("%s %q: got %v, want %q", c.method, c.path, route, c.want)
+		}
+	}
+}
+
+// Guards against a root that forgets a revocation without saying so.
+func TestRevocationsInRoot(t *testing.T) {
+	is := is.New(t)
+	doc := sizedDocument(50)
+	root, _ := Succeed(Root{}, nil, doc)
+	is.Equal(root.Version, core.Version(1))
+	var all []Revocation
+	for i := range 50 {
+		next := sizedDocument(50)
+		next.Accounts[i].Keys = next.Accounts[i].Keys[1:]
+		nextRoot, _ := Succeed(root, doc, next)
+		all = append(all, nextRoot.Revoked[0])
+		is.Equal(nextRoot.Revoked[0], Revocation{doc.Accounts[i].ID, "key-1", nextRoot.Version})
+		for _, r := range all {
+			listed := slices.Contains(nextRoot.Revoked, r)
+			is.True(listed || !nextRoot.ListsAllSince(r.Version-1))
+		}
+		root = nextRoot
+		root.Revoked = slices.DeleteFunc(root.Revoked, func(r Revocation) bool { return !slices.Contains(all, r) })
+		doc = sizedDocument(50)
+	}
+	is.Equal(len(root.Revoked), keptRevocations)
+	revoked := sizedDocument(50)
+	revoked.Accounts[0].Keys[0].Revoked = true
+	again, _ := Succeed(root, doc, revoked)
+	is.Equal(again.Revoked[0].Key, core.KeyID("key-1"))
+}
+
+// Guards against a missing, torn or foreign piece that passes for a version.
+func TestBrokenPieces(t *testing.T) {
+	doc := sizedDocument(300)
+	root, pieces := Split(doc)
+	rapid.Check(t, func(t *rapid.T) {
+		hashes := slices.SortedFunc(func(yield func(Hash) bool) {
+			for h := range pieces {
+				if !yield(h) {
+					return
+				}
+			}
+		}, func(a, b Hash) int { return slices.Compare(a[:], b[:]) })
+		broken := rapid.SampledFrom(hashes).Draw(t, "piece")
+		body := rapid.SampledFrom([]string{"missing", "", "[]", "null", "{}", "[{]"}).Draw(t, "body")
+		_, err := CompilePieces(nil, root, func(h Hash) ([]byte, bool) {
+			if h == broken {
+				return []byte(body), body != "missing"
+			}
+			return pieces[h], true
+		})
+		if err == nil {
+			t.Fatalf("a Snapshot came from a piece with body %q", body)
+		}
+	})
+}
+
+func BenchmarkChange27000(b *testing.B) {
+	before := sizedDocument(27_000)
+	oldRoot, oldPieces := Split(before)
+	prev := Compile(before, 1)
+	for _, change := range changes {
+		after := sizedDocument(27_000)
+		change.apply(after)
+		root, pieces := Succeed(oldRoot, before, after)
+		get := func(h Hash) ([]byte, bool) { p, ok := pieces[h]; return p, ok }
+		b.Run(change.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := CompilePieces(prev, root, get); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(movedBytes(oldPieces, root, pieces)), "moved-bytes")
+		})
+	}
+}
+
+var sizes = []int{5, 2_700, 27_000}
+
+// snapshotBytes measures the heap of enough Snapshots to exceed the noise.
+func snapshotBytes(doc *Document) float64 {
+	kept := make([]*Snapshot, 1+27_000/len(doc.Accounts))
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range kept {
+		kept[i] = Compile(doc, 1)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	runtime.KeepAlive(doc)
+	return (float64(after.HeapAlloc) - float64(before.HeapAlloc)) / float64(len(kept))
+}
+
+func BenchmarkCompile(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			doc := sizedDocument(size)
+			memory := snapshotBytes(doc)
+			for b.Loop() {
+				Compile(doc, 1)
+			}
+			b.ReportMetric(memory, "snapshot-bytes")
+		})
+	}
+}
+
+func BenchmarkKey(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			doc := sizedDocument(size)
+			snap := Compile(doc, 1)
+			i := 0
+			for b.Loop() {
+				i = (i + 7919) % size
+				if _, ok := snap.Key(doc.Accounts[i].ID, "key-2"); !ok {
+					b.Fatal("key not found")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkParse27000(b *testing.B) {
+	text := Format(sizedDocument(27_000))
+	b.SetBytes(int64(len(text)))
+	for b.Loop() {
+		if _, findings := Parse("bench.jsonc", text); len(findings) > 0 {
+			b.Fatal(findings)
+		}
+	}
+}
