limits, membership: home sets, loans, rosters with fencing

Ruled out: moving an entitlement when the platform's list drops its holder and a wait is over. A holder that is cut off from the platform but not from its callers can't tell that from a store outage, in which it must go on. Also ruled out: keeping entitlements over a skipped roster, as the holders under the skipped one may still use them. Change: a holder uses its entitlements while a majority of its roster proved, by echoed heartbeats, that it has not moved on; others take over after at least half moved on and a longer wait. Rosters carry the holders of unfinished generations. Buckets count token-nanoseconds, loans hold the lender's capacity down, and refunds are limited by the low points since the charge.

--- /dev/null
+++ b/pkg/limits/borrow.go
@@ -0,0 +1,315 @@
+package limits
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// The borrower uses 98 hundredths of a loan's term, counted from its question on
+// its own clock. With both clocks up to 1% off, 0.98/0.99 < 1/1.01.
+const (
+	borrowerTermPercent = 98
+	// unreachableRetry is the RetryAfter when a lender did not answer. Shorter
+	// retries would meet the same silence.
+	unreachableRetry = time.Second
+	// minRetry keeps a refused caller from coming back within a peer round trip.
+	minRetry = 50 * time.Millisecond
+)
+
+// pending is a request that waits for loans.
+type pending struct {
+	id       core.RequestID
+	bucket   *bucket
+	amount   Units
+	own      Units // reserved in the bucket
+	parts    []part
+	lenders  []lender
+	asks     []*ask
+	open     int // asks without a reply
+	deadline core.Instant
+	lost     bool // own was lost to a roster change
+	hinted   bool // the lenders were asked again by what they said they have
+}
+
+// lender is a home Instance that can be asked.
+type lender struct {
+	id     core.InstanceID
+	asked  bool
+	silent bool
+	has    Units // after a refusal
+}
+
+// ask is a loan request that this Instance sent.
+type ask struct {
+	seq      uint64
+	lender   core.InstanceID
+	bucket   *bucket
+	want     Units
+	pending  *pending // nil after the timeout
+	timeout  core.Instant
+	until    core.Instant // end of the loan for the borrower
+	answered bool
+}
+
+// borrow reserves what there is and asks home Instances for the rest.
+func (l *Limiter) borrow(now core.Instant, id core.RequestID, b *bucket, amount Units) Admission {
+	p := &pending{id: id, bucket: b, amount: amount, deadline: now.Add(l.p.MaxWait)}
+	for i := range b.home {
+		// The first lender rotates, so that the home Instances drain evenly.
+		lenderID := b.home[(i+int(l.seq%uint64(len(b.home))))%len(b.home)]
+		if lenderID != l.self.ID {
+			p.lenders = append(p.lenders, lender{id: lenderID})
+		}
+	}
+	own := l.spendable(now, b)
+	if len(p.lenders) == 0 {
+		return l.overRate(b, amount-own-b.borrowedLevel(), false)
+	}
+	p.parts, _ = takeBorrowed(b, amount)
+	p.own = own
+	b.level -= p.own
+	b.reserved += p.own
+	b.waiting++
+	l.pending[id] = p
+	return Admission{State: Borrowing, Loans: l.askMore(now, p)}
+}
+
+// missing returns what the request still needs. Loans that ended while it waited
+// don't count.
+func (p *pending) missing(now core.Instant) Units {
+	rest := p.amount - p.own
+	for _, taken := range p.parts {
+		if now < taken.from.until {
+			rest -= taken.amount
+		}
+	}
+	return rest
+}
+
+// askMore asks as many of the remaining lenders as the missing amount calls for.
+// When all have been asked, it asks again by what they said they have, once.
+func (l *Limiter) askMore(now core.Instant, p *pending) []Loan {
+	rest := p.missing(now)
+	var free []*lender
+	for i := range p.lenders {
+		if !p.lenders[i].asked {
+			free = append(free, &p.lenders[i])
+		}
+	}
+	if len(free) == 0 {
+		return l.askByHints(now, p, rest)
+	}
+	capacity := max(1, p.bucket.burst/Units(len(p.bucket.home)))
+	count := min(len(free), int((rest+capacity-1)/capacity))
+	var loans []Loan
+	for i, lender := range free[:count] {
+		want := rest / Units(count-i)
+		rest -= want
+		lender.asked = true
+		loans = append(loans, l.ask(now, p, lender.id, want))
+	}
+	return loans
+}
+
+func (l *Limiter) askByHints(now core.Instant, p *pending, rest Units) []Loan {
+	var sum Units
+	for _, lender := range p.lenders {
+		sum += lender.has
+	}
+	if p.hinted || sum < rest {
+		return nil
+	}
+	p.hinted = true
+	var loans []Loan
+	for i := range p.lenders {
+		lender := &p.lenders[i]
+		want := min(rest, lender.has)
+		lender.has = 0
+		if want > 0 {
+			rest -= want
+			loans = append(loans, l.ask(now, p, lender.id, want))
+		}
+	}
+	return loans
+}
+
+func (l *Limiter) ask(now core.Instant, p *pending, to core.InstanceID, want Units) Loan {
+	l.seq++
+	term := l.p.LoanTerm * borrowerTermPercent / 100
+	a := &ask{
+		seq:     l.seq,
+		lender:  to,
+		bucket:  p.bucket,
+		want:    want,
+		pending: p,
+		timeout: now.Add(l.p.AskTimeout),
+		until:   now.Add(term),
+	}
+	l.asks[l.seq] = a
+	p.asks = append(p.asks, a)
+	l.unread = append(l.unread, l.seq)
+	l.unended = append(l.unended, l.seq)
+	p.open++
+	q := LoanRequest{Borrower: l.self, Seq: l.seq, Account: p.bucket.limit.ID, Want: want}
+	return Loan{To: to, Request: q}
+}
+
+// OnLoanReply takes a lender's reply. The first reply to a question counts, also
+// after its timeout: the loan then serves later requests until it ends.
+func (l *Limiter) OnLoanReply(now core.Instant, from core.InstanceRef, r LoanReply) []Admitted {
+	l.advance(now)
+	a := l.asks[r.Seq]
+	if a == nil || r.Borrower != l.self || from.ID != a.lender || a.answered {
+		return nil
+	}
+	a.answered = true
+	if now >= a.until {
+		return nil
+	}
+	p := a.pending
+	if r.Granted == a.want {
+		l.receive(a, p)
+	}
+	if p == nil {
+		return nil
+	}
+	a.pending = nil
+	p.open--
+	if r.Granted != a.want {
+		p.setLender(a.lender, r.Available, false)
+	}
+	return l.proceed(now, p)
+}
+
+// receive puts a loan into the account's borrowed buckets; a waiting request
+// takes all of it.
+func (l *Limiter) receive(a *ask, p *pending) {
+	loan := &borrowed{until: a.until, level: a.want}
+	b := a.bucket
+	if p != nil {
+		p.parts = append(p.parts, part{loan, a.want})
+		loan.level = 0
+	} else if current := l.accounts[b.limit.ID]; current != nil {
+		b = current
+	}
+	at := len(b.borrowed)
+	for at > 0 && b.borrowed[at-1].until > loan.until {
+		at--
+	}
+	b.borrowed = slices.Insert(b.borrowed, at, loan)
+}
+
+func (p *pending) setLender(id core.InstanceID, has Units, silent bool) {
+	for i := range p.lenders {
+		if p.lenders[i].id == id {
+			p.lenders[i].has = has
+			p.lenders[i].silent = silent
+		}
+	}
+}
+
+// proceed grants, refuses or asks further once no question is open.
+func (l *Limiter) proceed(now core.Instant, p *pending) []Admitted {
+	p.bucket.touch(now)
+	rest := p.missing(now)
+	ownUsable := p.own == 0 || now < l.holdUntil
+	if rest <= 0 && ownUsable && now < p.deadline {
+		return []Admitted{{p.id, l.finish(now, p)}}
+	}
+	if p.open > 0 && now < p.deadline {
+		return nil
+	}
+	if now < p.deadline && !p.lost && ownUsable {
+		if loans := l.askMore(now, p); len(loans) > 0 {
+			return []Admitted{{p.id, Admission{State: Borrowing, Loans: loans}}}
+		}
+	}
+	return []Admitted{{p.id, l.giveUp(now, p, rest)}}
+}
+
+// finish turns what the request reserved into its charge.
+func (l *Limiter) finish(now core.Instant, p *pending) Admission {
+	b := p.bucket
+	c := charge{bucket: b, own: p.own}
+	if p.own > 0 {
+		b.note()
+		b.reserved -= p.own
+		b.charges++
+		c.seq = b.charges
+	}
+	for _, taken := range p.parts {
+		if now < taken.from.until {
+			c.loans = append(c.loans, taken)
+		}
+	}
+	l.charged[p.id] = c
+	l.close(p)
+	return Admission{State: Granted}
+}
+
+// giveUp returns what the request reserved and refuses it.
+func (l *Limiter) giveUp(now core.Instant, p *pending, rest Units) Admission {
+	b := p.bucket
+	b.reserved -= p.own
+	b.level += p.own
+	for _, taken := range p.parts {
+		if now < taken.from.until {
+			taken.from.level += taken.amount
+		}
+	}
+	l.close(p)
+	silent := p.lost || p.open > 0
+	for _, lender := range p.lenders {
+		silent = silent || lender.silent
+		rest -= lender.has
+	}
+	return l.overRate(b, rest, silent)
+}
+
+func (l *Limiter) close(p *pending) {
+	p.bucket.waiting--
+	delete(l.pending, p.id)
+	for _, a := range p.asks {
+		a.pending = nil
+	}
+}
+
+// overRate refuses a request that lacks rest. RetryAfter is the time in which the
+// whole account refills that much.
+func (l *Limiter) overRate(b *bucket, rest Units, silent bool) Admission {
+	if b.limit.Rate == 0 {
+		return refused(core.CodeOverRate, "the account's tokens are used up and it has no rate", 0)
+	}
+	wait := time.Duration(max(0, rest) / Units(b.limit.Rate))
+	wait = max(minRetry, wait*refillDenominator/refillNumerator)
+	if silent {
+		message := "not all home instances of the account answered"
+		return refused(core.CodeNoCapacity, message, max(wait, unreachableRetry))
+	}
+	return refused(core.CodeOverRate, "the account is over its rate", wait)
+}
+
+// endAsks ends the questions whose timeout has come and forgets those whose loan
+// would have ended.
+func (l *Limiter) endAsks(now core.Instant) []Admitted {
+	var out []Admitted
+	for len(l.unread) > 0 && l.asks[l.unread[0]].timeout <= now {
+		a := l.asks[l.unread[0]]
+		l.unread = l.unread[1:]
+		p := a.pending
+		if p == nil {
+			continue
+		}
+		a.pending = nil
+		p.open--
+		p.setLender(a.lender, 0, true)
+		out = append(out, l.proceed(now, p)...)
+	}
+	for len(l.unended) > 0 && l.asks[l.unended[0]].until <= now {
+		delete(l.asks, l.unended[0])
+		l.unended = l.unended[1:]
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/limits/fleet_test.go
@@ -0,0 +1,510 @@
+package limits_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/limits"
+	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
+)
+
+// The timings of the simulated fleet, shortened so that two virtual minutes hold
+// several takeovers. fenceWait/holdFor keeps the ratio of the defaults.
+const (
+	holdFor   = 6 * time.Second
+	fenceWait = 6200 * time.Millisecond
+	loanTerm  = 2 * time.Second
+	tickEvery = 50 * time.Millisecond
+)
+
+// fault is one drawn disturbance.
+type fault struct {
+	At, For     time.Duration
+	Kind        string
+	Node, Other int
+}
+
+var faultKinds = []string{"kill", "pause", "cut", "cutOneWay", "isolate", "platformCut", "dropFromList",
+	"storeDown", "storeSlow", "storeStale", "writeLost", "delay", "duplicate", "leave", "start"}
+
+// fleet runs pairs of Membership and Limiter in virtual time.
+type fleet struct {
+	rng     *rand.Rand
+	now     time.Duration // true time
+	events  eventHeap
+	order   int
+	nodes   []*node
+	naive   bool // uses entitlements without waiting for former holders
+	settles bool // settles below the charge
+
+	store     []membership.Roster // all versions; version n is store[n-1]
+	active    map[string]int      // running faults by kind
+	cutFrom   map[[2]int]int      // running cuts by direction
+	accounts  []limits.Account
+	ledger    map[core.AccountID][]entry
+	where     map[core.RequestID]place
+	requests  int
+	granted   int
+	refused   int
+	refusals  map[core.Code]int
+	messages  int
+	beats     int
+	violation string
+}
+
+type entry struct {
+	at     time.Duration
+	tokens int64
+}
+
+type place struct {
+	account core.AccountID
+	index   int
+	node    int
+	inc     core.Incarnation
+	tokens  int64
+}
+
+type node struct {
+	index       int
+	member      membership.Member
+	clockRate   int64 // thousandths of true time
+	offset      time.Duration
+	m           *membership.Membership
+	l           *limits.Limiter
+	up          bool
+	leaving     bool
+	pausedUntil time.Duration
+	lastRun     time.Duration
+	inbox       []func()
+	offPlatform int
+	unlisted    int
+	listedFrom  time.Duration
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func newFleet(seed uint64, size int) *fleet {
+	f := &fleet{
+		rng:      rand.New(rand.NewPCG(seed, 7)),
+		active:   map[string]int{},
+		cutFrom:  map[[2]int]int{},
+		ledger:   map[core.AccountID][]entry{},
+		where:    map[core.RequestID]place{},
+		refusals: map[core.Code]int{},
+		accounts: []limits.Account{
+			{ID: "steady", Rate: 1000, Burst: 3000},
+			{ID: "bursty", Rate: 200, Burst: 2000},
+			{ID: "small", Rate: 7, Burst: 10},
+		},
+	}
+	for range size {
+		f.addNode()
+	}
+	return f
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	f.order++
+	heap.Push(&f.events, event{f.now + d, f.order, run})
+}
+
+func (f *fleet) run(until time.Duration) {
+	for len(f.events) > 0 && f.events[0].at <= until && f.violation == "" {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.run()
+	}
+	f.now = until
+}
+
+func (f *fleet) addNode() {
+	i := len(f.nodes)
+	n := &node{
+		index:      i,
+		clockRate:  990 + f.rng.Int64N(21),
+		offset:     time.Duration(f.rng.Int64N(int64(time.Hour))),
+		listedFrom: f.now + time.Duration(f.rng.Int64N(int64(time.Second))),
+	}
+	n.member = membership.Member{
+		Ref:        core.InstanceRef{ID: core.InstanceID(fmt.Sprintf("n%d", i))},
+		DataCentre: core.DataCentreName(fmt.Sprintf("dc%d", i%3)),
+		Region:     core.RegionName(fmt.Sprintf("r%d", i%2)),
+		PeerAddr:   fmt.Sprintf("peer%d", i),
+		CallerAddr: fmt.Sprintf("caller%d", i),
+	}
+	f.nodes = append(f.nodes, n)
+	f.start(n)
+	f.loop(n)
+	f.pollList(n)
+	f.watchStore(n)
+}
+
+func (f *fleet) start(n *node) {
+	n.member.Ref.Incarnation++
+	n.up = true
+	n.leaving = false
+	n.pausedUntil = 0
+	n.lastRun = f.now
+	n.m = membership.New(n.member, membership.Params{
+		Random: rand.New(rand.NewPCG(f.rng.Uint64(), 1)), ListGrace: 2 * time.Second,
+		HoldFor: holdFor, FenceWait: fenceWait, ReplaceFence: 1000 * time.Hour, DropFence: 1000 * time.Hour,
+	})
+	n.l = limits.New(n.member.Ref, limits.Params{LoanTerm: loanTerm, IdleSweep: 3 * time.Second})
+}
+
+func (n *node) clock(f *fleet) core.Instant {
+	return core.Instant(n.offset + f.now*time.Duration(n.clockRate)/1000)
+}
+
+// do runs one iteration of a node's event loop, now or when its pause ends.
+func (f *fleet) do(n *node, inc core.Incarnation, run func()) {
+	if !n.up || n.member.Ref.Incarnation != inc && inc != 0 {
+		return
+	}
+	if f.now < n.pausedUntil {
+		n.inbox = append(n.inbox, run)
+		return
+	}
+	if (f.now-n.lastRun)*time.Duration(n.clockRate)/1000 > loanTerm {
+		n.member.Ref.Incarnation++
+		n.m.Reset(n.member.Ref)
+		n.l.Reset(n.clock(f), n.member.Ref)
+	}
+	n.lastRun = f.now
+	run()
+}
+
+func (f *fleet) loop(n *node) {
+	if n.up && f.now < n.pausedUntil {
+		f.after(n.pausedUntil-f.now, func() { f.loop(n) })
+		return
+	}
+	f.do(n, 0, func() {
+		waiting := n.inbox
+		n.inbox = nil
+		for _, run := range waiting {
+			run()
+		}
+		now := n.clock(f)
+		if now >= n.m.NextWake() {
+			f.apply(n, n.m.Tick(now))
+		}
+		if now >= n.l.NextWake() {
+			f.admitted(n, n.l.Tick(now))
+		}
+	})
+	f.after(tickEvery, func() { f.loop(n) })
+}
+
+func (f *fleet) platformUp(n *node) bool {
+	return f.active["storeDown"] == 0 && n.offPlatform == 0
+}
+
+func (f *fleet) pollList(n *node) {
+	if n.up && f.platformUp(n) {
+		list := f.platformList()
+		f.after(f.latency(), func() {
+			f.do(n, 0, func() { f.apply(n, n.m.OnList(n.clock(f), list)) })
+		})
+	}
+	f.after(700*time.Millisecond, func() { f.pollList(n) })
+}
+
+// platformList lags: starts show within a second, deaths after the fault's time.
+func (f *fleet) platformList() []membership.Listed {
+	var list []membership.Listed
+	for _, n := range f.nodes {
+		if n.unlisted > 0 || f.now < n.listedFrom {
+			continue
+		}
+		state := membership.Live
+		if n.leaving {
+			state = membership.Leaving
+		}
+		list = append(list, membership.Listed{
+			ID: n.member.Ref.ID, PeerAddr: n.member.PeerAddr, CallerAddr: n.member.CallerAddr,
+			DataCentre: n.member.DataCentre, Region: n.member.Region, State: state,
+		})
+	}
+	return list
+}
+
+func (f *fleet) latency() time.Duration {
+	d := time.Duration(f.rng.Int64N(int64(30 * time.Millisecond)))
+	if f.active["delay"] > 0 && f.rng.IntN(4) == 0 {
+		d += time.Duration(f.rng.Int64N(int64(4 * time.Second)))
+	}
+	return d
+}
+
+func (f *fleet) storeLatency() time.Duration {
+	d := time.Duration(f.rng.Int64N(int64(20 * time.Millisecond)))
+	if f.active["storeSlow"] > 0 {
+		d += time.Duration(f.rng.Int64N(int64(5 * time.Second)))
+	}
+	return d
+}
+
+func (f *fleet) watchStore(n *node) {
+	if n.up {
+		f.readStore(n)
+	}
+	f.after(100*time.Millisecond, func() { f.watchStore(n) })
+}
+
+func (f *fleet) readStore(n *node) {
+	if !f.platformUp(n) {
+		return
+	}
+	version := len(f.store)
+	if f.active["storeStale"] > 0 {
+		version -= f.rng.IntN(min(4, version+1))
+	}
+	var r membership.Roster
+	if version > 0 {
+		r = f.store[version-1]
+	}
+	f.after(f.storeLatency(), func() {
+		f.do(n, 0, func() { f.apply(n, n.m.OnRosterRead(n.clock(f), r, uint64(version))) })
+	})
+}
+
+func (f *fleet) writeStore(n *node, w membership.WriteRoster) {
+	inc := n.member.Ref.Incarnation
+	fail := func() { f.do(n, inc, func() { f.apply(n, n.m.OnWriteFailed(n.clock(f))) }) }
+	if !f.platformUp(n) {
+		f.after(f.latency(), fail)
+		return
+	}
+	f.after(f.storeLatency(), func() {
+		if f.active["storeDown"] > 0 || uint64(len(f.store)) != w.Base {
+			f.after(f.latency(), fail)
+			return
+		}
+		f.store = append(f.store, w.Roster)
+		if f.active["writeLost"] > 0 {
+			f.after(f.latency(), fail)
+			return
+		}
+		version := w.Base + 1
+		f.after(f.storeLatency(), func() {
+			f.do(n, inc, func() { f.apply(n, n.m.OnRosterRead(n.clock(f), w.Roster, version)) })
+		})
+	})
+}
+
+// send delivers a message to a peer unless the link is cut when it arrives.
+func (f *fleet) send(from *node, to core.InstanceID, deliver func(peer *node)) {
+	f.messages++
+	copies := 1
+	if f.active["duplicate"] > 0 && f.rng.IntN(3) == 0 {
+		copies = 2
+	}
+	for _, peer := range f.nodes {
+		if peer.member.Ref.ID != to {
+			continue
+		}
+		for range copies {
+			f.after(f.latency(), func() {
+				if f.cutFrom[[2]int{from.index, peer.index}] == 0 {
+					f.do(peer, 0, func() { deliver(peer) })
+				}
+			})
+		}
+	}
+}
+
+func (f *fleet) apply(n *node, outputs []membership.Output) {
+	for _, output := range outputs {
+		now := n.clock(f)
+		switch o := output.(type) {
+		case membership.SendHeartbeat:
+			f.beats++
+			f.send(n, o.To, func(peer *node) { f.apply(peer, peer.m.OnHeartbeat(peer.clock(f), o.Heartbeat)) })
+		case membership.WriteRoster:
+			f.writeStore(n, o)
+		case membership.ReadRoster:
+			f.readStore(n)
+			if o.From != "" {
+				f.send(n, o.From, func(peer *node) {
+					r := peer.m.Roster()
+					f.send(peer, n.member.Ref.ID, func(back *node) {
+						f.apply(back, back.m.OnRosterRead(back.clock(f), r, 0))
+					})
+				})
+			}
+		case membership.RosterInForce:
+			if f.naive {
+				o.Roster.Settled = true
+			}
+			n.l.SetRoster(now, o.Roster)
+		case membership.HoldUntil:
+			if f.naive {
+				o.Until = core.Never
+			}
+			n.l.HoldUntil(o.Until)
+		}
+	}
+}
+
+func (f *fleet) account(id core.AccountID) limits.Account {
+	for _, a := range f.accounts {
+		if a.ID == id {
+			return a
+		}
+	}
+	return limits.Account{}
+}
+
+func (f *fleet) request(n *node, a limits.Account, tokens int64) {
+	f.do(n, n.member.Ref.Incarnation, func() {
+		f.requests++
+		id := core.RequestID(fmt.Sprintf("q%d", f.requests))
+		f.where[id] = place{account: a.ID, node: n.index, inc: n.member.Ref.Incarnation, tokens: tokens, index: -1}
+		f.admitted(n, []limits.Admitted{{ID: id, Admission: n.l.Admit(n.clock(f), id, a, tokens)}})
+	})
+}
+
+func (f *fleet) admitted(n *node, list []limits.Admitted) {
+	for _, a := range list {
+		switch a.State {
+		case limits.Granted:
+			f.granted++
+			f.record(n, a.ID)
+		case limits.Refused:
+			f.refused++
+			f.refusals[a.Refusal.Code]++
+		}
+		for _, loan := range a.Loans {
+			f.send(n, loan.To, func(peer *node) {
+				limit := f.account(loan.Request.Account)
+				reply := peer.l.OnLoanRequest(peer.clock(f), loan.Request.Borrower, limit, loan.Request)
+				lender := peer.member.Ref
+				f.send(peer, n.member.Ref.ID, func(back *node) {
+					f.admitted(back, back.l.OnLoanReply(back.clock(f), lender, reply))
+				})
+			})
+		}
+	}
+}
+
+// record notes an admission, checks the bound and plans the settlement.
+func (f *fleet) record(n *node, id core.RequestID) {
+	p := f.where[id]
+	p.index = len(f.ledger[p.account])
+	f.where[id] = p
+	f.ledger[p.account] = append(f.ledger[p.account], entry{f.now, p.tokens})
+	f.checkBound(p.account)
+	if !f.settles {
+		return
+	}
+	used := f.rng.Int64N(p.tokens + 1)
+	settle := func() {
+		f.do(n, p.inc, func() {
+			n.l.Settle(n.clock(f), id, used)
+			f.ledger[p.account][p.index].tokens = used
+		})
+	}
+	wait := time.Duration(f.rng.Int64N(int64(3 * time.Second)))
+	f.after(wait, settle)
+	f.after(wait+time.Second, settle)
+}
+
+// checkBound checks every interval that ends now: admitted <= rate*t + burst.
+func (f *fleet) checkBound(id core.AccountID) {
+	a := f.account(id)
+	list := f.ledger[id]
+	var sum int64
+	for i := len(list) - 1; i >= 0; i-- {
+		sum += list[i].tokens
+		elapsed := int64(f.now - list[i].at)
+		if sum*1e9 > a.Rate*elapsed+a.Burst*1e9 {
+			f.violation = fmt.Sprintf("account %s got %d tokens in %v, over %d/s and %d",
+				id, sum, time.Duration(elapsed), a.Rate, a.Burst)
+			return
+		}
+	}
+}
+
+// inject starts a drawn fault and ends it after its time.
+func (f *fleet) inject(x fault) {
+	f.after(x.At-f.now, func() { f.startFault(x) })
+}
+
+func (f *fleet) startFault(x fault) {
+	n := f.nodes[x.Node%len(f.nodes)]
+	other := f.nodes[x.Other%len(f.nodes)]
+	counters := []*int{}
+	cuts := [][2]int{}
+	switch x.Kind {
+	case "kill":
+		n.up = false
+		n.inbox = nil
+		f.after(x.For, func() {
+			if !n.up {
+				f.start(n)
+			}
+		})
+		if x.Other%2 == 0 {
+			counters = append(counters, &n.unlisted)
+		}
+	case "pause":
+		n.pausedUntil = max(n.pausedUntil, f.now+x.For)
+		if x.Other%2 == 0 {
+			counters = append(counters, &n.unlisted)
+		}
+	case "cut":
+		cuts = append(cuts, [2]int{n.index, other.index}, [2]int{other.index, n.index})
+	case "cutOneWay":
+		cuts = append(cuts, [2]int{n.index, other.index})
+	case "isolate":
+		for _, peer := range f.nodes {
+			cuts = append(cuts, [2]int{n.index, peer.index}, [2]int{peer.index, n.index})
+		}
+		counters = append(counters, &n.offPlatform, &n.unlisted)
+	case "platformCut":
+		counters = append(counters, &n.offPlatform)
+	case "dropFromList":
+		counters = append(counters, &n.unlisted)
+	case "leave":
+		n.leaving = true
+		f.do(n, 0, func() { f.apply(n, n.m.Leave(n.clock(f))) })
+	case "start":
+		if len(f.nodes) < 8 {
+			f.addNode()
+		}
+	default:
+		f.active[x.Kind]++
+		f.after(x.For, func() { f.active[x.Kind]-- })
+	}
+	for _, c := range counters {
+		*c++
+		f.after(x.For, func() { *c-- })
+	}
+	for _, c := range cuts {
+		f.cutFrom[c]++
+		f.after(x.For, func() { f.cutFrom[c]-- })
+	}
+}
--- /dev/null
+++ b/pkg/membership/addresses.go
@@ -0,0 +1,91 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Sizes of an address answer beyond the home set. Callers need a few
+// alternatives, not all of 330 Instances.
+const (
+	nearAddresses = 6 // in the caller's region
+	farAddresses  = 3 // elsewhere, in case the whole region is unreachable
+)
+
+// Addresses returns the addresses for the callers of an account in a region: the
+// home set first, then the region, then elsewhere. Within a class, Instances
+// that are alive come first. Leaving Instances are left out as soon as their
+// leaving is known here. While a roster change is under way, the answer is kept
+// for half the time.
+func (m *Membership) Addresses(now core.Instant, region core.RegionName, account core.AccountID) Addresses {
+	type candidate struct {
+		member Member
+		class  int
+		weight uint64
+	}
+	home := Home(m.roster, account, m.p.HomeSize)
+	seed := xxhash.Sum64String(string(account))
+	var candidates []candidate
+	for _, member := range m.roster.Members {
+		if m.isLeaving(member) {
+			continue
+		}
+		class := m.addressClass(now, member, region, slices.Contains(home, member.Ref.ID))
+		candidates = append(candidates, candidate{member, class, weightOf(seed, member.Ref.ID)})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(b.weight, a.weight))
+	})
+	var out Addresses
+	near, far := 0, 0
+	for _, c := range candidates {
+		isHome := slices.Contains(home, c.member.Ref.ID)
+		inRegion := c.member.Region == region
+		switch {
+		case isHome:
+		case inRegion && near < nearAddresses:
+			near++
+		case !inRegion && far < farAddresses:
+			far++
+		default:
+			continue
+		}
+		out.CallerAddrs = append(out.CallerAddrs, c.member.CallerAddr)
+	}
+	out.KeepFor = m.p.KeepFor
+	if !m.roster.Settled {
+		out.KeepFor /= 2
+	}
+	return out
+}
+
+// addressClass orders Instances: silent ones after all others, homes first, and
+// the caller's region before the rest.
+func (m *Membership) addressClass(now core.Instant, member Member, region core.RegionName, home bool) int {
+	class := 0
+	if !m.Alive(now, member.Ref.ID) {
+		class += 4
+	}
+	if !home {
+		class += 2
+	}
+	if member.Region != region {
+		class++
+	}
+	return class
+}
+
+func (m *Membership) isLeaving(member Member) bool {
+	id := member.Ref.ID
+	if member.Leaving || (id == m.self.Ref.ID && m.self.Leaving) {
+		return true
+	}
+	if p := m.peers[id]; p != nil && p.row.Ref == member.Ref && p.row.Leaving {
+		return true
+	}
+	return m.listed[id].State == Leaving
+}
--- /dev/null
+++ b/pkg/membership/gossip.go
@@ -0,0 +1,169 @@
+package membership
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// OnHeartbeat takes a peer's heartbeat. Heartbeats of an earlier run are
+// rejected; duplicates and reordered ones change nothing, as every field only
+// moves forward.
+func (m *Membership) OnHeartbeat(now core.Instant, h Heartbeat) []Output {
+	if h.From.ID == m.self.Ref.ID {
+		return nil
+	}
+	if p := m.peers[h.From.ID]; p != nil && h.From.Incarnation < p.row.Ref.Incarnation {
+		return nil
+	}
+	out := m.mergeRow(now, Row{Ref: h.From, Epoch: h.Epoch, Leaving: h.Leaving})
+	p := m.peers[h.From.ID]
+	p.heard = true
+	p.heardAt = now
+	if h.Seq > p.lastSeq {
+		p.lastSeq = h.Seq
+		p.digest = h.Digest
+	}
+	m.proveEpoch(p, h)
+	for _, row := range h.Rows {
+		if row.Ref.ID != m.self.Ref.ID {
+			out = append(out, m.mergeRow(now, row)...)
+		}
+	}
+	if h.Epoch > m.roster.Epoch && now >= m.nextRead {
+		m.nextRead = now.Add(m.p.Period)
+		out = append(out, ReadRoster{From: h.From.ID})
+	}
+	return append(out, m.settle(now)...)
+}
+
+// proveEpoch notes that the sender was at no later epoch than ours after it
+// received our round h.Echo, and so after we sent that round.
+func (m *Membership) proveEpoch(p *peer, h Heartbeat) {
+	if h.Epoch > m.roster.Epoch || h.EchoOf != m.self.Ref.Incarnation || h.Echo == 0 {
+		return
+	}
+	if h.Echo > m.seq || m.seq-h.Echo >= rememberedRounds {
+		return
+	}
+	sent := m.sentAt[h.Echo%rememberedRounds]
+	if !p.proven || sent > p.provenAt {
+		p.provenAt = sent
+		p.proven = true
+	}
+}
+
+// mergeRow takes what is newer in a row and reports a run that it shows to have ended.
+func (m *Membership) mergeRow(now core.Instant, row Row) []Output {
+	id := row.Ref.ID
+	if id == m.self.Ref.ID {
+		return nil
+	}
+	p := m.peers[id]
+	if p == nil {
+		m.peers[id] = &peer{row: row, changedAt: now}
+		m.refreshDigest()
+		return nil
+	}
+	old := p.row
+	switch {
+	case row.Ref.Incarnation < old.Ref.Incarnation:
+		return nil
+	case row.Ref.Incarnation > old.Ref.Incarnation:
+		*p = peer{row: row, changedAt: now}
+		m.refreshDigest()
+		return []Output{IncarnationDead{Ref: old.Ref}}
+	}
+	p.row.Epoch = max(old.Epoch, row.Epoch)
+	p.row.Leaving = old.Leaving || row.Leaving
+	if p.row != old {
+		p.changedAt = now
+		m.digest ^= digestOf(old) ^ digestOf(p.row)
+	}
+	return nil
+}
+
+// round sends heartbeats to the next Fanout targets.
+func (m *Membership) round(now core.Instant) []Output {
+	m.seq++
+	m.sentAt[m.seq%rememberedRounds] = now
+	count := min(m.p.Fanout, len(m.targets))
+	changed := m.changedRows(now)
+	out := make([]Output, 0, count)
+	for range count {
+		t := m.targets[m.cursor%len(m.targets)]
+		m.cursor = (m.cursor + 1) % len(m.targets)
+		out = append(out, SendHeartbeat{To: t.id, PeerAddr: t.addr, Heartbeat: m.heartbeat(t.id, changed)})
+	}
+	return out
+}
+
+func (m *Membership) heartbeat(to core.InstanceID, changed []Row) Heartbeat {
+	h := Heartbeat{
+		From:    m.self.Ref,
+		Seq:     m.seq,
+		Epoch:   m.roster.Epoch,
+		Leaving: m.self.Leaving,
+		Digest:  m.ownDigest(),
+	}
+	p := m.peers[to]
+	if p != nil && p.heard {
+		h.Echo = p.lastSeq
+		h.EchoOf = p.row.Ref.Incarnation
+	}
+	if p == nil || p.digest != h.Digest {
+		h.Rows = m.sample(changed)
+	}
+	return h
+}
+
+// changedRows returns the rows that changed within three cycles, in order of id.
+// Older changes have reached everybody in direct heartbeats.
+func (m *Membership) changedRows(now core.Instant) []Row {
+	var rows []Row
+	for _, t := range m.targets {
+		p := m.peers[t.id]
+		if p != nil && now.Sub(p.changedAt) < 3*m.cycle() {
+			rows = append(rows, p.row)
+		}
+	}
+	return rows
+}
+
+// sample returns up to RowsPerBeat consecutive rows from a random position.
+func (m *Membership) sample(rows []Row) []Row {
+	if len(rows) == 0 {
+		return nil
+	}
+	count := min(len(rows), m.p.RowsPerBeat)
+	start := m.p.Random.IntN(len(rows))
+	out := make([]Row, 0, count)
+	for i := range count {
+		out = append(out, rows[(start+i)%len(rows)])
+	}
+	return out
+}
+
+// ownDigest is the digest over all rows including this Instance's own, which the
+// peers have too.
+func (m *Membership) ownDigest() uint64 {
+	own := Row{Ref: m.self.Ref, Epoch: m.roster.Epoch, Leaving: m.self.Leaving}
+	return m.digest ^ digestOf(own)
+}
+
+func (m *Membership) refreshDigest() {
+	m.digest = 0
+	for _, p := range m.peers {
+		m.digest ^= digestOf(p.row)
+	}
+}
+
+func digestOf(r Row) uint64 {
+	x := xxhash.Sum64String(string(r.Ref.ID))
+	x = mix(x ^ uint64(r.Ref.Incarnation))
+	x = mix(x ^ uint64(r.Epoch))
+	if r.Leaving {
+		x = mix(x ^ 1)
+	}
+	return x
+}
--- a/pkg/membership/home.go
+++ b/pkg/membership/home.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,39 +9,56 @@
 )
 
 // Home returns the home set of an account: k Instances (fewer when the roster
-// has fewer that are not leaving), chosen by rendezvous hashing and spread over
-// data centres as far as there are enough. The result is in order of weight.
+// has fewer that are not leaving), chosen by rendezvous hashing. Each is the
+// heaviest one of a data centre that the set does not have yet; a data centre is
+// used again only when all have been used as often.
 func Home(roster Roster, account core.AccountID, k int) []core.InstanceID {
-	type candidate struct {
-		id     core.InstanceID
-		dc     core.DataCentreName
-		weight uint64
-	}
 	seed := xxhash.Sum64String(string(account))
-	candidates := make([]candidate, 0, len(roster.Members))
-	for _, m := range roster.Members {
-		if m.Leaving {
-			continue
-		}
-		weight := mix(seed ^ xxhash.Sum64String(string(m.Ref.ID)))
-		candidates = append(candidates, candidate{m.Ref.ID, m.DataCentre, weight})
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id))
-	})
-	home := make([]core.InstanceID, 0, k)
-	perDC := map[core.DataCentreName]int{}
-	for round := 0; len(home) < min(k, len(candidates)); round++ {
-		for _, c := range candidates {
-			if len(home) < k && perDC[c.dc] == round && !slices.Contains(home, c.id) {
-				perDC[c.dc]++
-				home = append(home, c.id)
+	chosen := make([]int, 0, 8)
+	for len(chosen) < k {
+		best := -1
+		bestUsed := 0
+		var bestWeight uint64
+		for i := range roster.Members {
+			member := &roster.Members[i]
+			if member.Leaving || slices.Contains(chosen, i) {
+				continue
 			}
+			used := usesOf(roster, chosen, member.DataCentre)
+			weight := weightOf(seed, member.Ref.ID)
+			better := used < bestUsed || used == bestUsed && weight > bestWeight
+			if best < 0 || better {
+				best = i
+				bestUsed = used
+				bestWeight = weight
+			}
+		}
+		if best < 0 {
+			break
 		}
+		chosen = append(chosen, best)
+	}
+	home := make([]core.InstanceID, 0, len(chosen))
+	for _, i := range chosen {
+		home = append(home, roster.Members[i].Ref.ID)
 	}
 	return home
 }
 
+func usesOf(roster Roster, chosen []int, dc core.DataCentreName) int {
+	used := 0
+	for _, i := range chosen {
+		if roster.Members[i].DataCentre == dc {
+			used++
+		}
+	}
+	return used
+}
+
+func weightOf(seed uint64, id core.InstanceID) uint64 {
+	return mix(seed ^ xxhash.Sum64String(string(id)))
+}
+
 // mix is the finalizer of splitmix64; it spreads the bits of combined hashes.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -2,128 +2,228 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
 
 // Membership is one Instance's view of the fleet.
 type Membership struct {
-	self     Member
-	p        Params
-	roster   Roster
-	base     uint64
-	listed   []Listed
+	self Member
+	p    Params
+
+	roster    Roster
+	adoptedAt core.Instant
+	base      uint64 // store version of roster
+	baseKnown bool
+	proposeAt core.Instant // Never when no proposal is planned
+	writing   core.Instant // when an unanswered write is resolved by a read; Never when there is none
+	nextRead  core.Instant // earliest next ReadRoster after a hint from a peer
+	fencedAt  map[core.Epoch]fence
+	holdUntil core.Instant
+	stopped   bool
+
+	listed       map[core.InstanceID]Listed
+	missingSince map[core.InstanceID]core.Instant
+	wasListed    bool
+
+	peers   map[core.InstanceID]*peer
+	targets []target // peers to send heartbeats to, sorted by id
+	cursor  int      // next target of a round
+	digest  uint64
+
 	nextBeat core.Instant
 	seq      uint64
+	sentAt   [rememberedRounds]core.Instant // by Seq modulo its length
+}
+
+// rememberedRounds covers the default HoldFor of 30 rounds twice.
+const rememberedRounds = 64
+
+// peer is what this Instance knows about another one.
+type peer struct {
+	row       Row
+	changedAt core.Instant // when row changed last
+	heardAt   core.Instant // when a heartbeat of this run came last
+	heard     bool
+	lastSeq   uint64 // highest Seq of this run
+	digest    uint64 // digest in that heartbeat
+	// provenAt is the latest instant of this Instance's clock after which the peer
+	// is known to have been at no later epoch than ours.
+	provenAt core.Instant
+	proven   bool
+}
+
+type target struct {
+	id   core.InstanceID
+	addr string
 }
 
 // New returns the view of a starting Instance. It serves once a roster that
 // holds its own incarnation is in force.
 func New(self Member, p Params) *Membership {
-	return &Membership{self: self, p: p.withDefaults()}
+	return &Membership{
+		self:         self,
+		p:            p.withDefaults(),
+		proposeAt:    core.Never,
+		writing:      core.Never,
+		fencedAt:     map[core.Epoch]fence{},
+		listed:       map[core.InstanceID]Listed{},
+		missingSince: map[core.InstanceID]core.Instant{},
+		peers:        map[core.InstanceID]*peer{},
+	}
+}
+
+// Reset starts a new incarnation after a pause; everything learned before is dropped.
+func (m *Membership) Reset(self core.InstanceRef) {
+	member := m.self
+	member.Ref = self
+	*m = *New(member, m.p)
 }
 
-// OnList takes the platform's list.
+// OnList takes the platform's list. An empty list is ignored: the platform
+// returns one while it starts.
 func (m *Membership) OnList(now core.Instant, list []Listed) []Output {
-	m.listed = slices.Clone(list)
-	return m.propose()
-}
-
-func (m *Membership) propose() []Output {
-	var members []Member
-	for _, l := range m.listed {
-		member := Member{
-			Ref:        core.InstanceRef{ID: l.ID, Incarnation: 1},
-			DataCentre: l.DataCentre,
-			Region:     l.Region,
-			PeerAddr:   l.PeerAddr,
-			CallerAddr: l.CallerAddr,
-			Leaving:    l.State == Leaving,
+	if len(list) == 0 {
+		return nil
+	}
+	m.listed = make(map[core.InstanceID]Listed, len(list))
+	for _, l := range list {
+		m.listed[l.ID] = l
+		delete(m.missingSince, l.ID)
+	}
+	for _, member := range m.roster.Members {
+		id := member.Ref.ID
+		if _, ok := m.listed[id]; ok {
+			continue
 		}
-		if old, ok := m.roster.Member(l.ID); ok {
-			member.Ref = old.Ref
+		if _, ok := m.missingSince[id]; !ok {
+			m.missingSince[id] = now
 		}
-		if l.ID == m.self.Ref.ID {
-			member = m.self
+	}
+	m.retarget()
+	out := m.checkSelfListed(now)
+	m.planProposal(now)
+	return out
+}
+
+// checkSelfListed stops this Instance when the list no longer has it. A starting
+// Instance waits for its first listing, as the list lags.
+func (m *Membership) checkSelfListed(now core.Instant) []Output {
+	if m.selfListed() {
+		m.wasListed = true
+		if m.stopped && m.inRoster() {
+			return []Output{ReadRoster{}}
 		}
-		members = append(members, member)
+		return nil
 	}
-	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Ref.ID, b.Ref.ID) })
-	if slices.Equal(members, m.roster.Members) {
+	if !m.wasListed {
 		return nil
 	}
-	return []Output{WriteRoster{Base: m.base, Roster: Roster{Epoch: m.roster.Epoch + 1, Members: members}}}
+	return m.stop(now, "the platform's list no longer has this instance")
 }
 
-// OnRosterRead takes a roster read from the store.
-func (m *Membership) OnRosterRead(now core.Instant, r Roster, storeVersion uint64) []Output {
-	if r.Epoch <= m.roster.Epoch {
+func (m *Membership) stop(now core.Instant, reason string) []Output {
+	if m.stopped {
 		return nil
 	}
-	r.Settled = true
-	m.roster = r
-	m.base = storeVersion
-	return []Output{RosterInForce{Roster: r}, HoldUntil{Until: core.Never}}
+	m.stopped = true
+	m.holdUntil = now
+	return []Output{HoldUntil{Until: now}, StopServing{Reason: reason}}
 }
 
-// OnWriteFailed handles a conflict, an error or a lost answer of a roster write.
-func (m *Membership) OnWriteFailed(now core.Instant) []Output {
-	return []Output{ReadRoster{}}
+// Leave starts this Instance's graceful shutdown. It tells the peers at once and
+// plans a roster that gives its entitlements to others.
+func (m *Membership) Leave(now core.Instant) []Output {
+	m.self.Leaving = true
+	m.planProposal(now)
+	return m.round(now)
 }
 
-// OnHeartbeat takes a peer's heartbeat.
-func (m *Membership) OnHeartbeat(now core.Instant, h Heartbeat) []Output {
-	if h.Epoch > m.roster.Epoch {
-		return []Output{ReadRoster{From: h.From.ID}}
+// Tick does what is due: heartbeats, a planned proposal, the end of a fencing
+// wait, a read after a write without an answer.
+func (m *Membership) Tick(now core.Instant) []Output {
+	var out []Output
+	if !m.baseKnown && now >= m.nextRead {
+		m.nextRead = now.Add(m.p.WriteRetry)
+		out = append(out, ReadRoster{})
+	}
+	if now >= m.writing {
+		out = append(out, m.OnWriteFailed(now)...)
+	}
+	if now >= m.proposeAt {
+		out = append(out, m.propose(now)...)
+	}
+	out = append(out, m.settle(now)...)
+	if now >= m.nextBeat {
+		out = append(out, m.updateHold(now)...)
+		out = append(out, m.round(now)...)
+		m.nextBeat = now.Add(jittered(m.p.Random, m.p.Period))
+		m.planProposal(now)
 	}
-	return nil
+	return out
 }
 
-// Leave starts this Instance's graceful shutdown.
-func (m *Membership) Leave(now core.Instant) []Output {
-	m.self.Leaving = true
-	return m.propose()
+// jittered returns a duration within 10% of d.
+func jittered(random *rand.Rand, d time.Duration) time.Duration {
+	return d*9/10 + time.Duration(random.Int64N(int64(d)/5+1))
 }
 
-// Addresses returns the addresses for the callers of an account in a region.
-func (m *Membership) Addresses(now core.Instant, region core.RegionName, account core.AccountID) Addresses {
-	var out Addresses
-	for _, member := range m.roster.Members {
-		if !member.Leaving {
-			out.CallerAddrs = append(out.CallerAddrs, member.CallerAddr)
-		}
+// NextWake returns when the next Tick is due. Fencing waits and reads are
+// checked with the heartbeats, once in a Period.
+func (m *Membership) NextWake() core.Instant {
+	return core.Earliest(m.nextBeat, m.proposeAt, m.writing)
+}
+
+// Roster returns the roster in force.
+func (m *Membership) Roster() Roster { return m.roster }
+
+// Alive reports whether the Instance was heard within three heartbeat cycles.
+func (m *Membership) Alive(now core.Instant, id core.InstanceID) bool {
+	if id == m.self.Ref.ID {
+		return true
 	}
-	out.KeepFor = m.p.KeepFor
-	return out
+	p := m.peers[id]
+	return p != nil && p.heard && now.Sub(p.heardAt) < 3*m.cycle()+m.p.Period
 }
 
-// Tick sends the heartbeats that are due.
-func (m *Membership) Tick(now core.Instant) []Output {
-	if now < m.nextBeat {
-		return nil
+// cycle returns the time in which every target gets a heartbeat.
+func (m *Membership) cycle() time.Duration {
+	rounds := (len(m.targets) + m.p.Fanout - 1) / m.p.Fanout
+	return time.Duration(max(1, rounds)) * m.p.Period
+}
+
+// retarget rebuilds the sorted list of peers: the roster and the platform's list.
+func (m *Membership) retarget() {
+	addrs := make(map[core.InstanceID]string, len(m.roster.Members))
+	for id, l := range m.listed {
+		addrs[id] = l.PeerAddr
 	}
-	m.nextBeat = now.Add(m.p.Period)
-	m.seq++
-	var out []Output
 	for _, member := range m.roster.Members {
-		if member.Ref.ID == m.self.Ref.ID {
-			continue
+		addrs[member.Ref.ID] = member.PeerAddr
+	}
+	delete(addrs, m.self.Ref.ID)
+	m.targets = m.targets[:0]
+	for id, addr := range addrs {
+		m.targets = append(m.targets, target{id, addr})
+	}
+	slices.SortFunc(m.targets, func(a, b target) int { return cmp.Compare(a.id, b.id) })
+	for id := range m.peers {
+		if _, ok := addrs[id]; !ok && !m.isFormer(id) {
+			delete(m.peers, id)
 		}
-		beat := Heartbeat{From: m.self.Ref, Seq: m.seq, Epoch: m.roster.Epoch, Leaving: m.self.Leaving}
-		out = append(out, SendHeartbeat{To: member.Ref.ID, PeerAddr: member.PeerAddr, Heartbeat: beat})
 	}
-	return out
 }
 
-// NextWake returns when the next Tick is due.
-func (m *Membership) NextWake() core.Instant { return m.nextBeat }
-
-// Roster returns the roster in force.
-func (m *Membership) Roster() Roster { return m.roster }
-
-// Alive reports whether the Instance has been heard recently.
-func (m *Membership) Alive(now core.Instant, id core.InstanceID) bool {
-	_, ok := m.roster.Member(id)
-	return ok
+func (m *Membership) isFormer(id core.InstanceID) bool {
+	for _, g := range m.roster.Former {
+		for _, h := range g.Holders {
+			if h.ID == id {
+				return true
+			}
+		}
+	}
+	return false
 }
--- a/pkg/membership/types.go
+++ b/pkg/membership/types.go
@@ -23,11 +23,17 @@
 	Leaving    bool                `json:"leaving,omitempty"`
 }
 
-// Generation is an earlier set of holders whose entitlements may still be in
-// use: it has not been observed that all of them stopped.
+// Generation records the holders of an earlier roster that have not been seen to
+// stop using it. A holder has stopped when it acknowledged a later epoch or when
+// a new incarnation runs at its address. The entitlements of the others may be
+// held by another once at least half of the generation has stopped and the
+// fencing wait has passed since: a holder needs evidence from a majority of its
+// generation, so it has stopped by then. When more than half is lost for good,
+// Params.ReplaceFence and DropFence apply.
 type Generation struct {
 	Epoch   core.Epoch         `json:"epoch"`
-	Holders []core.InstanceRef `json:"holders"`
+	Size    int                `json:"size"`    // number of holders at first
+	Holders []core.InstanceRef `json:"holders"` // those not known to have stopped
 }
 
 // Roster is the value of the store object "roster". Members are sorted by id.
@@ -124,14 +130,15 @@
 // RosterInForce gives a new roster, or the same one again once it has settled.
 type RosterInForce struct{ Roster Roster }
 
-// HoldUntil extends the instant until which this Instance may use its
-// entitlements. It is passed to the limiter.
+// HoldUntil sets the instant until which this Instance may use its entitlements.
+// It is passed to the limiter in the same step.
 type HoldUntil struct{ Until core.Instant }
 
 // IncarnationDead reports a run that has certainly ended.
 type IncarnationDead struct{ Ref core.InstanceRef }
 
-// StopServing says that this Instance may no longer serve.
+// StopServing says that this Instance is no longer part of the fleet. It serves
+// again after a RosterInForce that holds its incarnation.
 type StopServing struct{ Reason string }
 
 func (SendHeartbeat) output()   {}
@@ -151,20 +158,30 @@
 	ListGrace   time.Duration // how long an Instance may be missing from the list before it is dropped
 	HoldFor     time.Duration // how long evidence from a majority permits holding entitlements
 	FenceWait   time.Duration // wait before the entitlements of a silent holder move
-	WriteRetry  time.Duration // time after which a roster write without an answer is resolved by a read
-	KeepFor     time.Duration // how long callers keep an address answer
+	// ReplaceFence and DropFence are waits for generations that can't be fenced by a
+	// blocking half. They rely on the page's rule that an Instance which the list
+	// has dropped stops, and so not on evidence: ReplaceFence when nobody of the
+	// generation is left, DropFence when some are left but fewer than half.
+	ReplaceFence time.Duration
+	DropFence    time.Duration
+	WriteRetry   time.Duration // time after which a roster write without an answer is resolved by a read
+	KeepFor      time.Duration // how long callers keep an address answer
+	HomeSize     int           // Instances in a home set
 }
 
 // The defaults of Params.
 const (
-	DefaultPeriod      = time.Second
-	DefaultFanout      = 33 // 329 peers are met in 10 rounds, within a third of DefaultHoldFor
-	DefaultRowsPerBeat = 4  // keeps a heartbeat below 150 bytes
-	DefaultListGrace   = 5 * time.Second
-	DefaultHoldFor     = 30 * time.Second
-	DefaultFenceWait   = 31 * time.Second // over 30 s * 1.01 / 0.99, the clocks being up to 1% off
-	DefaultWriteRetry  = 2 * time.Second
-	DefaultKeepFor     = 10 * time.Second
+	DefaultPeriod       = time.Second
+	DefaultFanout       = 33 // 329 peers are met in 10 rounds, within a third of DefaultHoldFor
+	DefaultRowsPerBeat  = 4  // keeps a heartbeat below 150 bytes
+	DefaultListGrace    = 5 * time.Second
+	DefaultHoldFor      = 30 * time.Second
+	DefaultFenceWait    = 31 * time.Second // over 30 s * 1.01 / 0.99, the clocks being up to 1% off
+	DefaultReplaceFence = 31 * time.Second
+	DefaultDropFence    = 70 * time.Minute // longer than the regions' loss of contact, about an hour
+	DefaultWriteRetry   = 2 * time.Second
+	DefaultKeepFor      = 10 * time.Second
+	DefaultHomeSize     = 3
 )
 
 func (p Params) withDefaults() Params {
@@ -174,8 +191,11 @@
 	setDefault(&p.ListGrace, DefaultListGrace)
 	setDefault(&p.HoldFor, DefaultHoldFor)
 	setDefault(&p.FenceWait, DefaultFenceWait)
+	setDefault(&p.ReplaceFence, DefaultReplaceFence)
+	setDefault(&p.DropFence, DefaultDropFence)
 	setDefault(&p.WriteRetry, DefaultWriteRetry)
 	setDefault(&p.KeepFor, DefaultKeepFor)
+	setDefault(&p.HomeSize, DefaultHomeSize)
 	if p.Random == nil {
 		p.Random = rand.New(rand.NewPCG(1, 1))
 	}
