limits: RetryAfter knows of lent capacity; unit tests

Cause: after a loan of the whole burst, a refusal said 102 ms, but the lenders' capacity is down for the term and only one of three buckets refilled. Ruled out: ending a loan early with one more message; a settlement could then return tokens to a bucket that the lender no longer holds down. Change: a refusing lender says how long its refill is blocked, and RetryAfter solves for the whole home set. Tests for the bucket, loans, settlement, reset, memory and home sets. Figures: RetryAfter in that case 102 ms before (too short), 506 ms after; the request repeated then is granted. Conclusion: the RetryAfter of an answered refusal is sufficient in the test.

--- a/pkg/limits/borrow.go
+++ b/pkg/limits/borrow.go
@@ -38,7 +38,9 @@
 	id     core.InstanceID
 	asked  bool
 	silent bool
-	has    Units // after a refusal
+	// After a refusal, as in LoanReply.
+	has     Units
+	blocked time.Duration
 }
 
 // ask is a loan request that this Instance sent.
@@ -65,7 +67,7 @@
 	}
 	own := l.spendable(now, b)
 	if len(p.lenders) == 0 {
-		return l.overRate(b, amount-own-b.borrowedLevel(), false)
+		return overRate(b, amount-own-b.borrowedLevel(), []time.Duration{b.blockedFor(now)}, false)
 	}
 	p.parts, _ = takeBorrowed(b, amount)
 	p.own = own
@@ -178,7 +180,8 @@
 	a.pending = nil
 	p.open--
 	if r.Granted != a.want {
-		p.setLender(a.lender, r.Available, false)
+		p.lender(a.lender).has = r.Available
+		p.lender(a.lender).blocked = r.BlockedFor
 	}
 	return l.proceed(now, p)
 }
@@ -201,13 +204,9 @@
 	b.borrowed = slices.Insert(b.borrowed, at, loan)
 }
 
-func (p *pending) setLender(id core.InstanceID, has Units, silent bool) {
-	for i := range p.lenders {
-		if p.lenders[i].id == id {
-			p.lenders[i].has = has
-			p.lenders[i].silent = silent
-		}
-	}
+func (p *pending) lender(id core.InstanceID) *lender {
+	i := slices.IndexFunc(p.lenders, func(l lender) bool { return l.id == id })
+	return &p.lenders[i]
 }
 
 // proceed grants, refuses or asks further once no question is open.
@@ -261,11 +260,16 @@
 	}
 	l.close(p)
 	silent := p.lost || p.open > 0
+	var blocked []time.Duration
+	if b.share.k > 0 {
+		blocked = append(blocked, b.blockedFor(now))
+	}
 	for _, lender := range p.lenders {
 		silent = silent || lender.silent
 		rest -= lender.has
+		blocked = append(blocked, lender.blocked)
 	}
-	return l.overRate(b, rest, silent)
+	return overRate(b, rest, blocked, silent)
 }
 
 func (l *Limiter) close(p *pending) {
@@ -277,13 +281,13 @@
 }
 
 // overRate refuses a request that lacks rest. RetryAfter is the time in which the
-// whole account refills that much.
-func (l *Limiter) overRate(b *bucket, rest Units, silent bool) Admission {
+// home Instances refill that much, given how long each is blocked.
+func overRate(b *bucket, rest Units, blocked []time.Duration, silent bool) Admission {
 	if b.limit.Rate == 0 {
 		return refused(core.CodeOverRate, "the account's tokens are used up and it has no rate", 0)
 	}
-	wait := time.Duration(max(0, rest) / Units(b.limit.Rate))
-	wait = max(minRetry, wait*refillDenominator/refillNumerator)
+	part := float64(b.limit.Rate) / float64(len(blocked)) * refillNumerator / refillDenominator
+	wait := max(minRetry, refillWait(max(0, rest), part, blocked))
 	if silent {
 		message := "not all home instances of the account answered"
 		return refused(core.CodeNoCapacity, message, max(wait, unreachableRetry))
@@ -291,6 +295,22 @@
 	return refused(core.CodeOverRate, "the account is over its rate", wait)
 }
 
+// refillWait returns the time in which buckets that refill part units per
+// nanosecond each, after being blocked, get rest together.
+func refillWait(rest Units, part float64, blocked []time.Duration) time.Duration {
+	slices.Sort(blocked)
+	var wait, sum time.Duration
+	for i, until := range blocked {
+		sum += until
+		count := time.Duration(i + 1)
+		wait = (time.Duration(float64(rest)/part)+sum)/count + 1
+		if i+1 == len(blocked) || wait <= blocked[i+1] {
+			break
+		}
+	}
+	return wait
+}
+
 // endAsks ends the questions whose timeout has come and forgets those whose loan
 // would have ended.
 func (l *Limiter) endAsks(now core.Instant) []Admitted {
@@ -304,7 +324,7 @@
 		}
 		a.pending = nil
 		p.open--
-		p.setLender(a.lender, 0, true)
+		p.lender(a.lender).silent = true
 		out = append(out, l.proceed(now, p)...)
 	}
 	for len(l.unended) > 0 && l.asks[l.unended[0]].until <= now {
--- a/pkg/limits/bucket.go
+++ b/pkg/limits/bucket.go
@@ -208,6 +208,21 @@
 	b.level += max(0, fits)
 }
 
+// blockedFor returns how long loans leave no room to refill.
+func (b *bucket) blockedFor(now core.Instant) time.Duration {
+	room := b.room()
+	if room > 0 {
+		return 0
+	}
+	for _, loan := range b.loans {
+		room += loan.amount
+		if room > 0 {
+			return loan.until.Sub(now)
+		}
+	}
+	return 0
+}
+
 // available returns what can be spent or lent from the entitlement.
 func (b *bucket) available() Units { return max(0, b.level) }
 
--- a/pkg/limits/lend.go
+++ b/pkg/limits/lend.go
@@ -32,6 +32,7 @@
 	available := l.spendable(now, b)
 	if available < q.Want {
 		reply.Available = available
+		reply.BlockedFor = b.blockedFor(now)
 		return reply
 	}
 	b.usedAt = now
--- /dev/null
+++ b/pkg/limits/limiter_test.go
@@ -0,0 +1,234 @@
+package limits_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/limits"
+	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
+)
+
+var account = limits.Account{ID: "acme", Rate: 300, Burst: 900}
+
+// full is an instant at which the buckets of a trio are full.
+const full = core.Instant(time.Minute)
+
+// rosterOf returns a settled roster of size Instances in three data centres.
+func rosterOf(size int) membership.Roster {
+	r := membership.Roster{Epoch: 1, Settled: true}
+	for i := range size {
+		r.Members = append(r.Members, membership.Member{
+			Ref:        core.InstanceRef{ID: core.InstanceID(fmt.Sprintf("i%03d", i)), Incarnation: 1},
+			DataCentre: core.DataCentreName(fmt.Sprintf("dc%d", i%3)),
+		})
+	}
+	return r
+}
+
+// trio returns three Limiters that are the account's home set, with full buckets.
+func trio() (map[core.InstanceID]*limits.Limiter, membership.Roster) {
+	r := rosterOf(3)
+	all := map[core.InstanceID]*limits.Limiter{}
+	for _, m := range r.Members {
+		l := limits.New(m.Ref, limits.Params{})
+		l.HoldUntil(core.Never)
+		l.SetRoster(0, r)
+		all[m.Ref.ID] = l
+	}
+	return all, r
+}
+
+func ref(id core.InstanceID) core.InstanceRef { return core.InstanceRef{ID: id, Incarnation: 1} }
+
+// answer lets the asked lenders reply and returns the last progress report.
+func answer(all map[core.InstanceID]*limits.Limiter, self core.InstanceID, now core.Instant, loans []limits.Loan) (last limits.Admitted) {
+	for len(loans) > 0 {
+		loan := loans[0]
+		loans = loans[1:]
+		reply := all[loan.To].OnLoanRequest(now, ref(self), account, loan.Request)
+		for _, a := range all[self].OnLoanReply(now, ref(loan.To), reply) {
+			last = a
+			loans = append(loans, a.Loans...)
+		}
+	}
+	return last
+}
+
+// Guards against a request that needs more than one lender being refused, and
+// against lending more than there is.
+func TestSeveralLendersGiveTheWholeBurstOnce(t *testing.T) {
+	is := is.New(t)
+	all, _ := trio()
+	got := all["i000"].Admit(full, "q1", account, account.Burst)
+	is.Equal(got.State, limits.Borrowing)
+	is.Equal(len(got.Loans), 2)
+	is.Equal(answer(all, "i000", full, got.Loans).State, limits.Granted)
+	later := full.Add(100 * time.Millisecond)
+	got = all["i001"].Admit(later, "q2", account, 60)
+	end := answer(all, "i001", later, got.Loans)
+	is.Equal(end.State, limits.Refused)
+	is.Equal(end.Refusal.Code, core.CodeOverRate)
+	is.Equal(end.Refusal.Ran, core.NotRun)
+	// The capacity of the two lenders is down, so only the third Instance refills.
+	// It has 9.9 tokens after 100 ms, and the other 50.1 take 506 ms at 99 a second.
+	is.True(end.Refusal.RetryAfter > 500*time.Millisecond)
+	is.True(end.Refusal.RetryAfter < 510*time.Millisecond)
+	retry := later.Add(end.Refusal.RetryAfter)
+	got = all["i001"].Admit(retry, "q3", account, 60)
+	is.Equal(answer(all, "i001", retry, got.Loans).State, limits.Granted) // RetryAfter was long enough
+}
+
+// Guards against waiting for a request that can never be admitted.
+func TestLargerThanBurstIsRefusedForGood(t *testing.T) {
+	is := is.New(t)
+	all, _ := trio()
+	got := all["i000"].Admit(full, "q", account, account.Burst+1)
+	is.Equal(got.State, limits.Refused)
+	is.Equal(got.Refusal.Code, core.CodeOverBurst)
+	is.Equal(got.Refusal.RetryAfter, time.Duration(0))
+}
+
+// Guards against a request that waits for ever for silent lenders, and against
+// losing what it had reserved.
+func TestSilentLendersEndInRefusal(t *testing.T) {
+	is := is.New(t)
+	all, _ := trio()
+	l := all["i000"]
+	is.Equal(l.Admit(full, "q", account, 600).State, limits.Borrowing)
+	now := full
+	var end []limits.Admitted
+	for range 10 {
+		now = l.NextWake()
+		if end = l.Tick(now); len(end) > 0 && end[0].State == limits.Refused {
+			break
+		}
+	}
+	is.Equal(end[0].Refusal.Code, core.CodeNoCapacity)
+	is.True(end[0].Refusal.RetryAfter >= time.Second)
+	is.True(now.Sub(full) <= 500*time.Millisecond)
+	is.Equal(l.Admit(now, "q2", account, 300).State, limits.Granted)
+}
+
+// Guards against a loan that is used twice, or after its term on the borrower's
+// clock, and against losing a loan whose reply came after the timeout.
+func TestLateReplyServesLaterRequestsUntilItsTerm(t *testing.T) {
+	is := is.New(t)
+	all, _ := trio()
+	l := all["i000"]
+	first := l.Admit(full, "q", account, 500)
+	q := first.Loans[0]
+	reply := all[q.To].OnLoanRequest(full, ref("i000"), account, q.Request)
+	is.Equal(all[q.To].OnLoanRequest(full, ref("i000"), account, q.Request), reply) // a duplicate gets the same reply
+	late := full.Add(600 * time.Millisecond)
+	l.Tick(late)
+	is.Equal(l.Admit(late, "empty own", account, 300).State, limits.Granted)
+	l.OnLoanReply(late, ref(q.To), reply)
+	l.OnLoanReply(late, ref(q.To), reply)
+	is.Equal(l.Admit(late, "from loan", account, 200).State, limits.Granted)
+	is.True(l.Admit(late, "no more", account, 200).State != limits.Granted)
+	l.Settle(late, "from loan", 0)
+	end := full.Add(limits.DefaultLoanTerm * 98 / 100)
+	used := l.Admit(end-1, "before the end", account, 300)
+	is.Equal(used.State, limits.Granted) // 300 need the loan's 200, which came back, and a second's refill
+	l.Settle(end, "before the end", 0)
+	is.True(l.Admit(end, "after the end", account, 300).State != limits.Granted) // the ended loan took nothing back
+}
+
+// Guards against a lender that lends or spends again what is still lent: its
+// capacity must stay down until the term ends on its own clock.
+func TestLenderHoldsCapacityDown(t *testing.T) {
+	is := is.New(t)
+	all, _ := trio()
+	lender := all["i001"]
+	q := limits.LoanRequest{Borrower: ref("i000"), Seq: 1, Account: account.ID, Want: 200 * limits.UnitsPerToken}
+	is.Equal(lender.OnLoanRequest(full, ref("i000"), account, q).Granted, q.Want)
+	before := full.Add(limits.DefaultLoanTerm - 1)
+	probe := limits.LoanRequest{Borrower: ref("i002"), Seq: 1, Account: account.ID, Want: 300 * limits.UnitsPerToken}
+	is.Equal(lender.OnLoanRequest(before, ref("i002"), account, probe).Available, 100*limits.UnitsPerToken)
+	probe.Seq = 2
+	after := full.Add(limits.DefaultLoanTerm + 3*time.Second)
+	is.Equal(lender.OnLoanRequest(after, ref("i002"), account, probe).Granted, probe.Want)
+}
+
+// Guards against a settlement that counts twice.
+func TestSettleCountsOnce(t *testing.T) {
+	is := is.New(t)
+	all, _ := trio()
+	l := all["i000"]
+	is.Equal(l.Admit(full, "a", account, 150).State, limits.Granted)
+	is.Equal(l.Admit(full, "b", account, 150).State, limits.Granted)
+	l.Settle(full, "a", 50)
+	l.Settle(full, "a", 0)
+	is.True(l.Admit(full, "c", account, 101).State != limits.Granted)
+	l.Settle(full, "b", 350) // 200 over its charge, 100 of them now owed
+	is.Equal(len(l.Admit(full.Add(900*time.Millisecond), "d", account, 1).Loans), 1)
+}
+
+// Guards against entitlements that survive a pause, and against use after the
+// instant until which they may be held.
+func TestResetAndHoldEndEntitlements(t *testing.T) {
+	is := is.New(t)
+	all, r := trio()
+	l := all["i000"]
+	l.HoldUntil(full.Add(time.Second))
+	is.Equal(l.Admit(full, "a", account, 1).State, limits.Granted)
+	is.Equal(l.Admit(full.Add(time.Second), "b", account, 1).State, limits.Borrowing)
+	self := core.InstanceRef{ID: "i000", Incarnation: 2}
+	l.Reset(full, self)
+	is.Equal(l.Admit(full, "c", account, 1).Refusal.Code, core.CodeNotConfigured)
+	l.HoldUntil(core.Never)
+	l.SetRoster(full, r) // still has the old incarnation
+	is.Equal(l.Admit(full.Add(time.Hour), "d", account, 1).State, limits.Borrowing)
+}
+
+// Guards against memory that grows with every account ever seen.
+func TestIdleAccountsAreDropped(t *testing.T) {
+	is := is.New(t)
+	all, _ := trio()
+	l := all["i000"]
+	for i := range 1000 {
+		a := account
+		a.ID = core.AccountID(fmt.Sprintf("a%d", i))
+		id := core.RequestID(a.ID)
+		is.Equal(l.Admit(full, id, a, 100).State, limits.Granted)
+		l.Settle(full, id, 100)
+	}
+	is.Equal(l.Accounts(), 1000)
+	l.Tick(full.Add(time.Minute))
+	is.Equal(l.Accounts(), 0)
+	is.Equal(l.Admit(full.Add(time.Minute), "again", account, 300).State, limits.Granted) // as full as it was
+}
+
+// Guards against a home set in one data centre, and against an account that moves
+// although none of its home Instances left.
+func TestHomeSetIsSpreadAndStable(t *testing.T) {
+	is := is.New(t)
+	r := rosterOf(330)
+	count := map[core.InstanceID]int{}
+	for i := range 2000 {
+		id := core.AccountID(fmt.Sprintf("a%d", i))
+		home := limits.Home(r, id, 3)
+		dcs := map[core.DataCentreName]bool{}
+		for _, h := range home {
+			m, _ := r.Member(h)
+			dcs[m.DataCentre] = true
+			count[h]++
+		}
+		is.Equal(len(dcs), 3)
+		without := r
+		without.Members = append([]membership.Member{}, r.Members...)
+		without.Members[i%330].Leaving = true
+		moved := limits.Home(without, id, 3)
+		for _, h := range home {
+			gone := h == r.Members[i%330].Ref.ID
+			kept := h == moved[0] || h == moved[1] || h == moved[2]
+			is.True(kept != gone)
+		}
+	}
+	is.True(len(count) > 320) // 6,000 places over 330 Instances
+	is.Equal(len(limits.Home(rosterOf(2), "a", 3)), 2)
+}
--- a/pkg/limits/types.go
+++ b/pkg/limits/types.go
@@ -51,11 +51,14 @@
 
 // LoanReply answers a LoanRequest.
 type LoanReply struct {
-	Borrower  core.InstanceRef // the run that asked
-	Seq       uint64
-	Account   core.AccountID
-	Granted   Units // Want, or 0
-	Available Units // what the lender could lend after a refusal
+	Borrower core.InstanceRef // the run that asked
+	Seq      uint64
+	Account  core.AccountID
+	Granted  Units // Want, or 0
+	// After a refusal: what the lender could lend now, and how long its refill is
+	// stopped because all of its capacity is lent.
+	Available  Units
+	BlockedFor time.Duration
 }
 
 // Loan is a request to send to a home Instance.
