--- /dev/null
+++ b/pkg/claims/object_test.go
@@ -0,0 +1,70 @@
+package claims
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+func drawObject(t *rapid.T) *object {
+	o := newObject()
+	for range rapid.IntRange(0, 20).Draw(t, "claims") {
+		var e entry
+		copy(e.key[:], rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "key"))
+		copy(e.nonce[:], rapid.SliceOfN(rapid.Byte(), 8, 8).Draw(t, "nonce"))
+		if o.find(e.key) != nil {
+			continue
+		}
+		e.kept = rapid.Int64Range(1_700_000_000, 1_900_000_000).Draw(t, "kept")
+		e.owner = o.ownerIndex(core.InstanceRef{
+			ID:          core.InstanceID(rapid.StringN(0, 9, 30).Draw(t, "owner")),
+			Incarnation: core.Incarnation(rapid.Uint64().Draw(t, "incarnation")),
+		})
+		name := rapid.OneOf(rapid.Just("01890a5d-ac96-774b-bcce-b302099a8057"), rapid.StringN(0, 16, 64))
+		e.request = packRequestID(core.RequestID(name.Draw(t, "request")))
+		if rapid.Bool().Draw(t, "done") {
+			e.done = true
+			e.outcome = Outcome{Status: rapid.IntRange(0, 999).Draw(t, "status"), Ran: core.Unknown}
+		}
+		o.append(e)
+	}
+	return o
+}
+
+// Guards against a claim that another Instance reads differently, and against an
+// object that outgrows the size that the limit is checked against.
+func TestObjectRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		o := drawObject(t)
+		data := o.encode(delta{})
+		is.True(len(data) <= o.size)
+		got, err := decode(data)
+		is.NoErr(err)
+		is.True(slices.Equal(got.entries, o.entries))
+		is.True(slices.Equal(got.owners, o.owners))
+		for _, e := range got.entries {
+			is.Equal(packRequestID(e.request.id()), e.request)
+		}
+	})
+}
+
+// Guards against a damaged object, or one of a later layout, that is taken for an
+// object without claims and then replaced.
+func TestDecodeRejectsDamage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		data := drawObject(t).encode(delta{})
+		at := rapid.IntRange(0, len(data)-1).Draw(t, "at")
+		data[at] ^= byte(rapid.IntRange(1, 255).Draw(t, "flip"))
+		if _, err := decode(data); err == nil {
+			t.Fatalf("decode accepted a change at byte %d", at)
+		}
+		if _, err := decode(data[:at]); err == nil {
+			t.Fatalf("decode accepted %d bytes of %d", at, len(data))
+		}
+	})
+}
--- a/pkg/claims/shard.go
+++ b/pkg/claims/shard.go
@@ -12,6 +12,8 @@
 const (
 	minBackOff = 5 * time.Millisecond
 	maxBackOff = 2 * time.Second
+	// maxConflictJitter bounds the jitter after a conflict, in minBackOff.
+	maxConflictJitter = 10
 )
 
 // change is an outcome or a removal that waits for a write.
@@ -51,10 +53,11 @@
 	unsettled     bool
 	unsettledBase uint64
 
-	failures int // since the last success
-	backOff  time.Duration
-	retryAt  core.Instant
-	cleanAt  core.Instant
+	failures  int // since the last success or conflict
+	conflicts int // since the last success
+	backOff   time.Duration
+	retryAt   core.Instant
+	cleanAt   core.Instant
 }
 
 func (s *shard) add(cl *claim) {
@@ -259,7 +262,7 @@
 	}
 	s.object.apply(w.delta)
 	s.version = version
-	s.failures = 0
+	s.succeeded()
 	s.prune()
 	outs := c.resolve(now, s)
 	return append(outs, c.advance(now, s)...)
@@ -278,13 +281,24 @@
 	s.unsettledBase = max(s.unsettledBase, s.write.base)
 	s.write = nil
 	s.mustRead = true
-	c.failed(now, s)
-	if why == Conflict && s.failures == 1 {
-		s.retryAt = now
+	if why == Conflict {
+		c.conflicted(now, s)
+	} else {
+		c.failed(now, s)
 	}
 	return c.advance(now, s)
 }
 
+// conflicted retries at once after the first conflict, and later with a short
+// jitter. A conflict shows that the store works, so that the back-off of an
+// earlier outage ends.
+func (c *Claims) conflicted(now core.Instant, s *shard) {
+	s.failures = 0
+	spread := time.Duration(min(s.conflicts, maxConflictJitter)) * minBackOff
+	s.conflicts++
+	s.retryAt = now.Add(time.Duration(c.jitter.Int64N(int64(spread) + 1)))
+}
+
 // OnRead handles the answer to a Read. found is false when the object does not
 // exist. An older version than one seen before is a stale read.
 func (c *Claims) OnRead(now core.Instant, shard int, data []byte, version uint64, found bool) []Output {
@@ -340,6 +354,12 @@
 	s.retryAt = now.Add(s.backOff)
 }
 
+// succeeded ends the back-off.
+func (s *shard) succeeded() {
+	s.failures = 0
+	s.conflicts = 0
+}
+
 // resolve answers the pending claims that the object shows to be confirmed or
 // taken.
 func (c *Claims) resolve(now core.Instant, s *shard) []Output {
@@ -350,7 +370,7 @@
 			continue
 		}
 		if e.nonce == cl.nonce {
-			s.failures = 0
+			s.succeeded()
 			outs = append(outs, c.confirm(now, s, cl))
 			continue
 		}
