attempts: life cycle, cancel until confirmed, retry budget, suspect requests

An attempt now has a deadline per stage; a cancel ends only with a report that is later than any late start; the ledger holder cancels the attempts of dead instances and asks live owners about old ones. A further try of a suspect fingerprint needs the verdict of an arbiter, which first hears every member. Ruled out: telling only the arbiter, because a resend at a third instance runs before that instance knows; and granting under a lease, because a try that outlives it would run beside the next one.

Two faults that rapid found are plain tests: a stray cancel kept a fingerprint busy for ever, and doubled back-off delayed the verdict over innocents past VerdictWait.

--- /dev/null
+++ b/pkg/attempts/attempts_test.go
@@ -0,0 +1,373 @@
+package attempts
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+const (
+	// leakBound is the time after the end of all faults by which no engine holds
+	// memory for a request that is over: one question to the owner, one longest
+	// cancel back-off, and the reports around them.
+	leakBound = 20 * time.Second
+	deadline  = 8 * time.Second
+)
+
+// faultRun draws requests and faults, runs them and checks the promises that hold
+// for every request.
+func faultRun(t *rapid.T) {
+	w := newWorld(rapid.Uint64().Draw(t, "seed"), 3, 6, Params{RetryBurst: 100})
+	w.faultsEnd = w.now.Add(6 * time.Second)
+	w.loss = rapid.Float64Range(0, 0.5).Draw(t, "loss")
+	w.late = rapid.Float64Range(0, 0.5).Draw(t, "late")
+	n := rapid.IntRange(1, 25).Draw(t, "requests")
+	for k := range n {
+		c := &caller{owner: w.instances[rapid.IntRange(0, 2).Draw(t, "owner")]}
+		c.ID = core.RequestID(fmt.Sprintf("r%d", k))
+		c.Fingerprint = core.Fingerprint{byte(rapid.IntRange(0, 40).Draw(t, "print"))}
+		c.plain = rapid.Bool().Draw(t, "plain")
+		c.Idempotent = !c.plain || rapid.Bool().Draw(t, "idempotent")
+		if !c.plain {
+			c.MaxOutput = rapid.IntRange(1, 100).Draw(t, "output")
+		}
+		w.after(time.Duration(rapid.IntRange(0, 5000).Draw(t, "arrival"))*ms, func() {
+			c.Deadline = w.now.Add(deadline)
+			if !c.owner.alive {
+				c.gone = true
+				return
+			}
+			w.submit(c)
+		})
+		if rapid.Bool().Draw(t, "leaves") {
+			w.after(time.Duration(rapid.IntRange(0, 6000).Draw(t, "leaves at"))*ms, func() {
+				if w.requests[c.ID] == nil || c.over() {
+					return
+				}
+				c.gone = true
+				w.at(c.owner, c.ref, func(a *Attempts) []Output { return a.OnCallerGone(w.now, c.ID) })
+			})
+		}
+	}
+	for range rapid.IntRange(0, 6).Draw(t, "faults") {
+		drawFault(t, w)
+	}
+	w.runUntil(w.faultsEnd.Add(leakBound))
+	checkRequests(t, w)
+}
+
+func drawFault(t *rapid.T, w *world) {
+	kind := rapid.SampledFrom([]string{"crash", "stall", "silent", "kill", "pause"}).Draw(t, "fault")
+	e := w.engines[rapid.IntRange(0, len(w.engines)-1).Draw(t, "engine")]
+	i := w.instances[rapid.IntRange(0, len(w.instances)-1).Draw(t, "instance")]
+	length := time.Duration(rapid.IntRange(10, 1500).Draw(t, "length")) * ms
+	w.after(time.Duration(rapid.IntRange(0, 4000).Draw(t, "fault at"))*ms, func() {
+		switch kind {
+		case "crash":
+			w.crash(e)
+		case "stall":
+			e.stalls = true
+			w.after(length, func() { e.stalls = false })
+		case "silent":
+			e.silent = true
+			w.after(length, func() { e.silent = false })
+		case "kill":
+			w.kill(i)
+		case "pause":
+			i.pausedUntil = w.now.Add(length)
+		}
+	})
+}
+
+func checkRequests(t *rapid.T, w *world) {
+	for _, fault := range w.faults {
+		t.Error(fault)
+	}
+	for _, leak := range w.leaks() {
+		t.Errorf("memory still held %v after the faults: %s", leakBound, leak)
+	}
+	for id, c := range w.requests {
+		answers := c.finished + c.failed
+		if answers > 1 {
+			t.Errorf("%s: %d complete answers and %d refusals", id, c.finished, c.failed)
+		}
+		if answers == 0 && !c.gone && c.owner.runs(c.ref) {
+			t.Errorf("%s: no answer by its deadline", id)
+		}
+	}
+}
+
+// Guards against memory held for a caller that is gone, two answers or none, a
+// second send of a non-idempotent request and a false "not run", under lost,
+// repeated and reordered messages, crashes, stalls, silence, kills and pauses.
+func TestPromisesUnderFaults(t *testing.T) { rapid.Check(t, faultRun) }
+
+// poisonRun sends a request that crashes every engine that decodes it. Its caller
+// sends it again to another Instance at the first crash and after each refusal.
+func poisonRun(t *rapid.T) {
+	w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 5).Draw(t, "instances"), 10, Params{RetryBurst: 1000})
+	w.faultsEnd = w.now.Add(20 * time.Second)
+	w.loss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
+	w.late = rapid.Float64Range(0, 0.2).Draw(t, "late")
+	w.runUntil(w.now.Add(1200 * ms)) // the Instances have exchanged their records
+	for k := range rapid.IntRange(0, 20).Draw(t, "innocents") {
+		c := &caller{owner: w.instances[k%len(w.instances)]}
+		c.Request = Request{ID: core.RequestID(fmt.Sprintf("r%d", k)), Fingerprint: core.Fingerprint{byte(k)}, Idempotent: true, MaxOutput: 40}
+		c.Deadline = w.now.Add(30 * time.Second)
+		w.after(time.Duration(rapid.IntRange(0, 500).Draw(t, "arrival"))*ms, func() { w.submit(c) })
+	}
+	restart := rapid.Bool().Draw(t, "restart")
+	sent := 0
+	var resend func()
+	resend = func() {
+		c := &caller{owner: w.instances[w.rng.IntN(len(w.instances))]}
+		c.Request = Request{ID: core.RequestID(fmt.Sprintf("poison%d", sent)), Fingerprint: w.poison, Idempotent: true, MaxOutput: 40}
+		c.Deadline = w.now.Add(10 * time.Second)
+		sent++
+		if !c.owner.alive || sent > 30 {
+			return
+		}
+		w.submit(c)
+		var watch func()
+		watch = func() {
+			if c.over() {
+				w.after(200*ms, resend)
+				return
+			}
+			w.after(5*ms, watch)
+		}
+		w.after(5*ms, watch)
+	}
+	w.onCrash = func() {
+		w.onCrash = nil
+		w.after(0, resend)
+		if restart {
+			// A run without a part in it restarts, perhaps the arbiter.
+			w.after(4*time.Second, func() { w.kill(w.instances[0]) })
+		}
+	}
+	w.after(200*ms, resend)
+	w.runUntil(w.now.Add(60 * time.Second))
+	if len(w.lost) > maxUpstreams {
+		t.Errorf("lost %d upstreams to one request: %v", len(w.lost), w.lost)
+	}
+	checkRequests(t, w)
+	checkInnocents(t, w, restart)
+}
+
+// maxUpstreams is the promise for one fingerprint.
+const maxUpstreams = 2
+
+// checkInnocents excepts requests that ran on both lost Upstreams by chance: they
+// can't be told from the cause. When an Instance restarts, a request whose
+// permitted try ended with it counts one more loss.
+func checkInnocents(t *rapid.T, w *world, restart bool) {
+	for id, c := range w.requests {
+		if c.Fingerprint == w.poison || !c.owner.runs(c.ref) {
+			continue
+		}
+		unlucky := w.hits[c.Fingerprint] >= maxUpstreams || (restart && c.refusal != nil && c.refusal.Code == core.CodeSuspect)
+		if c.finished == 0 && !unlucky {
+			t.Errorf("%s: innocent, but refused: %v", id, c.refusal)
+		}
+		if c.finished > 0 && c.owner.a.isSuspect(c.Fingerprint) {
+			t.Errorf("%s: completed, but still blamed", id)
+		}
+	}
+}
+
+// Guards against a request that crashes more than two Upstreams, and against
+// innocent requests that fail with it.
+func TestPoisonCostsTwoUpstreams(t *testing.T) { rapid.Check(t, poisonRun) }
+
+// Guards against a cancel of a stray prefill that outlives its attempt and keeps
+// the fingerprint busy for ever. Found with rapid seed 16741056028480795028.
+func TestStrayCancelFreesTheFingerprint(t *testing.T) {
+	is := is.New(t)
+	a := New(core.InstanceRef{ID: "i0", Incarnation: 1}, Params{})
+	a.SetMembers(0, []core.InstanceRef{a.self})
+	r := Request{ID: "r", Fingerprint: core.Fingerprint{1}, Idempotent: true, MaxOutput: 10, Deadline: core.Instant(time.Minute)}
+	id := a.Start(1, r, Plan{Prefill: "p", Decode: "d"})[0].(StartPrefill).Attempt
+	a.OnPrefillDone(2, id)
+	a.OnFirstToken(3, id)
+	is.Equal(a.OnRunning(4, "p", Running{AsOf: 3, Attempts: []core.AttemptID{id}}), []Output{Cancel{Attempt: id, Upstream: "p"}})
+	is.Equal(len(a.OnFailed(5, id, Failure{Kind: FailCrashed, Upstream: "d", Sent: true})), 0) // "p" may still hold it
+	outputs := a.OnRunning(7, "p", Running{AsOf: 6})
+	is.Equal(outputs, []Output{Replace{Request: "r", Avoid: []core.UpstreamID{"d"}, TokensSent: 1}})
+}
+
+// Guards against a stage without a deadline: a stalled prefill, a stalled transfer
+// and a connection that has gone silent are each replaced and cancelled.
+func TestSilentStagesAreReplaced(t *testing.T) {
+	tests := []struct {
+		name   string
+		reach  func(a *Attempts, id core.AttemptID)
+		within time.Duration
+		cancel []core.UpstreamID
+		sent   int
+	}{
+		{"prefill", func(*Attempts, core.AttemptID) {}, 3 * time.Second, []core.UpstreamID{"p"}, 0},
+		{"transfer", func(a *Attempts, id core.AttemptID) { a.OnPrefillDone(0, id) }, 2 * time.Second, []core.UpstreamID{"p", "d"}, 0},
+		{"decode", func(a *Attempts, id core.AttemptID) {
+			a.OnPrefillDone(0, id)
+			a.OnFirstToken(0, id)
+			a.OnProgress(0, id, 7)
+		}, 2 * time.Second, []core.UpstreamID{"d"}, 7},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			a := New(core.InstanceRef{ID: "i0", Incarnation: 1}, Params{})
+			r := Request{ID: "r", Idempotent: true, MaxOutput: 10, Deadline: core.Instant(time.Minute)}
+			id := a.Start(0, r, Plan{Prefill: "p", Decode: "d"})[0].(StartPrefill).Attempt
+			test.reach(a, id)
+			var outputs []Output
+			for a.NextWake() <= core.Instant(test.within) {
+				outputs = append(outputs, a.Tick(a.NextWake())...)
+			}
+			var want []Output
+			for _, up := range test.cancel {
+				want = append(want, Cancel{Attempt: id, Upstream: up})
+			}
+			failed := test.cancel[0]
+			is.Equal(outputs, append(want, Replace{Request: "r", Avoid: []core.UpstreamID{failed}, TokensSent: test.sent}))
+		})
+	}
+}
+
+// Guards against a retry that can't yield a complete answer or that may run a
+// request twice, and against a false Ran.
+func TestRetryOnlyWhileWhole(t *testing.T) {
+	full := Request{ID: "r", Idempotent: true, MaxOutput: 10, Deadline: core.Instant(time.Minute)}
+	call := Request{ID: "r", Deadline: core.Instant(time.Minute)}
+	short := full
+	short.Deadline = core.Instant(40 * ms)
+	repeatable := call
+	repeatable.Idempotent = true
+	tests := []struct {
+		name   string
+		r      Request
+		tokens int
+		f      Failure
+		code   core.Code // empty: retried
+		ran    core.Ran
+	}{
+		{"idempotent", full, 3, Failure{Kind: FailStalled, Sent: true}, "", ""},
+		{"all tokens sent", full, 10, Failure{Kind: FailStalled, Sent: true}, core.CodeUpstreamFailed, core.Unknown},
+		{"too late", short, 0, Failure{Kind: FailConnect}, core.CodeDeadline, core.NotRun},
+		{"rejected", full, 0, Failure{Kind: FailStatus, Sent: true}, core.CodeUpstreamFailed, core.Unknown},
+		{"call, not sent", call, 0, Failure{Kind: FailConnect}, "", ""},
+		{"call, sent", call, 0, Failure{Kind: FailConnect, Sent: true}, core.CodeUpstreamFailed, core.Unknown},
+		{"idempotent call, sent", repeatable, 0, Failure{Kind: FailConnect, Sent: true}, "", ""},
+		{"idempotent call, partly answered", repeatable, 100, Failure{Kind: FailStalled, Sent: true}, core.CodeUpstreamFailed, core.Unknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			a := New(core.InstanceRef{ID: "i0", Incarnation: 1}, Params{})
+			plan := Plan{Prefill: "p", Decode: "d"}
+			if test.r.MaxOutput == 0 {
+				plan = Plan{Plain: "c"}
+			}
+			a.Start(0, test.r, plan)
+			id := core.AttemptID{Owner: a.self, Seq: 1}
+			a.OnPrefillDone(0, id)
+			if test.f.Sent == false {
+				a.live[id].sent = false
+			}
+			a.OnProgress(0, id, test.tokens)
+			outputs := a.OnFailed(0, id, test.f)
+			last := outputs[len(outputs)-1]
+			if test.code == "" {
+				_, retried := last.(Replace)
+				is.True(retried)
+				return
+			}
+			failed := last.(Failed)
+			is.Equal(failed.Refusal.Code, test.code)
+			is.Equal(failed.Refusal.Ran, test.ran)
+		})
+	}
+}
+
+// Guards against a storm of retries: their number is bounded by the burst and a
+// share of the requests.
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	a := New(core.InstanceRef{ID: "i0", Incarnation: 1}, Params{RetryShare: 0.1, RetryBurst: 5})
+	retries := 0
+	for k := range 1000 {
+		r := Request{ID: core.RequestID(fmt.Sprint(k)), Idempotent: true, Deadline: core.Instant(time.Minute)}
+		id := a.Start(0, r, Plan{Plain: "c"})[0].(StartCall).Attempt
+		outputs := a.OnFailed(0, id, Failure{Kind: FailConnect})
+		if _, retried := outputs[0].(Replace); retried {
+			retries++
+		}
+	}
+	is.True(retries >= 100)
+	is.True(retries <= 105)
+}
+
+// Guards against dropped events that nobody counts and against stages that an old
+// event moves back.
+func TestLateAndRepeatedEventsAreCounted(t *testing.T) {
+	is := is.New(t)
+	a := New(core.InstanceRef{ID: "i0", Incarnation: 1}, Params{})
+	r := Request{ID: "r", Idempotent: true, MaxOutput: 10, Deadline: core.Instant(time.Minute)}
+	id := a.Start(0, r, Plan{Prefill: "p", Decode: "d"})[0].(StartPrefill).Attempt
+	is.Equal(len(a.OnEnded(1, id, 10)), 0) // before any decode
+	is.Equal(len(a.OnPrefillDone(2, id)), 1)
+	is.Equal(len(a.OnPrefillDone(3, id)), 0)
+	a.OnFirstToken(4, id)
+	a.OnProgress(5, id, 6)
+	a.OnProgress(6, id, 4)
+	is.Equal(a.OnEnded(7, id, 10), []Output{Finished{Request: "r", Tokens: 10}})
+	is.Equal(len(a.OnEnded(8, id, 10)), 0)
+	is.Equal(a.Stats(), Stats{Late: 1, Duplicate: 3})
+}
+
+// Guards against a suspect request that starts while its arbiter can't be reached,
+// and against one that waits for ever.
+func TestNoTryWithoutVerdict(t *testing.T) {
+	is := is.New(t)
+	a := New(core.InstanceRef{ID: "i0", Incarnation: 1}, Params{SyncWait: ms})
+	a.SetMembers(0, []core.InstanceRef{a.self, {ID: "i1", Incarnation: 1}})
+	a.Tick(core.Instant(2 * ms))
+	r := Request{ID: "r", Fingerprint: core.Fingerprint{1}, Idempotent: true, MaxOutput: 10, Deadline: core.Instant(time.Minute)}
+	id := a.Start(core.Instant(2*ms), r, Plan{Prefill: "p", Decode: "d"})[0].(StartPrefill).Attempt
+	outputs := a.OnFailed(core.Instant(2*ms), id, Failure{Kind: FailCrashed, Upstream: "p", Sent: true})
+	for a.NextWake() < core.Instant(20*time.Second) {
+		outputs = append(outputs, a.Tick(a.NextWake())...)
+	}
+	for _, o := range outputs[:len(outputs)-1] {
+		_, notice := o.(ShareSuspect)
+		is.True(notice)
+	}
+	failed := outputs[len(outputs)-1].(Failed)
+	is.Equal(failed.Refusal.Code, core.CodeSuspect)
+	is.Equal(failed.Refusal.Ran, core.Unknown)
+	is.True(failed.Refusal.RetryAfter > 0)
+}
+
+// Guards against a cancel whose doubled back-off skips the time at which a report
+// can first confirm it, which kept innocent suspects waiting for seconds. Found
+// with rapid seed 14863500371764215597.
+func TestCancelIsPolledOnceItCanBeConfirmed(t *testing.T) {
+	is := is.New(t)
+	a := New(core.InstanceRef{ID: "i0", Incarnation: 1}, Params{StartWindow: 500 * ms})
+	r := Request{ID: "r", Idempotent: true, MaxOutput: 10, Deadline: core.Instant(time.Minute)}
+	a.Start(0, r, Plan{Prefill: "p", Decode: "d"})
+	a.OnCallerGone(core.Instant(ms), "r")
+	settled := core.Instant(500 * ms).Add(lateStart)
+	var polled core.Instant
+	for polled <= settled {
+		polled = a.NextWake()
+		is.Equal(len(a.Tick(polled)), 2) // Cancel and PollRunning
+	}
+	is.True(polled <= settled.Add(firstCancelBackoff))
+}
--- /dev/null
+++ b/pkg/attempts/world_test.go
@@ -0,0 +1,475 @@
+package attempts
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+const ms = time.Millisecond
+
+// world runs several Attempts against small engine models in virtual time.
+type world struct {
+	rng       *rand.Rand
+	now       core.Instant
+	order     int
+	events    worldEvents
+	instances []*instance
+	engines   []*engineModel
+	requests  map[core.RequestID]*caller
+	owners    map[core.AttemptID]*caller
+	params    Params
+	loss      float64      // of messages, until faultsEnd
+	late      float64      // share of starts that arrive late, until faultsEnd
+	faultsEnd core.Instant // zero: no faults
+	poison    core.Fingerprint
+	lost      []core.UpstreamID        // Upstreams that the poison has crashed
+	hits      map[core.Fingerprint]int // crashes of Upstreams that held the fingerprint
+	onCrash   func()
+	faults    []string // violations seen on the way
+}
+
+type instance struct {
+	ref         core.InstanceRef
+	a           *Attempts
+	alive       bool
+	pausedUntil core.Instant
+	wake        core.Instant
+}
+
+type caller struct {
+	Request
+	owner    *instance
+	ref      core.InstanceRef
+	plain    bool
+	gone     bool
+	finished int
+	failed   int
+	sends    int
+	refusal  *core.Refusal
+}
+
+func (c *caller) over() bool { return c.gone || c.finished+c.failed > 0 || !c.owner.runs(c.ref) }
+
+func (i *instance) runs(ref core.InstanceRef) bool { return i.alive && i.ref == ref }
+
+// engineModel holds the memory of each attempt until its end or a cancel. It
+// doesn't remember cancelled attempts, so a late start runs after its cancel.
+type engineModel struct {
+	id         core.UpstreamID
+	held       map[core.AttemptID]*heldMemory
+	downUntil  core.Instant
+	generation uint64
+	stalls     bool // transfers never end
+	silent     bool // no event leaves the engine
+}
+
+type heldMemory struct {
+	tokens int
+	decode bool
+}
+
+type worldEvent struct {
+	at    core.Instant
+	order int
+	run   func()
+}
+
+type worldEvents []worldEvent
+
+func (h worldEvents) Len() int { return len(h) }
+func (h worldEvents) Less(i, k int) bool {
+	return h[i].at < h[k].at || (h[i].at == h[k].at && h[i].order < h[k].order)
+}
+func (h worldEvents) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+func (h *worldEvents) Push(x any)   { *h = append(*h, x.(worldEvent)) }
+func (h *worldEvents) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
+
+func newWorld(seed uint64, instances, engines int, p Params) *world {
+	w := &world{
+		rng:      rand.New(rand.NewPCG(seed, 11)),
+		now:      core.Instant(time.Second),
+		requests: map[core.RequestID]*caller{},
+		hits:     map[core.Fingerprint]int{},
+		owners:   map[core.AttemptID]*caller{},
+		params:   p,
+		poison:   core.Fingerprint{0xff},
+	}
+	for i := range instances {
+		ref := core.InstanceRef{ID: core.InstanceID(fmt.Sprintf("i%d", i)), Incarnation: 1}
+		w.instances = append(w.instances, &instance{ref: ref, a: New(ref, p), alive: true, wake: core.Never})
+	}
+	for i := range engines {
+		e := &engineModel{id: core.UpstreamID(fmt.Sprintf("e%d", i)), held: map[core.AttemptID]*heldMemory{}, generation: 1}
+		w.engines = append(w.engines, e)
+		w.report(e)
+	}
+	w.setMembers()
+	return w
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.order++
+	heap.Push(&w.events, worldEvent{at: w.now.Add(d), order: w.order, run: run})
+}
+
+func (w *world) runUntil(end core.Instant) {
+	for len(w.events) > 0 && w.events[0].at <= end {
+		e := heap.Pop(&w.events).(worldEvent)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+func (w *world) faulty() bool { return w.now < w.faultsEnd }
+
+// at calls a method of an Instance, after its pause, and carries out its outputs.
+func (w *world) at(i *instance, ref core.InstanceRef, call func(*Attempts) []Output) {
+	if !i.runs(ref) {
+		return
+	}
+	if w.now < i.pausedUntil {
+		w.after(i.pausedUntil.Sub(w.now), func() { w.at(i, ref, call) })
+		return
+	}
+	for _, o := range call(i.a) {
+		w.carryOut(i, o)
+	}
+	if next := i.a.NextWake(); next < i.wake || i.wake <= w.now {
+		i.wake = next
+		if next != core.Never {
+			w.after(max(0, next.Sub(w.now)), func() { w.at(i, ref, func(a *Attempts) []Output { return a.Tick(w.now) }) })
+		}
+	}
+}
+
+// message delivers between processes: delayed, and under faults lost, repeated or
+// overtaken.
+func (w *world) message(run func()) {
+	delay := time.Duration(1+w.rng.IntN(10)) * ms
+	if w.faulty() {
+		if w.rng.Float64() < w.loss {
+			return
+		}
+		if w.rng.Float64() < w.loss {
+			w.after(delay+time.Duration(w.rng.IntN(300))*ms, run)
+		}
+		delay += time.Duration(w.rng.IntN(40)) * ms
+	}
+	w.after(delay, run)
+}
+
+func (w *world) engine(id core.UpstreamID) *engineModel {
+	i := slices.IndexFunc(w.engines, func(e *engineModel) bool { return e.id == id })
+	return w.engines[i]
+}
+
+func (w *world) instance(id core.InstanceID) *instance {
+	i := slices.IndexFunc(w.instances, func(i *instance) bool { return i.ref.ID == id })
+	return w.instances[i]
+}
+
+func (w *world) setMembers() {
+	var refs []core.InstanceRef
+	for _, i := range w.instances {
+		if i.alive {
+			refs = append(refs, i.ref)
+		}
+	}
+	for _, i := range w.instances {
+		w.at(i, i.ref, func(a *Attempts) []Output { return a.SetMembers(w.now, refs) })
+	}
+}
+
+// kill ends the run of an Instance. It restarts a second later.
+func (w *world) kill(i *instance) {
+	if !i.alive {
+		return
+	}
+	i.alive = false
+	dead := i.ref
+	w.after(time.Second, func() {
+		i.ref = core.InstanceRef{ID: dead.ID, Incarnation: dead.Incarnation + 1}
+		i.a = New(i.ref, w.params)
+		i.alive = true
+		i.wake = core.Never
+		w.setMembers()
+	})
+}
+
+func (w *world) submit(c *caller) {
+	c.ref = c.owner.ref
+	w.requests[c.ID] = c
+	if refusal := c.owner.a.Check(w.now, c.Fingerprint); refusal != nil {
+		c.failed++
+		c.refusal = refusal
+		return
+	}
+	w.start(c, nil)
+}
+
+func (w *world) start(c *caller, avoid []core.UpstreamID) {
+	half := len(w.engines) / 2
+	plan := Plan{StartPrefillAt: w.now.Add(time.Duration(w.rng.IntN(20)) * ms)}
+	if c.plain {
+		plan = Plan{Plain: w.choose(w.engines, avoid)}
+	} else {
+		plan.Prefill = w.choose(w.engines[:half], avoid)
+		plan.Decode = w.choose(w.engines[half:], avoid)
+	}
+	w.at(c.owner, c.ref, func(a *Attempts) []Output { return a.Start(w.now, c.Request, plan) })
+}
+
+func (w *world) choose(from []*engineModel, avoid []core.UpstreamID) core.UpstreamID {
+	up := from[w.rng.IntN(len(from))].id
+	for range 20 {
+		if !slices.Contains(avoid, up) {
+			break
+		}
+		up = from[w.rng.IntN(len(from))].id
+	}
+	return up
+}
+
+func (w *world) carryOut(i *instance, o Output) {
+	ref := i.ref
+	switch o := o.(type) {
+	case StartPrefill:
+		w.after(max(0, o.At.Sub(w.now)), func() { w.send(i, o.Request, o.Attempt, o.Upstream, o.NotAfter, w.prefill) })
+	case StartDecode:
+		w.send(i, o.Request, o.Attempt, o.Decode, o.NotAfter, func(e *engineModel, c *caller, id core.AttemptID) {
+			w.decode(e, w.engine(o.Prefill), c, id, o.TokensSent)
+		})
+	case StartCall:
+		w.send(i, o.Request, o.Attempt, o.Upstream, o.NotAfter, w.call)
+	case Cancel:
+		w.message(func() {
+			delete(w.engine(o.Upstream).held, o.Attempt)
+			w.message(func() {
+				w.at(i, ref, func(a *Attempts) []Output { return a.OnCancelConfirmed(w.now, o.Attempt) })
+			})
+		})
+	case Replace:
+		c := w.requests[o.Request]
+		w.after(2*ms, func() { w.start(c, o.Avoid) })
+	case Finished:
+		w.requests[o.Request].finished++
+	case Failed:
+		c := w.requests[o.Request]
+		c.failed++
+		c.refusal = o.Refusal
+		if o.Refusal.Ran == core.NotRun && c.sends > 0 {
+			w.faults = append(w.faults, fmt.Sprintf("%s: refused as not run after %d sends", c.ID, c.sends))
+		}
+	case ShareSuspect:
+		to := w.instance(o.To)
+		w.message(func() {
+			w.at(to, to.ref, func(a *Attempts) []Output { return a.OnSuspect(w.now, ref, o.Notice) })
+		})
+	case PollRunning:
+		w.message(func() { w.reportTo(w.engine(o.Upstream), i, false) })
+	case AskOwner:
+		to := w.instance(o.To)
+		w.message(func() {
+			w.at(to, to.ref, func(a *Attempts) []Output { return a.OnAskOwner(w.now, o.Upstream, o.Attempts) })
+		})
+	}
+}
+
+// send writes a request to an engine, as the daemon does.
+func (w *world) send(i *instance, request core.RequestID, id core.AttemptID, up core.UpstreamID, notAfter core.Instant, run func(*engineModel, *caller, core.AttemptID)) {
+	if !i.runs(id.Owner) {
+		return
+	}
+	e := w.engine(up)
+	fail := func(kind FailureKind) {
+		w.after(ms, func() {
+			w.at(i, id.Owner, func(a *Attempts) []Output { return a.OnFailed(w.now, id, Failure{Kind: kind, Upstream: up}) })
+		})
+	}
+	switch {
+	case w.now > notAfter:
+		fail(FailExpired)
+		return
+	case w.now < e.downUntil:
+		fail(FailConnect)
+		return
+	}
+	c := w.requests[request]
+	c.sends++
+	w.owners[id] = c
+	if !c.Idempotent && c.sends > 1 {
+		w.faults = append(w.faults, fmt.Sprintf("%s: not idempotent, sent %d times", c.ID, c.sends))
+	}
+	w.at(i, id.Owner, func(a *Attempts) []Output { return a.OnSent(w.now, id) })
+	delay := ms
+	if w.faulty() && w.rng.Float64() < w.late {
+		delay = time.Duration(w.rng.IntN(900)) * ms
+	}
+	generation := e.generation
+	w.after(delay, func() {
+		if e.generation == generation {
+			run(e, c, id)
+		}
+	})
+}
+
+// tell delivers an event of an engine to the owner of the attempt, now and then
+// twice.
+func (w *world) tell(e *engineModel, c *caller, id core.AttemptID, call func(*Attempts) []Output) {
+	if e.silent {
+		return
+	}
+	w.after(ms, func() { w.at(c.owner, id.Owner, call) })
+	if w.faulty() && w.rng.Float64() < w.loss {
+		w.after(time.Duration(w.rng.IntN(200))*ms, func() { w.at(c.owner, id.Owner, call) })
+	}
+}
+
+// holding runs the step after d, if the engine still holds the attempt.
+func (w *world) holding(e *engineModel, id core.AttemptID, d time.Duration, step func(*heldMemory)) {
+	m := e.held[id]
+	w.after(d, func() {
+		if m != nil && e.held[id] == m {
+			step(m)
+		}
+	})
+}
+
+func (w *world) prefill(e *engineModel, c *caller, id core.AttemptID) {
+	e.held[id] = &heldMemory{}
+	w.holding(e, id, time.Duration(20+w.rng.IntN(60))*ms, func(*heldMemory) {
+		w.tell(e, c, id, func(a *Attempts) []Output { return a.OnPrefillDone(w.now, id) })
+	})
+}
+
+func (w *world) decode(e, from *engineModel, c *caller, id core.AttemptID, sent int) {
+	e.held[id] = &heldMemory{tokens: sent, decode: true}
+	if e.stalls {
+		return
+	}
+	if c.Fingerprint == w.poison {
+		w.holding(e, id, time.Duration(10+w.rng.IntN(100))*ms, func(*heldMemory) {
+			w.lost = append(w.lost, e.id)
+			w.crash(e)
+		})
+	}
+	w.holding(e, id, 20*ms, func(m *heldMemory) {
+		delete(from.held, id)
+		m.tokens++
+		w.tell(e, c, id, func(a *Attempts) []Output { return a.OnFirstToken(w.now, id) })
+		w.stream(e, c, id)
+	})
+}
+
+func (w *world) stream(e *engineModel, c *caller, id core.AttemptID) {
+	w.holding(e, id, 100*ms, func(m *heldMemory) {
+		m.tokens += 5
+		tokens := m.tokens
+		if tokens < c.MaxOutput {
+			w.tell(e, c, id, func(a *Attempts) []Output { return a.OnProgress(w.now, id, tokens) })
+			w.stream(e, c, id)
+			return
+		}
+		if e.silent {
+			return // the engine keeps the memory until its answer is read
+		}
+		delete(e.held, id)
+		w.tell(e, c, id, func(a *Attempts) []Output { return a.OnEnded(w.now, id, tokens) })
+	})
+}
+
+func (w *world) call(e *engineModel, c *caller, id core.AttemptID) {
+	e.held[id] = &heldMemory{}
+	w.holding(e, id, time.Duration(5+w.rng.IntN(100))*ms, func(*heldMemory) {
+		if e.silent {
+			return
+		}
+		delete(e.held, id)
+		w.tell(e, c, id, func(a *Attempts) []Output { return a.OnEnded(w.now, id, 0) })
+	})
+}
+
+// crash ends an engine. Its memory is free, and each owner sees its connection
+// break.
+func (w *world) crash(e *engineModel) {
+	held := e.held
+	e.held = map[core.AttemptID]*heldMemory{}
+	generation := e.generation
+	e.generation++
+	e.downUntil = w.now.Add(300 * ms)
+	var ids []core.AttemptID
+	for id := range held {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, compareIDs)
+	for _, id := range ids {
+		c := w.owners[id]
+		w.hits[c.Fingerprint]++
+		f := Failure{Kind: FailCrashed, Upstream: e.id, Sent: true, Generation: generation}
+		w.after(time.Duration(1+w.rng.IntN(5))*ms, func() {
+			w.at(c.owner, id.Owner, func(a *Attempts) []Output { return a.OnFailed(w.now, id, f) })
+		})
+	}
+	if w.onCrash != nil {
+		w.onCrash()
+	}
+}
+
+func compareIDs(x, y core.AttemptID) int {
+	if x.String() < y.String() {
+		return -1
+	}
+	return 1
+}
+
+// report sends the attempts of an engine every 200 ms to the Instance that holds
+// its ledger, the first live one.
+func (w *world) report(e *engineModel) {
+	w.after(200*ms, func() { w.report(e) })
+	for _, i := range w.instances {
+		if i.alive {
+			w.reportTo(e, i, true)
+			return
+		}
+	}
+}
+
+func (w *world) reportTo(e *engineModel, i *instance, holder bool) {
+	if w.now < e.downUntil {
+		return
+	}
+	r := Running{AsOf: w.now, Holder: holder}
+	for id := range e.held {
+		r.Attempts = append(r.Attempts, id)
+	}
+	slices.SortFunc(r.Attempts, compareIDs)
+	ref := i.ref
+	w.message(func() {
+		w.at(i, ref, func(a *Attempts) []Output { return a.OnRunning(w.now, e.id, r) })
+	})
+}
+
+// leaks lists the memory that engines hold for requests that are over.
+func (w *world) leaks() []string {
+	var found []string
+	for _, e := range w.engines {
+		for id := range e.held {
+			if w.owners[id].over() {
+				found = append(found, fmt.Sprintf("%s holds %s of %s", e.id, id, w.owners[id].ID))
+			}
+		}
+	}
+	slices.Sort(found)
+	return found
+}
