--- a/pkg/lab/engine/engine.go
+++ b/pkg/lab/engine/engine.go
@@ -219,29 +219,34 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
 // SetFaults replaces the faults.
-func (s *Server) SetFaults(f Faults) {
+func (s *Server) SetFaults(f Faults) { s.setFaults(context.Background(), f) }
+
+// setFaults spares the connection of the request that ctx belongs to.
+func (s *Server) setFaults(ctx context.Context, f Faults) {
 	crash, silent := f.Crash, f.Silent
 	f.Crash, f.Silent = false, false
 	s.mu.Lock()
 	s.faults = f
 	s.mu.Unlock()
 	if silent {
-		s.net.Silence()
+		s.net.Silence(ctx)
 	}
 	if crash {
-		s.Crash()
+		s.crash(ctx)
 	}
 }
 
 // Crash closes all connections and forgets all state. The generation rises.
-func (s *Server) Crash() {
+func (s *Server) Crash() { s.crash(context.Background()) }
+
+func (s *Server) crash(ctx context.Context) {
 	s.mu.Lock()
 	s.state.stop()
 	s.state = newState(s, s.state.generation+1)
 	s.fence = 0
 	s.downUntil = s.opts.Clock.Now().Add(s.opts.Downtime)
 	s.mu.Unlock()
-	s.net.CloseConns()
+	s.net.CloseConns(ctx)
 }
 
 // Executions returns a copy of the log of received requests.
--- /dev/null
+++ b/pkg/lab/engine/engine_test.go
@@ -0,0 +1,169 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+// run serves an engine on loopback and returns its base URL and a client.
+func run(t *testing.T, s *Server) (string, *upstream.Client) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	c := upstream.New(upstream.Options{Credential: "instance"})
+	t.Cleanup(func() { c.Close(); s.Close() })
+	return "http://" + l.Addr().String(), c
+}
+
+func prompt(fill string, blocks int) string {
+	return strings.Repeat(fill, blocks*core.BlockTokens*upstream.BytesPerToken)
+}
+
+// Guards against a fake whose prefix cache has no effect, has no limit, or
+// publishes all events at once.
+func TestPrefixCache(t *testing.T) {
+	is := is.New(t)
+	s := New(Options{Role: Prefill, PerPromptToken: time.Microsecond, CacheBlocks: 3, EventLag: 100 * time.Millisecond, EventGap: 2})
+	url, c := run(t, s)
+	cached := func(text string) int {
+		reply, err := c.Prefill(t.Context(), url, upstream.PrefillRequest{Model: "m", Prompt: text})
+		is.NoErr(err)
+		return reply.CachedTokens
+	}
+	is.Equal(cached(prompt("a", 2)), 0)
+	is.Equal(cached(prompt("a", 3)), 2*core.BlockTokens)
+	events, err := c.CacheEvents(t.Context(), url, 0)
+	is.NoErr(err)
+	is.Equal(len(events.Events), 0) // they come late
+	time.Sleep(150 * time.Millisecond)
+	events, err = c.CacheEvents(t.Context(), url, 0)
+	is.NoErr(err)
+	hashes := upstream.PrefixHashes("m", prompt("a", 3))
+	is.Equal(events.Events, []upstream.CacheEvent{{Seq: 1, Block: hashes[0]}, {Seq: 3, Block: hashes[2]}}) // with a gap
+	is.Equal(cached(prompt("b", 3)), 0)
+	is.Equal(cached(prompt("a", 3)), 0) // evicted
+	more, err := c.CacheEvents(t.Context(), url, events.Next)
+	is.NoErr(err)
+	for _, e := range more.Events {
+		is.True(e.Seq > events.Next)
+	}
+}
+
+// Guards against a fake without a load lag, with which a router that trusts
+// reports blindly would pass its tests.
+func TestLoadReportLags(t *testing.T) {
+	is := is.New(t)
+	prefill := New(Options{Role: Prefill})
+	source, c := run(t, prefill)
+	s := New(Options{ReportLag: 300 * time.Millisecond})
+	url, _ := run(t, s)
+	kv, err := c.Prefill(t.Context(), source, upstream.PrefillRequest{Prompt: "x"})
+	is.NoErr(err)
+	stream, err := c.Decode(t.Context(), url, upstream.DecodeRequest{Attempt: "a.1.1", Source: source, KV: kv.KV, MaxTokens: 3000})
+	is.NoErr(err)
+	defer stream.Close()
+	report, err := c.Load(t.Context(), url)
+	is.NoErr(err)
+	is.Equal(report.Attempts, []string{})
+	time.Sleep(350 * time.Millisecond)
+	report, err = c.Load(t.Context(), url)
+	is.NoErr(err)
+	is.Equal(report.Attempts, []string{"a.1.1"})
+	is.Equal(report.Used, 1)
+	is.Equal(report.FreeBlocks, 80-3) // 3001 tokens in blocks of 1,024
+}
+
+// Guards against a fake that ignores priorities or a full queue.
+func TestPrefillQueue(t *testing.T) {
+	is := is.New(t)
+	s := New(Options{Role: Prefill, QueueLimit: 2, PerPromptToken: 200 * time.Millisecond})
+	url, c := run(t, s)
+	order := make(chan int, 3)
+	for i, priority := range []int{0, 0, 5} {
+		go func() {
+			_, err := c.Prefill(t.Context(), url, upstream.PrefillRequest{Prompt: "x", Priority: priority})
+			is.NoErr(err)
+			order <- i
+		}()
+		time.Sleep(50 * time.Millisecond)
+	}
+	_, err := c.Prefill(t.Context(), url, upstream.PrefillRequest{Prompt: "x", Priority: 9})
+	is.Equal(upstream.KindOf(err), upstream.Full)
+	is.Equal([]int{<-order, <-order, <-order}, []int{0, 2, 1})
+}
+
+// Guards against a fake that enforces fencing when it should not, or does not when
+// it should.
+func TestFencing(t *testing.T) {
+	for _, check := range []bool{true, false} {
+		is := is.New(t)
+		s := New(Options{CheckFencing: check})
+		url, c := run(t, s)
+		is.NoErr(c.Order(t.Context(), url, upstream.OrderRequest{Kind: upstream.OrderLoadModel, Value: "new", Fence: 7}))
+		err := c.Order(t.Context(), url, upstream.OrderRequest{Kind: upstream.OrderLoadModel, Value: "old", Fence: 6})
+		is.Equal(err != nil, check)
+		is.Equal(len(s.Orders()) == 1, check)
+	}
+}
+
+// Guards against transfers that each get the whole rate of the link.
+func TestTransfersShareTheLink(t *testing.T) {
+	is := is.New(t)
+	source, c := run(t, New(Options{Role: Prefill, KVBytesPerToken: 1000}))
+	url, _ := run(t, New(Options{LinkBytesPerSecond: 10_000, PerOutputToken: time.Millisecond}))
+	kv, err := c.Prefill(t.Context(), source, upstream.PrefillRequest{Prompt: "x"})
+	is.NoErr(err)
+	begin := time.Now()
+	var streams []upstream.TokenStream
+	for _, id := range []string{"a", "b", "c"} {
+		s, err := c.Decode(t.Context(), url, upstream.DecodeRequest{Attempt: id, Source: source, KV: kv.KV, MaxTokens: 1})
+		is.NoErr(err)
+		streams = append(streams, s)
+	}
+	for _, s := range streams {
+		_, err := s.Next()
+		is.NoErr(err)
+	}
+	is.True(time.Since(begin) >= 300*time.Millisecond) // three times 100 ms
+}
+
+// Guards against controls that a test in another process can't use.
+func TestControlsOverHTTP(t *testing.T) {
+	is := is.New(t)
+	s := New(Options{})
+	url, c := run(t, s)
+	set := func(f Faults) {
+		body, err := json.Marshal(f)
+		is.NoErr(err)
+		response, err := http.Post(url+"/lab/faults", "application/json", bytes.NewReader(body))
+		is.NoErr(err)
+		response.Body.Close()
+	}
+	set(Faults{Refuse: true})
+	_, err := c.Load(t.Context(), url)
+	is.Equal(upstream.KindOf(err), upstream.Refused)
+	set(Faults{Crash: true})
+	is.Equal(s.Generation(), uint64(2)) // in effect before the answer
+	_, err = c.Load(t.Context(), url)
+	is.NoErr(err)
+	response, err := http.Get(url + "/lab/executions")
+	is.NoErr(err)
+	defer response.Body.Close()
+	var list []Execution
+	is.NoErr(json.NewDecoder(response.Body).Decode(&list))
+	is.Equal(len(list), 2)
+	is.Equal([]int{list[0].Status, list[1].Status}, []int{503, 200})
+	is.Equal(list[0].Header.Get("Authorization"), "Bearer instance")
+}
--- a/pkg/lab/engine/labapi.go
+++ b/pkg/lab/engine/labapi.go
@@ -27,12 +27,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	// A silent fault would reach this connection when a client used it again.
-	w.Header().Set("Connection", "close")
+	s.setFaults(r.Context(), faults)
 	writeJSON(w, http.StatusOK, faults)
-	// The answer is sent before a crash closes its connection.
-	_ = http.NewResponseController(w).Flush()
-	s.SetFaults(faults)
 }
 
 func (s *Server) serveExecutions(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/lab/faultnet/faultnet.go
+++ b/pkg/lab/faultnet/faultnet.go
@@ -3,6 +3,7 @@
 package faultnet
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -20,49 +21,57 @@
 // NewServer returns a server for the handler.
 func NewServer(handler http.Handler) *Server {
 	s := &Server{conns: make(map[*conn]struct{})}
-	s.http = http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	s.http = http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: 10 * time.Second,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+	}
 	return s
 }
 
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
 // Serve accepts connections until Close.
 func (s *Server) Serve(l net.Listener) error { return s.http.Serve(&listener{Listener: l, server: s}) }
 
 // Close closes the listener and all connections.
 func (s *Server) Close() error {
 	err := s.http.Close()
-	s.CloseConns()
+	s.CloseConns(context.Background())
 	return err
 }
 
 // Silence makes all open connections silent for good: what is written to them is
-// lost and nothing is read from them, but they stay open. New ones work.
-func (s *Server) Silence() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
+// lost and nothing is read from them, but they stay open. New ones work. The
+// connection of the request that ctx belongs to is spared, so that the request
+// which sets the fault is answered after the fault is in effect.
+func (s *Server) Silence(ctx context.Context) {
+	for _, c := range s.others(ctx) {
 		c.silence()
 	}
-	return len(s.conns)
 }
 
-// CloseConns closes all open connections.
-func (s *Server) CloseConns() {
-	s.mu.Lock()
-	open := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		open = append(open, c)
-	}
-	s.mu.Unlock()
-	for _, c := range open {
+// CloseConns closes all open connections but that of the request of ctx.
+func (s *Server) CloseConns(ctx context.Context) {
+	for _, c := range s.others(ctx) {
 		c.Close()
 	}
 }
 
-// Open returns the number of open connections.
-func (s *Server) Open() int {
+func (s *Server) others(ctx context.Context) []*conn {
+	own, _ := ctx.Value(connKey{}).(*conn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)
+	others := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		if c != own {
+			others = append(others, c)
+		}
+	}
+	return others
 }
 
 type listener struct {
--- a/pkg/lab/plain/plain.go
+++ b/pkg/lab/plain/plain.go
@@ -3,6 +3,7 @@
 package plain
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -102,28 +103,33 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
 // SetFaults replaces the faults.
-func (s *Server) SetFaults(f Faults) {
+func (s *Server) SetFaults(f Faults) { s.setFaults(context.Background(), f) }
+
+// setFaults spares the connection of the request that ctx belongs to.
+func (s *Server) setFaults(ctx context.Context, f Faults) {
 	crash, silent := f.Crash, f.Silent
 	f.Crash, f.Silent = false, false
 	s.mu.Lock()
 	s.faults = f
 	s.mu.Unlock()
 	if silent {
-		s.net.Silence()
+		s.net.Silence(ctx)
 	}
 	if crash {
-		s.Crash()
+		s.crash(ctx)
 	}
 }
 
 // Crash closes all connections.
-func (s *Server) Crash() {
+func (s *Server) Crash() { s.crash(context.Background()) }
+
+func (s *Server) crash(ctx context.Context) {
 	s.mu.Lock()
 	close(s.crashed)
 	s.crashed = make(chan struct{})
 	s.downUntil = time.Now().Add(s.opts.Downtime)
 	s.mu.Unlock()
-	s.net.CloseConns()
+	s.net.CloseConns(ctx)
 }
 
 // Count returns how often POST /call had its effect for a body.
@@ -219,12 +225,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	// A silent fault would reach this connection when a client used it again.
-	w.Header().Set("Connection", "close")
+	s.setFaults(r.Context(), faults)
 	writeJSON(w, faults)
-	// The answer is sent before a crash closes its connection.
-	_ = http.NewResponseController(w).Flush()
-	s.SetFaults(faults)
 }
 
 func (s *Server) serveExecutions(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/pkg/telemetry/telemetry_test.go
@@ -0,0 +1,150 @@
+package telemetry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+type testClock struct{ now time.Time }
+
+func (c *testClock) read() time.Time { return c.now }
+
+func newMetrics(t *testing.T, opts Options) (*Metrics, func() string) {
+	m, err := New(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { m.Close(t.Context()) })
+	return m, func() string {
+		recorder := httptest.NewRecorder()
+		m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+		return recorder.Body.String()
+	}
+}
+
+func answer(account core.AccountID, first, between time.Duration) Answer {
+	return Answer{
+		Service: "letra-llm", Account: account, FirstToken: first, BetweenTokens: between, Tokens: 10,
+		FirstTokenTarget: 1900 * time.Millisecond, BetweenTokensTarget: 37 * time.Millisecond,
+	}
+}
+
+// Guards against a measure that is missing, has no unit, or counts an answer as
+// goodput that missed one of the targets.
+func TestMeasures(t *testing.T) {
+	m, scrape := newMetrics(t, Options{})
+	m.Answered(answer("a", time.Second, 30*time.Millisecond))
+	m.Answered(answer("a", 2*time.Second, 30*time.Millisecond))
+	m.Answered(answer("a", time.Second, 38*time.Millisecond))
+	m.Refused("letra-llm", "a", core.CodeNoCapacity, true)
+	m.Refused("letra-llm", "a", core.CodeOverRate, false)
+	m.WastedPrefill("letra-llm", 700)
+	m.ControlCPU(1500 * time.Millisecond)
+	m.ControlBytes(Sent, 20)
+	m.ControlBytes(Received, 30)
+	m.LateAnswer("letra-llm")
+	m.QueueLength("letra-llm", 4)
+	m.QueueLength("letra-llm", 3)
+	text := scrape()
+	for _, want := range []string{
+		`rhubarbsill_answers_total{service="letra-llm"} 3`,
+		`rhubarbsill_goodput_total{service="letra-llm"} 1`,
+		`rhubarbsill_goodput_tokens_total{service="letra-llm"} 10`,
+		`rhubarbsill_first_token_seconds_bucket{service="letra-llm",le="1.9"} 2`,
+		`rhubarbsill_between_tokens_seconds_bucket{service="letra-llm",le="0.037"} 2`,
+		`rhubarbsill_wasted_prefill_total{service="letra-llm"} 700`,
+		`rhubarbsill_refusals_total{code="no_capacity",service="letra-llm"} 1`,
+		`rhubarbsill_refusals_total{code="over_rate",service="letra-llm"} 1`,
+		`rhubarbsill_refusals_inside_rate_total{service="letra-llm"} 1`,
+		`rhubarbsill_control_cpu_seconds_total 1.5`,
+		`rhubarbsill_control_bytes_total{direction="sent"} 20`,
+		`rhubarbsill_control_bytes_total{direction="received"} 30`,
+		`rhubarbsill_late_answers_dropped_total{service="letra-llm"} 1`,
+		`rhubarbsill_queue_length{service="letra-llm"} 3`,
+	} {
+		if !strings.Contains(text, want+"\n") {
+			t.Errorf("missing %s", want)
+		}
+	}
+	if t.Failed() {
+		t.Log(text)
+	}
+}
+
+var worstLine = regexp.MustCompile(`(?m)^rhubarbsill_worst_account_service\S* (\S+)$`)
+
+// Guards against a worst-served account that is hidden by others, by requests
+// beyond its own rate, by a few requests of another or by what happened long ago.
+func TestWorstServedAccount(t *testing.T) {
+	is := is.New(t)
+	clock := &testClock{now: time.Unix(1000, 0)}
+	m, scrape := newMetrics(t, Options{Window: time.Minute, MinRequests: 4, Now: clock.read})
+	worst := func() string { return worstLine.FindStringSubmatch(scrape())[1] }
+	is.Equal(worst(), "1")
+	for range 100 {
+		m.Answered(answer("well", time.Second, 0))
+	}
+	for range 3 {
+		m.Answered(answer("badly", time.Second, 0))
+	}
+	m.Refused("letra-llm", "badly", core.CodeNoCapacity, true)
+	m.Refused("letra-llm", "few", core.CodeNoCapacity, true)
+	for range 9 {
+		m.Refused("letra-llm", "well", core.CodeOverRate, false)
+	}
+	is.Equal(worst(), "0.75")
+	clock.now = clock.now.Add(45 * time.Second)
+	is.Equal(worst(), "0.75")
+	clock.now = clock.now.Add(16 * time.Second)
+	is.Equal(worst(), "1")
+	is.Equal(len(m.accounts.accounts), 0)
+}
+
+// Guards against a label, or memory, that grows with the number of accounts.
+func TestAccountsAreBounded(t *testing.T) {
+	is := is.New(t)
+	m, scrape := newMetrics(t, Options{MaxAccounts: 10})
+	m.Answered(answer("acct-0", time.Second, 0))
+	before := strings.Count(scrape(), "\n")
+	for i := range 1000 {
+		account := core.AccountID(fmt.Sprintf("acct-%d", i))
+		m.Answered(answer(account, time.Second, 0))
+		m.Refused("letra-llm", account, core.CodeOverRate, false)
+	}
+	text := scrape()
+	is.Equal(len(m.accounts.accounts), 10)
+	is.True(!strings.Contains(text, "acct-"))
+	is.Equal(strings.Count(text, "\n"), before+3) // the refusals: HELP, TYPE and one series
+}
+
+// Guards against a log line without the prefix of its component, or with that of
+// another one.
+func TestLoggerPrefix(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log := NewLogger(&out, zapcore.InfoLevel)
+	keys := Component(log, "keys")
+	keys.Debug("not written")
+	keys.With(zap.String("key", "k1")).Info("key was revoked")
+	Component(log, "limits").Warn("loan was refused")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 2)
+	for i, want := range []string{"keys: key was revoked", "limits: loan was refused"} {
+		var line map[string]any
+		is.NoErr(json.Unmarshal([]byte(lines[i]), &line))
+		is.Equal(line["msg"], want)
+	}
+	is.True(strings.Contains(lines[0], `"key":"k1"`))
+}
