--- a/cmd/rhubarbsilld/process_test.go
+++ b/cmd/rhubarbsilld/process_test.go
@@ -37,6 +37,7 @@
 	instances   []server.Listening
 	processes   []*exec.Cmd
 	prefillURLs []string
+	decodeURLs  []string
 }
 
 func buildBinaries(t *testing.T) string {
@@ -101,7 +102,7 @@
 		up.Prefill = append(up.Prefill, f.startFake("engine", "--role", "prefill"))
 		up.Decode = append(up.Decode, f.startFake("engine", "--role", "decode"))
 	}
-	f.prefillURLs = up.Prefill
+	f.prefillURLs, f.decodeURLs = up.Prefill, up.Decode
 	f.plainURL = f.startFake("plain")
 	up.Plain = []string{f.plainURL}
 	account, entry, err := site.NewAccount("bakery", 50_000, 250_000)
@@ -137,6 +138,13 @@
 	return cmd
 }
 
+func (f *fleet) unlist(id string) {
+	f.t.Helper()
+	if err := platform.NewRegistrar(f.platformURL, platform.Options{}).DeleteInstance(context.Background(), id); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 // cli runs the operator's command line and returns its output and exit code.
 func (f *fleet) cli(args ...string) (string, int) {
 	f.t.Helper()
