--- a/pkg/keys/checker.go
+++ b/pkg/keys/checker.go
@@ -13,17 +13,20 @@
 //
 // Cost: an Instance that loses the store and every peer of its region refuses
 // keyed requests from FreshFor + PartitionGrace after its last confirmation on,
-// 8 s by default, also when the store is down at the same time. A promoted
-// revocation can be missed for at most FreshFor + PeerFor + PartitionGrace, 11 s
-// by default, and for FreshFor + PartitionGrace when no store outage preceded the
-// partition.
+// 8 s by default, also when the store is down at the same time. From the first
+// read of a revocation in the store's region on, another Instance accepts the key
+// for at most FreshFor + PeerFor + PartitionGrace, 11 s by default; without an
+// earlier store outage it is FreshFor + PartitionGrace.
 //
-// Remaining risk: a promote that takes effect during an outage for readers, whose
-// response may be lost, is not seen until a read succeeds; the rule serves on. A
-// store that answers reads with an old value counts as a confirmation until any
-// peer reports a higher version. The rule trusts the ages that peers report, as
-// upper bounds; see AgeBound. A service with on_partition "serve" accepts a
-// revoked key for as long as its Instance is cut off.
+// Remaining risk: while no Instance of the store's region reads a revocation, all
+// of them serve on. This covers a promote just before an outage, one whose
+// response is lost during an outage, and an Instance of another region that alone
+// has read it. A slow store delays a revocation by up to two reads. Instances
+// that are cut off together with one of the store's region take this for an
+// outage. A store that answers reads with an old value confirms that value, until
+// any peer reports a higher version. Ages that peers report are trusted as upper
+// bounds; see AgeBound. A service with on_partition "serve" accepts a revoked key
+// for as long as its Instance is cut off.
 package keys
 
 import (
--- /dev/null
+++ b/pkg/keys/world_test.go
@@ -0,0 +1,348 @@
+package keys
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"pgregory.net/rapid"
+)
+
+// world runs several Checkers in virtual time against one store. Nodes 0 to 2 are
+// in the store's region; 3 and 4 are in another one.
+type world struct {
+	f         fixture
+	random    *rand.Rand
+	now       time.Duration
+	faults    []fault
+	version   int // index into f.snaps of the version in the store
+	revokedAt []time.Duration
+	// readAt is when an Instance of the store's region first read each revocation.
+	// Before, in a store outage, nobody there can know of it.
+	readAt map[int]time.Duration
+	nodes     []*node
+	messages  []message
+}
+
+type faultKind int
+
+const (
+	storeDown   faultKind = iota // no read or write succeeds
+	storeSlow                    // reads take up to 4 s
+	storeStale                   // reads return the state of up to 2 s ago
+	storeCut                     // one node does not reach the store
+	regionCut                    // no message or read crosses between the regions
+	regionDeaf                   // nothing reaches the other region; the way back works
+	messageLoss                  // one message in five is lost
+	messageLate                  // messages take up to 2 s, and overtake each other
+)
+
+type fault struct {
+	kind     faultKind
+	from, to time.Duration
+	node     int
+}
+
+type node struct {
+	id       int
+	rate     float64 // of its clock
+	offset   time.Duration
+	c        *Checker
+	snap     int // index into f.snaps
+	seen     int
+	inForce  time.Duration // when seen goes in force
+	nextBeat time.Duration
+	nextRead time.Duration
+	read     *reading
+	asked    time.Duration
+	heard    map[int]echo
+}
+
+type reading struct {
+	due     time.Duration
+	sent    core.Instant
+	version int
+	fails   bool
+}
+
+// echo is what a heartbeat returns to its receiver: the stamp of the receiver's
+// last heartbeat and the instant of its arrival.
+type echo struct{ stamp, arrived core.Instant }
+
+type message struct {
+	from, to int
+	due      time.Duration
+	stamp    core.Instant
+	echoed   core.Instant
+	held     time.Duration
+	hasEcho  bool
+	version  core.Version
+	age      time.Duration
+	root     int // index of the root that an answer carries, or -1
+}
+
+func (n *node) clock(t time.Duration) core.Instant {
+	return core.Instant(n.offset) + core.Instant(float64(t)*n.rate)
+}
+
+func (n *node) region() core.RegionName {
+	if n.id < 3 {
+		return "near"
+	}
+	return "far"
+}
+
+func newWorld(f fixture, seed uint64, faults []fault) *world {
+	w := &world{f: f, faults: faults, readAt: map[int]time.Duration{}, random: rand.New(rand.NewPCG(seed, 1))}
+	for i := range 5 {
+		n := &node{id: i, rate: 0.99 + 0.02*w.random.Float64(), heard: map[int]echo{}}
+		n.offset = time.Duration(w.random.Int64N(int64(time.Hour)))
+		n.c = New(Params{Region: n.region(), StoreRegion: "near"})
+		n.nextBeat = time.Duration(w.random.Int64N(int64(s)))
+		w.nodes = append(w.nodes, n)
+	}
+	return w
+}
+
+func (w *world) active(kind faultKind, node int) bool {
+	for _, f := range w.faults {
+		if f.kind == kind && f.from <= w.now && w.now < f.to && (kind != storeCut || f.node == node) {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) promote() {
+	if w.version < revocations && !w.active(storeDown, 0) {
+		w.version++
+		w.revokedAt = append(w.revokedAt, w.now)
+	}
+}
+
+const step = 50 * time.Millisecond
+
+func (w *world) step() {
+	w.now += step
+	due := w.messages
+	w.messages = nil
+	for _, m := range due {
+		if m.due > w.now {
+			w.messages = append(w.messages, m)
+			continue
+		}
+		w.receive(w.nodes[m.to], m)
+	}
+	for _, n := range w.nodes {
+		w.readRoot(n)
+		if w.now >= n.nextBeat {
+			n.nextBeat = w.now + s
+			w.heartbeats(n)
+		}
+		if n.snap != n.seen && w.now >= n.inForce {
+			n.snap = n.seen
+		}
+	}
+}
+
+func (w *world) readRoot(n *node) {
+	if n.read == nil && w.now >= n.nextRead {
+		n.read = &reading{due: w.now + step, sent: n.clock(w.now), version: w.version}
+		if w.active(storeSlow, 0) {
+			n.read.due += time.Duration(w.random.Int64N(int64(4 * s)))
+		}
+		if w.active(storeStale, 0) && w.random.IntN(2) == 0 {
+			n.read.version = w.versionAt(w.now - 2*s)
+		}
+		n.read.fails = w.active(storeDown, 0) || w.active(storeCut, n.id) || (n.id >= 3 && w.cutBetween())
+	}
+	if n.read == nil || w.now < n.read.due {
+		return
+	}
+	if now := n.clock(w.now); !n.read.fails {
+		for v := range n.read.version {
+			if _, found := w.readAt[v]; !found && n.id < 3 {
+				w.readAt[v] = w.now
+			}
+		}
+		w.learn(n, n.read.version)
+		n.c.Confirm(now, core.Version(n.read.version+1), now.Sub(n.read.sent))
+	}
+	n.read = nil
+	n.nextRead = w.now + s
+}
+
+func (w *world) cutBetween() bool { return w.active(regionCut, 0) || w.active(regionDeaf, 0) }
+
+func (w *world) versionAt(t time.Duration) int {
+	v := 0
+	for v < len(w.revokedAt) && w.revokedAt[v] <= t {
+		v++
+	}
+	return v
+}
+
+// learn is the part of rollout: revocations at first sight, the rest later.
+func (w *world) learn(n *node, version int) {
+	if version <= n.seen {
+		return
+	}
+	for v := n.seen; v < version; v++ {
+		n.c.RevokeIn(core.Version(v+2), "a", w.f.creds[v].Key)
+	}
+	n.seen = version
+	n.inForce = w.now + time.Duration(w.random.Int64N(int64(6*s)))
+	n.c.Seen(n.clock(w.now), core.Version(version+1))
+}
+
+func (w *world) heartbeats(n *node) {
+	now := n.clock(w.now)
+	version, age := n.c.Youngest(now)
+	for to := range w.nodes {
+		if to == n.id {
+			continue
+		}
+		last, hasEcho := n.heard[to]
+		w.send(message{
+			from: n.id, to: to, stamp: now, echoed: last.stamp, held: now.Sub(last.arrived), hasEcho: hasEcho,
+			version: version, age: age, root: -1,
+		})
+	}
+}
+
+func (w *world) send(m message) {
+	crosses := (m.from < 3) != (m.to < 3)
+	if crosses && (w.active(regionCut, 0) || (w.active(regionDeaf, 0) && m.from < 3)) {
+		return
+	}
+	if w.active(messageLoss, 0) && w.random.IntN(5) == 0 {
+		return
+	}
+	m.due = w.now + step
+	if w.active(messageLate, 0) {
+		m.due += time.Duration(w.random.Int64N(int64(2 * s)))
+	}
+	w.messages = append(w.messages, m)
+}
+
+func (w *world) receive(n *node, m message) {
+	now := n.clock(w.now)
+	if m.root >= 0 {
+		w.learn(n, m.root)
+		return
+	}
+	if m.stamp > n.heard[m.from].stamp {
+		n.heard[m.from] = echo{stamp: m.stamp, arrived: now}
+	}
+	if !m.hasEcho || m.version == 0 {
+		return
+	}
+	age := AgeBound(now, m.echoed, m.held, m.age)
+	n.c.Confirm(now, m.version, age)
+	peer := w.nodes[m.from]
+	n.c.PeerHeard(now, core.InstanceRef{ID: core.InstanceID(fmt.Sprint(m.from))}, peer.region(), age)
+	if int(m.version) > n.seen+1 && w.now-n.asked > s {
+		n.asked = w.now
+		w.send(message{from: m.from, to: n.id, root: peer.seen})
+	}
+}
+
+func (w *world) check(n *node, key int, service core.ServiceName) core.Code {
+	return codeOf(n.c.Check(n.clock(w.now), w.f.snaps[n.snap], w.f.creds[key], w.f.service(service)))
+}
+
+var shared = newFixture()
+
+func drawFaults(t *rapid.T, kinds []faultKind, end time.Duration) []fault {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+		from := time.Duration(rapid.Int64Range(int64(5*s), int64(end)).Draw(t, "from"))
+		length := time.Duration(rapid.Int64Range(0, int64(40*s)).Draw(t, "length"))
+		return fault{
+			kind: rapid.SampledFrom(kinds).Draw(t, "kind"), from: from, to: from + length,
+			node: rapid.SampledFrom([]int{1, 2, 3, 4}).Draw(t, "node"), // node 0 reaches the store when it is up
+		}
+	}), 0, 5).Draw(t, "faults")
+}
+
+// revocationBound is the bound of the package comment, on the slowest clock, with
+// the 2 s of a stale read.
+const revocationBound = (DefaultFreshFor+DefaultPeerFor+DefaultPartitionGrace)*100/99 + 2*s
+
+// Guards against a revoked key that works for longer than the package comment
+// states, and against one that works after its Instance has seen the root.
+func TestRevokedKeyStops(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const end = 70 * s
+		all := []faultKind{storeDown, storeSlow, storeStale, storeCut, regionCut, regionDeaf, messageLoss, messageLate}
+		w := newWorld(shared, rapid.Uint64().Draw(t, "seed"), drawFaults(t, all, end))
+		promotes := rapid.SliceOfN(rapid.IntRange(100, int(end/step)), 0, revocations).Draw(t, "promotes")
+		for i := range int(end / step) {
+			for _, p := range promotes {
+				if p == i {
+					w.promote()
+				}
+			}
+			w.step()
+			for _, n := range w.nodes {
+				for key := range w.revokedAt {
+					if w.check(n, key, "strict") != "" {
+						continue
+					}
+					if readAt, read := w.readAt[key]; read && w.now > readAt+revocationBound {
+						t.Fatalf("node %d accepts key %d at %v, revoked at %v, read at %v, mode %v",
+							n.id, key, w.now, w.revokedAt[key], readAt, n.c.Mode(n.clock(w.now)))
+					}
+					if key < n.seen {
+						t.Fatalf("node %d accepts key %d after it saw the root", n.id, key)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against refusals in a store outage, when no message is lost.
+func TestStoreOutageServes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const end = 50 * s
+		kinds := []faultKind{storeDown, storeSlow, storeStale}
+		w := newWorld(shared, rapid.Uint64().Draw(t, "seed"), drawFaults(t, kinds, end))
+		for range int(end / step) {
+			w.step()
+			for _, n := range w.nodes {
+				if got := w.check(n, revocations, "strict"); w.now > 4*s && got != "" {
+					t.Fatalf("node %d refuses with %s at %v in mode %v", n.id, got, w.now, n.c.Mode(n.clock(w.now)))
+				}
+			}
+		}
+	})
+}
+
+// Guards against an Instance that serves on in a partition, one that refuses a
+// service whose policy is "serve", and one that does not recover.
+func TestPartitionRefusesAndHeals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cut := fault{kind: regionCut, from: 10 * s, to: 40 * s}
+		kinds := []faultKind{storeDown, storeSlow, storeStale}
+		w := newWorld(shared, rapid.Uint64().Draw(t, "seed"), append(drawFaults(t, kinds, 40*s), cut))
+		for range int(90 * s / step) {
+			w.step()
+			for _, n := range w.nodes {
+				strict, lenient := w.check(n, revocations, "strict"), w.check(n, revocations, "lenient")
+				if w.now > 4*s && lenient != "" {
+					t.Fatalf("node %d refuses a service with policy serve: %s", n.id, lenient)
+				}
+				cutOff := n.id >= 3 && w.now > cut.from+revocationBound && w.now < cut.to
+				if cutOff && strict != core.CodeKeysStale {
+					t.Fatalf("node %d serves at %v: %q", n.id, w.now, strict)
+				}
+				healed := n.id < 3 || w.now < cut.from || w.now > cut.to+3*s
+				if w.now > 4*s && healed && strict != "" {
+					t.Fatalf("node %d refuses at %v: %s", n.id, w.now, strict)
+				}
+			}
+		}
+	})
+}
