rollout: test versions, retries and the re-read timer

A new random wait for every confirmation of every peer, of which the latest counted, moved all Instances to the longest wait, where they read the root at the same time: 9 Instances made 174 reads a minute in bursts. One draw for each own read keeps them apart: 137 reads a minute, against 360 when every Instance reads on its own. ReadEvery 0.5 s with a spread of 2 s replaces 1 s and 1 s (170 reads a minute). Ruled out: 1 s and 2 s (100 reads), since a single Instance would then wait up to 3 s of the 4 s target for a read.

Pieces that no source has were asked for again with every confirmation; now at most once in RetryMax.

--- a/pkg/keys/keys_test.go
+++ b/pkg/keys/keys_test.go
@@ -103,6 +103,10 @@
 			c.PeerHeard(at(4*s), near(1), "near", 4*s)
 			c.PeerHeard(at(4*s), near(2), "near", 0)
 		}, 5 * s, Behind},
+		{"recent peer lost", func(c *Checker) {
+			c.PeerHeard(at(0), near(1), "near", 0)
+			c.PeerHeard(at(4*s), near(2), "near", 4*s)
+		}, 5 * s, StoreOutage},
 		{"newer version not seen", func(c *Checker) { c.Confirm(at(4*s), 8, 0) }, 5 * s, Partitioned},
 		{"newer version seen", func(c *Checker) { c.Confirm(at(4*s), 8, 0); c.Seen(at(5*s), 8) }, 5 * s, Fresh},
 		{"lower version", func(c *Checker) { c.Confirm(at(4*s), 6, 0) }, 5 * s, Partitioned},
--- a/pkg/keys/world_test.go
+++ b/pkg/keys/world_test.go
@@ -21,9 +21,9 @@
 	revokedAt []time.Duration
 	// readAt is when an Instance of the store's region first read each revocation.
 	// Before, in a store outage, nobody there can know of it.
-	readAt map[int]time.Duration
-	nodes     []*node
-	messages  []message
+	readAt   map[int]time.Duration
+	nodes    []*node
+	messages []message
 }
 
 type faultKind int
--- a/pkg/rollout/fetcher.go
+++ b/pkg/rollout/fetcher.go
@@ -15,7 +15,9 @@
 	ready   []config.Hash // to ask for next
 	active  []config.Hash // under way
 	waiting []config.Hash // between two rounds
-	parked  []config.Hash // out of rounds until the next confirmation
+	parked  []config.Hash // out of rounds
+	// unparkAt is the earliest instant at which parked pieces start over.
+	unparkAt core.Instant
 }
 
 // piece is a missing piece. A node lists leaves, so its arrival adds pieces.
@@ -103,6 +105,7 @@
 	p.peers = 0
 	p.rounds++
 	if p.rounds >= f.p.MaxRounds {
+		f.unparkAt = max(f.unparkAt, now.Add(f.p.RetryMax))
 		f.parked = append(f.parked, hash)
 		return
 	}
@@ -110,8 +113,13 @@
 	f.waiting = append(f.waiting, hash)
 }
 
-// unpark starts over with the pieces that are out of rounds.
-func (f *fetcher) unpark() {
+// unpark starts over with the pieces that are out of rounds, at most once in
+// RetryMax: a confirmation arrives with every heartbeat of every peer.
+func (f *fetcher) unpark(now core.Instant) {
+	if len(f.parked) == 0 || now < f.unparkAt {
+		return
+	}
+	f.unparkAt = now.Add(f.p.RetryMax)
 	for _, hash := range f.parked {
 		f.wanted[hash].rounds = 0
 		f.ready = append(f.ready, hash)
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -35,7 +35,7 @@
 	// PeerTries is the number of peers asked for a piece before the store.
 	PeerTries int
 	// MaxRounds is the number of times that the store is asked for a piece. Then
-	// the piece waits for the next confirmation of the version.
+	// the piece waits for RetryMax and the next confirmation of the version.
 	MaxRounds int
 	// PeerFor is how long a peer counts as a source after it was heard.
 	PeerFor time.Duration
@@ -44,8 +44,10 @@
 }
 
 func (p Params) withDefaults() Params {
-	setDefault(&p.ReadEvery, time.Second)
-	setDefault(&p.ReadSpread, time.Second)
+	// With heartbeats every second, 9 Instances made 137 reads a minute, and 170
+	// with 1 s and 1 s, whose spread ends before most confirmations arrive.
+	setDefault(&p.ReadEvery, 500*time.Millisecond)
+	setDefault(&p.ReadSpread, 2*time.Second)
 	setDefault(&p.OwnReadEvery, 10*time.Second)
 	setDefault(&p.CallTimeout, 2*time.Second)
 	setDefault(&p.RetryMin, 100*time.Millisecond)
@@ -214,7 +216,7 @@
 // confirm handles a confirmation of the target version.
 func (r *Rollout) confirm(now core.Instant, age time.Duration) []Output {
 	r.timer.confirmed(now - core.Instant(age))
-	r.fetch.unpark()
+	r.fetch.unpark(now)
 	if r.applied() {
 		return []Output{Confirmed{r.target.Version, age}}
 	}
--- /dev/null
+++ b/pkg/rollout/rollout_test.go
@@ -0,0 +1,242 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+const s = time.Second
+
+// history is a chain of versions of which each changes a rate, revokes a key and
+// adds an account.
+type history struct {
+	roots  []config.Root // roots[v] is version v; roots[0] is empty
+	pieces map[config.Hash][]byte
+}
+
+func newHistory(versions, accounts int) history {
+	h := history{roots: []config.Root{{}}, pieces: map[config.Hash][]byte{}}
+	var prev *config.Document
+	for v := range versions {
+		doc := &config.Document{
+			Environment: "test", StoreRegion: "near",
+			Services: []config.Service{{Name: "desk", Kind: config.ServicePlain}},
+		}
+		for i := range accounts + v {
+			doc.Accounts = append(doc.Accounts, account(i, v))
+		}
+		root, pieces := config.Succeed(h.roots[v], prev, doc)
+		for hash, body := range pieces {
+			h.pieces[hash] = body
+		}
+		h.roots = append(h.roots, root)
+		prev = doc
+	}
+	return h
+}
+
+// account returns account i in version v+1, whose key is revoked from version
+// i+2 on.
+func account(i, v int) config.ClientAccount {
+	a := config.ClientAccount{
+		ID: core.AccountID(fmt.Sprintf("account-%04d", i)), Weight: 1, RateTokensPerSecond: 100, BurstTokens: 4000,
+		Services: []core.ServiceName{"desk"},
+		Keys:     []config.Key{{ID: "old", Digest: config.Digest{byte(i)}, Revoked: i < v}},
+	}
+	if i == v {
+		a.RateTokensPerSecond++
+	}
+	for k := range 4 {
+		a.Keys = append(a.Keys, config.Key{ID: core.KeyID(fmt.Sprint("k", k)), Digest: config.Digest{byte(i), byte(k)}})
+	}
+	return a
+}
+
+func newRollout() *Rollout { return New(Params{Random: rand.New(rand.NewPCG(1, 2))}) }
+
+func at(d time.Duration) core.Instant { return core.Instant(d) }
+
+func peer(n int) core.InstanceRef {
+	return core.InstanceRef{ID: core.InstanceID(fmt.Sprintf("i%d", n)), Incarnation: 1}
+}
+
+// outputs returns the outputs of one type.
+func outputs[T Output](outs []Output) []T {
+	var list []T
+	for _, out := range outs {
+		if o, ok := out.(T); ok {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// serve answers every fetch from the history until nothing more is asked.
+func serve(r *Rollout, now core.Instant, h history, outs []Output, limit int) []Output {
+	all := outs
+	for queue := outputs[FetchPiece](outs); len(queue) > 0 && limit != 0; limit-- {
+		next := r.OnPiece(now, queue[0].Hash, h.pieces[queue[0].Hash])
+		all = append(all, next...)
+		queue = append(queue[1:], outputs[FetchPiece](next)...)
+	}
+	return all
+}
+
+// Guards against a revocation that waits for the complete version, a grant that
+// does not, and a half-fetched version that goes in force after a higher root.
+func TestHigherRootReplacesFetch(t *testing.T) {
+	is := is.New(t)
+	h := newHistory(3, 40)
+	r := newRollout()
+	outs := serve(r, 0, h, r.OnRoot(0, h.roots[1], 0, Store), -1)
+	is.Equal(outputs[InForce](outs)[0].Snapshot.Version(), core.Version(1))
+	outs = r.OnRoot(at(s), h.roots[2], 0, Store)
+	is.Equal(outputs[Revoked](outs), []Revoked{{"account-0000", "old", 2}})
+	is.Equal(outputs[Confirmed](outs), []Confirmed{{2, 0}})
+	is.Equal(len(outputs[InForce](outs)), 0)
+	late := outputs[FetchPiece](outs)
+	serve(r, at(s), h, outs, 1)
+	outs = r.OnRoot(at(2*s), h.roots[3], 0, Store)
+	is.Equal(outputs[Revoked](outs), []Revoked{{"account-0001", "old", 3}, {"account-0000", "old", 2}})
+	for _, f := range late {
+		is.Equal(len(outputs[InForce](r.OnPiece(at(2*s), f.Hash, h.pieces[f.Hash]))), 0)
+	}
+	is.Equal(r.Snapshot().Version(), core.Version(1))
+	outs = serve(r, at(2*s), h, append(outs, r.Tick(at(5*s))...), -1)
+	is.Equal(outputs[InForce](outs)[0].Snapshot.Version(), core.Version(3))
+	is.Equal(len(r.pieces), len(r.Snapshot().Pieces())) // pieces of old versions are dropped
+}
+
+// Guards against a lower version from a stale store or peer, another root with
+// the same number, and a first version below one that a peer has confirmed.
+func TestStaleRoots(t *testing.T) {
+	is := is.New(t)
+	h := newHistory(4, 5)
+	r := newRollout()
+	r.OnConfirmation(0, 2, 0, peer(1))
+	outs := serve(r, 0, h, r.OnRoot(0, h.roots[1], 0, Store), -1)
+	is.Equal(len(outputs[InForce](outs)), 0) // version 2 is known to exist
+	outs = serve(r, 0, h, r.OnRoot(0, h.roots[2], 0, Source{Peer: peer(1)}), -1)
+	is.Equal(len(outputs[InForce](outs)), 1)
+	for _, stale := range []Source{Store, {Peer: peer(1)}} {
+		outs = r.OnRoot(at(s), h.roots[1], 0, stale)
+		is.Equal(len(outputs[InForce](outs))+len(outputs[Confirmed](outs))+len(outputs[FetchPiece](outs)), 0)
+	}
+	other := h.roots[2]
+	other.Accounts = h.roots[4].Accounts
+	is.Equal(len(outputs[Rejected](r.OnRoot(at(s), other, 0, Store))), 1)
+	is.Equal(r.Snapshot().Version(), core.Version(2))
+}
+
+// Guards against a confirmation that promises revocations which only the complete
+// version holds.
+func TestTruncatedRevocations(t *testing.T) {
+	is := is.New(t)
+	h := newHistory(4, 5)
+	r := newRollout()
+	serve(r, 0, h, r.OnRoot(0, h.roots[1], 0, Store), -1)
+	root := h.roots[4]
+	root.Revoked, root.RevokedSince = root.Revoked[:1], 3
+	outs := r.OnRoot(at(s), root, 0, Store)
+	is.Equal(len(outputs[Confirmed](outs)), 0)
+	outs = serve(r, at(2*s), h, outs, -1)
+	is.Equal(outputs[Confirmed](outs), []Confirmed{{4, s}})
+}
+
+// Guards against a store that is asked before the peers, a fetch that is never
+// repeated, and one that is repeated without bound or without a wait.
+func TestSourcesAndRetries(t *testing.T) {
+	is := is.New(t)
+	h := newHistory(1, 1)
+	r := newRollout()
+	for n := range 4 {
+		r.OnConfirmation(0, 1, 0, peer(n))
+	}
+	queue := outputs[FetchPiece](r.OnRoot(0, h.roots[1], 0, Store))
+	hash := queue[0].Hash
+	var sources []Source
+	now := core.Instant(0)
+	for now < at(60*s) {
+		for i := 0; i < len(queue); i++ {
+			if queue[i].Hash != hash {
+				continue
+			}
+			sources = append(sources, queue[i].From)
+			queue = append(queue, outputs[FetchPiece](r.OnFailure(now, Want{hash, queue[i].From}))...)
+		}
+		next := r.NextWake()
+		is.True(next > now) // a wait between the rounds
+		now = next
+		queue = outputs[FetchPiece](r.Tick(now))
+	}
+	is.True(!sources[0].IsStore() && sources[0] != sources[1])
+	is.True(!sources[1].IsStore() && sources[2].IsStore())
+	asked := 0
+	for _, from := range sources {
+		if from.IsStore() {
+			asked++
+		}
+	}
+	is.Equal(asked, r.p.MaxRounds) // then only a confirmation starts over
+	outs := r.OnConfirmation(at(90*s), 1, 0, peer(1))
+	is.True(len(outputs[FetchPiece](outs)) > 0)
+}
+
+// Guards against a piece that does not have its hash, and a piece that has it but
+// can't be read: the version in force must stay.
+func TestBadPieces(t *testing.T) {
+	is := is.New(t)
+	h := newHistory(2, 5)
+	r := newRollout()
+	serve(r, 0, h, r.OnRoot(0, h.roots[1], 0, Store), -1)
+	outs := r.OnRoot(0, h.roots[2], 0, Store)
+	bad := outputs[FetchPiece](outs)[0]
+	is.Equal(len(outputs[InForce](r.OnPiece(0, bad.Hash, []byte("[]")))), 0)
+	is.True(r.fetch.wants(bad.Hash))
+	body := []byte(`{"not": "a node"}`)
+	root := h.roots[2]
+	root.Version, root.Accounts = 3, []config.Hash{config.HashOf(body)}
+	r.OnRoot(0, root, 0, Store)
+	outs = r.OnPiece(0, config.HashOf(body), body)
+	is.Equal(outputs[Rejected](outs)[0].Version, core.Version(3))
+	is.Equal(r.Snapshot().Version(), core.Version(1))
+	root = h.roots[2]
+	root.Version = 4
+	outs = serve(r, at(3*s), h, append(r.OnRoot(at(3*s), root, 0, Store), r.Tick(at(3*s))...), -1)
+	is.Equal(outputs[InForce](outs)[0].Snapshot.Version(), core.Version(4))
+}
+
+func BenchmarkChange27000(b *testing.B) {
+	h := newHistory(2, 27_000)
+	base := newRollout()
+	outs := serve(base, 0, h, base.OnRoot(0, h.roots[1], 0, Store), -1)
+	if len(outputs[InForce](outs)) != 1 {
+		b.Fatal("version 1 is not in force")
+	}
+	moved := 0
+	for b.Loop() {
+		b.StopTimer()
+		r := *base
+		r.pieces = make(map[config.Hash][]byte, len(base.pieces))
+		for hash, body := range base.pieces {
+			r.pieces[hash] = body
+		}
+		r.fetch = newFetcher(r.p)
+		b.StartTimer()
+		outs := serve(&r, at(s), h, r.OnRoot(at(s), h.roots[2], 0, Store), -1)
+		if len(outputs[InForce](outs)) != 1 {
+			b.Fatal("version 2 is not in force")
+		}
+		moved = len(h.roots[2].Encode())
+		for _, f := range outputs[FetchPiece](outs) {
+			moved += len(h.pieces[f.Hash])
+		}
+	}
+	b.ReportMetric(float64(moved), "moved-bytes")
+}
--- a/pkg/rollout/timer.go
+++ b/pkg/rollout/timer.go
@@ -12,8 +12,12 @@
 // peer may be under way, so that a slow store does not hold up a version that a
 // peer has.
 type rootTimer struct {
-	p     Params
-	due   core.Instant
+	p   Params
+	due core.Instant
+	// wait is the time from a confirmation to the next read. It is drawn once for
+	// each own read: a new draw for every confirmation of every peer moved all
+	// Instances to the longest wait, where they read at the same time.
+	wait  time.Duration
 	store call
 	peer  call
 	// lastOwn is the instant of the last answer of the store; ownRead is false
@@ -41,7 +45,8 @@
 	t.store.active = false
 	t.failures = 0
 	t.lastOwn, t.ownRead = now, true
-	t.due = now.Add(t.interval())
+	t.wait = t.p.ReadEvery + time.Duration(t.p.Random.Int64N(int64(t.p.ReadSpread)+1))
+	t.due = now.Add(t.wait)
 }
 
 func (t *rootTimer) endPeer(from Source) {
@@ -50,16 +55,10 @@
 	}
 }
 
-// interval is random, so that Instances that got the same confirmation don't
-// read at the same time.
-func (t *rootTimer) interval() time.Duration {
-	return t.p.ReadEvery + time.Duration(t.p.Random.Int64N(int64(t.p.ReadSpread)+1))
-}
-
 // confirmed puts off the next read after a confirmation that was made at the
 // given instant, but not beyond OwnReadEvery after the last own read.
 func (t *rootTimer) confirmed(at core.Instant) {
-	t.due = max(t.due, at.Add(t.interval()))
+	t.due = max(t.due, at.Add(t.wait))
 	if t.ownRead {
 		t.due = min(t.due, t.lastOwn.Add(t.p.OwnReadEvery))
 	}
