--- /dev/null
+++ b/pkg/lab/objectstore/faults.go
@@ -0,0 +1,219 @@
+package objectstore
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/platform"
+)
+
+// Faults are the faults that a Server injects. The zero value injects none.
+// Rates are probabilities from 0 to 1.
+type Faults struct {
+	// Outage refuses all calls with 503.
+	Outage bool `json:"outage"`
+	// Silent accepts all calls and answers none.
+	Silent bool `json:"silent"`
+	// SilentWatch accepts watches and answers none, while other calls work.
+	SilentWatch bool `json:"silent_watch"`
+	// LatencyMS delays each call, with up to JitterMS added.
+	LatencyMS int `json:"latency_ms"`
+	JitterMS  int `json:"jitter_ms"`
+	// LostAnswerRate closes the connection after a write took effect.
+	LostAnswerRate float64 `json:"lost_answer_rate"`
+	// StaleReadRate answers a read with the version before the current one.
+	StaleReadRate float64 `json:"stale_read_rate"`
+}
+
+// Counters count the calls of the object API and the list of Instances.
+type Counters struct {
+	// Reads include lists of objects and of Instances.
+	Reads int64 `json:"reads"`
+	// Watches count as reads for the rate limit, but not in Reads.
+	Watches int64 `json:"watches"`
+	Writes  int64 `json:"writes"`
+	// WrittenBytes counts the values of successful writes.
+	WrittenBytes int64 `json:"written_bytes"`
+	Conflicts    int64 `json:"conflicts"`
+	OverRate     int64 `json:"over_rate"`
+	Refused      int64 `json:"refused"` // by an outage
+	LostAnswers  int64 `json:"lost_answers"`
+	StaleReads   int64 `json:"stale_reads"`
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Faults returns the present faults.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counters returns the calls since the start.
+func (s *Server) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counters
+}
+
+func (s *Server) count(add func(c *Counters)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	add(&s.counters)
+}
+
+// chance draws from the seeded source. A rate of 0 draws nothing, so that a fault
+// that is off does not change the sequence of the others.
+func (s *Server) chance(rate float64) bool {
+	if rate <= 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < rate
+}
+
+func (s *Server) latency() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ms := s.faults.LatencyMS
+	if s.faults.JitterMS > 0 {
+		ms += s.random.IntN(s.faults.JitterMS + 1)
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// Kinds of calls. Watches and reads share a rate limit.
+type kind int
+
+const (
+	read kind = iota
+	write
+	watch
+)
+
+// guard counts a call, and injects the faults and limits that come before it.
+func (s *Server) guard(k kind, handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.countCall(k)
+		faults := s.Faults()
+		if faults.Silent || faults.SilentWatch && k == watch {
+			s.hang(r)
+			return
+		}
+		if !sleep(r.Context(), s.latency()) {
+			return
+		}
+		if faults.Outage {
+			s.count(func(c *Counters) { c.Refused++ })
+			http.Error(w, "platform outage", http.StatusServiceUnavailable)
+			return
+		}
+		if !s.withinRate(k) {
+			s.count(func(c *Counters) { c.OverRate++ })
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "rate limit exceeded", http.StatusTooManyRequests)
+			return
+		}
+		handle(w, r)
+	}
+}
+
+// hang waits until the caller gives up. net/http notices that only once the body
+// is read.
+func (s *Server) hang(r *http.Request) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, platform.MaxValueBytes))
+	<-r.Context().Done()
+}
+
+func (s *Server) countCall(k kind) {
+	s.count(func(c *Counters) {
+		switch k {
+		case read:
+			c.Reads++
+		case write:
+			c.Writes++
+		case watch:
+			c.Watches++
+		}
+	})
+}
+
+func (s *Server) withinRate(k kind) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k == write {
+		return s.writes.take(s.opts.Now())
+	}
+	return s.reads.take(s.opts.Now())
+}
+
+// rate is a rate limit with a burst of a tenth of a second.
+type rate struct {
+	perSecond int // 0 means no limit
+	next      time.Time
+}
+
+func (r *rate) take(now time.Time) bool {
+	if r.perSecond <= 0 {
+		return true
+	}
+	interval := time.Second / time.Duration(r.perSecond)
+	burst := max(time.Second/10, interval)
+	if r.next.Before(now) {
+		r.next = now
+	}
+	if r.next.Sub(now)+interval > burst {
+		return false
+	}
+	r.next = r.next.Add(interval)
+	return true
+}
+
+// sleep waits for d and reports whether ctx is still valid.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// loseAnswer closes the connection instead of answering, at the set rate.
+func (s *Server) loseAnswer() {
+	if s.chance(s.Faults().LostAnswerRate) {
+		s.count(func(c *Counters) { c.LostAnswers++ })
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&faults); err != nil {
+		http.Error(w, "faults: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(faults)
+	writeJSON(w, faults)
+}
+
+func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Faults()) }
+
+func (s *Server) getCounters(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counters()) }
--- /dev/null
+++ b/pkg/lab/objectstore/handlers.go
@@ -0,0 +1,252 @@
+package objectstore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/platform"
+)
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	infos, err := s.store.List(r.Context(), r.URL.Query().Get("prefix"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, infos)
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	if s.chance(s.Faults().StaleReadRate) {
+		if object, found := s.previousOf(name); found {
+			writeStale(w, object)
+			return
+		}
+	}
+	object, err := s.store.Get(r.Context(), name)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeObject(w, object)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	base, err := condition(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusPreconditionRequired)
+		return
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+		writeError(w, platform.ErrTooLarge)
+		return
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	name := r.PathValue("name")
+	before, _ := s.store.Get(r.Context(), name)
+	version, err := s.store.Put(r.Context(), name, value, base)
+	if err != nil {
+		s.countConflict(err)
+		writeError(w, err)
+		return
+	}
+	s.changed(name, before, base)
+	s.count(func(c *Counters) { c.WrittenBytes += int64(len(value)) })
+	s.loseAnswer()
+	setVersion(w, version)
+}
+
+func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
+	base, err := condition(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusPreconditionRequired)
+		return
+	}
+	name := r.PathValue("name")
+	before, _ := s.store.Get(r.Context(), name)
+	if err := s.store.Delete(r.Context(), name, base); err != nil {
+		s.countConflict(err)
+		writeError(w, err)
+		return
+	}
+	s.changed(name, before, base)
+	s.loseAnswer()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after is not a version", http.StatusBadRequest)
+		return
+	}
+	wait := platform.DefaultWatchWait
+	if ms, err := strconv.Atoi(query.Get("wait_ms")); err == nil {
+		wait = min(time.Duration(ms)*time.Millisecond, maxWatchWait)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	object, err := s.store.Watch(ctx, query.Get("name"), after)
+	if err != nil && ctx.Err() != nil {
+		err = platform.ErrNotModified
+	}
+	if faults := s.Faults(); faults.Silent || faults.SilentWatch {
+		// The fault was switched on while the watch waited.
+		s.hang(r)
+		return
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeObject(w, object)
+}
+
+func (s *Server) instances(w http.ResponseWriter, r *http.Request) {
+	s.showDue(r.Context())
+	list, err := s.store.Instances(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, list)
+}
+
+func (s *Server) putInstance(w http.ResponseWriter, r *http.Request) {
+	var instance platform.Instance
+	if err := json.NewDecoder(r.Body).Decode(&instance); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if instance.State != platform.Live && instance.State != platform.Leaving {
+		http.Error(w, "state must be live or leaving", http.StatusBadRequest)
+		return
+	}
+	instance.ID = r.PathValue("id")
+	s.changeList(listChange{instance: instance})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) deleteInstance(w http.ResponseWriter, r *http.Request) {
+	s.changeList(listChange{instance: platform.Instance{ID: r.PathValue("id")}, remove: true})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) changeList(change listChange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change.at = s.opts.Now()
+	s.unseen = append(s.unseen, change)
+}
+
+// showDue makes the changes visible that are older than the lag.
+func (s *Server) showDue(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := s.opts.Now().Add(-s.opts.InstanceLag)
+	for len(s.unseen) > 0 && !s.unseen[0].at.After(limit) {
+		change := s.unseen[0]
+		s.unseen = s.unseen[1:]
+		if change.remove {
+			_ = s.store.DeleteInstance(ctx, change.instance.ID)
+		} else {
+			_ = s.store.PutInstance(ctx, change.instance)
+		}
+	}
+}
+
+func (s *Server) countConflict(err error) {
+	if conflict := (platform.ErrConflict{}); errors.As(err, &conflict) {
+		s.count(func(c *Counters) { c.Conflicts++ })
+	}
+}
+
+// changed keeps the version that a write replaced for stale reads. A version that
+// was itself replaced meanwhile is left out.
+func (s *Server) changed(name string, before platform.Object, base uint64) {
+	if before.Version != base {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.previous[name] = before
+}
+
+func (s *Server) previousOf(name string) (platform.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, found := s.previous[name]
+	if found {
+		s.counters.StaleReads++
+	}
+	return object, found
+}
+
+func writeStale(w http.ResponseWriter, object platform.Object) {
+	if object.Version == 0 {
+		writeError(w, platform.ErrNotFound)
+		return
+	}
+	writeObject(w, object)
+}
+
+// condition returns the version that a write replaces, 0 for a create.
+func condition(r *http.Request) (uint64, error) {
+	if r.Header.Get("If-None-Match") == "*" {
+		return 0, nil
+	}
+	base, err := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
+	if err != nil || base == 0 {
+		return 0, errors.New("a write needs If-None-Match: * or If-Match with a version")
+	}
+	return base, nil
+}
+
+func setVersion(w http.ResponseWriter, version uint64) {
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(version, 10)))
+}
+
+func writeObject(w http.ResponseWriter, object platform.Object) {
+	setVersion(w, object.Version)
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(object.Value)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// writeError writes the status that platform.NewHTTP maps back to err.
+func writeError(w http.ResponseWriter, err error) {
+	var conflict platform.ErrConflict
+	switch {
+	case errors.As(err, &conflict):
+		if conflict.Current != 0 {
+			setVersion(w, conflict.Current)
+		}
+		http.Error(w, err.Error(), http.StatusPreconditionFailed)
+	case errors.Is(err, platform.ErrNotFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, platform.ErrNotModified):
+		w.WriteHeader(http.StatusNotModified)
+	case errors.Is(err, platform.ErrTooLarge):
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+	case errors.Is(err, platform.ErrInvalid):
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
--- a/pkg/platform/http.go
+++ b/pkg/platform/http.go
@@ -13,10 +13,11 @@
 	"strings"
 	"sync/atomic"
 	"time"
-
-	"github.com/joomcode/errorx"
 )
 
+// maxReplyBytes bounds an answer. A list of 50,000 objects stays below it.
+const maxReplyBytes = 8 << 20
+
 // Options are the settings of the HTTP client. Zero fields take the default.
 type Options struct {
 	// CallTimeout bounds each call but Watch. Default 2 s.
@@ -105,7 +106,7 @@
 	}
 	r, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/objects/" + name})
 	if err != nil {
-		return Object{}, errorx.Decorate(err, "get object %q", name)
+		return Object{}, fmt.Errorf("get object %q: %w", name, err)
 	}
 	return Object{Name: name, Version: r.version, Value: r.body}, nil
 }
@@ -115,7 +116,7 @@
 		return 0, err
 	}
 	if len(value) > MaxValueBytes {
-		return 0, errorx.Decorate(ErrTooLarge, "put object %q: %d bytes", name, len(value))
+		return 0, fmt.Errorf("put object %q: %d bytes: %w", name, len(value), ErrTooLarge)
 	}
 	header := http.Header{}
 	if base == 0 {
@@ -125,7 +126,7 @@
 	}
 	r, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/objects/" + name, header: header, body: value})
 	if err != nil {
-		return 0, errorx.Decorate(err, "put object %q", name)
+		return 0, fmt.Errorf("put object %q: %w", name, err)
 	}
 	return r.version, nil
 }
@@ -137,7 +138,7 @@
 	header := http.Header{"If-Match": {formatETag(base)}}
 	_, err := c.do(ctx, call{method: http.MethodDelete, path: "/v1/objects/" + name, header: header})
 	if err != nil {
-		return errorx.Decorate(err, "delete object %q", name)
+		return fmt.Errorf("delete object %q: %w", name, err)
 	}
 	return nil
 }
@@ -146,15 +147,12 @@
 	query := url.Values{"prefix": {prefix}}
 	var infos []ObjectInfo
 	if err := c.getJSON(ctx, "/v1/objects", query, &infos); err != nil {
-		return nil, errorx.Decorate(err, "list objects %q", prefix)
+		return nil, fmt.Errorf("list objects %q: %w", prefix, err)
 	}
 	return infos, nil
 }
 
 func (c *httpClient) Watch(ctx context.Context, name string, after uint64) (Object, error) {
-	if err := CheckName(name); err != nil {
-		return Object{}, err
-	}
 	r, err := c.do(ctx, call{
 		method: http.MethodGet,
 		path:   "/v1/watch",
@@ -167,7 +165,7 @@
 		pending: c.watches,
 	})
 	if err != nil {
-		return Object{}, errorx.Decorate(err, "watch object %q", name)
+		return Object{}, fmt.Errorf("watch object %q: %w", name, err)
 	}
 	return Object{Name: name, Version: r.version, Value: r.body}, nil
 }
@@ -175,7 +173,7 @@
 func (c *httpClient) Instances(ctx context.Context) ([]Instance, error) {
 	var list []Instance
 	if err := c.getJSON(ctx, "/v1/instances", nil, &list); err != nil {
-		return nil, errorx.Decorate(err, "list instances")
+		return nil, fmt.Errorf("list instances: %w", err)
 	}
 	return list, nil
 }
@@ -183,11 +181,11 @@
 func (c *httpClient) PutInstance(ctx context.Context, instance Instance) error {
 	body, err := json.Marshal(instance)
 	if err != nil {
-		return errorx.Decorate(err, "encode instance %q", instance.ID)
+		return fmt.Errorf("encode instance %q: %w", instance.ID, err)
 	}
 	_, err = c.do(ctx, call{method: http.MethodPut, path: "/v1/instances/" + instance.ID, body: body})
 	if err != nil {
-		return errorx.Decorate(err, "put instance %q", instance.ID)
+		return fmt.Errorf("put instance %q: %w", instance.ID, err)
 	}
 	return nil
 }
@@ -195,7 +193,7 @@
 func (c *httpClient) DeleteInstance(ctx context.Context, id string) error {
 	_, err := c.do(ctx, call{method: http.MethodDelete, path: "/v1/instances/" + id})
 	if err != nil {
-		return errorx.Decorate(err, "delete instance %q", id)
+		return fmt.Errorf("delete instance %q: %w", id, err)
 	}
 	return nil
 }
@@ -261,10 +259,13 @@
 		return reply{}, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
 	if err != nil {
 		return reply{}, err
 	}
+	if len(body) > maxReplyBytes {
+		return reply{}, fmt.Errorf("answer is larger than %d bytes", maxReplyBytes)
+	}
 	version, err := parseETag(response.Header.Get("ETag"))
 	if err != nil {
 		return reply{}, err
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -14,7 +14,8 @@
 // MaxValueBytes is the largest value that the platform stores.
 const MaxValueBytes = 1 << 20
 
-// Errors of all calls. Test them with errors.Is; the conflict with errors.As.
+// Errors of all calls. Test them with errors.Is, the conflict with errors.As. They
+// are wrapped by fmt.Errorf, because errorx 0.8 has no Unwrap and hides them.
 var (
 	// ErrNotFound means that the object does not exist.
 	ErrNotFound = errors.New("object does not exist")
