--- a/cmd/rhubarbsilld/failure_test.go
+++ b/cmd/rhubarbsilld/failure_test.go
@@ -126,13 +126,14 @@
 		}
 		return n
 	}
+
 	f.eventually(5*time.Second, "both requests hold memory", func() bool { return held() == 2 })
 	cancel()
 	took := f.eventually(3*time.Second, "the memory of the caller that left is free", func() bool { return held() == 1 })
 	t.Logf("freed %s after the caller left", took)
 	_ = f.processes[len(f.processes)-1].Process.Kill()
 	f.unlist("entry-2")
-	took = f.eventually(45*time.Second, "the memory of the dead instance's request is free", func() bool { return held() == 0 })
+	took = f.eventually(20*time.Second, "the memory of the dead instance's request is free", func() bool { return held() == 0 })
 	t.Logf("freed %s after the instance died", took)
 	<-ended
 	<-ended
--- a/cmd/rhubarbsilld/process_test.go
+++ b/cmd/rhubarbsilld/process_test.go
@@ -105,7 +105,7 @@
 	f.prefillURLs, f.decodeURLs = up.Prefill, up.Decode
 	f.plainURL = f.startFake("plain")
 	up.Plain = []string{f.plainURL}
-	account, entry, err := site.NewAccount("bakery", 50_000, 250_000)
+	account, entry, err := site.NewAccount("bakery", 1_000_000, 5_000_000)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -188,6 +188,10 @@
 	}
 }
 
+// claimWait bounds the wait for a claim and for its dispatch. In an outage of the
+// store the caller gets its refusal while it still waits.
+const claimWait = 5 * time.Second
+
 // claim asks for the right to run a non-idempotent request that carries a key.
 // Without a key each call is a request of its own and is sent once.
 func (r *Router) claim(now core.Instant, f *flow) {
@@ -203,7 +207,7 @@
 		Account:    f.accountID(),
 		Key:        f.request.IdempotencyKey,
 		BodyDigest: digest,
-		Deadline:   f.request.Deadline,
+		Deadline:   min(f.request.Deadline, now.Add(claimWait)),
 		WallTime:   f.request.WallTime,
 	}))
 }
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -57,6 +57,11 @@
 	defaultLoadEvery = 500 * time.Millisecond
 )
 
+// absentGrace is the time from the roster's drop of an Instance to the cancel of
+// its attempts. The platform's list has dropped it some seconds before, so the
+// wait only has to cover a roster that this Instance has not read yet.
+const absentGrace = 5 * time.Second
+
 // Router is the state machine of one entry Instance.
 type Router struct {
 	params Params
@@ -107,6 +112,9 @@
 	p.Rollout.Random = p.Rand
 	p.Claims.Random = p.Random
 	p.Placement.Rand = p.Rand
+	if p.Attempts.AbsentGrace == 0 {
+		p.Attempts.AbsentGrace = absentGrace
+	}
 	r := &Router{
 		params:    p,
 		self:      p.Self,
--- a/pkg/server/callers.go
+++ b/pkg/server/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -122,6 +123,20 @@
 	}
 }
 
+// deadlineOf returns when a request has to be answered: after the caller's
+// Request-Timeout header, in seconds, at most after the limit of the settings.
+func (s *Server) deadlineOf(r *http.Request) (core.Instant, *core.Refusal) {
+	limit := s.settings.Callers.requestTimeout()
+	if text := r.Header.Get("Request-Timeout"); text != "" {
+		seconds, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(seconds > 0) {
+			return 0, malformed("header Request-Timeout is %q, want seconds above 0", text)
+		}
+		limit = min(limit, time.Duration(min(seconds, limit.Seconds())*float64(time.Second)))
+	}
+	return s.clock.now().Add(limit), nil
+}
+
 func newRequestID() core.RequestID {
 	id, err := uuid.NewV7()
 	if err != nil {
@@ -211,6 +226,9 @@
 	entry.model = string(parsed.model)
 	entry.prompt = parsed.prompt
 	request := s.newRequest(a.id, credential, body)
+	if request.Deadline, refusal = s.deadlineOf(r); refusal != nil {
+		return router.Request{}, nil, refusal
+	}
 	request.Model = parsed.model
 	request.PromptTokens = upstream.EstimateTokens(parsed.prompt)
 	request.MaxOutput = int(parsed.maxTokens)
@@ -249,7 +267,6 @@
 		ID:         id,
 		Credential: credential,
 		BodyDigest: sha256.Sum256(body),
-		Deadline:   s.clock.now().Add(s.settings.Callers.requestTimeout()),
 		WallTime:   time.Now(),
 	}
 	hash := sha256.New()
@@ -276,6 +293,10 @@
 	if refusal == nil {
 		refusal = keyIsElsewhere(credential, body, headerText(upstream.ForwardedHeader(r.Header)))
 	}
+	var deadline core.Instant
+	if refusal == nil {
+		deadline, refusal = s.deadlineOf(r)
+	}
 	if refusal != nil {
 		a.refuse(refusal)
 		return
@@ -283,6 +304,7 @@
 	entry := newCall(a.id)
 	entry.plain = upstream.PlainRequest{Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header, Body: body}
 	request := s.newRequest(a.id, credential, append([]byte(r.Method+" "+r.URL.RequestURI()+"\n"), body...))
+	request.Deadline = deadline
 	request.Method = r.Method
 	request.Path = r.URL.EscapedPath()
 	request.IdempotencyKey = r.Header.Get("Idempotency-Key")
--- a/pkg/server/store.go
+++ b/pkg/server/store.go
@@ -54,36 +54,28 @@
 	}
 }
 
-// watchRoot waits for new configuration roots. A watch that goes silent does
-// no harm: the router reads the root again on a timer.
+// watchRoot waits for new configuration roots. A watch that goes silent does no
+// harm: the router reads the root again on a timer.
 func (s *Server) watchRoot(ctx context.Context) {
 	log := telemetry.Component(s.log, "rollout")
-	name := router.RootObject(s.settings.Environment)
-	after := uint64(0)
-	for ctx.Err() == nil {
-		asked := s.clock.now()
-		object, err := s.platform.Watch(ctx, name, after)
-		switch {
-		case err == nil:
-			after = object.Version
-			op := router.StoreOp{Kind: router.OpRoot}
-			// A watch may have waited long before it was answered, so its start
-			// would understate how fresh the root is. The answer is at most one
-			// call older than now.
-			asked = max(asked, s.clock.now().Add(-watchAnswerAge))
-			s.post(router.StoreReplied{Op: op, AskedAt: asked, Version: object.Version, Value: object.Value})
-		case errors.Is(err, platform.ErrNotModified):
-		default:
-			log.Debug("watch failed", zap.Error(err))
-			sleep(ctx, watchRetry)
-		}
+	seen := func(object platform.Object) {
+		// The answer of a watch is at most one call older than now.
+		asked := s.clock.now().Add(-watchAnswerAge)
+		op := router.StoreOp{Kind: router.OpRoot}
+		s.post(router.StoreReplied{Op: op, AskedAt: asked, Version: object.Version, Value: object.Value})
 	}
+	failed := func(err error) { log.Debug("watch failed", zap.Error(err)) }
+	opts := platform.FollowOptions{RereadEvery: watchReread}
+	platform.Follow(ctx, s.platform, router.RootObject(s.settings.Environment), opts, seen, failed)
 }
 
 const (
-	watchRetry = 500 * time.Millisecond
 	// watchAnswerAge is the age given to the answer of a watch.
 	watchAnswerAge = time.Second
+	// watchReread is long, since the router's own timer reads the root, too.
+	watchReread = time.Minute
+	// statusRetry is the pause before the status is published again.
+	statusRetry = 500 * time.Millisecond
 )
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -189,7 +181,7 @@
 		if _, err := s.platform.Put(ctx, name, value, base); err == nil {
 			return
 		}
-		sleep(ctx, watchRetry)
+		sleep(ctx, statusRetry)
 	}
 }
 
