--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -38,7 +38,8 @@
 
 // CompilePieces compiles a root and its pieces. It takes over every node and
 // leaf that prev already has, so that its cost follows the size of the change.
-// It fails when a piece is missing or does not decode.
+// It fails when a piece is missing or does not decode. It does not check hashes;
+// whoever accepts a piece does.
 func CompilePieces(prev *Snapshot, root Root, get Lookup) (*Snapshot, error) {
 	if prev == nil {
 		prev = &Snapshot{}
@@ -104,6 +105,20 @@
 	return service, ok
 }
 
+// Upstream finds an Upstream and its service.
+func (s *Snapshot) Upstream(id core.UpstreamID) (*Service, *Upstream, bool) {
+	placed, ok := s.upstreams.find(string(id), upstreamName)
+	if !ok {
+		return nil, nil, false
+	}
+	service, ok := s.Service(placed.Service)
+	return service, &placed.Upstream, ok
+}
+
+// Accounts calls yield with every ClientAccount, in an order that depends only on
+// their ids, until yield returns false.
+func (s *Snapshot) Accounts(yield func(*ClientAccount) bool) { s.accounts.all(yield) }
+
 // Services returns all services, sorted by name.
 func (s *Snapshot) Services() []*Service { return s.tables.sorted }
 
@@ -269,31 +284,54 @@
 	return nil, false
 }
 
-// all calls f with every entry.
-func (t tree[T]) all(f func(*T)) {
+// all calls yield with every entry until it returns false.
+func (t tree[T]) all(yield func(*T) bool) {
 	for _, node := range t.nodes {
 		for _, leaf := range node.leaves {
 			for i := range leaf.entries {
-				f(&leaf.entries[i])
+				if !yield(&leaf.entries[i]) {
+					return
+				}
 			}
 		}
 	}
 }
 
 // Pieces returns the hashes of all pieces of the Snapshot.
-func (s *Snapshot) Pieces() map[Hash]bool {
-	used := map[Hash]bool{}
-	s.accounts.hashes(used)
-	s.services.hashes(used)
-	s.upstreams.hashes(used)
-	return used
+func (s *Snapshot) Pieces() []Hash {
+	all, _ := s.Changed(nil)
+	return all
+}
+
+// Changed returns the hashes of the nodes that only s has and of the nodes that
+// only prev has, each with all its leaves. Its cost follows the size of the change.
+func (s *Snapshot) Changed(prev *Snapshot) (added, removed []Hash) {
+	if prev == nil {
+		prev = &Snapshot{}
+	}
+	added = s.accounts.without(prev.accounts, added)
+	added = s.services.without(prev.services, added)
+	added = s.upstreams.without(prev.upstreams, added)
+	removed = prev.accounts.without(s.accounts, removed)
+	removed = prev.services.without(s.services, removed)
+	removed = prev.upstreams.without(s.upstreams, removed)
+	return added, removed
 }
 
-func (t tree[T]) hashes(into map[Hash]bool) {
+// without appends the hashes of the nodes that other lacks, and of their leaves.
+func (t tree[T]) without(other tree[T], list []Hash) []Hash {
+	shared := make(map[Hash]bool, len(other.nodes))
+	for _, node := range other.nodes {
+		shared[node.hash] = true
+	}
 	for _, node := range t.nodes {
-		into[node.hash] = true
+		if shared[node.hash] {
+			continue
+		}
+		list = append(list, node.hash)
 		for _, leaf := range node.leaves {
-			into[leaf.hash] = true
+			list = append(list, leaf.hash)
 		}
 	}
+	return list
 }
