--- a/pkg/limits/limiter_test.go
+++ b/pkg/limits/limiter_test.go
@@ -82,6 +82,63 @@
 	is.Equal(answer(all, "i001", retry, got.Loans).State, limits.Granted) // RetryAfter was long enough
 }
 
+// Guards against a bucket that refills while its tokens are set aside for a
+// request that waits for a loan.
+func TestReservedTokensHoldCapacityDown(t *testing.T) {
+	is := is.New(t)
+	all, _ := trio()
+	got := all["i000"].Admit(full, "q", account, 500)
+	later := full.Add(100 * time.Millisecond)
+	is.Equal(answer(all, "i000", later, got.Loans).State, limits.Granted)
+	is.True(all["i000"].Admit(later, "more", account, 5).State != limits.Granted)
+}
+
+// Guards against a new holder that starts with tokens, or before the loans of the
+// former holder are over.
+func TestNewHolderWaitsAndStartsEmpty(t *testing.T) {
+	is := is.New(t)
+	r := rosterOf(3)
+	l := limits.New(ref("i000"), limits.Params{})
+	l.HoldUntil(core.Never)
+	l.SetRoster(0, r)
+	start := core.Instant(limits.DefaultLoanTerm * 103 / 100)
+	is.Equal(l.Admit(start, "a", account, 1).State, limits.Borrowing)
+	l.Tick(start.Add(100 * time.Millisecond))
+	is.Equal(l.Admit(start.Add(100*time.Millisecond), "b", account, 11).State, limits.Borrowing) // 9.9 at 99 a second
+	l.Tick(start.Add(time.Second))
+	is.Equal(l.Admit(start.Add(time.Second), "c", account, 80).State, limits.Granted)
+	fresh := account
+	fresh.ID = "first seen later"
+	is.Equal(l.Admit(start.Add(100*time.Millisecond), "d", fresh, 11).State, limits.Borrowing)
+}
+
+// Guards against entitlements that are kept over a roster that this Instance
+// never adopted, under which another one may hold them.
+func TestSkippedRosterDropsEntitlements(t *testing.T) {
+	for _, test := range []struct {
+		epoch core.Epoch
+		want  limits.State
+	}{{2, limits.Granted}, {3, limits.Borrowing}} {
+		is := is.New(t)
+		all, r := trio()
+		all["i000"].Admit(full, "a", account, 1)
+		r.Epoch = test.epoch
+		r.Settled = false
+		all["i000"].SetRoster(full, r)
+		is.Equal(all["i000"].Admit(full, "b", account, 1).State, test.want)
+	}
+}
+
+// Guards against refusing a request that two lenders can serve only together.
+func TestLendersAreAskedAgainForWhatTheyHave(t *testing.T) {
+	is := is.New(t)
+	all, _ := trio()
+	is.Equal(all["i001"].Admit(full, "a", account, 100).State, limits.Granted)
+	is.Equal(all["i002"].Admit(full, "b", account, 100).State, limits.Granted)
+	got := all["i000"].Admit(full, "q", account, 600)
+	is.Equal(answer(all, "i000", full, got.Loans).State, limits.Granted)
+}
+
 // Guards against waiting for a request that can never be admitted.
 func TestLargerThanBurstIsRefusedForGood(t *testing.T) {
 	is := is.New(t)
--- a/pkg/limits/shares.go
+++ b/pkg/limits/shares.go
@@ -133,9 +133,10 @@
 func (l *Limiter) adopt(now core.Instant, r membership.Roster) {
 	previous := &l.history[len(l.history)-1]
 	skipped := !previous.none && r.Epoch != previous.roster.Epoch+1
-	// After a lapsed hold, others may have taken over. After a skipped roster, its
-	// holders may use what it gave them until they adopt a later one.
-	if skipped || now >= l.holdUntil || len(l.history) >= maxUnsettled {
+	// The holders under a skipped roster may use what it gave them until they adopt
+	// a later one. After a lapsed hold there is nothing to drop: others could take
+	// what the next roster doesn't give this Instance, and no more.
+	if skipped || len(l.history) >= maxUnsettled {
 		l.dropEntitlements(now)
 	}
 	l.history = append(l.history, held{roster: r, from: core.Never})
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -88,6 +88,9 @@
 	stale := beat(1, 4, 9)
 	stale.Leaving = true
 	is.Equal(len(m.OnHeartbeat(2, stale)), 0)
+	gossip := beat(2, 1, 1)
+	gossip.Rows = []Row{{Ref: stale.From, Epoch: 9, Leaving: true}}
+	m.OnHeartbeat(2, gossip)
 	is.Equal(m.peers["i001"].row, Row{Ref: core.InstanceRef{ID: "i001", Incarnation: 5}, Epoch: 1})
 	write, _, ok := tickUntil[WriteRoster](m, 3)
 	is.True(ok)
@@ -178,6 +181,10 @@
 	m := New(memberOf(0), Params{})
 	_, ok := find[StopServing](m.OnList(0, listOf(3)[1:]))
 	is.True(!ok) // not listed yet
+	later := memberOf(0)
+	later.Ref.Incarnation = 2
+	_, ok = find[StopServing](New(later, Params{}).OnRosterRead(0, rosterOf(1, 3), 1))
+	is.True(ok) // the roster has the ended run only
 	m = newTest(3)
 	out := m.OnList(1, listOf(3)[1:])
 	_, ok = find[StopServing](out)
@@ -261,6 +268,7 @@
 	is := is.New(t)
 	m := newTest(5)
 	m.Tick(0)
+	m.Tick(core.Instant(2 * time.Second)) // round 2, which nobody echoes
 	echo := func(i int, epoch core.Epoch) {
 		h := beat(i, 1, epoch)
 		h.Echo = 1
@@ -275,6 +283,38 @@
 	echo(3, 1)
 	m.updateHold(core.Instant(20 * time.Second))
 	is.Equal(m.holdUntil, core.Instant(DefaultHoldFor)) // from our round 1, sent at 0
+	for _, i := range []int{1, 4} {
+		h := beat(i, 1, 1)
+		h.Echo = 2
+		h.EchoOf = 1
+		m.OnHeartbeat(core.Instant(20*time.Second), h)
+	}
+	m.updateHold(core.Instant(20 * time.Second))
+	is.Equal(m.holdUntil, core.Instant(DefaultHoldFor+2*time.Second))
+	next := rosterOf(2, 4)
+	next.Members = append(next.Members[:1], next.Members[2:]...)
+	hold, _ := find[HoldUntil](m.OnRosterRead(core.Instant(21*time.Second), next, 2))
+	is.Equal(hold.Until, core.Instant(DefaultHoldFor)) // of its members, only round 1 is echoed
+}
+
+// Guards against a fencing wait that counts time from before a blocking half had
+// moved on, when the wait had begun for another reason.
+func TestFencingWaitsDoNotAddUp(t *testing.T) {
+	is := is.New(t)
+	m := newTest(4)
+	next := rosterOf(2, 2)
+	next.Former = []Generation{{1, 4, holdersOf(rosterOf(1, 4))}}
+	m.OnRosterRead(1, next, 2)
+	m.OnList(1, listOf(2))
+	m.OnHeartbeat(1, beat(1, 1, 1))
+	late := core.Instant(time.Minute)
+	three := rosterOf(1, 4)
+	m.roster.Former = []Generation{{1, 5, holdersOf(three)[2:]}} // three of five stopped
+	m.fencedAt[1] = fence{by: byDrop, at: 1}
+	m.Tick(late)
+	is.True(!m.Roster().Settled)
+	m.Tick(late.Add(DefaultFenceWait))
+	is.True(m.Roster().Settled)
 }
 
 // Guards against callers sent to a leaving Instance, and against an answer that
