--- a/pkg/limits/fleet_test.go
+++ b/pkg/limits/fleet_test.go
@@ -1,9 +1,10 @@
 package limits_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
@@ -36,8 +37,7 @@
 type fleet struct {
 	rng     *rand.Rand
 	now     time.Duration // true time
-	events  eventHeap
-	order   int
+	events  []event       // by time, and by order of planning
 	nodes   []*node
 	naive   bool // uses entitlements without waiting for former holders
 	settles bool // settles below the charge
@@ -48,13 +48,10 @@
 	accounts  []limits.Account
 	ledger    map[core.AccountID][]entry
 	where     map[core.RequestID]place
-	requests  int
-	granted   int
-	refused   int
 	refusals  map[core.Code]int
-	messages  int
-	beats     int
 	violation string
+
+	requests, granted, refused, messages, beats int
 }
 
 type entry struct {
@@ -64,8 +61,6 @@
 
 type place struct {
 	account core.AccountID
-	index   int
-	node    int
 	inc     core.Incarnation
 	tokens  int64
 }
@@ -74,37 +69,19 @@
 	index       int
 	member      membership.Member
 	clockRate   int64 // thousandths of true time
-	offset      time.Duration
 	m           *membership.Membership
 	l           *limits.Limiter
-	up          bool
-	leaving     bool
-	pausedUntil time.Duration
-	lastRun     time.Duration
-	inbox       []func()
-	offPlatform int
-	unlisted    int
-	listedFrom  time.Duration
-}
+	up, leaving bool
+	inbox       []func() // while paused
 
-type event struct {
-	at    time.Duration
-	order int
-	run   func()
-}
+	offset, pausedUntil, lastRun, listedFrom time.Duration
 
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
+	offPlatform, unlisted int // running faults
 }
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
+
+type event struct {
+	at  time.Duration
+	run func()
 }
 
 func newFleet(seed uint64, size int) *fleet {
@@ -129,13 +106,15 @@
 }
 
 func (f *fleet) after(d time.Duration, run func()) {
-	f.order++
-	heap.Push(&f.events, event{f.now + d, f.order, run})
+	at := f.now + d
+	i := sort.Search(len(f.events), func(i int) bool { return f.events[i].at > at })
+	f.events = slices.Insert(f.events, i, event{at, run})
 }
 
 func (f *fleet) run(until time.Duration) {
 	for len(f.events) > 0 && f.events[0].at <= until && f.violation == "" {
-		e := heap.Pop(&f.events).(event)
+		e := f.events[0]
+		f.events = f.events[1:]
 		f.now = e.at
 		e.run()
 	}
@@ -373,19 +352,14 @@
 }
 
 func (f *fleet) account(id core.AccountID) limits.Account {
-	for _, a := range f.accounts {
-		if a.ID == id {
-			return a
-		}
-	}
-	return limits.Account{}
+	return f.accounts[slices.IndexFunc(f.accounts, func(a limits.Account) bool { return a.ID == id })]
 }
 
 func (f *fleet) request(n *node, a limits.Account, tokens int64) {
 	f.do(n, n.member.Ref.Incarnation, func() {
 		f.requests++
 		id := core.RequestID(fmt.Sprintf("q%d", f.requests))
-		f.where[id] = place{account: a.ID, node: n.index, inc: n.member.Ref.Incarnation, tokens: tokens, index: -1}
+		f.where[id] = place{a.ID, n.member.Ref.Incarnation, tokens}
 		f.admitted(n, []limits.Admitted{{ID: id, Admission: n.l.Admit(n.clock(f), id, a, tokens)}})
 	})
 }
@@ -416,8 +390,7 @@
 // record notes an admission, checks the bound and plans the settlement.
 func (f *fleet) record(n *node, id core.RequestID) {
 	p := f.where[id]
-	p.index = len(f.ledger[p.account])
-	f.where[id] = p
+	index := len(f.ledger[p.account])
 	f.ledger[p.account] = append(f.ledger[p.account], entry{f.now, p.tokens})
 	f.checkBound(p.account)
 	if !f.settles {
@@ -427,7 +400,7 @@
 	settle := func() {
 		f.do(n, p.inc, func() {
 			n.l.Settle(n.clock(f), id, used)
-			f.ledger[p.account][p.index].tokens = used
+			f.ledger[p.account][index].tokens = used
 		})
 	}
 	wait := time.Duration(f.rng.Int64N(int64(3 * time.Second)))
@@ -459,8 +432,8 @@
 func (f *fleet) startFault(x fault) {
 	n := f.nodes[x.Node%len(f.nodes)]
 	other := f.nodes[x.Other%len(f.nodes)]
-	counters := []*int{}
-	cuts := [][2]int{}
+	var counters []*int
+	var cuts [][2]int
 	switch x.Kind {
 	case "kill":
 		n.up = false
@@ -470,14 +443,8 @@
 				f.start(n)
 			}
 		})
-		if x.Other%2 == 0 {
-			counters = append(counters, &n.unlisted)
-		}
 	case "pause":
 		n.pausedUntil = max(n.pausedUntil, f.now+x.For)
-		if x.Other%2 == 0 {
-			counters = append(counters, &n.unlisted)
-		}
 	case "cut":
 		cuts = append(cuts, [2]int{n.index, other.index}, [2]int{other.index, n.index})
 	case "cutOneWay":
@@ -502,6 +469,9 @@
 		f.active[x.Kind]++
 		f.after(x.For, func() { f.active[x.Kind]-- })
 	}
+	if silent := x.Kind == "kill" || x.Kind == "pause"; silent && x.Other%2 == 0 {
+		counters = append(counters, &n.unlisted)
+	}
 	for _, c := range counters {
 		*c++
 		f.after(x.For, func() { *c-- })
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -269,26 +269,22 @@
 	m := newTest(5)
 	m.Tick(0)
 	m.Tick(core.Instant(2 * time.Second)) // round 2, which nobody echoes
-	echo := func(i int, epoch core.Epoch) {
+	echo := func(i int, epoch core.Epoch, round uint64) {
 		h := beat(i, 1, epoch)
-		h.Echo = 1
+		h.Echo = round
 		h.EchoOf = 1
 		m.OnHeartbeat(core.Instant(20*time.Second), h)
 	}
-	echo(1, 1)
-	echo(2, 2) // has moved on
+	echo(1, 1, 1)
+	echo(2, 2, 1) // has moved on
 	m.OnHeartbeat(1, beat(3, 1, 1))
 	m.updateHold(core.Instant(20 * time.Second))
 	is.Equal(m.holdUntil, core.Instant(0))
-	echo(3, 1)
+	echo(3, 1, 1)
 	m.updateHold(core.Instant(20 * time.Second))
 	is.Equal(m.holdUntil, core.Instant(DefaultHoldFor)) // from our round 1, sent at 0
-	for _, i := range []int{1, 4} {
-		h := beat(i, 1, 1)
-		h.Echo = 2
-		h.EchoOf = 1
-		m.OnHeartbeat(core.Instant(20*time.Second), h)
-	}
+	echo(1, 1, 2)
+	echo(4, 1, 2)
 	m.updateHold(core.Instant(20 * time.Second))
 	is.Equal(m.holdUntil, core.Instant(DefaultHoldFor+2*time.Second))
 	next := rosterOf(2, 4)
@@ -303,14 +299,10 @@
 	is := is.New(t)
 	m := newTest(4)
 	next := rosterOf(2, 2)
-	next.Former = []Generation{{1, 4, holdersOf(rosterOf(1, 4))}}
+	next.Former = []Generation{{1, 5, holdersOf(rosterOf(1, 4))[2:]}} // three of five stopped
 	m.OnRosterRead(1, next, 2)
-	m.OnList(1, listOf(2))
-	m.OnHeartbeat(1, beat(1, 1, 1))
-	late := core.Instant(time.Minute)
-	three := rosterOf(1, 4)
-	m.roster.Former = []Generation{{1, 5, holdersOf(three)[2:]}} // three of five stopped
 	m.fencedAt[1] = fence{by: byDrop, at: 1}
+	late := core.Instant(time.Minute)
 	m.Tick(late)
 	is.True(!m.Roster().Settled)
 	m.Tick(late.Add(DefaultFenceWait))
