orders: issue orders under a lease with a fencing number

Engines had no one to order them into the state of the configuration. One Instance per service now holds a lease in the store. Fencing numbers are the store's version of the acquiring write; counting in the lease object was ruled out, because the count starts again when the object is deleted. To an engine that ignores the number an order goes only while the term covers the order's time limit. The lease also records the configuration version, so that a holder with an older document orders nothing.

--- /dev/null
+++ b/pkg/orders/orders_test.go
@@ -0,0 +1,290 @@
+package orders
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+type stored struct {
+	version uint64
+	value   []byte
+}
+
+type node struct {
+	o      *Orders
+	ref    core.InstanceRef
+	rate   float64
+	paused time.Duration
+	wake   core.Instant
+}
+
+type engine struct {
+	id     core.UpstreamID
+	checks bool
+	fence  core.Fence // of the last order executed
+	state  State
+}
+
+// world runs holders against a store and engines in virtual time.
+type world struct {
+	t                                     interface{ Fatalf(string, ...any) }
+	rng                                   *rand.Rand
+	outage, slow, stale, lost, late, kill float64
+	now                                   time.Duration
+	seq                                   int
+	queue                                 events
+	history                               []stored
+	nodes                                 []*node
+	engines                               []*engine
+	config                                core.Version
+}
+
+type source struct{ *rand.Rand }
+
+func (s source) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = byte(s.Uint32())
+	}
+	return len(p), nil
+}
+
+func (w *world) restart(n *node) {
+	n.ref.Incarnation++
+	n.o = New(n.ref, Params{Random: source{w.rng}})
+	n.wake = core.Never
+	w.tell(n, 0)
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + d, w.seq, do})
+}
+
+func (w *world) on(n *node, o *Orders, d time.Duration, do func(now core.Instant) []Output) {
+	w.after(d, func() {
+		switch {
+		case n.o != o:
+		case n.paused > w.now:
+			w.on(n, o, n.paused-w.now, do)
+		default:
+			w.run(n, do(core.Instant(float64(w.now)*n.rate)))
+		}
+	})
+}
+
+func (w *world) run(n *node, outs []Output) {
+	for _, out := range outs {
+		switch out := out.(type) {
+		case ReadLease:
+			w.read(n)
+		case WriteLease:
+			w.write(n, out)
+		case Order:
+			w.order(n, out)
+		}
+	}
+	if wake := n.o.NextWake(); wake != n.wake {
+		n.wake = wake
+		delay := max(time.Duration(float64(wake)/n.rate)-w.now+1, 0)
+		w.on(n, n.o, delay, func(now core.Instant) []Output { n.wake = core.Never; return n.o.Tick(now) })
+	}
+}
+
+// tell gives the present configuration to a node.
+func (w *world) tell(n *node, d time.Duration) {
+	o, config := n.o, w.config
+	var want []Desired
+	for _, e := range w.engines {
+		state := State{Model: "letra", Version: fmt.Sprint(config)}
+		want = append(want, Desired{Upstream: e.id, State: state, ChecksFencing: e.checks})
+	}
+	w.on(n, o, d, func(now core.Instant) []Output { return o.SetDesired(now, config, want) })
+	for _, e := range w.engines {
+		w.on(n, o, d, func(now core.Instant) []Output { return o.OnReport(now, e.id, e.state) })
+	}
+}
+
+func (w *world) chance(rate float64) bool { return w.rng.Float64() < rate }
+
+func (w *world) delay() time.Duration {
+	d := time.Duration(w.rng.Int64N(int64(5 * time.Millisecond)))
+	if w.chance(w.slow) {
+		d += time.Duration(w.rng.Int64N(int64(20 * time.Second)))
+	}
+	return d
+}
+
+func (w *world) reply(n *node, o *Orders, do func(core.Instant) []Output) {
+	w.on(n, o, w.delay(), do)
+	if w.chance(w.late) {
+		w.on(n, o, time.Duration(w.rng.Int64N(int64(time.Minute))), do)
+	}
+}
+
+func (w *world) read(n *node) {
+	o := n.o
+	w.after(w.delay(), func() {
+		at := len(w.history) - 1
+		if w.chance(w.stale) {
+			at = w.rng.IntN(len(w.history)+1) - 1
+		}
+		if w.chance(w.outage) {
+			w.reply(n, o, o.OnLeaseReadFailed)
+			return
+		}
+		got := stored{}
+		if at >= 0 {
+			got = w.history[at]
+		}
+		w.reply(n, o, func(now core.Instant) []Output { return o.OnLeaseRead(now, got.value, got.version, at >= 0) })
+	})
+}
+
+func (w *world) write(n *node, q WriteLease) {
+	o := n.o
+	fail := func(why Failure) func(core.Instant) []Output {
+		return func(now core.Instant) []Output { return o.OnLeaseWriteFailed(now, why) }
+	}
+	if w.chance(w.outage) {
+		w.reply(n, o, fail(Unavailable))
+		return
+	}
+	transit := w.delay()
+	late := w.chance(w.late)
+	if late {
+		transit += time.Duration(w.rng.Int64N(int64(20 * time.Second)))
+		w.reply(n, o, fail(Lost))
+	}
+	w.after(transit, func() {
+		version := uint64(len(w.history))
+		if version != q.Base {
+			w.reply(n, o, fail(Conflict))
+			return
+		}
+		w.history = append(w.history, stored{version + 1, q.Value})
+		if !late && w.chance(w.lost) {
+			w.reply(n, o, fail(Lost))
+			return
+		}
+		w.reply(n, o, func(now core.Instant) []Output { return o.OnLeaseWritten(now, version+1) })
+	})
+}
+
+// order delivers an order at any time within its limit, sometimes twice.
+func (w *world) order(n *node, q Order) {
+	o := n.o
+	held := time.Duration(0)
+	if w.chance(0.2) {
+		held = time.Duration(w.rng.Int64N(int64(40 * time.Second)))
+	}
+	w.on(n, o, held, func(now core.Instant) []Output {
+		if now > q.NotAfter {
+			return o.OnOrderResult(now, q.Upstream, Expired)
+		}
+		for range 1 + w.rng.IntN(2) {
+			transit := time.Duration(w.rng.Int64N(int64(q.TimeLimit)))
+			w.after(transit, func() { w.execute(n, o, q) })
+		}
+		return nil
+	})
+}
+
+func (w *world) execute(n *node, o *Orders, q Order) {
+	for _, e := range w.engines {
+		if e.id != q.Upstream {
+			continue
+		}
+		if e.checks && q.Fence < e.fence {
+			w.on(n, o, 0, func(now core.Instant) []Output { return o.OnOrderResult(now, e.id, Stale) })
+			return
+		}
+		if q.Fence < e.fence {
+			w.t.Fatalf("%s executed an order of holder %d after one of holder %d at %v", e.id, q.Fence, e.fence, w.now)
+		}
+		e.fence = q.Fence
+		e.state = q.Want
+		w.on(n, o, w.delay(), func(now core.Instant) []Output { return o.OnOrderResult(now, e.id, Done) })
+		for _, other := range w.nodes {
+			w.on(other, other.o, time.Second, func(now core.Instant) []Output { return other.o.OnReport(now, e.id, q.Want) })
+		}
+	}
+}
+
+func (w *world) drive(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+// Guards against an engine that executes an order of an older holder after one of
+// a newer holder, and against orders that never arrive once the faults have ended.
+func TestOrdersUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := func(name string) float64 { return float64(rapid.IntRange(0, 5).Draw(t, name)) / 10 }
+		w := &world{
+			t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+			outage: rate("outage"), slow: rate("slow"), stale: rate("stale"),
+			lost: rate("lost"), late: rate("late"), kill: rate("kill"),
+		}
+		pause := rate("pause")
+		w.engines = []*engine{{id: "checks", checks: true}, {id: "ignores"}}
+		for i := range rapid.IntRange(1, 4).Draw(t, "nodes") {
+			n := &node{ref: core.InstanceRef{ID: core.InstanceID(fmt.Sprint("entry-", i))}, rate: 0.99 + 0.02*w.rng.Float64()}
+			w.nodes = append(w.nodes, n)
+			w.restart(n)
+		}
+		for at := 10 * time.Second; at < 10*time.Minute; at += 10 * time.Second {
+			w.after(at, func() {
+				n := w.nodes[w.rng.IntN(len(w.nodes))]
+				w.config++
+				for _, other := range w.nodes {
+					w.tell(other, time.Duration(w.rng.Int64N(int64(8*time.Second))))
+				}
+				if w.chance(w.kill) {
+					w.restart(n)
+				}
+				if w.chance(pause) {
+					n.paused = w.now + time.Duration(w.rng.Int64N(int64(2*time.Minute)))
+				}
+			})
+		}
+		w.drive(10 * time.Minute)
+		w.outage, w.slow, w.stale, w.lost, w.late, w.kill = 0, 0, 0, 0, 0, 0
+		w.drive(20 * time.Minute)
+		for _, e := range w.engines {
+			if want := fmt.Sprint(w.config); e.state.Version != want {
+				t.Fatalf("%s has version %q 10 min after the faults, want %q", e.id, e.state.Version, want)
+			}
+		}
+	})
+}
