Cancel prefills, keep slow engines apart from stalled ones, bound series

Cause: a cancel did not reach a prefill; a prefill engine with the slow fault sent its progress so rarely that it was taken for stalled; names of services made up by callers could add series without end.

Ruled out: a longer progress deadline, because it would hide silent connections.

Change: a cancel ends a waiting or working prefill; progress is told in steps that shrink with the slow fault; the meter provider has a limit of series. A decode engine reads KV descriptions over a transport of its own, without a proxy from the environment.

--- a/pkg/lab/engine/decode.go
+++ b/pkg/lab/engine/decode.go
@@ -48,9 +48,7 @@
 	if q.Attempt == "" || q.MaxTokens <= 0 || q.Offset < 0 || q.Offset >= q.MaxTokens {
 		return &failure{http.StatusBadRequest, upstream.CodeMalformed, "attempt, max_tokens and offset must fit"}
 	}
-	s.mu.Lock()
-	x.log.Attempt = q.Attempt
-	s.mu.Unlock()
+	x.log.setAttempt(s, q.Attempt)
 	kv, fail := s.describeKV(x, q)
 	if fail != nil {
 		return fail
@@ -205,7 +203,7 @@
 	left := x.state.linkFree.Sub(now)
 	s.mu.Unlock()
 	for left > 0 || s.transfersStalled() {
-		part := min(max(left, time.Millisecond), transferStep)
+		part := min(max(left, time.Millisecond), s.beforeSlow(transferStep))
 		s.wait(context.Background(), x.state, part)
 		s.mu.Lock()
 		ended, stalled := a.ended, s.faults.StallTransfers
@@ -300,8 +298,12 @@
 	if ok {
 		x.state.finish(a, upstream.CodeCanceled)
 	}
+	cancel, prefilling := x.state.prefills[id]
 	s.mu.Unlock()
-	if !ok {
+	if prefilling {
+		cancel()
+	}
+	if !ok && !prefilling {
 		return &failure{http.StatusNotFound, upstream.CodeUnknownAttempt, "attempt is not known"}
 	}
 	s.reply(x, http.StatusOK, struct{}{})
--- a/pkg/lab/engine/engine.go
+++ b/pkg/lab/engine/engine.go
@@ -185,7 +185,7 @@
 // New returns an engine.
 func New(opts Options) *Server {
 	opts = opts.withDefaults()
-	s := &Server{opts: opts, mux: http.NewServeMux(), kv: &http.Client{}}
+	s := &Server{opts: opts, mux: http.NewServeMux(), kv: &http.Client{Transport: &http.Transport{}}}
 	s.state = newState(s, opts.Generation)
 	s.net = faultnet.NewServer(s)
 	s.route("POST "+upstream.PathPrefill, s.servePrefill)
@@ -296,6 +296,13 @@
 	log     *Execution
 }
 
+// setAttempt notes which attempt a request belongs to.
+func (e *Execution) setAttempt(s *Server, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.Attempt = id
+}
+
 // route registers a handler of the engine protocol behind the faults.
 func (s *Server) route(pattern string, serve func(*exchange) *failure) {
 	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
@@ -379,6 +386,14 @@
 	return time.Duration(float64(d) * math.Max(1, s.faults.Slow))
 }
 
+// beforeSlow returns the time that the slow fault turns into d. Progress is told
+// in such steps, so that a slow engine is not taken for a stalled one.
+func (s *Server) beforeSlow(d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(1, time.Duration(float64(d)/math.Max(1, s.faults.Slow)))
+}
+
 // crashes crashes the engine when the text holds the marker.
 func (s *Server) crashes(text string) {
 	if strings.Contains(text, s.opts.CrashMarker) {
--- a/pkg/lab/engine/prefill.go
+++ b/pkg/lab/engine/prefill.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strconv"
@@ -14,31 +15,51 @@
 // with a 102 response.
 const progressEvery = 250 * time.Millisecond
 
+// statusCanceled is the status of a canceled request, which HTTP has no code for.
+const statusCanceled = 499
+
+var errCanceled = &failure{statusCanceled, upstream.CodeCanceled, "prefill was canceled"}
+
 func (s *Server) servePrefill(x *exchange) *failure {
 	var q upstream.PrefillRequest
 	if fail := x.decode(&q); fail != nil {
 		return fail
 	}
-	s.mu.Lock()
-	x.log.Attempt = q.Attempt
-	s.mu.Unlock()
+	x.log.setAttempt(s, q.Attempt)
 	s.crashes(q.Prompt)
+	defer s.cancelable(x, q.Attempt)()
 	turn, fail := s.enqueue(x.state, q)
 	if fail != nil {
 		return fail
 	}
 	if !s.awaitTurn(x, turn) {
-		return &failure{499, upstream.CodeCanceled, "caller has gone"}
+		return errCanceled
 	}
 	reply, ok := s.compute(x, q)
 	s.finishTurn(x.state)
 	if !ok {
-		return &failure{499, upstream.CodeCanceled, "caller has gone"}
+		return errCanceled
 	}
 	s.reply(x, http.StatusOK, reply)
 	return nil
 }
 
+// cancelable lets a cancel of the attempt end the request's context until the
+// returned function is called.
+func (s *Server) cancelable(x *exchange, attempt string) func() {
+	ctx, cancel := context.WithCancel(x.request.Context())
+	x.request = x.request.WithContext(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x.state.prefills[attempt] = cancel
+	return func() {
+		cancel()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(x.state.prefills, attempt)
+	}
+}
+
 // waiter is a prefill that waits for the processor.
 type waiter struct {
 	attempt  string
@@ -139,7 +160,7 @@
 	cached = min(cached, tokens)
 	left := time.Duration(tokens-cached) * s.opts.PerPromptToken
 	for left > 0 {
-		part := min(left, progressEvery)
+		part := min(left, s.beforeSlow(progressEvery))
 		if !s.wait(x.request.Context(), x.state, part) {
 			return upstream.PrefillReply{}, false
 		}
--- a/pkg/lab/engine/state.go
+++ b/pkg/lab/engine/state.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"slices"
 	"strconv"
 	"time"
@@ -18,12 +19,14 @@
 	done       chan struct{}
 
 	// Prefill role.
-	kept    map[upstream.KVHandle]*kvCache
-	nextKV  uint64
-	cache   prefixCache
-	queue   waitQueue
-	busy    bool
-	working string
+	kept   map[upstream.KVHandle]*kvCache
+	nextKV uint64
+	cache  prefixCache
+	queue  waitQueue
+	// prefills holds the cancel functions of the prefills that wait or work.
+	prefills map[string]context.CancelFunc
+	busy     bool
+	working  string
 
 	// Decode role.
 	attempts   map[string]*attempt
@@ -43,6 +46,7 @@
 		done:       make(chan struct{}),
 		kept:       make(map[upstream.KVHandle]*kvCache),
 		cache:      newPrefixCache(s.opts),
+		prefills:   make(map[string]context.CancelFunc),
 		attempts:   make(map[string]*attempt),
 		freeBlocks: s.opts.Blocks,
 	}
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -62,6 +62,10 @@
 	Received Direction = "received"
 )
 
+// maxSeries bounds the series of one instrument. 35 services with 28 refusal codes
+// make 980; a name that a caller made up must not add series without end.
+const maxSeries = 1500
+
 // Metrics holds the instruments. They are created once. No label has the name of
 // an account or a request; services, models and codes come from the configuration.
 type Metrics struct {
@@ -91,7 +95,7 @@
 		return nil, fmt.Errorf("prometheus exporter: %w", err)
 	}
 	m := &Metrics{
-		provider: sdk.NewMeterProvider(sdk.WithReader(reader)),
+		provider: sdk.NewMeterProvider(sdk.WithReader(reader), sdk.WithCardinalityLimit(maxSeries)),
 		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		accounts: newWindow(opts),
 	}
--- a/pkg/telemetry/telemetry_test.go
+++ b/pkg/telemetry/telemetry_test.go
@@ -129,6 +129,16 @@
 	is.Equal(strings.Count(text, "\n"), before+3) // the refusals: HELP, TYPE and one series
 }
 
+// Guards against series without end when callers make up names of services.
+func TestSeriesAreBounded(t *testing.T) {
+	is := is.New(t)
+	m, scrape := newMetrics(t, Options{})
+	for i := range 3 * maxSeries {
+		m.Refused(core.ServiceName(fmt.Sprintf("made-up-%d", i)), "a", core.CodeUnknownModel, false)
+	}
+	is.True(strings.Count(scrape(), "\nrhubarbsill_refusals_total{") <= maxSeries)
+}
+
 // Guards against a log line without the prefix of its component, or with that of
 // another one.
 func TestLoggerPrefix(t *testing.T) {
--- a/pkg/upstream/fault_test.go
+++ b/pkg/upstream/fault_test.go
@@ -213,6 +213,51 @@
 	is.NoErr(err)
 }
 
+// Guards against a slow engine being taken for a stalled one.
+func TestSlowEngineIsNotStalled(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, engine.Options{PerPromptToken: time.Millisecond, KVBytesPerToken: 1, LinkBytesPerSecond: 1000})
+	p.prefill.SetFaults(engine.Faults{Slow: 20})
+	p.decode.SetFaults(engine.Faults{Slow: 20})
+	s, err := p.start(testContext(t), "a", strings.Repeat("four", 50), "", 0, 1)
+	is.NoErr(err)
+	_, err = s.Next()
+	is.NoErr(err)
+}
+
+// Guards against a canceled prefill that keeps its engine busy, and against one
+// that frees the processor while another prefill has it.
+func TestCancelOfPrefill(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	p := newPair(t, engine.Options{PerPromptToken: time.Hour})
+	results := make(chan error, 3)
+	start := func(attempt string, used, queued int) {
+		go func() {
+			_, err := p.start(ctx, attempt, "x", "", 0, 1)
+			results <- err
+		}()
+		for {
+			report, err := p.client.Load(ctx, p.prefillURL)
+			is.NoErr(err)
+			if report.Used == used && report.Queued == queued {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	start("a", 1, 0)
+	start("b", 1, 1)
+	start("c", 1, 2)
+	is.NoErr(p.client.Cancel(ctx, p.prefillURL, "b"))
+	wantError(t, <-results, upstream.Canceled, true)
+	is.Equal(p.prefill.Running(), []string{"a"})
+	is.NoErr(p.client.Cancel(ctx, p.prefillURL, "a"))
+	wantError(t, <-results, upstream.Canceled, true)
+	is.Equal(p.prefill.Running(), []string{"c"})
+	is.NoErr(p.client.Cancel(ctx, p.prefillURL, "c"))
+}
+
 // Guards against a full engine being treated as failed.
 func TestFullEngine(t *testing.T) {
 	is := is.New(t)
