--- a/pkg/router/load.go
+++ b/pkg/router/load.go
@@ -82,7 +82,8 @@
 // loadReported takes in a report that this Instance has polled.
 func (r *Router) loadReported(now core.Instant, e LoadReported) {
 	r.applyPlacement(now, r.placement.OnLoad(now, e.Upstream, e.Report))
-	running := attempts.Running{AsOf: e.Report.AsOf, Attempts: e.Report.Attempts}
+	holder, _ := r.placement.Holder(e.Upstream)
+	running := attempts.Running{AsOf: e.Report.AsOf, Attempts: e.Report.Attempts, Holder: holder == r.self.Ref.ID}
 	r.applyAttempts(now, r.attempts.OnRunning(now, e.Upstream, running))
 	r.loads[e.Upstream] = e.Report
 }
