keys, rollout: reset after a pause; read sooner when a peer does not deliver

A pause can stop the monotonic clock, and then an old confirmation looks recent.

A peer that announced a version and answered with an older root left the next read of the store to the timer, up to 10 s. It now follows within RetryMin, but not before the wait after a failure of the store has ended. Ruled out: asking every announcing peer in turn, since each heartbeat asks again anyway.

--- a/pkg/keys/checker.go
+++ b/pkg/keys/checker.go
@@ -101,8 +101,10 @@
 	// freshAt is the latest instant at which the store held no version above
 	// known.
 	freshAt core.Instant
-	ahead   confirmation
-	peers   map[core.InstanceID]report
+	// confirmed says that there was a confirmation since the start.
+	confirmed bool
+	ahead     confirmation
+	peers     map[core.InstanceID]report
 	// servedUntil is the instant at which the last Fresh or StoreOutage period
 	// ends or ended.
 	servedUntil core.Instant
@@ -147,17 +149,26 @@
 	}
 	c.known = v
 	if c.ahead.version <= v {
-		c.freshAt = max(c.freshAt, c.aheadAt())
+		if c.ahead.version != 0 {
+			c.confirmedAt(c.ahead.at)
+		}
 		c.ahead = confirmation{}
 	}
 	c.settle(now)
 }
 
-func (c *Checker) aheadAt() core.Instant {
-	if c.ahead.version == 0 {
-		return longAgo
-	}
-	return c.ahead.at
+func (c *Checker) confirmedAt(at core.Instant) {
+	c.confirmed = true
+	c.freshAt = max(c.freshAt, at)
+}
+
+// Reset drops all confirmations and reports after a pause of the process, during
+// which the monotonic clock may have stood still. Versions and revocations stay.
+func (c *Checker) Reset() {
+	c.freshAt = longAgo
+	c.servedUntil = longAgo
+	c.ahead.at = longAgo
+	clear(c.peers)
 }
 
 // Confirm records that the store held version v at most age ago, read from the
@@ -171,7 +182,7 @@
 	case v == 0 || age < 0 || v < c.known:
 		return
 	case v == c.known:
-		c.freshAt = max(c.freshAt, at)
+		c.confirmedAt(at)
 	case v > c.ahead.version:
 		c.ahead = confirmation{version: v, at: at}
 	case v == c.ahead.version:
@@ -338,7 +349,7 @@
 	if mode == Fresh || mode == StoreOutage {
 		return nil
 	}
-	if service != nil && service.OnPartition == config.PartitionServe && c.freshAt != longAgo {
+	if service != nil && service.OnPartition == config.PartitionServe && c.confirmed {
 		return nil
 	}
 	if now < c.servedUntil.Add(c.p.PartitionGrace) {
--- a/pkg/keys/keys_test.go
+++ b/pkg/keys/keys_test.go
@@ -206,6 +206,10 @@
 	is.Equal(check(7900*time.Millisecond, f.snaps[0], good, strict), core.Code("")) // 3 s + 5 s
 	is.Equal(check(8*s, f.snaps[0], good, strict), core.CodeKeysStale)
 	is.Equal(check(time.Hour, f.snaps[0], good, lenient), core.Code(""))
+	c.Confirm(at(time.Hour), 1, 0)
+	c.Reset()
+	is.Equal(check(time.Hour, f.snaps[0], good, strict), core.CodeKeysStale)
+	is.Equal(check(time.Hour, f.snaps[0], good, lenient), core.Code(""))
 }
 
 // Guards against a revocation that waits for the complete version, one that is
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -191,19 +191,25 @@
 // peer's confirmation.
 func (r *Rollout) OnRoot(now core.Instant, root config.Root, age time.Duration, from Source) []Output {
 	r.timer.answered(now, from)
+	outs := r.takeRoot(now, root, age)
+	if !from.IsStore() && root.Version < r.announced {
+		r.timer.hasten(now)
+	}
+	return r.run(now, outs)
+}
+
+func (r *Rollout) takeRoot(now core.Instant, root config.Root, age time.Duration) []Output {
 	if root.Version == 0 || root.Version < r.target.Version {
-		return r.run(now, nil) // a stale read confirms nothing
+		return nil // a stale read confirms nothing
 	}
 	if root.Version == r.target.Version && !sameRoot(root, r.target) {
-		outs := []Output{Rejected{root.Version, "another root has the same version"}}
-		return r.run(now, outs)
+		return []Output{Rejected{root.Version, "another root has the same version"}}
 	}
 	var outs []Output
 	if root.Version > r.target.Version {
 		outs = r.adopt(root)
 	}
-	outs = append(outs, r.confirm(now, age)...)
-	return r.run(now, outs)
+	return append(outs, r.confirm(now, age)...)
 }
 
 // OnConfirmation takes a confirmation that a peer passes on: its version and age.
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -124,6 +124,8 @@
 	r.OnConfirmation(0, 2, 0, peer(1))
 	outs := serve(r, 0, h, r.OnRoot(0, h.roots[1], 0, Store), -1)
 	is.Equal(len(outputs[InForce](outs)), 0) // version 2 is known to exist
+	r.OnRoot(0, h.roots[1], 0, Source{Peer: peer(1)})
+	is.True(r.timer.due <= at(r.p.RetryMin)) // and the peer did not deliver it
 	outs = serve(r, 0, h, r.OnRoot(0, h.roots[2], 0, Source{Peer: peer(1)}), -1)
 	is.Equal(len(outputs[InForce](outs)), 1)
 	for _, stale := range []Source{Store, {Peer: peer(1)}} {
--- a/pkg/rollout/timer.go
+++ b/pkg/rollout/timer.go
@@ -25,6 +25,8 @@
 	lastOwn  core.Instant
 	ownRead  bool
 	failures int
+	// retryAt is the earliest instant of a read after a failure of the store.
+	retryAt core.Instant
 }
 
 // call is a read that may be under way.
@@ -68,7 +70,7 @@
 func (t *rootTimer) failed(now core.Instant, from Source) {
 	if !from.IsStore() {
 		t.endPeer(from)
-		t.due = min(t.due, now.Add(jitter(t.p, t.p.RetryMin)))
+		t.hasten(now)
 		return
 	}
 	if !t.store.active {
@@ -76,7 +78,14 @@
 	}
 	t.store.active = false
 	t.failures++
-	t.due = now.Add(backoff(t.p, t.failures))
+	t.retryAt = now.Add(backoff(t.p, t.failures))
+	t.due = t.retryAt
+}
+
+// hasten brings the next read of the store forward, because a peer has announced
+// a version that it did not deliver. The wait after a failure of the store stays.
+func (t *rootTimer) hasten(now core.Instant) {
+	t.due = max(t.retryAt, min(t.due, now.Add(jitter(t.p, t.p.RetryMin))))
 }
 
 // backoff returns a wait that doubles with each failure.
