Wait for the sender's answer before a peer goes silent in tests

Cause: in 24 runs under a load of 23 one failed: the peer went silent after it had delivered the first message and before its answer, so that message counted as lost, as it should.

Ruled out: a fault of the transport; one message was lost, the ping found the silent connection and the second message arrived.

Change: three tests wait for the answer first. What they check is unchanged.

--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -113,6 +113,7 @@
 	addr := b.Addr()
 	a.Send("b", addr, message{Seq: 1})
 	eventually(t, "delivery before", func() bool { return first.has(1) })
+	eventually(t, "answer to the sender", func() bool { return a.Stats().Messages == 1 })
 	b.Close()
 	time.Sleep(100 * time.Millisecond) // a reads the end of the connection
 	a.Send("b", addr, message{Seq: 2})
@@ -222,6 +223,7 @@
 	addr := between.listener.Addr().String()
 	a.Send("b", addr, message{Seq: 1})
 	eventually(t, "delivery", func() bool { return box.has(1) })
+	eventually(t, "answer to the sender", func() bool { return a.Stats().Messages == 1 })
 	between.silence()
 	a.Send("b", addr, message{Seq: 2})
 	eventually(t, "timeout", func() bool { return a.Stats().Lost == 1 })
@@ -241,6 +243,7 @@
 	addr := between.listener.Addr().String()
 	a.Send("b", addr, message{Seq: 1})
 	eventually(t, "delivery", func() bool { return box.has(1) })
+	eventually(t, "answer to the sender", func() bool { return a.Stats().Messages == 1 })
 	between.silence()
 	time.Sleep(800 * time.Millisecond)
 	a.Send("b", addr, message{Seq: 2})
