keys, rollout: test the end of the grace period and expired peers

Both now fail a table-like test each time: TestCheck checks the 2 s + 3 s + 5 s of FreshFor, PeerFor and PartitionGrace to 100 ms, and TestSourcesAndRetries goes to the store when its peers have expired.

--- a/pkg/keys/keys_test.go
+++ b/pkg/keys/keys_test.go
@@ -207,6 +207,10 @@
 	is.Equal(check(8*s, f.snaps[0], good, strict), core.CodeKeysStale)
 	is.Equal(check(time.Hour, f.snaps[0], good, lenient), core.Code(""))
 	c.Confirm(at(time.Hour), 1, 0)
+	c.PeerHeard(at(time.Hour+2*s), core.InstanceRef{ID: "n"}, "near", 3*s)
+	is.Equal(check(time.Hour+9900*time.Millisecond, f.snaps[0], good, strict), core.Code("")) // 2 s + 3 s + 5 s
+	is.Equal(check(time.Hour+10*s, f.snaps[0], good, strict), core.CodeKeysStale)
+	c.Confirm(at(time.Hour), 1, 0)
 	c.Reset()
 	is.Equal(check(time.Hour, f.snaps[0], good, strict), core.CodeKeysStale)
 	is.Equal(check(time.Hour, f.snaps[0], good, lenient), core.Code(""))
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -183,8 +183,8 @@
 	is.True(!sources[0].IsStore() && sources[0] != sources[1])
 	is.True(!sources[1].IsStore() && sources[2].IsStore())
 	is.Equal(len(slices.Compact(asked)), r.p.MaxRounds) // at different times; then only a confirmation starts over
-	outs := r.OnConfirmation(at(90*s), 1, 0, peer(1))
-	is.True(len(outputs[FetchPiece](outs)) > 0)
+	queue = outputs[FetchPiece](r.OnRoot(at(90*s), h.roots[1], 0, Store))
+	is.True(len(queue) > 0 && queue[0].From.IsStore()) // no peer was heard lately
 }
 
 // Guards against heartbeats that start the retries of a missing piece over.
