--- a/pkg/claims/object.go
+++ b/pkg/claims/object.go
@@ -126,21 +126,22 @@
 	add     []entry // keys that the object does not hold after the removals
 }
 
-// each calls fn for every claim of the object after the delta.
+// each calls fn for every claim of the object after the delta. fn must not keep or
+// change the claim.
 func (o *object) each(d delta, fn func(e *entry)) {
 	patches := d.patches
 	for at := range o.entries {
-		e := o.entries[at]
-		if len(patches) > 0 && patches[0].at == at {
-			p := patches[0]
-			patches = patches[1:]
-			if p.remove {
-				continue
-			}
+		if len(patches) == 0 || patches[0].at != at {
+			fn(&o.entries[at])
+			continue
+		}
+		if !patches[0].remove {
+			e := o.entries[at]
 			e.done = true
-			e.outcome = p.outcome
+			e.outcome = patches[0].outcome
+			fn(&e)
 		}
-		fn(&e)
+		patches = patches[1:]
 	}
 	for at := range d.add {
 		fn(&d.add[at])
