--- a/pkg/orders/lease_test.go
+++ b/pkg/orders/lease_test.go
@@ -76,3 +76,22 @@
 	is.Equal(len(outs), 1)
 	is.Equal(outs[0].(Order).Fence, core.Fence(7)) // a renewal keeps the fencing number
 }
+
+// Guards against the late success of a lost write that is taken for the success of
+// the write after it: both Instances would then hold the lease.
+func TestLateSuccessDoesNotAcquireTheLease(t *testing.T) {
+	is := is.New(t)
+	o := New(core.InstanceRef{ID: "entry-1"}, Params{Random: source{rand.New(rand.NewPCG(1, 1))}})
+	o.Tick(0)
+	o.OnLeaseRead(0, nil, 0, false)
+	is.Equal(len(o.OnLeaseWriteFailed(0, Lost)), 0)
+	now := core.Instant(2 * time.Second)
+	is.Equal(o.Tick(now), []Output{ReadLease{}})
+	o.OnLeaseRead(now, nil, 0, false)
+	now = now.Add(2 * time.Second)
+	_, second := o.Tick(now)[0].(WriteLease)
+	is.True(second)
+	is.Equal(o.OnLeaseWritten(now, 1), []Output{ReadLease{}})
+	_, holds := o.Holder(now)
+	is.True(!holds)
+}
