placement, attempts: forecast of slots plays the waiting grants forward

Decodes waited longer for their slots than the KV cache is kept. Causes found: each overdue slot was promised to any number of requests; a grant that no report had shown counted as nearly over; a prefill that ended early took the slot of a request whose prefill still ran.

The ledger now plays waiting grants forward, and Place and Plan carry SlotFreeAt, before which a decode starts only when the KV cache would be lost.

--- a/pkg/attempts/attempts.go
+++ b/pkg/attempts/attempts.go
@@ -7,6 +7,10 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
 
+// maxSlotWait bounds the time for which a decode waits for its slot after the
+// prefill. The prefill engine keeps the KV cache for under a second.
+const maxSlotWait = 500 * time.Millisecond
+
 type stage int
 
 const (
@@ -217,13 +221,15 @@
 	}
 	t.sent = true
 	t.stage = stageTransfer
-	t.notAfter = min(t.request.Deadline, now.Add(a.params.StartWindow))
-	a.setDeadline(t, now.Add(a.params.TransferTimeout))
+	at := max(now, min(t.plan.SlotFreeAt, now.Add(maxSlotWait)))
+	t.notAfter = min(t.request.Deadline, at.Add(a.params.StartWindow))
+	a.setDeadline(t, at.Add(a.params.TransferTimeout))
 	return []Output{StartDecode{
 		Attempt:    id,
 		Request:    t.request.ID,
 		Prefill:    t.plan.Prefill,
 		Decode:     t.plan.Decode,
+		At:         at,
 		NotAfter:   t.notAfter,
 		TokensSent: t.request.tokens,
 	}}
--- a/pkg/attempts/attempts_test.go
+++ b/pkg/attempts/attempts_test.go
@@ -355,6 +355,35 @@
 	is.Equal(failed.Refusal.Code, core.CodeSuspect)
 	is.Equal(failed.Refusal.Ran, core.Unknown)
 	is.True(failed.Refusal.RetryAfter > 0)
+
+	// A new request of the fingerprint waits in the same way.
+	r.ID = "again"
+	for _, o := range a.Start(core.Instant(21*time.Second), r, Plan{Prefill: "p", Decode: "d"}) {
+		_, notice := o.(ShareSuspect)
+		is.True(notice)
+	}
+}
+
+// Guards against copies of a suspect request that go on running elsewhere.
+func TestMarkStopsRunningCopies(t *testing.T) {
+	is := is.New(t)
+	a := New(core.InstanceRef{ID: "i0", Incarnation: 1}, Params{})
+	r := Request{ID: "r", Fingerprint: core.Fingerprint{1}, Idempotent: true, MaxOutput: 10, Deadline: core.Instant(time.Minute)}
+	id := a.Start(0, r, Plan{Prefill: "p", Decode: "d"})[0].(StartPrefill).Attempt
+	loss := Loss{Attempt: core.AttemptID{Owner: core.InstanceRef{ID: "i1"}}, Upstream: "x"}
+	mark := SuspectNotice{Kind: NoticeMark, Record: Record{Fingerprint: r.Fingerprint, Losses: []Loss{loss}}}
+	is.Equal(a.OnSuspect(1, core.InstanceRef{ID: "i1"}, mark), []Output{Cancel{Attempt: id, Upstream: "p"}})
+}
+
+// Guards against "not run" for a request of which a byte was sent before its start
+// was reported as expired.
+func TestSentRequestIsNeverNotRun(t *testing.T) {
+	is := is.New(t)
+	a := New(core.InstanceRef{ID: "i0", Incarnation: 1}, Params{})
+	id := a.Start(0, Request{ID: "r", Deadline: core.Instant(time.Minute)}, Plan{Plain: "c"})[0].(StartCall).Attempt
+	a.OnSent(1, id)
+	outputs := a.OnFailed(2, id, Failure{Kind: FailExpired, Upstream: "c"})
+	is.Equal(outputs[len(outputs)-1].(Failed).Refusal.Ran, core.Unknown)
 }
 
 // Guards against a cancel whose doubled back-off skips the time at which a report
@@ -367,6 +396,7 @@
 	a.Start(0, r, Plan{Prefill: "p", Decode: "d"})
 	a.OnCallerGone(core.Instant(ms), "r")
 	settled := core.Instant(500 * ms).Add(lateStart)
+	a.OnRunning(core.Instant(2*ms), "p", Running{AsOf: core.Instant(2 * ms)}) // a late start may follow
 	var polled core.Instant
 	for polled <= settled {
 		polled = a.NextWake()
@@ -374,3 +404,16 @@
 	}
 	is.True(polled <= settled.Add(firstCancelBackoff))
 }
+
+// Guards against a decode that takes the slot of a request whose prefill still
+// runs, because its own prefill ended early. Found with rapid seed
+// 8526694912015159007 of pkg/placement.
+func TestDecodeWaitsForItsSlot(t *testing.T) {
+	for free, want := range map[time.Duration]time.Duration{0: 10 * ms, 300 * ms: 300 * ms, time.Minute: 10*ms + maxSlotWait} {
+		is := is.New(t)
+		a := New(core.InstanceRef{ID: "i0", Incarnation: 1}, Params{})
+		r := Request{ID: "r", Idempotent: true, MaxOutput: 10, Deadline: core.Instant(time.Minute)}
+		id := a.Start(0, r, Plan{Prefill: "p", Decode: "d", SlotFreeAt: core.Instant(free)})[0].(StartPrefill).Attempt
+		is.Equal(a.OnPrefillDone(core.Instant(10*ms), id)[0].(StartDecode).At, core.Instant(want))
+	}
+}
--- a/pkg/attempts/types.go
+++ b/pkg/attempts/types.go
@@ -24,6 +24,8 @@
 	Plain   core.UpstreamID
 	// StartPrefillAt is the time at which the prefill is sent.
 	StartPrefillAt core.Instant
+	// SlotFreeAt is the expected time at which the decode slot is free.
+	SlotFreeAt core.Instant
 }
 
 // FailureKind classifies the failure of an attempt.
@@ -81,12 +83,14 @@
 	TokensSent int
 }
 
-// StartDecode lets the decode engine import the KV cache and stream the answer.
+// StartDecode lets the decode engine import the KV cache and stream the answer, at
+// At and unless NotAfter has passed.
 type StartDecode struct {
 	Attempt    core.AttemptID
 	Request    core.RequestID
 	Prefill    core.UpstreamID
 	Decode     core.UpstreamID
+	At         core.Instant
 	NotAfter   core.Instant
 	TokensSent int
 }
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -128,7 +128,7 @@
 	if used < slots {
 		return 0
 	}
-	if wait, known := e.ledger.nthEnd(now, used-slots, e.service.hold); known {
+	if wait, known := e.ledger.nextFree(now, slots, e.service.hold); known {
 		return wait
 	}
 	return p.params.MaxSlotWait
--- a/pkg/placement/ledger.go
+++ b/pkg/placement/ledger.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -24,6 +25,7 @@
 	attempts map[core.AttemptID]*held
 	asOf     core.Instant
 	ends     []core.Instant // scratch space
+	waiting  []*grant       // scratch space
 }
 
 type grantKey struct {
@@ -162,23 +164,42 @@
 	}
 }
 
-// nthEnd returns the time until the slot with index n, in the order in which they
-// are expected to end, is free.
-func (l *ledger) nthEnd(now core.Instant, n int, hold time.Duration) (time.Duration, bool) {
+// nextFree returns the expected time until a slot is free that no grant waits for.
+// It plays the waiting grants forward, because a slot that ends late delays all
+// that wait behind it. It reports false when too few of the ends are known.
+func (l *ledger) nextFree(now core.Instant, slots int, hold time.Duration) (time.Duration, bool) {
 	l.ends = l.ends[:0]
+	l.waiting = l.waiting[:0]
+	soonest := now.Add(overdueFree)
 	for _, g := range l.grants {
-		l.ends = append(l.ends, g.end)
+		if g.bound {
+			l.ends = append(l.ends, max(g.end, soonest))
+		} else {
+			l.waiting = append(l.waiting, g)
+		}
 	}
 	for _, h := range l.attempts {
 		if h.grant == nil && h.released == 0 {
-			l.ends = append(l.ends, h.seen.Add(hold))
+			l.ends = append(l.ends, max(h.seen.Add(hold), soonest))
 		}
 	}
-	if n >= len(l.ends) {
+	slices.SortFunc(l.waiting, func(a, b *grant) int { return cmp.Compare(a.start, b.start) })
+	slices.Sort(l.ends)
+	for _, g := range l.waiting {
+		use := g.end.Sub(g.start)
+		if len(l.ends) < slots {
+			// The last report doesn't show it, so it started later at the earliest.
+			l.ends = append(l.ends, max(g.end, l.asOf.Add(use), soonest))
+		} else {
+			first := &l.ends[len(l.ends)-slots]
+			*first = first.Add(use)
+		}
+		slices.Sort(l.ends)
+	}
+	if len(l.ends) < slots {
 		return 0, false
 	}
-	slices.Sort(l.ends)
-	return max(l.ends[n].Sub(now), overdueFree), true
+	return l.ends[len(l.ends)-slots].Sub(now), true
 }
 
 // OnReserve answers a reservation request of a peer. Only the holder of the
@@ -229,7 +250,7 @@
 	if slots == 0 || used < slots || q.Announce {
 		return 0, true
 	}
-	wait, known := e.ledger.nthEnd(now, used-slots, e.service.hold)
+	wait, known := e.ledger.nextFree(now, slots, e.service.hold)
 	if !known {
 		return p.params.MaxSlotWait, false
 	}
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -274,6 +274,7 @@
 		Prefill:        c.prefill.ID,
 		Decode:         c.decode.ID,
 		StartPrefillAt: start,
+		SlotFreeAt:     now.Add(c.freeIn),
 		ReservedUntil:  j.until,
 	}}
 }
--- a/pkg/placement/reserve.go
+++ b/pkg/placement/reserve.go
@@ -57,6 +57,13 @@
 	return best
 }
 
+// HoldsLedger reports whether this Instance holds the slot ledger of the Upstream,
+// and so has to read the attempts that it reports.
+func (p *Placer) HoldsLedger(up core.UpstreamID) bool {
+	e := p.engines[up]
+	return e != nil && e.Role == RoleDecode && p.holderOf(e) == p.self.ID
+}
+
 func (p *Placer) holderUnreachable(now core.Instant, e *engine) bool {
 	return len(p.holderDown) > 0 && now < p.holderDown[p.holderOf(e)]
 }
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -195,6 +195,9 @@
 	Decode  core.UpstreamID
 	// StartPrefillAt makes the prefill end when the decode slot is free.
 	StartPrefillAt core.Instant
+	// SlotFreeAt is the expected time at which the slot is free. A decode that starts
+	// earlier takes the slot of a request that waits for its prefill.
+	SlotFreeAt core.Instant
 	// ReservedUntil is the time at which the unused reservation ends.
 	ReservedUntil core.Instant
 }
