Test that a limit returns the latest events

Ruled out: narrower random filters, which would lose cases of the time range.

Change: one direct test.

--- a/pkg/timeline/timeline_test.go
+++ b/pkg/timeline/timeline_test.go
@@ -129,6 +129,18 @@
 	})
 }
 
+// Guards against a limit that returns the oldest events.
+func TestLimitReturnsTheLatest(t *testing.T) {
+	is := is.New(t)
+	ring := NewRing(5)
+	for wall := range int64(4) {
+		ring.Add(Event{Stamp: Stamp{Wall: wall}})
+	}
+	got := ring.Select(Filter{Limit: 2})
+	is.Equal(len(got), 2)
+	is.Equal([]int64{got[0].Wall, got[1].Wall}, []int64{2, 3})
+}
+
 // Guards against a merge whose order depends on which process answered first, or
 // that shows an event twice.
 func TestMergeIgnoresOrderOfLists(t *testing.T) {
