--- a/pkg/lab/site/up.go
+++ b/pkg/lab/site/up.go
@@ -225,7 +225,7 @@
 		stop()
 		return nil, err
 	}
-	const drainLimit = 20 * time.Second
+	const drainLimit = time.Second // trials do not wait for cached address answers
 	go func() {
 		defer close(instance.stopped)
 		instance.err = daemon.Run(runCtx, drainLimit)
