--- a/pkg/router/heartbeat.go
+++ b/pkg/router/heartbeat.go
@@ -83,30 +83,21 @@
 	if !found {
 		return
 	}
-	age, bounded := r.confirmationAge(now, h)
-	if !bounded {
-		return
-	}
-	r.keys.PeerHeard(now, from, member.Region, age)
 	if h.Version == 0 {
 		return
 	}
+	age := r.confirmationAge(now, h)
 	r.keys.Confirm(now, h.Version, age)
+	r.keys.PeerHeard(now, from, member.Region, h.Age)
 	r.applyRollout(now, r.rollout.OnConfirmation(now, h.Version, age, from))
 }
 
 // confirmationAge bounds the age of the confirmation in a heartbeat. It needs
 // the echo of a heartbeat of this run; without one the message may be old.
-func (r *Router) confirmationAge(now core.Instant, h *Heartbeat) (time.Duration, bool) {
+func (r *Router) confirmationAge(now core.Instant, h *Heartbeat) time.Duration {
 	sent, known := r.beats.sent[h.Membership.Echo]
 	if !known || h.Membership.EchoOf != r.self.Ref.Incarnation {
-		return 0, false
+		return keys.UnknownAge
 	}
-	if h.Version == 0 {
-		return noConfirmation, true
-	}
-	return keys.AgeBound(now, sent, h.Held, h.Age), true
+	return keys.AgeBound(now, sent, h.Held, h.Age)
 }
-
-// noConfirmation is the age given to a peer that has no confirmation.
-const noConfirmation = 365 * 24 * time.Hour
