--- a/pkg/lab/virtual/instance.go
+++ b/pkg/lab/virtual/instance.go
@@ -238,9 +238,11 @@
 			}
 		})
 	case router.StartDecode:
-		if i.allowed(e, e.NotAfter) {
-			w.startDecode(i, e)
-		}
+		i.at(e.At, func() {
+			if i.allowed(e, e.NotAfter) {
+				w.startDecode(i, e)
+			}
+		})
 	case router.StartCall:
 		if i.allowed(e, e.NotAfter) {
 			w.startCall(i, e)
--- a/pkg/router/effect.go
+++ b/pkg/router/effect.go
@@ -43,7 +43,8 @@
 	Priority int
 }
 
-// StartDecode lets a decode engine import the KV cache and streams its answer.
+// StartDecode lets a decode engine import the KV cache at the instant At and
+// streams its answer.
 type StartDecode struct {
 	Request   core.RequestID
 	Attempt   core.AttemptID
@@ -51,6 +52,7 @@
 	URL       string
 	SourceURL string
 	KV        string
+	At        core.Instant
 	NotAfter  core.Instant
 	// MaxOutput bounds the tokens of the whole answer, those of earlier attempts
 	// included.
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -283,6 +283,7 @@
 		Prefix:       f.request.Prefix,
 		Deadline:     min(f.request.Deadline, f.startBefore),
 		Avoid:        f.avoid,
+		Retry:        f.started(),
 	}
 	if f.account != nil {
 		job.Weight = f.account.Weight
@@ -295,8 +296,12 @@
 	for _, output := range outputs {
 		switch o := output.(type) {
 		case placement.Place:
-			plan := attempts.Plan{Prefill: o.Prefill, Decode: o.Decode, StartPrefillAt: o.StartPrefillAt}
-			r.start(now, o.ID, plan)
+			r.start(now, o.ID, attempts.Plan{
+				Prefill:        o.Prefill,
+				Decode:         o.Decode,
+				StartPrefillAt: o.StartPrefillAt,
+				SlotFreeAt:     o.SlotFreeAt,
+			})
 		case placement.Call:
 			r.start(now, o.ID, attempts.Plan{Plain: o.Upstream})
 		case placement.SendReserve:
@@ -407,6 +412,7 @@
 		URL:       r.upstreams[o.Decode].url,
 		SourceURL: r.upstreams[o.Prefill].url,
 		KV:        f.kv,
+		At:        o.At,
 		NotAfter:  o.NotAfter,
 		MaxOutput: f.request.MaxOutput,
 		Priority:  f.priority(),
--- a/pkg/server/upstreams.go
+++ b/pkg/server/upstreams.go
@@ -125,6 +125,12 @@
 func (s *Server) decode(ctx context.Context, entry *call, a *answer, e router.StartDecode) error {
 	ctx, cancel := entry.begin(ctx, e.Attempt)
 	defer cancel()
+	if wait := s.clock.until(e.At); wait > 0 {
+		sleep(ctx, wait)
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
 	if s.clock.now() >= e.NotAfter {
 		s.post(router.EffectExpired{Effect: e})
 		return nil
