server: publish the status address once a start, keep one upstream client

Cause, found in a read-through: - Every version made every instance write its status to the store. At 330 instances that is 330 reads and 330 writes within a second of each change, against a budget of several hundred writes a second. Only the address is published now, once a start; the version is asked from the instance itself. - Every version made a new upstream client, which left the idle connections of the former one open. The client is kept while the credential is the same, and connections to upstreams that are gone are closed. - An event that was posted after the event loop had ended blocked for ever, and with it the shutdown of the peer transport. - A cancel was sent to plain services, which have no such call; a service may even take it for something else. Their connection is closed instead. - A roster could be proposed before a configuration said which region a data centre belongs to, so that no peer counted as one of the store's region.

--- a/pkg/router/effect.go
+++ b/pkg/router/effect.go
@@ -87,7 +87,8 @@
 	Request  core.RequestID // empty when the attempt is not of this Instance
 	Attempt  core.AttemptID
 	Upstream core.UpstreamID
-	URL      string
+	// URL is empty when closing the connection is all that can be done.
+	URL string
 }
 
 // Addresses answers an AddressesAsked event.
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -357,7 +357,7 @@
 		case attempts.StartCall:
 			r.startCall(now, o)
 		case attempts.Cancel:
-			r.emit(Cancel{Request: r.running[o.Attempt], Attempt: o.Attempt, Upstream: o.Upstream, URL: r.upstreams[o.Upstream].url})
+			r.cancel(o)
 		case attempts.Replace:
 			r.replace(now, o)
 		case attempts.Finished:
@@ -379,6 +379,17 @@
 	}
 }
 
+// cancel ends an attempt. A plain service has no cancel call, so only the
+// connection is closed.
+func (r *Router) cancel(o attempts.Cancel) {
+	entry := r.upstreams[o.Upstream]
+	effect := Cancel{Request: r.running[o.Attempt], Attempt: o.Attempt, Upstream: o.Upstream}
+	if entry.role != config.RolePlain {
+		effect.URL = entry.url
+	}
+	r.emit(effect)
+}
+
 func (r *Router) startPrefill(now core.Instant, o attempts.StartPrefill) {
 	f := r.flows[o.Request]
 	if f == nil {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -194,7 +194,7 @@
 	case CacheReported:
 		r.cacheReported(now, e)
 	case InstancesListed:
-		r.applyMembership(now, r.membership.OnList(now, e.List))
+		r.instancesListed(now, e)
 	case RootRead:
 		r.applyRollout(now, r.rollout.OnRoot(now, e.Root, e.Age, rollout.Source{Peer: e.From}))
 	case RootFailed:
--- a/pkg/router/store.go
+++ b/pkg/router/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/claims"
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
@@ -54,6 +55,21 @@
 	}
 }
 
+// instancesListed waits for a configuration, which alone says to which region a
+// listed Instance belongs.
+func (r *Router) instancesListed(now core.Instant, e InstancesListed) {
+	if r.snapshot == nil {
+		return
+	}
+	list := slices.Clone(e.List)
+	for i := range list {
+		if dc, found := r.snapshot.DataCentre(list[i].DataCentre); found {
+			list[i].Region = dc.Region
+		}
+	}
+	r.applyMembership(now, r.membership.OnList(now, list))
+}
+
 func (r *Router) writeRoster(o membership.WriteRoster) {
 	value, err := json.Marshal(o.Roster)
 	if err != nil {
@@ -176,6 +192,9 @@
 			r.keys.Seen(now, o.Version)
 			r.keys.Confirm(now, o.Version, o.Age)
 		case rollout.InForce:
+			if r.snapshot == nil {
+				r.nextList = now // the list had to wait for a configuration
+			}
 			r.setSnapshot(now, o.Snapshot)
 			r.recordEvent(now, "rollout", "in_force", fmt.Sprintf("version=%d", o.Snapshot.Version()))
 		case rollout.Rejected:
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -67,7 +67,9 @@
 	sealer    atomic.Pointer[resume.Sealer]
 	snapshot  atomic.Pointer[config.Snapshot]
 	view      atomic.Pointer[router.View]
-	nextView  core.Instant // used by the event loop only
+	// nextView and credential are used by the event loop only.
+	nextView   core.Instant
+	credential string
 
 	asks        sync.Map // ask number -> chan router.Addresses
 	askNumber   atomic.Uint64
@@ -78,6 +80,7 @@
 	callerListener net.Listener
 	statusListener net.Listener
 	drained        chan struct{}
+	loopEnded      chan struct{}
 	background     sync.WaitGroup
 }
 
@@ -96,6 +99,8 @@
 		stamps:   timeline.NewClock(string(settings.Instance), time.Now),
 		pieces:   newPieceCache(),
 		drained:  make(chan struct{}),
+
+		loopEnded: make(chan struct{}),
 	}
 	s.incarnation.Store(uint64(incarnation))
 	var err error
@@ -206,7 +211,7 @@
 }
 
 func (s *Server) start(ctx context.Context) {
-	s.background.Add(2)
+	s.background.Add(3)
 	go func() {
 		defer s.background.Done()
 		s.loop(ctx)
@@ -215,6 +220,10 @@
 		defer s.background.Done()
 		s.watchRoot(ctx)
 	}()
+	go func() {
+		defer s.background.Done()
+		s.publishStatus(ctx)
+	}()
 }
 
 func (s *Server) drain(callers *http.Server, limit time.Duration) error {
@@ -230,11 +239,18 @@
 	return callers.Shutdown(ctx)
 }
 
-// post hands an event to the event loop.
-func (s *Server) post(event router.Event) { s.events <- event }
+// post hands an event to the event loop. It drops the event when the loop has
+// ended.
+func (s *Server) post(event router.Event) {
+	select {
+	case s.events <- event:
+	case <-s.loopEnded:
+	}
+}
 
 // loop is the only goroutine that touches the Router.
 func (s *Server) loop(ctx context.Context) {
+	defer close(s.loopEnded)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	pauses := newPauseDetector(longestPause)
@@ -329,7 +345,7 @@
 	case router.SendPeer:
 		s.sendPeer(e)
 	case router.InForce:
-		s.setSnapshot(ctx, e.Snapshot)
+		s.setSnapshot(e.Snapshot)
 	case router.StopServing:
 		telemetry.Component(s.log, "membership").Warn("stopped serving", zap.String("reason", e.Reason))
 	case router.Drained:
@@ -375,10 +391,10 @@
 
 // setSnapshot takes over what the configuration says about this daemon's own
 // work: the credential for Upstreams and the keys that seal SSE ids.
-func (s *Server) setSnapshot(ctx context.Context, snapshot *config.Snapshot) {
+func (s *Server) setSnapshot(snapshot *config.Snapshot) {
 	log := telemetry.Component(s.log, "rollout")
 	log.Info("configuration in force", zap.Uint64("version", uint64(snapshot.Version())))
-	s.snapshot.Store(snapshot)
+	s.forgetUpstreams(s.snapshot.Swap(snapshot), snapshot)
 	root := snapshot.Root()
 	credential, found := s.settings.Secrets[root.UpstreamCredential]
 	if !found {
@@ -399,9 +415,29 @@
 		log.Error("answers can't be resumed", zap.Error(err))
 	}
 	s.sealer.Store(sealer)
-	go s.publishStatus(ctx, snapshot.Version())
 }
 
+// setUpstreamClient replaces the client when the credential has changed. The
+// former one finishes its calls.
 func (s *Server) setUpstreamClient(credential string) {
+	if s.upstreams.Load() != nil && credential == s.credential {
+		return
+	}
+	s.credential = credential
 	s.upstreams.Store(upstream.New(upstream.Options{Credential: credential}))
 }
+
+// forgetUpstreams closes the idle connections to Upstreams that the new
+// configuration no longer names.
+func (s *Server) forgetUpstreams(before, after *config.Snapshot) {
+	if before == nil {
+		return
+	}
+	for _, service := range before.Services() {
+		for _, up := range service.Upstreams {
+			if _, _, kept := after.Upstream(up.ID); !kept {
+				s.upstreams.Load().Forget(up.URL)
+			}
+		}
+	}
+}
--- a/pkg/server/store.go
+++ b/pkg/server/store.go
@@ -75,7 +75,7 @@
 	// watchReread is long, since the router's own timer reads the root, too.
 	watchReread = time.Minute
 	// statusRetry is the pause before the status is published again.
-	statusRetry = 500 * time.Millisecond
+	statusRetry = 2 * time.Second
 )
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -93,7 +93,6 @@
 		telemetry.Component(s.log, "membership").Debug("instance list failed", zap.Error(err))
 		return
 	}
-	snapshot := s.snapshot.Load()
 	list := make([]membership.Listed, 0, len(instances))
 	for _, i := range instances {
 		listed := membership.Listed{
@@ -103,11 +102,6 @@
 			DataCentre: core.DataCentreName(i.DataCentre),
 			State:      membership.State(i.State),
 		}
-		if snapshot != nil {
-			if dc, found := snapshot.DataCentre(listed.DataCentre); found {
-				listed.Region = dc.Region
-			}
-		}
 		list = append(list, listed)
 	}
 	s.post(router.InstancesListed{List: list})
@@ -145,35 +139,32 @@
 	s.post(router.RootRead{From: e.From, Root: answer.Root, Age: age})
 }
 
-// InstanceStatus is what an Instance publishes about itself in the store.
+// InstanceStatus says where an Instance shows its status. It is written once a
+// start: with a write for each version, 330 Instances would use up the store's
+// writes for a second at every change.
 type InstanceStatus struct {
 	Instance    core.InstanceID  `json:"instance"`
 	Incarnation core.Incarnation `json:"incarnation"`
-	Version     core.Version     `json:"version_in_force"`
 	StatusAddr  string           `json:"status_addr"`
-	AtMS        int64            `json:"at_ms"`
 }
 
 // StatusObject returns the name of the object in which an Instance publishes
-// its status.
+// its status address.
 func StatusObject(id core.InstanceID) string { return "status/" + string(id) }
 
-// publishStatus tells operators through the store which version is in force
-// here. It gives up after a few tries: the next version publishes again.
-func (s *Server) publishStatus(ctx context.Context, version core.Version) {
+// publishStatus repeats its write until the store has taken it.
+func (s *Server) publishStatus(ctx context.Context) {
 	status := InstanceStatus{
 		Instance:    s.self.ID,
-		Incarnation: core.Incarnation(s.incarnation.Load()),
-		Version:     version,
+		Incarnation: s.self.Incarnation,
 		StatusAddr:  s.statusListener.Addr().String(),
-		AtMS:        time.Now().UnixMilli(),
 	}
 	value, err := json.Marshal(status)
 	if err != nil {
 		return
 	}
 	name := StatusObject(s.self.ID)
-	for range statusTries {
+	for ctx.Err() == nil {
 		base := uint64(0)
 		if object, err := s.platform.Get(ctx, name); err == nil {
 			base = object.Version
@@ -185,8 +176,6 @@
 	}
 }
 
-const statusTries = 5
-
 // pieceCache keeps the pieces of recent configurations, so that peers can fetch
 // them here instead of from the store.
 type pieceCache struct {
--- a/pkg/server/upstreams.go
+++ b/pkg/server/upstreams.go
@@ -278,6 +278,7 @@
 // cancelAttempt frees what an engine holds for an attempt. The router repeats the effect until it is confirmed.
 func (s *Server) cancelAttempt(ctx context.Context, e router.Cancel) {
 	if e.URL == "" {
+		s.post(router.CancelConfirmed{Attempt: e.Attempt, Upstream: e.Upstream})
 		return
 	}
 	if err := s.upstreams.Load().Cancel(ctx, e.URL, e.Attempt.String()); err != nil {
