router: refuse waiting requests when their key is revoked

Cause: a request that waited in a queue, for a loan or for a claim was started after its key had been revoked, since the key was checked on arrival only.

Ruled out: checking the key again at the start of each attempt, which would cut the continuation of an answer that already runs.

--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -553,10 +553,7 @@
 	if f.claimed && f.started() {
 		return
 	}
-	if f.queued {
-		r.applyPlacement(now, r.placement.Withdraw(now, id))
-	}
-	r.applyAttempts(now, r.attempts.OnCallerGone(now, id))
+	r.drop(now, f)
 	if r.flows[id] == nil {
 		return
 	}
--- a/pkg/router/store.go
+++ b/pkg/router/store.go
@@ -186,8 +186,7 @@
 		case rollout.FetchPiece:
 			r.fetchPiece(o)
 		case rollout.Revoked:
-			r.keys.RevokeIn(o.Version, o.Account, o.Key)
-			r.recordEvent(now, "keys", "revoked", string(o.Account)+"."+string(o.Key))
+			r.revoked(now, o)
 		case rollout.Confirmed:
 			r.keys.Seen(now, o.Version)
 			r.keys.Confirm(now, o.Version, o.Age)
