placement: learn KV cache sizes and prefill speeds

Cause: placement priced every model at 128 KiB of KV cache per token and every engine at 20,000 prefill tokens/s. With engines that differ it booked transfers on the links that were far too large and refused requests on an idle fleet.

Ruled out: a per-model setting in the document, which operators would have to measure; the plain mean of durations, which one stalled prefill ruins and which counts the queue as the engine's own time.

Change: a prefill reply passes on the stated size and its duration. Sizes are a ratio of decaying sums per engine and model, with the sum over the service for engines that have none. The speed of an engine is a bounded geometric mean over the tokens of the prompt and those that were ahead of it; a sample moves it by at most a factor of 8. Both are forgotten when the engine's generation changes. The stated size also corrects what was booked on the links. An idle pair that was not measured in the last minute refuses nothing, because it would otherwise never be measured.

Peers of a data centre still share the estimated size of a transfer, not the corrected one.

--- a/pkg/lab/virtual/engine.go
+++ b/pkg/lab/virtual/engine.go
@@ -267,7 +267,7 @@
 	}
 	i.later(0, router.AttemptSent{Attempt: q.Attempt})
 	request.Sent++
-	generation := e.generation
+	generation, sent := e.generation, w.now
 	w.after(there, func() {
 		if e.down() {
 			i.failed(there, q.Attempt, q.Upstream, attempts.FailConnect, false)
@@ -294,7 +294,10 @@
 			if w.isCut(string(q.Upstream), string(i.opts.ID)) {
 				return
 			}
-			i.later(there, router.PrefillDone{Attempt: q.Attempt, KV: q.Attempt.String(), CachedTokens: cached})
+			i.later(there, router.PrefillDone{
+				Attempt: q.Attempt, KV: q.Attempt.String(), CachedTokens: cached, Took: w.now + there - sent,
+				Bytes: int64(request.Options.PromptTokens) * w.opts.Engine.KVBytesPerToken,
+			})
 		})
 	})
 }
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -77,7 +77,7 @@
 
 // judge decides over a pair from its estimates.
 func (c *choice) judge(now core.Instant, j *job) verdict {
-	if j.refusesEarly() && now.Sub(j.arrived)+c.firstToken > j.pool.service.Targets.FirstToken {
+	if j.refusesEarly() && now.Sub(j.arrived)+c.firstToken > j.pool.service.Targets.FirstToken && !c.unmeasured(now, j) {
 		return verdictRefuse
 	}
 	if c.freeIn > c.queue+c.prefillTime+reserveSlack {
@@ -179,20 +179,15 @@
 	c.hinted = e.hintedTokens(j.Prefix, j.PromptTokens)
 	c.tokens = float64(j.PromptTokens) - float64(c.hinted)*e.hints.accuracy
 	c.queue = e.work.wait(now, 0)
-	c.prefillTime = seconds(c.tokens / p.params.PrefillTokensPerSecond)
+	c.prefillTime = seconds(c.tokens / e.work.rate)
 	ready := max(c.queue+c.prefillTime, c.freeIn)
-	c.transfer = p.transferTime(now.Add(ready), e.site, c.decode.site, p.kvBytes(j))
+	c.transfer = p.transferTime(now.Add(ready), e.site, c.decode.site, p.kvBytes(e, j))
 	c.firstToken = ready + c.transfer
 	if best.prefill == nil || c.firstToken < best.firstToken || (c.firstToken == best.firstToken && c.tokens < best.tokens) {
 		*best = c
 	}
 }
 
-func (p *Placer) kvBytes(j *job) float64 {
-	blocks := (j.PromptTokens + core.BlockTokens - 1) / core.BlockTokens
-	return float64(int64(blocks) * core.BlockTokens * p.params.KVBytesPerToken)
-}
-
 // transferTime estimates a KV transfer that starts at start, behind the transfers
 // that its links still carry then.
 func (p *Placer) transferTime(start core.Instant, from, to *site, bytes float64) time.Duration {
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -53,6 +53,8 @@
 	unusable     core.Instant // no work before this instant
 	failedAt     core.Instant
 	backoff      time.Duration
+	speed        learned // prefill tokens per second
+	sizes        map[core.ModelName]*size
 	hints        hints
 	ledger       *ledger
 	holder       core.InstanceID
@@ -150,6 +152,9 @@
 	if e.ledger != nil {
 		e.ledger.onReport(e.report.Generation, r)
 	}
+	if e.reported && r.Generation != e.report.Generation {
+		p.forgetLearned(now, e)
+	}
 	e.report = r
 	e.reported = true
 	if r.AsOf > e.failedAt {
--- a/pkg/placement/fluid.go
+++ b/pkg/placement/fluid.go
@@ -31,6 +31,12 @@
 	f.amount = max(0, f.amount+amount)
 }
 
+// setRate changes the rate from t on.
+func (f *fluid) setRate(t core.Instant, rate float64) {
+	f.add(t, 0)
+	f.rate = rate
+}
+
 // wait returns the time that amount takes at t behind what remains then.
 func (f *fluid) wait(t core.Instant, amount float64) time.Duration {
 	if f.rate == 0 {
--- a/pkg/placement/hints.go
+++ b/pkg/placement/hints.go
@@ -164,6 +164,7 @@
 	}
 	e.hints.measure(j.hinted, r.CachedTokens)
 	j.hinted = 0
+	p.learn(now, e, j, r)
 	for _, block := range j.Prefix {
 		p.index.store(e, block, p.params.MaxHints)
 	}
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -43,6 +43,8 @@
 	// Once placed.
 	prefill *engine
 	hinted  int          // tokens that hints promised, before the accuracy
+	ahead   float64      // tokens that the prefill engine works off before it
+	kvBytes float64      // expected size of the transfer, then the stated one
 	starts  core.Instant // of the decode
 	until   core.Instant // end of the unused reservation
 }
@@ -257,7 +259,9 @@
 	j.hinted = c.hinted
 	j.until = now.Add(term)
 	j.starts = now.Add(c.firstToken)
-	bytes := p.kvBytes(j)
+	bytes := p.kvBytes(c.prefill, j)
+	j.kvBytes = bytes
+	j.ahead = c.prefill.work.left(start)
 	p.addTransfer(now, c.prefill.site, c.decode.site, bytes)
 	c.prefill.outstanding++
 	c.prefill.correct(now, correction{id: j.ID, at: start, tokens: c.tokens})
--- a/pkg/placement/topology.go
+++ b/pkg/placement/topology.go
@@ -15,7 +15,8 @@
 	Service
 	pools   []*pool
 	byModel map[core.ModelName]*pool
-	hold    time.Duration // moving average of the time for which a slot is used
+	sizes   map[core.ModelName]*size // learned on all engines
+	hold    time.Duration            // moving average of the time for which a slot is used
 }
 
 // pool is a set of Upstreams that serve the same models, with its queue.
@@ -73,9 +74,10 @@
 	p.pools = nil
 	seen := map[core.UpstreamID]bool{}
 	for _, spec := range t.Services {
-		s := &service{Service: spec, byModel: map[core.ModelName]*pool{}, hold: defaultHold}
+		s := &service{Service: spec, byModel: map[core.ModelName]*pool{}, hold: defaultHold, sizes: map[core.ModelName]*size{}}
 		if before := old[spec.Name]; before != nil {
 			s.hold = before.hold
+			s.sizes = before.sizes
 		}
 		p.services[spec.Name] = s
 		for _, up := range spec.Upstreams {
@@ -127,7 +129,7 @@
 	seen[up.ID] = true
 	e := p.engines[up.ID]
 	if e == nil {
-		e = &engine{hints: newHints(), work: fluid{rate: p.params.PrefillTokensPerSecond}}
+		e = &engine{hints: newHints(), sizes: map[core.ModelName]*size{}, work: fluid{rate: p.params.PrefillTokensPerSecond}}
 		p.engines[up.ID] = e
 	}
 	e.Upstream = up
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -139,6 +139,10 @@
 type PrefillResult struct {
 	ID           core.RequestID
 	CachedTokens int
+	// Bytes is the size of the KV cache as the engine states it, 0 for unknown.
+	Bytes int64
+	// Took is the time from the request to the reply, 0 for unknown.
+	Took time.Duration
 }
 
 // ReserveRequest asks the ledger holder of a decode engine for a slot. The
@@ -237,9 +241,11 @@
 type Params struct {
 	// Rand is the source of randomness. It is required.
 	Rand *rand.Rand
-	// PrefillTokensPerSecond is the assumed speed of a prefill engine.
+	// PrefillTokensPerSecond is the speed of a prefill engine that has not
+	// been measured yet.
 	PrefillTokensPerSecond float64
-	// KVBytesPerToken is the size of the KV cache of one token.
+	// KVBytesPerToken is the size of the KV cache of one token of a model that no
+	// prefill has stated yet.
 	KVBytesPerToken int64
 	// ReserveTimeout is the time to wait for a ledger holder.
 	ReserveTimeout time.Duration
--- a/pkg/router/event.go
+++ b/pkg/router/event.go
@@ -82,6 +82,10 @@
 	KV string
 	// CachedTokens is the part of the prompt that the prefix cache served.
 	CachedTokens int
+	// Bytes is the size of the KV cache that the engine states, 0 for unknown.
+	Bytes int64
+	// Took is the time from the request to the reply, 0 for unknown.
+	Took time.Duration
 }
 
 // FirstToken says that the first token of an answer was relayed.
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -502,7 +502,7 @@
 	}
 	f.kv = e.KV
 	f.prefilled += f.promptTokens - e.CachedTokens
-	result := placement.PrefillResult{ID: f.request.ID, CachedTokens: e.CachedTokens}
+	result := placement.PrefillResult{ID: f.request.ID, CachedTokens: e.CachedTokens, Bytes: e.Bytes, Took: e.Took}
 	r.placement.OnPrefillResult(now, f.prefill, result)
 	r.applyAttempts(now, r.attempts.OnPrefillDone(now, e.Attempt))
 }
--- a/pkg/server/upstreams.go
+++ b/pkg/server/upstreams.go
@@ -58,6 +58,7 @@
 		return
 	}
 	s.post(router.AttemptSent{Attempt: e.Attempt})
+	sent := time.Now()
 	reply, err := s.upstreams.Load().Prefill(ctx, e.URL, upstream.PrefillRequest{
 		Attempt:      e.Attempt.String(),
 		Model:        entry.model,
@@ -70,7 +71,9 @@
 		s.attemptFailed(ctx, e.Attempt, e.Upstream, err)
 		return
 	}
-	s.post(router.PrefillDone{Attempt: e.Attempt, KV: string(reply.KV), CachedTokens: reply.CachedTokens})
+	s.post(router.PrefillDone{
+		Attempt: e.Attempt, KV: string(reply.KV), CachedTokens: reply.CachedTokens, Bytes: reply.Bytes, Took: time.Since(sent),
+	})
 }
 
 // attemptFailed reports a failed upstream call. A call that the router itself
