lab: measure the router against baselines in virtual time

Cause: nothing showed whether a mechanism of placement or limits is worth what it costs, or how the router compares with simple policies.

Change: "rhubarbsill-lab measure" over pkg/lab/measure sends the workloads of both deployments to the real Routers of package virtual, at 0.7, 1.0 and 1.3 of what the engines can do, with a greedy account and with each kind of failure. Baselines are round robin and least reported load; placement.Params and limits.Params get switches that take one mechanism away. The KV transfers of the virtual engines now queue on the links of both data centres; before, only the transfers of one engine shared a rate.

Ruled out: a simulator of its own, which would measure another router.

--- /dev/null
+++ b/pkg/lab/measure/variant.go
@@ -0,0 +1,85 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/lab/virtual"
+	"github.com/rhubarbsill/rhubarbsill/pkg/placement"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+)
+
+// Variant is a router policy to compare.
+type Variant struct {
+	Name   string
+	adjust func(*router.Params)
+}
+
+func baseline(choice placement.Choice) func(*router.Params) {
+	return func(p *router.Params) {
+		p.Placement.Choice = choice
+		p.Placement.NoReservation = true
+		p.Placement.NoHints = true
+		p.Placement.NoCorrection = true
+		p.Placement.FIFO = true
+	}
+}
+
+// Variants returns this router, the baselines, and this router with one mechanism
+// off at a time.
+func Variants() []Variant {
+	return []Variant{
+		{"rhubarbsill", func(*router.Params) {}},
+		{"round robin", baseline(placement.ChooseRoundRobin)},
+		{"least reported load", baseline(placement.ChooseLeastLoaded)},
+		{"no reservation", func(p *router.Params) { p.Placement.NoReservation = true }},
+		{"no prefix hints", func(p *router.Params) { p.Placement.NoHints = true }},
+		{"no load correction", func(p *router.Params) { p.Placement.NoCorrection = true }},
+		{"no fair queueing", func(p *router.Params) { p.Placement.FIFO = true }},
+		{"no lending", func(p *router.Params) { p.Limits.NoLending = true }},
+	}
+}
+
+// Scenario is a load with what goes wrong under it.
+type Scenario struct {
+	Name string
+	Load float64 // over the capacity
+	// Excess is the account that sends several times its rate, counted from 1.
+	Excess int
+	fault  func(w *virtual.World, begin, end time.Duration)
+}
+
+const (
+	// excessFactor is the load of the greedy account over its rate.
+	excessFactor = 4
+	faultLoad    = 0.7
+)
+
+// Scenarios returns the loads, the greedy account and each kind of failure.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "load 0.7", Load: 0.7},
+		{Name: "load 1.0", Load: 1.0},
+		{Name: "load 1.3", Load: 1.3},
+		{Name: "greedy account", Load: 0.7, Excess: 3},
+		{Name: "instance killed", Load: faultLoad, fault: func(w *virtual.World, begin, end time.Duration) {
+			i := w.Instances()[1]
+			w.At(begin, func() { i.Kill(); i.Remove() })
+			w.At(end, i.Restart)
+		}},
+		{Name: "engine crash", Load: faultLoad, fault: func(w *virtual.World, begin, _ time.Duration) {
+			w.At(begin, func() { w.Crash("north-a-prefill-1"); w.Crash("north-a-decode-1") })
+		}},
+		{Name: "store outage", Load: faultLoad, fault: func(w *virtual.World, begin, end time.Duration) {
+			w.At(begin, func() { w.StoreDown(true) })
+			w.At(end, func() { w.StoreDown(false) })
+		}},
+		{Name: "region cut", Load: faultLoad, fault: func(w *virtual.World, begin, end time.Duration) {
+			w.At(begin, func() { w.CutRegion("south") })
+			w.At(end, w.Heal)
+		}},
+		{Name: "stalled transfer", Load: faultLoad, fault: func(w *virtual.World, begin, end time.Duration) {
+			w.At(begin, func() { w.Stall("north-a-decode-1", true) })
+			w.At(end, func() { w.Stall("north-a-decode-1", false) })
+		}},
+	}
+}
--- a/pkg/lab/virtual/caller.go
+++ b/pkg/lab/virtual/caller.go
@@ -64,7 +64,9 @@
 	// tokens computed for it, Killed the engines that it crashed.
 	Sent      int
 	Prefilled int
-	Killed    []core.UpstreamID
+	// LastPrefill is the part of Prefilled that the latest attempt computed.
+	LastPrefill int
+	Killed      []core.UpstreamID
 	// Executed counts the executions of a plain call with the same key.
 	Executed int
 
--- a/pkg/lab/virtual/engine.go
+++ b/pkg/lab/virtual/engine.go
@@ -70,9 +70,8 @@
 	known  []time.Duration
 
 	// A decode engine runs several attempts.
-	running   map[core.AttemptID]*decoding
-	transfers int
-	history   []loadAt
+	running map[core.AttemptID]*decoding
+	history []loadAt
 }
 
 // decoding is an attempt that holds a slot of a decode engine.
@@ -281,6 +280,7 @@
 		cached := e.touch(request.prefix) * core.BlockTokens
 		tokens := max(1, request.Options.PromptTokens+request.Tokens-cached)
 		request.Prefilled += tokens
+		request.LastPrefill = tokens
 		work := time.Duration(tokens) * w.opts.Engine.PerPromptToken
 		e.freeAt = max(e.freeAt, w.now) + work
 		e.note()
@@ -352,28 +352,28 @@
 	})
 }
 
-// transfer moves the KV cache over the link of the engine's data centre.
+// transfer moves the KV cache over the links of both data centres, behind the
+// transfers that they already carry.
 func (w *World) transfer(e, source *engine, d *decoding) {
 	request := w.Requests[d.request]
 	bytes := int64(request.Options.PromptTokens+d.base) * w.opts.Engine.KVBytesPerToken
-	e.transfers++
-	rate := w.linkRate(e.up.DataCentre) / float64(e.transfers)
-	took := time.Duration(float64(bytes) / rate * float64(time.Second))
-	w.after(took, func() { w.transferred(e, source, d) })
+	took := time.Duration(float64(bytes) / w.linkRate(e.up.DataCentre) * float64(time.Second))
+	from, to := source.up.DataCentre, e.up.DataCentre
+	free := max(w.now, w.linkFree[from], w.linkFree[to]) + took
+	w.linkFree[from], w.linkFree[to] = free, free
+	w.after(free-w.now, func() { w.transferred(e, source, d) })
 }
 
 const stallCheck = 100 * time.Millisecond
 
 func (w *World) transferred(e, source *engine, d *decoding) {
 	if e.running[d.attempt] != d {
-		e.transfers = max(0, e.transfers-1)
 		return
 	}
 	if e.stalled || source.stalled {
 		w.after(stallCheck, func() { w.transferred(e, source, d) })
 		return
 	}
-	e.transfers--
 	delete(source.kv, d.attempt)
 	d.began = w.now
 	w.after(w.stepTime(e), func() { w.token(e, d) })
--- a/pkg/lab/virtual/world.go
+++ b/pkg/lab/virtual/world.go
@@ -53,7 +53,8 @@
 	engines   map[core.UpstreamID]*engine
 	order     []core.UpstreamID
 	cuts      map[[2]string]bool
-	loss      float64 // probability that a message between Instances is lost
+	linkFree  map[core.DataCentreName]time.Duration // end of the last transfer
+	loss      float64                               // probability that a message between Instances is lost
 	listed    []membership.Listed
 	secrets   map[core.AccountID]string
 
@@ -102,6 +103,7 @@
 		byID:     map[core.InstanceID]*Instance{},
 		engines:  map[core.UpstreamID]*engine{},
 		cuts:     map[[2]string]bool{},
+		linkFree: map[core.DataCentreName]time.Duration{},
 		secrets:  map[core.AccountID]string{},
 		Requests: map[core.RequestID]*Request{},
 	}
--- a/pkg/limits/borrow.go
+++ b/pkg/limits/borrow.go
@@ -66,7 +66,7 @@
 		}
 	}
 	own := l.spendable(now, b)
-	if len(p.lenders) == 0 {
+	if len(p.lenders) == 0 || l.p.NoLending {
 		return overRate(b, amount-own-b.borrowedLevel(), []time.Duration{b.blockedFor(now)}, false)
 	}
 	p.parts, _ = takeBorrowed(b, amount)
--- a/pkg/limits/types.go
+++ b/pkg/limits/types.go
@@ -89,6 +89,7 @@
 	AskTimeout time.Duration // wait for one reply
 	MaxWait    time.Duration // wait for all replies to one request; below LoanTerm
 	IdleSweep  time.Duration // time between two sweeps for idle accounts
+	NoLending  bool          // refuses instead of borrowing, to measure what loans are worth
 }
 
 // The defaults of Params.
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -46,6 +46,9 @@
 	if j.pool.service.Kind == KindPlain {
 		return p.choosePlain(now, j)
 	}
+	if p.params.Choice != ChooseByScore {
+		return p.chooseBaseline(now, j)
+	}
 	c := p.choosePair(now, j, 1)
 	if c.verdict == verdictRefuse {
 		c = p.choosePair(now, j, widerLook)
@@ -80,7 +83,7 @@
 	if j.refusesEarly() && now.Sub(j.arrived)+c.firstToken > j.pool.service.Targets.FirstToken && !c.unmeasured(now, j) {
 		return verdictRefuse
 	}
-	if c.freeIn > c.queue+c.prefillTime+reserveSlack {
+	if !j.pool.unreserved && c.freeIn > c.queue+c.prefillTime+reserveSlack {
 		return verdictWait
 	}
 	return verdictPlace
@@ -153,6 +156,9 @@
 		hinted := p.index.hinted(now, space[:0], j.Prefix, func(e *engine) bool {
 			return e.Role == RolePrefill && e.service == j.pool.service && e.serves(j.Model) && e.site.Region == decode.site.Region && allowed(e)
 		})
+		if p.params.NoHints {
+			hinted = nil
+		}
 		for _, e := range hinted {
 			p.consider(now, j, &best, e)
 		}
@@ -176,7 +182,9 @@
 // the first token earlier, or as early with less work.
 func (p *Placer) consider(now core.Instant, j *job, best *choice, e *engine) {
 	c := choice{decode: best.decode, freeIn: best.freeIn, prefill: e}
-	c.hinted = e.hintedTokens(j.Prefix, j.PromptTokens)
+	if !p.params.NoHints {
+		c.hinted = e.hintedTokens(j.Prefix, j.PromptTokens)
+	}
 	c.tokens = float64(j.PromptTokens) - float64(c.hinted)*e.hints.accuracy
 	c.queue = e.work.wait(now, 0)
 	c.prefillTime = seconds(c.tokens / e.work.rate)
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -55,6 +55,7 @@
 	backoff      time.Duration
 	speed        learned // prefill tokens per second
 	sizes        map[core.ModelName]*size
+	uncorrected  bool // see Params.NoCorrection
 	hints        hints
 	ledger       *ledger
 	holder       core.InstanceID
@@ -98,6 +99,9 @@
 
 // correct notes a change of load that the next report may not contain.
 func (e *engine) correct(now core.Instant, c correction) {
+	if e.uncorrected {
+		return
+	}
 	e.expireCorrections(now)
 	if len(e.corrections) == maxCorrections {
 		e.slotChange -= e.corrections[0].slots
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -68,6 +68,7 @@
 	holderDown       map[core.InstanceID]core.Instant
 
 	jobs   map[core.RequestID]*job
+	turn   int // of ChooseRoundRobin
 	seq    uint64
 	nonce  uint64
 	timers timerHeap
@@ -94,6 +95,9 @@
 func (p *Placer) Submit(now core.Instant, work Job) []Output {
 	outputs := p.Release(now, work.ID)
 	target := p.poolFor(work)
+	if p.params.FIFO {
+		work.Account, work.Priority = "", 0
+	}
 	p.seq++
 	j := &job{Job: work, seq: p.seq, pool: target, arrived: now, giveUp: work.Deadline}
 	switch {
@@ -247,6 +251,9 @@
 		p.share(j.decode, 0, 1, 0)
 		return []Output{Call{ID: j.ID, Upstream: c.decode.ID}}
 	}
+	if p.params.NoReservation {
+		return p.placeUnreserved(now, j, c)
+	}
 	return p.reserve(now, j, c)
 }
 
--- a/pkg/placement/reserve.go
+++ b/pkg/placement/reserve.go
@@ -73,7 +73,7 @@
 func (p *Placer) announceMoved(now core.Instant) []Output {
 	var outputs []Output
 	for _, j := range p.sortedJobs() {
-		if j.state != jobPlaced || j.prefill == nil || j.until <= now || j.decode.removed {
+		if j.state != jobPlaced || j.prefill == nil || j.nonce == 0 || j.until <= now || j.decode.removed {
 			continue
 		}
 		holder := p.holderOf(j.decode)
--- a/pkg/placement/topology.go
+++ b/pkg/placement/topology.go
@@ -26,6 +26,8 @@
 	prefill group
 	decode  group // for a plain service: its replicas
 	queue   classQueue
+	// unreserved jobs don't wait for a slot
+	unreserved bool
 
 	nextTry  core.Instant // Never unless the head waits for capacity
 	lastPop  core.Instant
@@ -129,7 +131,7 @@
 	seen[up.ID] = true
 	e := p.engines[up.ID]
 	if e == nil {
-		e = &engine{hints: newHints(), sizes: map[core.ModelName]*size{}, work: fluid{rate: p.params.PrefillTokensPerSecond}}
+		e = &engine{hints: newHints(), sizes: map[core.ModelName]*size{}, work: fluid{rate: p.params.PrefillTokensPerSecond}, uncorrected: p.params.NoCorrection}
 		p.engines[up.ID] = e
 	}
 	e.Upstream = up
@@ -162,7 +164,7 @@
 		}
 		target := byKey[key.String()]
 		if target == nil {
-			target = &pool{key: key.String(), service: s, nextTry: core.Never}
+			target = &pool{key: key.String(), service: s, nextTry: core.Never, unreserved: p.params.NoReservation}
 			target.prefill = newGroup(prefill, p.region)
 			target.decode = newGroup(decode, p.region)
 			target.queue = newClassQueue()
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -260,8 +260,32 @@
 	MaxQueued int
 	// MaxHints bounds the remembered prefix blocks of one engine.
 	MaxHints int
+	// Choice is ChooseByScore unless a measurement compares it with a baseline.
+	Choice Choice
+	// The following switch a mechanism off, to measure what it is worth.
+	// NoReservation starts prefills without a reserved decode slot.
+	NoReservation bool
+	// NoHints ignores what is known of the prefix caches.
+	NoHints bool
+	// NoCorrection takes load from the reports alone.
+	NoCorrection bool
+	// FIFO serves requests in order of arrival, whatever their account and priority.
+	FIFO bool
 }
 
+// Choice selects how a pair of engines is chosen.
+type Choice int
+
+const (
+	// ChooseByScore takes the pair that is expected to yield the first token
+	// earliest.
+	ChooseByScore Choice = iota
+	// ChooseRoundRobin takes the usable engines of the nearest region in turn.
+	ChooseRoundRobin
+	// ChooseLeastLoaded takes the engines with the least reported load.
+	ChooseLeastLoaded
+)
+
 func (p Params) withDefaults() Params {
 	setDefault(&p.PrefillTokensPerSecond, 20_000)
 	setDefault(&p.KVBytesPerToken, 128<<10)
