--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -46,6 +46,9 @@
 	if j.pool.service.Kind == KindPlain {
 		return p.choosePlain(now, j)
 	}
+	if p.params.Choice != ChooseByScore {
+		return p.chooseBaseline(now, j)
+	}
 	c := p.choosePair(now, j, 1)
 	if c.verdict == verdictRefuse {
 		c = p.choosePair(now, j, widerLook)
@@ -77,10 +80,10 @@
 
 // judge decides over a pair from its estimates.
 func (c *choice) judge(now core.Instant, j *job) verdict {
-	if j.refusesEarly() && now.Sub(j.arrived)+c.firstToken > j.pool.service.Targets.FirstToken {
+	if j.refusesEarly() && now.Sub(j.arrived)+c.firstToken > j.pool.service.Targets.FirstToken && !c.unmeasured(now, j) {
 		return verdictRefuse
 	}
-	if c.freeIn > c.queue+c.prefillTime+reserveSlack {
+	if !j.pool.unreserved && c.freeIn > c.queue+c.prefillTime+reserveSlack {
 		return verdictWait
 	}
 	return verdictPlace
@@ -153,6 +156,9 @@
 		hinted := p.index.hinted(now, space[:0], j.Prefix, func(e *engine) bool {
 			return e.Role == RolePrefill && e.service == j.pool.service && e.serves(j.Model) && e.site.Region == decode.site.Region && allowed(e)
 		})
+		if p.params.NoHints {
+			hinted = nil
+		}
 		for _, e := range hinted {
 			p.consider(now, j, &best, e)
 		}
@@ -176,23 +182,20 @@
 // the first token earlier, or as early with less work.
 func (p *Placer) consider(now core.Instant, j *job, best *choice, e *engine) {
 	c := choice{decode: best.decode, freeIn: best.freeIn, prefill: e}
-	c.hinted = e.hintedTokens(j.Prefix, j.PromptTokens)
+	if !p.params.NoHints {
+		c.hinted = e.hintedTokens(j.Prefix, j.PromptTokens)
+	}
 	c.tokens = float64(j.PromptTokens) - float64(c.hinted)*e.hints.accuracy
 	c.queue = e.work.wait(now, 0)
-	c.prefillTime = seconds(c.tokens / p.params.PrefillTokensPerSecond)
+	c.prefillTime = seconds(c.tokens / e.work.rate)
 	ready := max(c.queue+c.prefillTime, c.freeIn)
-	c.transfer = p.transferTime(now.Add(ready), e.site, c.decode.site, p.kvBytes(j))
+	c.transfer = p.transferTime(now.Add(ready), e.site, c.decode.site, p.kvBytes(e, j))
 	c.firstToken = ready + c.transfer
 	if best.prefill == nil || c.firstToken < best.firstToken || (c.firstToken == best.firstToken && c.tokens < best.tokens) {
 		*best = c
 	}
 }
 
-func (p *Placer) kvBytes(j *job) float64 {
-	blocks := (j.PromptTokens + core.BlockTokens - 1) / core.BlockTokens
-	return float64(int64(blocks) * core.BlockTokens * p.params.KVBytesPerToken)
-}
-
 // transferTime estimates a KV transfer that starts at start, behind the transfers
 // that its links still carry then.
 func (p *Placer) transferTime(start core.Instant, from, to *site, bytes float64) time.Duration {
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -53,6 +53,9 @@
 	unusable     core.Instant // no work before this instant
 	failedAt     core.Instant
 	backoff      time.Duration
+	speed        learned // prefill tokens per second
+	sizes        map[core.ModelName]*size
+	uncorrected  bool // see Params.NoCorrection
 	hints        hints
 	ledger       *ledger
 	holder       core.InstanceID
@@ -96,6 +99,9 @@
 
 // correct notes a change of load that the next report may not contain.
 func (e *engine) correct(now core.Instant, c correction) {
+	if e.uncorrected {
+		return
+	}
 	e.expireCorrections(now)
 	if len(e.corrections) == maxCorrections {
 		e.slotChange -= e.corrections[0].slots
@@ -150,6 +156,9 @@
 	if e.ledger != nil {
 		e.ledger.onReport(e.report.Generation, r)
 	}
+	if e.reported && r.Generation != e.report.Generation {
+		p.forgetLearned(now, e)
+	}
 	e.report = r
 	e.reported = true
 	if r.AsOf > e.failedAt {
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -43,6 +43,8 @@
 	// Once placed.
 	prefill *engine
 	hinted  int          // tokens that hints promised, before the accuracy
+	ahead   float64      // tokens that the prefill engine works off before it
+	kvBytes float64      // expected size of the transfer, then the stated one
 	starts  core.Instant // of the decode
 	until   core.Instant // end of the unused reservation
 }
@@ -66,6 +68,7 @@
 	holderDown       map[core.InstanceID]core.Instant
 
 	jobs   map[core.RequestID]*job
+	turn   int // of ChooseRoundRobin
 	seq    uint64
 	nonce  uint64
 	timers timerHeap
@@ -92,6 +95,9 @@
 func (p *Placer) Submit(now core.Instant, work Job) []Output {
 	outputs := p.Release(now, work.ID)
 	target := p.poolFor(work)
+	if p.params.FIFO {
+		work.Account, work.Priority = "", 0
+	}
 	p.seq++
 	j := &job{Job: work, seq: p.seq, pool: target, arrived: now, giveUp: work.Deadline}
 	switch {
@@ -245,6 +251,9 @@
 		p.share(j.decode, 0, 1, 0)
 		return []Output{Call{ID: j.ID, Upstream: c.decode.ID}}
 	}
+	if p.params.NoReservation {
+		return p.placeUnreserved(now, j, c)
+	}
 	return p.reserve(now, j, c)
 }
 
@@ -257,7 +266,9 @@
 	j.hinted = c.hinted
 	j.until = now.Add(term)
 	j.starts = now.Add(c.firstToken)
-	bytes := p.kvBytes(j)
+	bytes := p.kvBytes(c.prefill, j)
+	j.kvBytes = bytes
+	j.ahead = c.prefill.work.left(start)
 	p.addTransfer(now, c.prefill.site, c.decode.site, bytes)
 	c.prefill.outstanding++
 	c.prefill.correct(now, correction{id: j.ID, at: start, tokens: c.tokens})
--- a/pkg/placement/topology.go
+++ b/pkg/placement/topology.go
@@ -15,7 +15,8 @@
 	Service
 	pools   []*pool
 	byModel map[core.ModelName]*pool
-	hold    time.Duration // moving average of the time for which a slot is used
+	sizes   map[core.ModelName]*size // learned on all engines
+	hold    time.Duration            // moving average of the time for which a slot is used
 }
 
 // pool is a set of Upstreams that serve the same models, with its queue.
@@ -25,6 +26,8 @@
 	prefill group
 	decode  group // for a plain service: its replicas
 	queue   classQueue
+	// unreserved jobs don't wait for a slot
+	unreserved bool
 
 	nextTry  core.Instant // Never unless the head waits for capacity
 	lastPop  core.Instant
@@ -73,9 +76,10 @@
 	p.pools = nil
 	seen := map[core.UpstreamID]bool{}
 	for _, spec := range t.Services {
-		s := &service{Service: spec, byModel: map[core.ModelName]*pool{}, hold: defaultHold}
+		s := &service{Service: spec, byModel: map[core.ModelName]*pool{}, hold: defaultHold, sizes: map[core.ModelName]*size{}}
 		if before := old[spec.Name]; before != nil {
 			s.hold = before.hold
+			s.sizes = before.sizes
 		}
 		p.services[spec.Name] = s
 		for _, up := range spec.Upstreams {
@@ -127,7 +131,7 @@
 	seen[up.ID] = true
 	e := p.engines[up.ID]
 	if e == nil {
-		e = &engine{hints: newHints(), work: fluid{rate: p.params.PrefillTokensPerSecond}}
+		e = &engine{hints: newHints(), sizes: map[core.ModelName]*size{}, work: fluid{rate: p.params.PrefillTokensPerSecond}, uncorrected: p.params.NoCorrection}
 		p.engines[up.ID] = e
 	}
 	e.Upstream = up
@@ -160,7 +164,7 @@
 		}
 		target := byKey[key.String()]
 		if target == nil {
-			target = &pool{key: key.String(), service: s, nextTry: core.Never}
+			target = &pool{key: key.String(), service: s, nextTry: core.Never, unreserved: p.params.NoReservation}
 			target.prefill = newGroup(prefill, p.region)
 			target.decode = newGroup(decode, p.region)
 			target.queue = newClassQueue()
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -139,6 +139,10 @@
 type PrefillResult struct {
 	ID           core.RequestID
 	CachedTokens int
+	// Bytes is the size of the KV cache as the engine states it, 0 for unknown.
+	Bytes int64
+	// Took is the time from the request to the reply, 0 for unknown.
+	Took time.Duration
 }
 
 // ReserveRequest asks the ledger holder of a decode engine for a slot. The
@@ -237,9 +241,11 @@
 type Params struct {
 	// Rand is the source of randomness. It is required.
 	Rand *rand.Rand
-	// PrefillTokensPerSecond is the assumed speed of a prefill engine.
+	// PrefillTokensPerSecond is the speed of a prefill engine that has not
+	// been measured yet.
 	PrefillTokensPerSecond float64
-	// KVBytesPerToken is the size of the KV cache of one token.
+	// KVBytesPerToken is the size of the KV cache of one token of a model that no
+	// prefill has stated yet.
 	KVBytesPerToken int64
 	// ReserveTimeout is the time to wait for a ledger holder.
 	ReserveTimeout time.Duration
@@ -254,8 +260,32 @@
 	MaxQueued int
 	// MaxHints bounds the remembered prefix blocks of one engine.
 	MaxHints int
+	// Choice is ChooseByScore unless a measurement compares it with a baseline.
+	Choice Choice
+	// The following switch a mechanism off, to measure what it is worth.
+	// NoReservation starts prefills without a reserved decode slot.
+	NoReservation bool
+	// NoHints ignores what is known of the prefix caches.
+	NoHints bool
+	// NoCorrection takes load from the reports alone.
+	NoCorrection bool
+	// FIFO serves requests in order of arrival, whatever their account and priority.
+	FIFO bool
 }
 
+// Choice selects how a pair of engines is chosen.
+type Choice int
+
+const (
+	// ChooseByScore takes the pair that is expected to yield the first token
+	// earliest.
+	ChooseByScore Choice = iota
+	// ChooseRoundRobin takes the usable engines of the nearest region in turn.
+	ChooseRoundRobin
+	// ChooseLeastLoaded takes the engines with the least reported load.
+	ChooseLeastLoaded
+)
+
 func (p Params) withDefaults() Params {
 	setDefault(&p.PrefillTokensPerSecond, 20_000)
 	setDefault(&p.KVBytesPerToken, 128<<10)
