--- a/pkg/keys/scan.go
+++ b/pkg/keys/scan.go
@@ -15,15 +15,22 @@
 	}
 	needle := []byte(strings.ToLower(*s.text))
 	plain := bytes.ToLower(text)
-	if bytes.Contains(plain, needle) {
-		return true
-	}
-	if !bytes.ContainsAny(plain, `\%`) {
-		return false
+	for range maxEncodings {
+		if bytes.Contains(plain, needle) {
+			return true
+		}
+		if !bytes.ContainsAny(plain, `\%`) {
+			return false
+		}
+		plain = bytes.ToLower(unescape(plain))
 	}
-	return bytes.Contains(bytes.ToLower(unescape(plain)), needle)
+	return bytes.Contains(plain, needle)
 }
 
+// maxEncodings bounds the encodings that are undone one after the other, as in
+// a percent-encoded query that is itself percent-encoded.
+const maxEncodings = 3
+
 // unescape replaces \uXXXX and %XX escapes by what they stand for, and drops
 // single backslashes. It is lenient: anything else stays as it is.
 func unescape(text []byte) []byte {
