--- a/pkg/lab/virtual/caller.go
+++ b/pkg/lab/virtual/caller.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/keys"
 	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
 )
 
 // RequestOptions describe a request of a caller.
@@ -64,7 +65,9 @@
 	// tokens computed for it, Killed the engines that it crashed.
 	Sent      int
 	Prefilled int
-	Killed    []core.UpstreamID
+	// Arrivals are the attempts that reached an Upstream, the first ones first.
+	Arrivals []Arrival
+	Killed   []core.UpstreamID
 	// Executed counts the executions of a plain call with the same key.
 	Executed int
 
@@ -72,6 +75,26 @@
 	gone   bool
 }
 
+// Arrival is an attempt of a request that was sent to an Upstream.
+type Arrival struct {
+	At       time.Duration
+	Upstream core.UpstreamID
+}
+
+// reached notes an attempt that was sent to an Upstream.
+func (r *Request) reached(at time.Duration, up core.UpstreamID) {
+	r.Sent++
+	r.Arrivals = append(r.Arrivals, Arrival{At: at, Upstream: up})
+}
+
+// checkAccount notes a request that a Router handles under another account than
+// that of its key.
+func (w *World) checkAccount(e timeline.Event) {
+	if r := w.Requests[e.Request]; r != nil && e.Account != "" && e.Account != r.Options.Account {
+		r.Broken = fmt.Sprintf("%s.%s under account %q, its key is of %q", e.Part, e.Kind, e.Account, r.Options.Account)
+	}
+}
+
 // got notes tokens that the caller has received.
 func (r *Request) got(at time.Duration, attempt core.AttemptID, from, to int) {
 	if r.FirstToken == 0 {
@@ -113,6 +136,9 @@
 		SentAt:  w.now,
 		prefix:  prefixOf(opts, w.nextID),
 	}
+	if opts.Resume != nil {
+		r.Tokens = opts.Resume.Tokens
+	}
 	w.Requests[r.ID] = r
 	w.Sequence = append(w.Sequence, r)
 	i := w.byID[to]
--- a/pkg/lab/virtual/engine.go
+++ b/pkg/lab/virtual/engine.go
@@ -144,6 +144,15 @@
 	return held
 }
 
+// Holding returns the requests for which an Upstream holds memory now.
+func (w *World) Holding(id core.UpstreamID) []*Request {
+	var requests []*Request
+	for _, d := range w.engines[id].sorted() {
+		requests = append(requests, w.Requests[d.request])
+	}
+	return requests
+}
+
 func (e *engine) sorted() []*decoding {
 	list := make([]*decoding, 0, len(e.running))
 	for _, d := range e.running {
@@ -266,7 +275,7 @@
 		return
 	}
 	i.later(0, router.AttemptSent{Attempt: q.Attempt})
-	request.Sent++
+	request.reached(w.now, q.Upstream)
 	generation := e.generation
 	w.after(there, func() {
 		if e.down() {
@@ -520,7 +529,7 @@
 		return
 	}
 	i.later(0, router.AttemptSent{Attempt: q.Attempt})
-	request.Sent++
+	request.reached(w.now, q.Upstream)
 	generation := e.generation
 	w.after(there+w.opts.Engine.PlainWork, func() {
 		if e.down() {
--- a/pkg/lab/virtual/instance.go
+++ b/pkg/lab/virtual/instance.go
@@ -270,6 +270,7 @@
 	case router.Drained:
 		i.Drained = true
 	case router.Record:
+		w.checkAccount(e.Event)
 		i.Records[e.Event.Part+"."+e.Event.Kind]++
 		i.trace("%s.%s request=%s upstream=%s %s", e.Event.Part, e.Event.Kind, e.Event.Request, e.Event.Upstream, e.Event.Detail)
 	case router.Observe:
--- a/pkg/router/faults_test.go
+++ b/pkg/router/faults_test.go
@@ -142,6 +142,7 @@
 // a repeat (G7), a configuration that goes back (G12), and a fleet that does not
 // serve again after the failures.
 func TestPromisesUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		opts := smallFleet(uint64(rapid.IntRange(1, 1<<30).Draw(t, "seed")))
 		for n := range opts.Instances {
