--- a/pkg/lab/virtual/engine.go
+++ b/pkg/lab/virtual/engine.go
@@ -143,6 +143,15 @@
 	return held
 }
 
+// Holding returns the requests for which an Upstream holds memory now.
+func (w *World) Holding(id core.UpstreamID) []*Request {
+	var requests []*Request
+	for _, d := range w.engines[id].sorted() {
+		requests = append(requests, w.Requests[d.request])
+	}
+	return requests
+}
+
 func (e *engine) sorted() []*decoding {
 	list := make([]*decoding, 0, len(e.running))
 	for _, d := range e.running {
@@ -265,7 +274,7 @@
 		return
 	}
 	i.later(0, router.AttemptSent{Attempt: q.Attempt})
-	request.Sent++
+	request.reached(w.now, q.Upstream)
 	generation, sent := e.generation, w.now
 	w.after(there, func() {
 		if e.down() {
@@ -523,7 +532,7 @@
 		return
 	}
 	i.later(0, router.AttemptSent{Attempt: q.Attempt})
-	request.Sent++
+	request.reached(w.now, q.Upstream)
 	generation := e.generation
 	w.after(there+w.opts.Engine.PlainWork, func() {
 		if e.down() {
