operator: write only missing pieces; diff, rollback, settled promotions

Cause: a trial tried to create every piece of the document, although the store answers with a conflict for almost all of them. A promotion whose answer was lost and that another operator replaced at once was reported as a conflict.

Ruled out: remembering written pieces on the operator's machine, which is wrong as soon as two operators work. A list of config/pieces/ would cost one large answer that grows with the history.

Change: a trial reads each piece of production once, as it did before, and skips those. A promotion first makes sure that the version it replaces is in the history; a promotion that meets a conflict looks there for its own version and then reports "promoted, replaced since". config diff FILE and config rollback VERSION are new; a rollback keeps keys revoked that do not work in production. JSON output: config show prints an object and timeline one array; timeline on an empty list of instances is empty instead of unreachable.

--- a/pkg/operator/command.go
+++ b/pkg/operator/command.go
@@ -9,6 +9,8 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -91,10 +93,15 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&c.output, "output", "text", "text or json")
 	flags.StringVar(&c.platformURL, "platform", os.Getenv("RHUBARBSILL_PLATFORM"), "base URL of the platform (default $RHUBARBSILL_PLATFORM)")
+	_ = root.RegisterFlagCompletionFunc("output", choices("text", "json")) // the flag exists
 	root.AddCommand(c.configCommand(), c.keyCommand(), c.statusCommand(), c.timelineCommand(), c.versionCommand())
 	return root
 }
 
+func choices(list ...string) cobra.CompletionFunc {
+	return cobra.FixedCompletions(list, cobra.ShellCompDirectiveNoFileComp)
+}
+
 func args(n int) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, given []string) error {
 		if len(given) != n {
@@ -129,7 +136,11 @@
 }
 
 func (c *cli) configCommand() *cobra.Command {
-	command := &cobra.Command{Use: "config", Short: "Work on the configuration of an environment"}
+	command := &cobra.Command{
+		Use:     "config",
+		Short:   "Work on the configuration of an environment",
+		Example: "  rhubarbsill config check production.jsonc",
+	}
 	command.AddCommand(
 		&cobra.Command{
 			Use:     "check FILE",
@@ -152,6 +163,20 @@
 			Args:    args(0),
 			RunE:    func(cmd *cobra.Command, _ []string) error { return c.promote(cmd.Context()) },
 		},
+		&cobra.Command{
+			Use:     "diff FILE",
+			Short:   "Show what a document changes in production, without secrets",
+			Example: "  rhubarbsill config diff production.jsonc",
+			Args:    args(1),
+			RunE:    func(cmd *cobra.Command, given []string) error { return c.diff(cmd.Context(), given[0]) },
+		},
+		&cobra.Command{
+			Use:     "rollback VERSION",
+			Short:   "Put the document of an earlier promotion in trial; revoked keys stay revoked",
+			Example: "  rhubarbsill config rollback 41 && rhubarbsill config promote",
+			Args:    args(1),
+			RunE:    func(cmd *cobra.Command, given []string) error { return c.rollback(cmd.Context(), given[0]) },
+		},
 		c.showCommand(),
 		c.historyCommand(),
 	)
@@ -204,10 +229,59 @@
 	if err != nil {
 		return err
 	}
+	return c.printTrial(result)
+}
+
+func (c *cli) printTrial(result Result) error {
 	return c.print(result, "version %d is in trial, on top of production version %d: %d pieces, %d bytes written\n",
 		result.Version, result.Base, result.Pieces, result.Bytes)
 }
 
+func (c *cli) diff(ctx context.Context, file string) error {
+	doc, err := c.readDocument(file)
+	if err != nil {
+		return err
+	}
+	op, err := c.operator()
+	if err != nil {
+		return err
+	}
+	current, version, err := op.Document(ctx, Production)
+	if err != nil {
+		return err
+	}
+	changes := Diff(current, doc)
+	if c.output == "json" {
+		return json.NewEncoder(c.out).Encode(changes)
+	}
+	for _, change := range changes {
+		fmt.Fprintln(c.out, change)
+	}
+	_, err = fmt.Fprintf(c.out, "%d changes to production version %d\n", len(changes), version)
+	return err
+}
+
+func (c *cli) rollback(ctx context.Context, text string) error {
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return usageError{fmt.Errorf("%q is not a version", text)}
+	}
+	op, err := c.operator()
+	if err != nil {
+		return err
+	}
+	result, err := op.Rollback(ctx, core.Version(version))
+	if err != nil {
+		return err
+	}
+	if c.output == "text" {
+		for _, key := range result.KeptRevoked {
+			fmt.Fprintf(c.out, "key %s stays revoked\n", key)
+		}
+	}
+	return c.printTrial(result)
+}
+
 func (c *cli) promote(ctx context.Context) error {
 	op, err := c.operator()
 	if err != nil {
@@ -217,6 +291,9 @@
 	if err != nil {
 		return err
 	}
+	if result.ReplacedBy != 0 {
+		return c.print(result, "version %d was promoted, and version %d has replaced it since\n", result.Version, result.ReplacedBy)
+	}
 	return c.print(result, "version %d is in production, it replaces version %d\n", result.Version, result.Base)
 }
 
@@ -242,20 +319,27 @@
 			if doc == nil {
 				return fmt.Errorf("%s has no configuration yet", environment)
 			}
-			_, err = fmt.Fprintf(c.out, "// version %d\n%s\n", version, config.Format(doc))
-			return err
+			result := shown{Version: version, Document: doc}
+			return c.print(result, "// version %d\n%s\n", version, config.Format(doc))
 		},
 	}
 	command.Flags().StringVar(&environment, "environment", Production, "trial or production")
+	_ = command.RegisterFlagCompletionFunc("environment", choices(Trial, Production)) // the flag exists
 	return command
 }
 
+type shown struct {
+	Version  core.Version     `json:"version"`
+	Document *config.Document `json:"document"`
+}
+
 func (c *cli) historyCommand() *cobra.Command {
 	var limit int
 	command := &cobra.Command{
-		Use:   "history",
-		Short: "List the promotions, the latest first",
-		Args:  args(0),
+		Use:     "history",
+		Short:   "List the promotions, the latest first",
+		Example: "  rhubarbsill config history --limit 5",
+		Args:    args(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			op, err := c.operator()
 			if err != nil {
@@ -279,7 +363,7 @@
 }
 
 func (c *cli) keyCommand() *cobra.Command {
-	command := &cobra.Command{Use: "key", Short: "Work on the keys of client accounts"}
+	command := &cobra.Command{Use: "key", Short: "Work on the keys of client accounts", Example: "  rhubarbsill key new taberna-sol k2"}
 	command.AddCommand(&cobra.Command{
 		Use:     "new ACCOUNT ID",
 		Short:   "Make a key: its text for the client, its entry for the document",
@@ -353,7 +437,7 @@
 				fmt.Fprintf(c.errOut, "instance %s did not answer: its events are missing\n", id)
 			}
 			if c.output == "json" {
-				return timeline.WriteJSON(c.out, events)
+				return json.NewEncoder(c.out).Encode(slices.Concat([]timeline.Event{}, events))
 			}
 			return timeline.WriteText(c.out, events)
 		},
@@ -368,9 +452,10 @@
 
 func (c *cli) versionCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:   "version",
-		Short: "Print the version of this program",
-		Args:  args(0),
+		Use:     "version",
+		Short:   "Print the version of this program",
+		Example: "  rhubarbsill version --output json",
+		Args:    args(0),
 		RunE: func(*cobra.Command, []string) error {
 			info, ok := debug.ReadBuildInfo()
 			if !ok {
--- /dev/null
+++ b/pkg/operator/diff.go
@@ -0,0 +1,121 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+)
+
+// Change is one difference between two documents. It holds no salt or digest.
+type Change struct {
+	What   string `json:"what"` // document, data_centre, service, upstream, account or key
+	Name   string `json:"name"`
+	Change string `json:"change"` // added, removed or changed
+	// Detail lists the changed fields with their values before and after.
+	Detail string `json:"detail,omitempty"`
+}
+
+// String returns the change as one line.
+func (c Change) String() string {
+	sign := map[string]string{"added": "+", "removed": "-", "changed": "~"}[c.Change]
+	return strings.TrimRight(fmt.Sprintf("%s %s %s  %s", sign, c.What, c.Name, c.Detail), " ")
+}
+
+// entry of a document: its fields without those that have entries of their own.
+type fields map[string]json.RawMessage
+
+type entryName struct{ what, name string }
+
+// Diff returns the changes from one document to another, sorted. A nil document
+// is empty.
+func Diff(from, to *config.Document) []Change {
+	before, after := entriesOf(from), entriesOf(to)
+	changes := []Change{}
+	for name, old := range before {
+		if fresh, found := after[name]; !found {
+			changes = append(changes, Change{What: name.what, Name: name.name, Change: "removed"})
+		} else if detail := changedFields(old, fresh); detail != "" {
+			changes = append(changes, Change{What: name.what, Name: name.name, Change: "changed", Detail: detail})
+		}
+	}
+	for name := range after {
+		if _, found := before[name]; !found {
+			changes = append(changes, Change{What: name.what, Name: name.name, Change: "added"})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int {
+		return strings.Compare(a.What+" "+a.Name, b.What+" "+b.Name)
+	})
+	return changes
+}
+
+func entriesOf(doc *config.Document) map[entryName]fields {
+	entries := map[entryName]fields{}
+	if doc == nil {
+		return entries
+	}
+	add := func(what, name string, value any, without ...string) {
+		entries[entryName{what, name}] = fieldsOf(value, without)
+	}
+	add("document", doc.Environment, doc, "data_centres", "services", "accounts")
+	for _, dc := range doc.DataCentres {
+		add("data_centre", string(dc.Name), dc)
+	}
+	for _, service := range doc.Services {
+		add("service", string(service.Name), service, "upstreams")
+		for _, up := range service.Upstreams {
+			add("upstream", string(up.ID), up)
+		}
+	}
+	for _, account := range doc.Accounts {
+		add("account", string(account.ID), account, "keys")
+		for _, key := range account.Keys {
+			add("key", keyName(account.ID, key), key)
+		}
+	}
+	return entries
+}
+
+func fieldsOf(value any, without []string) fields {
+	text, err := json.Marshal(value)
+	var all fields
+	if err == nil {
+		err = json.Unmarshal(text, &all)
+	}
+	if err != nil {
+		panic(fmt.Sprintf("operator: encode %T: %v", value, err)) // the types of config always encode
+	}
+	for _, name := range without {
+		delete(all, name)
+	}
+	return all
+}
+
+func changedFields(before, after fields) string {
+	names := maps.Clone(before)
+	maps.Copy(names, after)
+	var list []string
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		if bytes.Equal(before[name], after[name]) {
+			continue
+		}
+		if name == "salt" || name == "digest" {
+			list = append(list, name)
+			continue
+		}
+		list = append(list, fmt.Sprintf("%s: %s -> %s", name, orNone(before[name]), orNone(after[name])))
+	}
+	return strings.Join(list, ", ")
+}
+
+func orNone(text json.RawMessage) string {
+	if len(text) == 0 {
+		return "none"
+	}
+	return string(text)
+}
--- a/pkg/operator/promote.go
+++ b/pkg/operator/promote.go
@@ -53,8 +53,10 @@
 // Entry is one promotion in the history.
 type Entry struct {
 	Version core.Version `json:"version"`
-	At      time.Time    `json:"at"`
-	Root    config.Root  `json:"root"`
+	// At is the time at which the entry was written. That is the time of the
+	// promotion, or of the next one when the first operator's command died.
+	At   time.Time   `json:"at"`
+	Root config.Root `json:"root"`
 }
 
 // Result is the outcome of a trial or a promotion.
@@ -64,6 +66,11 @@
 	Base   core.Version `json:"base"`
 	Pieces int          `json:"pieces_written"`
 	Bytes  int          `json:"bytes_written"`
+	// ReplacedBy is the production version that has already replaced this one, 0
+	// when none has.
+	ReplacedBy core.Version `json:"replaced_by,omitempty"`
+	// KeptRevoked names the keys that a rollback keeps revoked.
+	KeptRevoked []string `json:"kept_revoked,omitempty"`
 }
 
 // storedRoot is a root together with the version of its object.
@@ -105,24 +112,25 @@
 	if err != nil || stored.root.Version == 0 {
 		return nil, 0, err
 	}
-	doc, err := o.assemble(ctx, stored.root)
+	doc, _, err := o.assemble(ctx, stored.root)
 	return doc, stored.root.Version, err
 }
 
-func (o *Operator) assemble(ctx context.Context, root config.Root) (*config.Document, error) {
-	var failed error
-	doc, err := config.Assemble(root, func(hash config.Hash) ([]byte, bool) {
+// assemble reads each piece of a root once and returns the document together
+// with the pieces.
+func (o *Operator) assemble(ctx context.Context, root config.Root) (*config.Document, map[config.Hash][]byte, error) {
+	pieces, err := config.Fetch(root, func(hash config.Hash) ([]byte, error) {
 		object, err := o.store.Get(ctx, router.PieceObject(hash))
-		if err != nil {
-			failed = fmt.Errorf("read piece %s: %w", hash, err)
-			return nil, false
-		}
-		return object.Value, true
+		return object.Value, err
 	})
-	if failed != nil {
-		return nil, failed
+	if err != nil {
+		return nil, nil, err
 	}
-	return doc, err
+	doc, err := config.Assemble(root, func(hash config.Hash) ([]byte, bool) {
+		body, found := pieces[hash]
+		return body, found
+	})
+	return doc, pieces, err
 }
 
 // Try puts a checked document in trial, on top of the current production
@@ -138,8 +146,9 @@
 		return Result{}, err
 	}
 	var before *config.Document
+	var held map[config.Hash][]byte
 	if production.root.Version != 0 {
-		if before, err = o.assemble(ctx, production.root); err != nil {
+		if before, held, err = o.assemble(ctx, production.root); err != nil {
 			return Result{}, err
 		}
 	}
@@ -148,7 +157,7 @@
 	// that follows the trial sees the later one as newer.
 	root = root.WithVersion(max(root.Version, trial.root.Version+1))
 	result := Result{Version: root.Version, Base: production.root.Version}
-	if err := o.writePieces(ctx, pieces, &result); err != nil {
+	if err := o.writePieces(ctx, pieces, held, &result); err != nil {
 		return Result{}, err
 	}
 	encoded := root.Encode()
@@ -171,8 +180,13 @@
 	return result, err
 }
 
-func (o *Operator) writePieces(ctx context.Context, pieces map[config.Hash][]byte, result *Result) error {
+// writePieces creates the pieces that the store does not hold yet. Pieces are
+// never deleted, so those of production need no attempt.
+func (o *Operator) writePieces(ctx context.Context, pieces, held map[config.Hash][]byte, result *Result) error {
 	for _, hash := range config.SortedHashes(pieces) {
+		if _, found := held[hash]; found {
+			continue
+		}
 		body := pieces[hash]
 		_, err := o.put(ctx, router.PieceObject(hash), body, 0)
 		var conflict platform.ErrConflict
@@ -205,6 +219,9 @@
 		return Result{}, err
 	}
 	result := Result{Version: trial.root.Version, Base: base.Production}
+	if err := o.recordCurrent(ctx, base); err != nil {
+		return Result{}, err
+	}
 	_, err = o.put(ctx, router.RootObject(Production), encoded, base.StoreVersion)
 	var conflict platform.ErrConflict
 	if errors.As(err, &conflict) {
@@ -216,6 +233,21 @@
 	return result, o.writeHistory(ctx, trial.root)
 }
 
+// recordCurrent writes the history entry of the version that is about to be
+// replaced, in case the command that promoted it has not. So every version that
+// was ever replaced is in the history, and a promotion whose answer was lost can
+// be told from one that never took effect.
+func (o *Operator) recordCurrent(ctx context.Context, base trialBase) error {
+	current, err := o.readRoot(ctx, Production)
+	if err != nil || current.root.Version == 0 || current.storeVersion != base.StoreVersion {
+		return err
+	}
+	if _, err := o.entry(ctx, current.root.Version); !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	return o.writeHistory(ctx, current.root)
+}
+
 func (o *Operator) readBase(ctx context.Context, root config.Hash) (trialBase, error) {
 	object, err := o.store.Get(ctx, trialBaseObject)
 	if err != nil {
@@ -239,6 +271,14 @@
 	if bytes.Equal(current.root.Encode(), encoded) {
 		return result, o.writeHistory(ctx, current.root) // promoted already
 	}
+	entry, err := o.entry(ctx, result.Version)
+	if err == nil && bytes.Equal(entry.Root.Encode(), encoded) {
+		result.ReplacedBy = current.root.Version // promoted, then replaced
+		return result, nil
+	}
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return Result{}, err
+	}
 	return Result{}, &ConflictError{Tried: result.Base, Current: current.root.Version}
 }
 
@@ -247,8 +287,7 @@
 	if err != nil {
 		return err
 	}
-	name := fmt.Sprintf("%s%020d", historyPrefix, root.Version)
-	_, err = o.put(ctx, name, value, 0)
+	_, err = o.put(ctx, historyObject(root.Version), value, 0)
 	var conflict platform.ErrConflict
 	if errors.As(err, &conflict) {
 		return nil
@@ -256,22 +295,39 @@
 	return err
 }
 
+func historyObject(version core.Version) string {
+	return fmt.Sprintf("%s%020d", historyPrefix, version)
+}
+
+// entry reads the history entry of a version.
+func (o *Operator) entry(ctx context.Context, version core.Version) (Entry, error) {
+	return o.readEntry(ctx, historyObject(version))
+}
+
+func (o *Operator) readEntry(ctx context.Context, name string) (Entry, error) {
+	var entry Entry
+	object, err := o.store.Get(ctx, name)
+	if err != nil {
+		return entry, err
+	}
+	if err := json.Unmarshal(object.Value, &entry); err != nil {
+		return entry, fmt.Errorf("%s: %w", name, err)
+	}
+	return entry, nil
+}
+
 // History returns the promotions, the latest first, at most limit.
 func (o *Operator) History(ctx context.Context, limit int) ([]Entry, error) {
 	infos, err := o.store.List(ctx, historyPrefix)
 	if err != nil {
 		return nil, err
 	}
-	var entries []Entry
+	entries := []Entry{}
 	for i := len(infos) - 1; i >= 0 && len(entries) < limit; i-- {
-		object, err := o.store.Get(ctx, infos[i].Name)
+		entry, err := o.readEntry(ctx, infos[i].Name)
 		if err != nil {
 			return nil, err
 		}
-		var entry Entry
-		if err := json.Unmarshal(object.Value, &entry); err != nil {
-			return nil, fmt.Errorf("%s: %w", infos[i].Name, err)
-		}
 		entries = append(entries, entry)
 	}
 	return entries, nil
--- /dev/null
+++ b/pkg/operator/rollback.go
@@ -0,0 +1,68 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/platform"
+)
+
+// Rollback puts the document of an earlier promotion in trial as a new version.
+// A key that is revoked or absent in production stays revoked: the earlier
+// document would let it work again (G5).
+func (o *Operator) Rollback(ctx context.Context, version core.Version) (Result, error) {
+	entry, err := o.entry(ctx, version)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Result{}, fmt.Errorf("version %d is not in the history", version)
+	}
+	if err != nil {
+		return Result{}, err
+	}
+	doc, _, err := o.assemble(ctx, entry.Root)
+	if err != nil {
+		return Result{}, err
+	}
+	current, _, err := o.Document(ctx, Production)
+	if err != nil {
+		return Result{}, err
+	}
+	kept := keepRevoked(doc, current)
+	result, err := o.Try(ctx, doc)
+	result.KeptRevoked = kept
+	return result, err
+}
+
+// keepRevoked revokes the keys of doc that do not work in current, and names
+// them. A nil current changes nothing.
+func keepRevoked(doc, current *config.Document) []string {
+	if current == nil {
+		return nil
+	}
+	valid := map[string]bool{}
+	for _, account := range current.Accounts {
+		for _, key := range account.Keys {
+			valid[keyName(account.ID, key)] = !key.Revoked
+		}
+	}
+	var kept []string
+	for i := range doc.Accounts {
+		account := &doc.Accounts[i]
+		account.Keys = slices.Clone(account.Keys) // the document may share its slices
+		for k := range account.Keys {
+			name := keyName(account.ID, account.Keys[k])
+			if !valid[name] && !account.Keys[k].Revoked {
+				account.Keys[k].Revoked = true
+				kept = append(kept, name)
+			}
+		}
+	}
+	return kept
+}
+
+func keyName(account core.AccountID, key config.Key) string {
+	return string(account) + "." + string(key.ID)
+}
--- a/pkg/operator/status.go
+++ b/pkg/operator/status.go
@@ -203,7 +203,7 @@
 			missing = append(missing, instance.ID)
 		}
 	}
-	if len(missing) == len(listed) {
+	if len(listed) > 0 && len(missing) == len(listed) {
 		return nil, missing, errUnreachable
 	}
 	return timeline.Merge(lists), missing, nil
