server, operator: status with warnings, fed metrics, log lines for on call

Cause: status did not say which Instance needs attention, control CPU, control bytes, late answers and queue length had instruments that nothing fed, and the log at info level was silent about a revoked key, the roster, upstreams, the store and refused suspect requests.

Ruled out: control CPU from the processor time of a locked thread, which makes each handover to the event loop dearer; it is the wall time of the event loop's turns for events of no request, beside the processor time of the whole process. A service label on late answers: their attempt is gone and with it the service.

Metrics are fed every 2 s.

--- a/pkg/operator/command.go
+++ b/pkg/operator/command.go
@@ -391,17 +391,15 @@
 }
 
 func (c *cli) statusCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:     "status",
-		Short:   "Show every live instance and the configuration version that it has in force",
-		Example: "  rhubarbsill status --output json",
-		Args:    args(0),
+	var addrs []string
+	command := &cobra.Command{
+		Use:   "status",
+		Short: "Show every live instance, the version that it has in force, and warnings",
+		Example: "  rhubarbsill status --output json\n" +
+			"  rhubarbsill status --ask 10.1.0.11:9090,10.1.0.12:9090   # while the platform is down",
+		Args: args(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			op, err := c.operator()
-			if err != nil {
-				return err
-			}
-			report, err := op.Status(cmd.Context())
+			report, err := c.report(cmd.Context(), addrs)
 			if err != nil {
 				return err
 			}
@@ -411,6 +409,19 @@
 			return report.write(c.out)
 		},
 	}
+	command.Flags().StringSliceVar(&addrs, "ask", nil, "status addresses to ask instead of the platform's list")
+	return command
+}
+
+func (c *cli) report(ctx context.Context, addrs []string) (Report, error) {
+	if len(addrs) > 0 {
+		return StatusOf(ctx, addrs)
+	}
+	op, err := c.operator()
+	if err != nil {
+		return Report{}, err
+	}
+	return op.Status(ctx)
 }
 
 func (c *cli) timelineCommand() *cobra.Command {
--- a/pkg/operator/command_test.go
+++ b/pkg/operator/command_test.go
@@ -14,7 +14,11 @@
 	"github.com/matryer/is"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/lab/objectstore"
+	"github.com/rhubarbsill/rhubarbsill/pkg/platform"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/server"
 )
 
 func run(t *testing.T, args ...string) (code int, out, errOut string) {
@@ -162,3 +166,37 @@
 	is.True(!strings.Contains(fmt.Sprint(Diff(from, to)), "0000"+"00000000"))
 	is.Equal(len(Diff(from, from)), 0)
 }
+
+// Guards against an Instance in trouble that status does not point out.
+func TestWarnings(t *testing.T) {
+	is := is.New(t)
+	healthy := server.Status{View: router.View{Version: 4, Keys: "fresh", Settled: true}}
+	cases := []struct {
+		name   string
+		change func(i *InstanceReport)
+		want   string
+	}{
+		{"healthy", func(*InstanceReport) {}, ""},
+		{"silent", func(i *InstanceReport) { i.Status = nil }, "is silent"},
+		{"behind", func(i *InstanceReport) { i.Status.Version = 3 }, "is behind: version 3 is in force, production is 4"},
+		{"stopped", func(i *InstanceReport) { i.Status.Stopped = "absent from the list" }, "is stopped"},
+		{"leaving", func(i *InstanceReport) { i.Status.Leaving = true }, "is leaving"},
+		{"listed as leaving", func(i *InstanceReport) { i.State = platform.Leaving }, "is leaving"},
+		{"outage", func(i *InstanceReport) { i.Status.Keys = "store_outage" }, "mode store_outage"},
+		{"unsettled", func(i *InstanceReport) { i.Status.Settled = false }, "roster that is not settled"},
+		{"upstream", func(i *InstanceReport) { i.Status.FailingUpstreams = []core.UpstreamID{"decode-1"} }, "decode-1"},
+	}
+	for _, c := range cases {
+		status := healthy
+		instance := InstanceReport{ID: "entry-1", State: platform.Live, Status: &status}
+		c.change(&instance)
+		report := Report{Production: 4, Instances: []InstanceReport{instance}}
+		report.finish()
+		var out bytes.Buffer
+		is.NoErr(report.write(&out))
+		is.Equal(strings.Count(out.String(), "WARNING entry-1 "), min(1, len(c.want)))
+		if !strings.Contains(out.String(), c.want) {
+			t.Errorf("%s: %s", c.name, out.String())
+		}
+	}
+}
--- a/pkg/operator/status.go
+++ b/pkg/operator/status.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/keys"
 	"github.com/rhubarbsill/rhubarbsill/pkg/platform"
 	"github.com/rhubarbsill/rhubarbsill/pkg/server"
 	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
@@ -37,6 +38,8 @@
 	// Versions lists for each version the live Instances that have it in force.
 	Versions  []VersionReport  `json:"versions"`
 	Instances []InstanceReport `json:"instances"`
+	// Warnings are sentences about Instances that need attention.
+	Warnings []string `json:"warnings"`
 }
 
 // VersionReport names the Instances that have a version in force.
@@ -74,10 +77,71 @@
 		}
 		report.Instances[i] = entry
 	})
-	report.Versions = versionsOf(report.Instances)
+	report.finish()
 	return report, nil
 }
 
+// StatusOf asks Instances by their status addresses, without the platform, which
+// may be down. The production version is the highest that one of them knows of.
+func StatusOf(ctx context.Context, addrs []string) (Report, error) {
+	report := Report{Instances: make([]InstanceReport, len(addrs))}
+	each(len(addrs), func(i int) {
+		entry := InstanceReport{ID: addrs[i], State: notRead}
+		var status server.Status
+		if ask(ctx, addrs[i], "/status", nil, &status) == nil {
+			entry.ID = string(status.Instance.ID)
+			entry.Status = &status
+		}
+		report.Instances[i] = entry
+	})
+	answered := false
+	for _, instance := range report.Instances {
+		if instance.Status != nil {
+			answered = true
+			report.Production = max(report.Production, instance.Status.VersionSeen)
+		}
+	}
+	if !answered {
+		return Report{}, errUnreachable
+	}
+	report.finish()
+	return report, nil
+}
+
+// notRead stands for the state in a list that was not read.
+const notRead = platform.InstanceState("-")
+
+func (r *Report) finish() {
+	r.Versions = versionsOf(r.Instances)
+	r.Warnings = []string{}
+	for _, instance := range r.Instances {
+		for _, text := range instance.warnings(r.Production) {
+			r.Warnings = append(r.Warnings, instance.ID+" "+text)
+		}
+	}
+}
+
+// warnings says what is wrong with an Instance.
+func (i InstanceReport) warnings(production core.Version) []string {
+	if i.Status == nil {
+		return []string{"is silent: it did not answer"}
+	}
+	var list []string
+	add := func(holds bool, format string, values ...any) {
+		if holds {
+			list = append(list, fmt.Sprintf(format, values...))
+		}
+	}
+	s := i.Status
+	add(s.Version < production, "is behind: version %d is in force, production is %d", s.Version, production)
+	add(s.Stopped != "", "is stopped, it refuses all requests: %s", s.Stopped)
+	add(s.Leaving || i.State == platform.Leaving, "is leaving, %d requests running", s.Requests)
+	add(s.Keys != string(keys.Fresh), "has no fresh confirmation of the configuration: mode %s for %d s", s.Keys, s.ConfirmedMS/1000)
+	add(!s.Settled, "has a roster that is not settled: epoch %d", s.Epoch)
+	add(len(s.FailingUpstreams) > 0, "gets no load report from %v", s.FailingUpstreams)
+	return list
+}
+
 func versionsOf(instances []InstanceReport) []VersionReport {
 	var versions []VersionReport
 	for _, instance := range instances {
@@ -162,17 +226,32 @@
 		fmt.Fprintf(out, "version %d in force on %d instances: %s\n", version.Version, len(version.Instances), strings.Join(version.Instances, " "))
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "INSTANCE\tDATA CENTRE\tLIST\tVERSION\tKEYS\tROSTER\tREQUESTS")
+	fmt.Fprintln(table, "INSTANCE\tDATA CENTRE\tLIST\tVERSION\tKEYS\tROSTER\tREQUESTS\tQUEUED\tPEER B/S\tHEAP MB\tCPU S\tCPU %")
 	for _, instance := range r.Instances {
 		if instance.Status == nil {
-			fmt.Fprintf(table, "%s\t%s\t%s\tno answer\t\t\t\n", instance.ID, instance.DataCentre, instance.State)
+			fmt.Fprintf(table, "%s\t%s\t%s\tno answer\t\t\t\t\t\t\t\t\n", instance.ID, instance.DataCentre, instance.State)
 			continue
 		}
 		s := instance.Status
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%d\t%d\n",
-			instance.ID, instance.DataCentre, instance.State, s.Version, s.Keys, s.Epoch, s.Requests)
+		roster := fmt.Sprint(s.Epoch)
+		if !s.Settled {
+			roster += " unsettled"
+		}
+		queued := 0
+		for _, n := range s.Queued {
+			queued += n
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\n",
+			instance.ID, instance.DataCentre, instance.State, s.Version, s.Keys, roster, s.Requests, queued,
+			s.PeerBytesPerSecond, float64(s.HeapBytes)/(1<<20), s.CPUSeconds, 100*s.CPUShare)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, warning := range r.Warnings {
+		fmt.Fprintf(out, "WARNING %s\n", warning)
 	}
-	return table.Flush()
+	return nil
 }
 
 // Query selects events of the timeline. Empty fields match everything.
--- /dev/null
+++ b/pkg/server/sample.go
@@ -0,0 +1,199 @@
+package server
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"runtime/metrics"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
+)
+
+// sampleEvery is the period over which rates on the status page are measured.
+const sampleEvery = 2 * time.Second
+
+// Usage is what the process uses of its machine.
+type Usage struct {
+	// CPUSeconds is the processor time of the whole process since its start.
+	CPUSeconds float64 `json:"process_cpu_seconds"`
+	// CPUShare is the share of one core over the last sample.
+	CPUShare float64 `json:"process_cpu_share"`
+	// ControlCPUSeconds is the time that the event loop spent on events that
+	// belong to no request.
+	ControlCPUSeconds float64 `json:"control_cpu_seconds"`
+	// PeerBytesPerSecond and PlatformBytesPerSecond count both directions over
+	// the last sample.
+	PeerBytesPerSecond     int64  `json:"peer_bytes_per_second"`
+	PlatformBytesPerSecond int64  `json:"platform_bytes_per_second"`
+	HeapBytes              uint64 `json:"heap_bytes"`
+}
+
+// totals are counts since the start of the process.
+type totals struct {
+	at                         time.Time
+	cpu, control               time.Duration
+	peerSent, peerReceived     int64
+	platSent, platformReceived int64
+	late                       uint64
+}
+
+// sampler turns totals into rates and feeds the metrics with the differences.
+type sampler struct {
+	server *Server
+	last   totals
+	queued map[core.ServiceName]int
+}
+
+// sample runs until ctx ends.
+func (s *Server) sample(ctx context.Context) {
+	ticker := time.NewTicker(sampleEvery)
+	defer ticker.Stop()
+	sampler := sampler{server: s, last: totals{at: time.Now()}}
+	for {
+		sampler.take()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *sampler) take() {
+	s := p.server
+	now := s.totals()
+	usage := usageBetween(p.last, now)
+	s.usage.Store(&usage)
+	s.metrics.ProcessCPU(now.cpu - p.last.cpu)
+	s.metrics.ControlCPU(now.control - p.last.control)
+	s.metrics.ControlBytes(telemetry.Sent, now.sent()-p.last.sent())
+	s.metrics.ControlBytes(telemetry.Received, now.received()-p.last.received())
+	s.metrics.LateAnswers(int64(now.late - p.last.late))
+	p.last = now
+	if counters := s.counters.Load(); counters != nil {
+		p.queueLengths(counters.Queued)
+	}
+}
+
+// queueLengths also reports a queue that has become empty.
+func (p *sampler) queueLengths(queued map[core.ServiceName]int) {
+	names := maps.Clone(p.queued)
+	if names == nil {
+		names = map[core.ServiceName]int{}
+	}
+	maps.Copy(names, queued)
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		p.server.metrics.QueueLength(name, queued[name])
+	}
+	p.queued = names
+}
+
+func (t totals) sent() int64     { return t.peerSent + t.platSent }
+func (t totals) received() int64 { return t.peerReceived + t.platformReceived }
+
+func (s *Server) totals() totals {
+	peers := s.peers.Stats()
+	t := totals{
+		at:               time.Now(),
+		cpu:              processCPU(),
+		control:          time.Duration(s.controlTime.Load()),
+		peerSent:         peers.BytesSent,
+		peerReceived:     peers.BytesReceived,
+		platSent:         s.platformBytes.sent.Load(),
+		platformReceived: s.platformBytes.received.Load(),
+	}
+	if counters := s.counters.Load(); counters != nil {
+		t.late = counters.LateAnswers
+	}
+	return t
+}
+
+func usageBetween(before, now totals) Usage {
+	seconds := max(now.at.Sub(before.at).Seconds(), time.Millisecond.Seconds())
+	perSecond := func(bytes int64) int64 { return int64(float64(bytes) / seconds) }
+	return Usage{
+		CPUSeconds:             now.cpu.Seconds(),
+		CPUShare:               (now.cpu - before.cpu).Seconds() / seconds,
+		ControlCPUSeconds:      now.control.Seconds(),
+		PeerBytesPerSecond:     perSecond(now.peerSent + now.peerReceived - before.peerSent - before.peerReceived),
+		PlatformBytesPerSecond: perSecond(now.platSent + now.platformReceived - before.platSent - before.platformReceived),
+		HeapBytes:              heapBytes(),
+	}
+}
+
+// processCPU returns the user and system time of the process, 0 when the system
+// does not tell.
+func processCPU() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// heapBytes reads runtime/metrics, which does not stop the program as
+// runtime.ReadMemStats does.
+func heapBytes() uint64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(sample)
+	if sample[0].Value.Kind() != metrics.KindUint64 {
+		return 0
+	}
+	return sample[0].Value.Uint64()
+}
+
+// isControl reports whether an event belongs to no request.
+func isControl(event router.Event) bool {
+	switch event.(type) {
+	case router.RequestArrived, router.CallerGone, router.AddressesAsked, router.AttemptSent,
+		router.PrefillDone, router.FirstToken, router.Progress, router.AnswerEnded,
+		router.AttemptFailed, router.CancelConfirmed:
+		return false
+	}
+	return true
+}
+
+// byteCount counts the bytes of connections.
+type byteCount struct{ sent, received atomic.Int64 }
+
+// transport returns an HTTP transport whose connections are counted.
+func (c *byteCount) transport(idlePerHost int) http.RoundTripper {
+	var dialer net.Dialer
+	return &http.Transport{
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     time.Minute,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return countedConn{Conn: conn, count: c}, nil
+		},
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	count *byteCount
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.count.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.count.sent.Add(int64(n))
+	return n, err
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -43,6 +43,8 @@
 	longestWait = 250 * time.Millisecond
 	// viewEvery is the shortest time between two refreshes of the status.
 	viewEvery = 100 * time.Millisecond
+	// platformPending bounds the calls to the platform in progress.
+	platformPending = 64
 	// timelineSize is the number of events that an Instance keeps.
 	timelineSize = 20_000
 )
@@ -67,7 +69,16 @@
 	sealer    atomic.Pointer[resume.Sealer]
 	snapshot  atomic.Pointer[config.Snapshot]
 	view      atomic.Pointer[router.View]
+	counters  atomic.Pointer[router.Counters]
+	failing   atomic.Pointer[[]core.UpstreamID]
+	usage     atomic.Pointer[Usage]
 	nextView  core.Instant // used by the event loop only
+	onCall    *onCall      // used by the event loop only
+
+	// controlTime counts the nanoseconds that the event loop spent on events of no
+	// request, platformBytes the traffic with the platform.
+	controlTime   atomic.Int64
+	platformBytes byteCount
 
 	asks        sync.Map // ask number -> chan router.Addresses
 	askNumber   atomic.Uint64
@@ -96,13 +107,17 @@
 		stamps:   timeline.NewClock(string(settings.Instance), time.Now),
 		pieces:   newPieceCache(),
 		drained:  make(chan struct{}),
+		onCall:   newOnCall(log),
 	}
 	s.incarnation.Store(uint64(incarnation))
 	var err error
 	if s.metrics, err = telemetry.New(telemetry.Options{}); err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
-	s.platform = platform.NewHTTP(settings.Platform, platform.Options{})
+	s.platform = platform.NewHTTP(settings.Platform, platform.Options{
+		MaxPending: platformPending,
+		Transport:  s.platformBytes.transport(platformPending),
+	})
 	s.setUpstreamClient("")
 	if err := s.listen(); err != nil {
 		return nil, err
@@ -206,7 +221,11 @@
 }
 
 func (s *Server) start(ctx context.Context) {
-	s.background.Add(2)
+	s.background.Add(3)
+	go func() {
+		defer s.background.Done()
+		s.sample(ctx)
+	}()
 	go func() {
 		defer s.background.Done()
 		s.loop(ctx)
@@ -270,12 +289,22 @@
 	s.nextView = now.Add(viewEvery)
 	view := s.router.View(now)
 	s.view.Store(&view)
+	counters := s.router.Counters()
+	s.counters.Store(&counters)
+	failing := s.onCall.failingUpstreams()
+	s.failing.Store(&failing)
+	s.onCall.view(view)
 }
 
 func (s *Server) step(ctx context.Context, event router.Event) {
+	began := time.Now()
+	s.onCall.event(event)
 	for _, effect := range s.router.Step(s.clock.now(), event) {
 		s.perform(ctx, effect)
 	}
+	if isControl(event) {
+		s.controlTime.Add(int64(time.Since(began)))
+	}
 }
 
 func (s *Server) afterPause(ctx context.Context) {
@@ -344,6 +373,7 @@
 func (s *Server) record(event timeline.Event) {
 	event.Stamp = s.stamps.Now()
 	s.ring.Add(event)
+	s.onCall.record(event)
 	s.log.Debug(event.Part+": "+event.Kind,
 		zap.String("request", string(event.Request)),
 		zap.String("account", string(event.Account)),
--- a/pkg/server/status.go
+++ b/pkg/server/status.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"runtime"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
@@ -15,9 +14,19 @@
 // Status is the body of /status.
 type Status struct {
 	router.View
+	Usage
+	// VersionSeen is the highest configuration version that the Instance knows of.
+	VersionSeen core.Version `json:"version_seen"`
+	// ConfirmedMS is the time since the store is known to have held VersionSeen.
+	ConfirmedMS int64 `json:"confirmed_ms_ago"`
+	// FailingUpstreams do not report their load to this Instance.
+	FailingUpstreams []core.UpstreamID `json:"upstreams_failing"`
+	// Queued is the number of requests that wait for an Upstream, by service.
+	Queued map[core.ServiceName]int `json:"requests_queued"`
+	// LateAnswers counts answers that were dropped because their attempt had ended.
+	LateAnswers uint64     `json:"late_answers_dropped"`
 	Peers       peer.Stats `json:"peer_traffic"`
 	Connections int64      `json:"caller_connections"`
-	HeapBytes   uint64     `json:"heap_bytes"`
 }
 
 // statusHandler serves the status page, the metrics and the timeline.
@@ -36,14 +45,24 @@
 		http.Error(w, "the event loop has not run yet", http.StatusServiceUnavailable)
 		return
 	}
-	var memory runtime.MemStats
-	runtime.ReadMemStats(&memory)
-	writeJSON(w, Status{
+	status := Status{
 		View:        *view,
+		VersionSeen: view.Root.Version,
+		ConfirmedMS: s.clock.now().Sub(view.ConfirmedAt).Milliseconds(),
 		Peers:       s.peers.Stats(),
 		Connections: s.connections.Load(),
-		HeapBytes:   memory.HeapAlloc,
-	})
+	}
+	if usage := s.usage.Load(); usage != nil {
+		status.Usage = *usage
+	}
+	if failing := s.failing.Load(); failing != nil {
+		status.FailingUpstreams = *failing
+	}
+	if counters := s.counters.Load(); counters != nil {
+		status.Queued = counters.Queued
+		status.LateAnswers = counters.LateAnswers
+	}
+	writeJSON(w, status)
 }
 
 // serveTimeline answers with the events of this Instance that match the query
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -82,6 +82,7 @@
 	refusals      metric.Int64Counter
 	insideRate    metric.Int64Counter
 	controlCPU    metric.Float64Counter
+	processCPU    metric.Float64Counter
 	controlBytes  metric.Int64Counter
 	lateAnswers   metric.Int64Counter
 	queueLength   metric.Int64Gauge
@@ -115,8 +116,9 @@
 	m.wastedPrefill = b.counter("wasted_prefill", "{token}", "Prompt tokens prefilled for an attempt that gave no complete answer.")
 	m.refusals = b.counter("refusals", "{request}", "Refused requests by code.")
 	m.insideRate = b.counter("refusals_inside_rate", "{request}", "Requests refused although inside the rate of their account.")
-	m.controlCPU = b.seconds("control_cpu", "Processor time spent on control work.")
-	m.controlBytes = b.counter("control", "By", "Bytes of control traffic by direction.")
+	m.controlCPU = b.seconds("control_cpu", "Time of the event loop spent on events that belong to no request.")
+	m.processCPU = b.seconds("process_cpu", "Processor time of the whole process.")
+	m.controlBytes = b.counter("control", "By", "Bytes of traffic with peers and the platform by direction.")
 	m.lateAnswers = b.counter("late_answers_dropped", "{answer}", "Answers that arrived after their attempt had ended.")
 	m.queueLength = b.gauge("queue_length", "{request}", "Requests that wait for an engine.")
 	b.observe("worst_account_service", "1", "Share of requests answered within both targets, of the account with the lowest share in the window. 1 when no account has enough requests.", m.accounts.worst)
@@ -161,7 +163,7 @@
 	m.wastedPrefill.Add(context.Background(), tokens, metric.WithAttributes(serviceLabel(service)))
 }
 
-// ControlCPU records processor time spent on control work.
+// ControlCPU records time that the event loop spent on events of no request.
 func (m *Metrics) ControlCPU(d time.Duration) {
 	m.controlCPU.Add(context.Background(), d.Seconds())
 }
@@ -171,9 +173,15 @@
 	m.controlBytes.Add(context.Background(), n, metric.WithAttributes(attribute.String("direction", string(direction))))
 }
 
-// LateAnswer records an answer that was dropped because its attempt had ended.
-func (m *Metrics) LateAnswer(service core.ServiceName) {
-	m.lateAnswers.Add(context.Background(), 1, metric.WithAttributes(serviceLabel(service)))
+// ProcessCPU records processor time of the whole process.
+func (m *Metrics) ProcessCPU(d time.Duration) {
+	m.processCPU.Add(context.Background(), d.Seconds())
+}
+
+// LateAnswers records answers that were dropped because their attempt had ended.
+// They have no service: the attempt is no longer known.
+func (m *Metrics) LateAnswers(n int64) {
+	m.lateAnswers.Add(context.Background(), n)
 }
 
 // QueueLength records the number of requests that wait for an engine.
