--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -43,6 +43,8 @@
 	longestWait = 250 * time.Millisecond
 	// viewEvery is the shortest time between two refreshes of the status.
 	viewEvery = 100 * time.Millisecond
+	// platformPending bounds the calls to the platform in progress.
+	platformPending = 64
 	// timelineSize is the number of events that an Instance keeps.
 	timelineSize = 20_000
 )
@@ -67,9 +69,18 @@
 	sealer    atomic.Pointer[resume.Sealer]
 	snapshot  atomic.Pointer[config.Snapshot]
 	view      atomic.Pointer[router.View]
-	// nextView and credential are used by the event loop only.
+	// nextView, credential and onCall are used by the event loop only.
 	nextView   core.Instant
 	credential string
+	onCall     *onCall
+
+	counters atomic.Pointer[router.Counters]
+	failing  atomic.Pointer[[]core.UpstreamID]
+	usage    atomic.Pointer[Usage]
+	// controlTime counts the nanoseconds that the event loop spent on events of no
+	// request, platformBytes the traffic with the platform.
+	controlTime   atomic.Int64
+	platformBytes byteCount
 
 	asks        sync.Map // ask number -> chan router.Addresses
 	askNumber   atomic.Uint64
@@ -99,6 +110,7 @@
 		stamps:   timeline.NewClock(string(settings.Instance), time.Now),
 		pieces:   newPieceCache(),
 		drained:  make(chan struct{}),
+		onCall:   newOnCall(log),
 
 		loopEnded: make(chan struct{}),
 	}
@@ -107,7 +119,10 @@
 	if s.metrics, err = telemetry.New(telemetry.Options{}); err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
-	s.platform = platform.NewHTTP(settings.Platform, platform.Options{})
+	s.platform = platform.NewHTTP(settings.Platform, platform.Options{
+		MaxPending: platformPending,
+		Transport:  s.platformBytes.transport(platformPending),
+	})
 	s.setUpstreamClient("")
 	if err := s.listen(); err != nil {
 		return nil, err
@@ -211,7 +226,11 @@
 }
 
 func (s *Server) start(ctx context.Context) {
-	s.background.Add(3)
+	s.background.Add(4)
+	go func() {
+		defer s.background.Done()
+		s.sample(ctx)
+	}()
 	go func() {
 		defer s.background.Done()
 		s.loop(ctx)
@@ -286,12 +305,22 @@
 	s.nextView = now.Add(viewEvery)
 	view := s.router.View(now)
 	s.view.Store(&view)
+	counters := s.router.Counters()
+	s.counters.Store(&counters)
+	failing := s.onCall.failingUpstreams()
+	s.failing.Store(&failing)
+	s.onCall.view(view)
 }
 
 func (s *Server) step(ctx context.Context, event router.Event) {
+	began := time.Now()
+	s.onCall.event(event)
 	for _, effect := range s.router.Step(s.clock.now(), event) {
 		s.perform(ctx, effect)
 	}
+	if isControl(event) {
+		s.controlTime.Add(int64(time.Since(began)))
+	}
 }
 
 func (s *Server) afterPause(ctx context.Context) {
@@ -360,6 +389,7 @@
 func (s *Server) record(event timeline.Event) {
 	event.Stamp = s.stamps.Now()
 	s.ring.Add(event)
+	s.onCall.record(event)
 	s.log.Debug(event.Part+": "+event.Kind,
 		zap.String("request", string(event.Request)),
 		zap.String("account", string(event.Account)),
