config: desired state of an engine

Orders to engines are to follow from the document, but the document could not say what an engine has to serve. Upstream gets an optional "serve" with model, adapter and version. The role stays in the existing field, so that it cannot be given twice with different values.

The model must be among the Upstream's models, and only an engine may have a desired state. An engine with a desired state counts only for that model in the check that one region has both roles for each model: otherwise a document could order every engine of a model to serve another one. Making the model optional (a change of version only) was ruled out, since an order carries the whole state.

A document without serve gives the same pieces as before.

--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -137,6 +137,19 @@
 	// ChecksFencing says that the engine rejects an order with a stale fencing
 	// number.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
+	// Serve is what the engine is ordered to serve, in the role Role. Without it
+	// the engine gets no orders.
+	Serve *Serve `json:"serve,omitempty"`
+}
+
+// Serve is the desired state of an engine.
+type Serve struct {
+	// Model is one of the Upstream's models.
+	Model core.ModelName `json:"model"`
+	// Adapter is loaded on top of the model; empty for none.
+	Adapter string `json:"adapter,omitempty"`
+	// Version is the version of the weights; empty for the weight store's default.
+	Version string `json:"version,omitempty"`
 }
 
 // Route is a path of a plain service.
--- a/pkg/config/findings_test.go
+++ b/pkg/config/findings_test.go
@@ -62,6 +62,11 @@
 		{"engines in two regions", `"data_centre": "n1", "slots"`, `"data_centre": "s1", "slots"`, `no region has both a prefill and a decode engine for model "m1"`},
 		{"model of upstream", `"slots": 20`, `"slots": 20, "models": ["m2"]`, `service "llm" does not offer model "m2"`},
 		{"upstream without models", `"slots": 20`, `"slots": 20, "models": []`, `an upstream needs at least one model`},
+		{"serve another model", `"slots": 20`, `"slots": 20, "serve": {"model": "m2"}`, `8:117: services[0].upstreams[1].serve.model: model "m2" is not among the models of the upstream`},
+		{"serve without model", `"slots": 20`, `"slots": 20, "serve": {"version": "7"}`, `services[0].upstreams[1].serve.model: field "model" is missing`},
+		{"serve a role", `"slots": 20`, `"slots": 20, "serve": {"model": "m1", "role": "decode"}`, `services[0].upstreams[1].serve.role: unknown field`},
+		{"serve form", `"slots": 20`, `"slots": 20, "serve": {"model": "m1", "adapter": "a b", "version": ""}`, `serve.adapter: "a b" is not valid`},
+		{"serve of a plain service", `"http://127.0.0.1:9003",`, `"http://127.0.0.1:9003", "serve": {"model": "m1"},`, `services[1].upstreams[0].serve: only an engine has a desired state`},
 		{"role", `"role": "decode"`, `"role": "both"`, `"both" is not one of prefill, decode`},
 		{"kind", `"kind": "plain"`, `"kind": "http"`, `"http" is not one of model, plain`},
 		{"duplicate service", `"name": "desk"`, `"name": "llm"`, `services[1].name: service "llm" is already used at services[0].name`},
@@ -113,6 +118,21 @@
 	is.Equal(doc.Services[0].Upstreams[1].Models, doc.Services[0].Models)
 }
 
+// Guards against desired states after which no engine serves a model of the
+// service, and against a desired state that does not reach the Snapshot.
+func TestServe(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(valid, `"slots": 20`, `"slots": 20, "serve": {"model": "m1", "adapter": "a", "version": "7"}`, 1)
+	doc, findings := Parse("test.jsonc", []byte(text))
+	is.NoErr(findings.Err())
+	_, up, found := Compile(doc, 1).Upstream("d1")
+	is.True(found)
+	is.Equal(up.Serve, &Serve{Model: "m1", Adapter: "a", Version: "7"})
+	_, findings = Parse("test.jsonc", []byte(strings.Replace(text, `["m1"]`, `["m1", "m2"]`, 1)))
+	is.Equal(len(findings), 1)
+	is.Equal(findings[0].Message, `no region has both a prefill and a decode engine for model "m2"`)
+}
+
 // Guards against a document without services that Format turns into one that
 // Parse refuses. FuzzParse found it.
 func TestFormatWithoutServices(t *testing.T) {
--- a/pkg/config/parse_service.go
+++ b/pkg/config/parse_service.go
@@ -111,7 +111,7 @@
 func (p *parser) regionsOf(service *Service, model core.ModelName, role Role) []core.RegionName {
 	var regions []core.RegionName
 	for _, up := range service.Upstreams {
-		if up.Role == role && slices.Contains(up.Models, model) {
+		if up.Role == role && up.Serves(model) {
 			regions = append(regions, p.dataCentres[up.DataCentre])
 		}
 	}
@@ -137,7 +137,7 @@
 }
 
 func (p *parser) upstream(f field, service *Service) Upstream {
-	o, ok := f.object("id", "url", "role", "data_centre", "slots", "models", "checks_fencing")
+	o, ok := f.object("id", "url", "role", "data_centre", "slots", "models", "checks_fencing", "serve")
 	if !ok {
 		return Upstream{}
 	}
@@ -156,9 +156,43 @@
 	}
 	up.Slots = readSlots(o, up.Role)
 	up.Models = readModels(o.get("models"), service)
+	up.Serve = readServe(o.get("serve"), service.Kind, up.Models)
 	return up
 }
 
+// readServe reads the desired state of an engine. Its model is one of those that
+// the Upstream may serve.
+func readServe(f field, kind ServiceKind, models []core.ModelName) *Serve {
+	if !f.present {
+		return nil
+	}
+	if kind == ServicePlain {
+		f.fail("only an engine has a desired state")
+		return nil
+	}
+	o, ok := f.object("model", "adapter", "version")
+	if !ok {
+		return nil
+	}
+	model, given := o.need("model").text()
+	if given && !slices.Contains(models, core.ModelName(model)) {
+		o.get("model").fail("model %s is not among the models of the upstream", quote(model))
+		return nil
+	}
+	adapter, _ := o.get("adapter").match(modelForm, maxModelLength, modelWant)
+	version, _ := o.get("version").match(modelForm, maxModelLength, modelWant)
+	return &Serve{Model: core.ModelName(model), Adapter: adapter, Version: version}
+}
+
+// Serves reports whether the Upstream serves the model once it is in its desired
+// state.
+func (u *Upstream) Serves(model core.ModelName) bool {
+	if u.Serve != nil {
+		return u.Serve.Model == model
+	}
+	return slices.Contains(u.Models, model)
+}
+
 func readRole(o object, kind ServiceKind) Role {
 	if kind == ServicePlain {
 		return Role(o.get("role").oneOf(string(RolePlain)))
