orders: limit loads, release the lease only after the orders

The weight store is rate-limited, but a holder ordered every engine that differed at once. MaxLoads bounds the loads at a time. A load counts from its order until the engine's report agrees, and the report now says what the engine loads. A new holder doesn't know the orders of the one before, so that each engine that differs counts as loading until a report of the new term arrives. Ruled out: a count in the lease object, since it would be written for each load and would still be wrong after a lost answer.

A holder that resigned released its lease while an order could still be executed. The successor takes a released lease at once, and an engine that ignores fencing then executed the older holder's order after the newer one's. The property test did not find this, since it never resigns. The holder now waits for the results; an order without one keeps the lease until its term ends.

--- a/pkg/orders/lease.go
+++ b/pkg/orders/lease.go
@@ -12,6 +12,11 @@
 	if o.reading || o.writing != nil || now < o.callAt {
 		return nil
 	}
+	if o.resigning && o.holds(now) && !o.settled(now) {
+		// The successor takes a released lease at once. An order that may still be
+		// executed would then follow its orders.
+		return nil
+	}
 	o.startedAt = now
 	if !o.known || o.mustRead || !o.mayWrite(now) {
 		o.reading = true
@@ -41,6 +46,17 @@
 	return []Output{WriteLease{Base: o.version, Value: value}}
 }
 
+// settled reports whether no order that this Instance has sent may be executed
+// any more. If not, it looks again later.
+func (o *Orders) settled(now core.Instant) bool {
+	until := max(now, o.runsUntil)
+	for _, u := range o.upstreams {
+		until = max(until, u.runsUntil)
+	}
+	o.callAt = min(until, o.termEnd)
+	return until <= now
+}
+
 // mayWrite reports whether the lease is the own one or certainly over.
 func (o *Orders) mayWrite(now core.Instant) bool {
 	switch {
@@ -184,6 +200,7 @@
 	}
 	o.fence = w.lease.Fence
 	if o.fence == 0 {
+		o.heldSince = now
 		o.fence = core.Fence(version)
 	}
 	o.termEnd = w.at.Add(o.p.Term * holderPercent / 100)
--- a/pkg/orders/orders.go
+++ b/pkg/orders/orders.go
@@ -19,6 +19,11 @@
 // its report agrees. The lease records the highest configuration version, and a
 // holder orders nothing from a lower one, so that an Instance that has not seen
 // the latest configuration does not take Upstreams back.
+//
+// Loads from the weight store are limited to MaxLoads at a time. A load counts
+// from its order until the report agrees. A new holder doesn't know the orders of
+// the one before: each Upstream that differs counts as loading until a report of
+// the new term shows what it does.
 package orders
 
 import (
@@ -50,6 +55,12 @@
 	RetryAfter time.Duration
 	// PollEvery is the time between two reads of another's lease. Default 5 s.
 	PollEvery time.Duration
+	// MaxLoads bounds the Upstreams that load weights at a time; 0 sets no bound.
+	MaxLoads int
+	// LoadLimit is the time after which a load no longer counts for MaxLoads, so
+	// that an Upstream that never answers does not hold up the others. Default
+	// 10 min.
+	LoadLimit time.Duration
 	// Random is the source of the nonces. It is required.
 	Random io.Reader
 }
@@ -59,6 +70,7 @@
 	p.TimeLimit = cmp.Or(p.TimeLimit, 10*time.Second)
 	p.RetryAfter = cmp.Or(p.RetryAfter, 2*time.Second)
 	p.PollEvery = cmp.Or(p.PollEvery, 5*time.Second)
+	p.LoadLimit = cmp.Or(p.LoadLimit, 10*time.Minute)
 	return p
 }
 
@@ -70,6 +82,14 @@
 	Role    string
 }
 
+// Report is what an Upstream says about itself.
+type Report struct {
+	// Serves is what it serves now.
+	Serves State
+	// Loading is the state that it will serve when a load ends, zero without one.
+	Loading State
+}
+
 // Desired is the desired state of an Upstream.
 type Desired struct {
 	Upstream core.UpstreamID
@@ -142,9 +162,16 @@
 
 // upstream is what is known of one Upstream.
 type upstream struct {
-	want     Desired
-	reported *State
-	nextAt   core.Instant // no order before
+	want       Desired
+	reported   *State
+	loading    State
+	reportedAt core.Instant
+	nextAt     core.Instant // no order before
+	// ordered is set from an order until a report shows what became of it.
+	ordered   bool
+	orderedAt core.Instant
+	// runsUntil is the end of the time in which the last order may be executed.
+	runsUntil core.Instant
 }
 
 // Orders issues the orders of one service. Its methods do not block and must be
@@ -162,6 +189,8 @@
 	seenAt    core.Instant
 	fence     core.Fence   // of the own term, 0 without one
 	termEnd   core.Instant // of the own term
+	heldSince core.Instant // with this fencing number
+	runsUntil core.Instant // for orders to Upstreams that are no longer configured
 	resigning bool
 
 	reading bool
@@ -201,6 +230,9 @@
 	o.config = version
 	old := o.upstreams
 	o.upstreams = nil
+	for _, u := range old {
+		o.runsUntil = max(o.runsUntil, u.runsUntil)
+	}
 	for _, d := range want {
 		u := &upstream{}
 		if at := findUpstream(old, d.Upstream); at >= 0 {
@@ -217,14 +249,30 @@
 	return slices.IndexFunc(list, func(u *upstream) bool { return u.want.Upstream == id })
 }
 
-// OnReport notes the state that an Upstream reports.
+// OnReport notes the state that an Upstream reports, when it loads nothing.
 func (o *Orders) OnReport(now core.Instant, id core.UpstreamID, state State) []Output {
+	return o.OnLoadReport(now, id, Report{Serves: state})
+}
+
+// OnLoadReport notes what an Upstream reports.
+func (o *Orders) OnLoadReport(now core.Instant, id core.UpstreamID, report Report) []Output {
 	if at := findUpstream(o.upstreams, id); at >= 0 {
-		o.upstreams[at].reported = &state
+		u := o.upstreams[at]
+		u.reported = &report.Serves
+		u.loading = report.Loading
+		u.reportedAt = now
+		// A report lags behind the order by less than RetryAfter.
+		late := now >= u.orderedAt.Add(o.orderRuns()+o.p.RetryAfter)
+		if u.loading == (State{}) && (late || !u.differs()) {
+			u.ordered = false
+		}
 	}
 	return o.advance(now)
 }
 
+// orderRuns is the time after which a sent order was executed or never will be.
+func (o *Orders) orderRuns() time.Duration { return o.p.TimeLimit * candidatePercent / 100 }
+
 // OnOrderResult notes the result of an order.
 func (o *Orders) OnOrderResult(now core.Instant, id core.UpstreamID, result Result) []Output {
 	if result == Stale {
@@ -233,7 +281,15 @@
 		o.known = false
 	}
 	if at := findUpstream(o.upstreams, id); at >= 0 {
-		o.upstreams[at].nextAt = now.Add(o.p.RetryAfter)
+		u := o.upstreams[at]
+		u.nextAt = now.Add(o.p.RetryAfter)
+		u.runsUntil = now
+		if result == Failed {
+			u.runsUntil = now.Add(o.orderRuns())
+		}
+		if o.resigning && o.writing == nil {
+			o.callAt = now
+		}
 	}
 	return o.advance(now)
 }
@@ -250,6 +306,30 @@
 	return o.advance(now)
 }
 
+// Pending returns the Upstreams that this Instance, as the holder, has to read: a
+// report of this term is missing or differs from the desired state. It returns
+// none without the lease.
+func (o *Orders) Pending(now core.Instant) []core.UpstreamID {
+	var pending []core.UpstreamID
+	for _, u := range o.upstreams {
+		if o.holds(now) && (u.reported == nil || u.reportedAt < o.heldSince || u.differs()) {
+			pending = append(pending, u.want.Upstream)
+		}
+	}
+	return pending
+}
+
+// Differing returns the Upstreams whose last report is not the desired state.
+func (o *Orders) Differing() []core.UpstreamID {
+	var differing []core.UpstreamID
+	for _, u := range o.upstreams {
+		if u.reported == nil || u.differs() {
+			differing = append(differing, u.want.Upstream)
+		}
+	}
+	return differing
+}
+
 // Reset continues as a new incarnation after a pause, without a lease.
 func (o *Orders) Reset(now core.Instant, self core.InstanceRef) []Output {
 	o.self = self
@@ -279,7 +359,7 @@
 	}
 	for _, u := range o.upstreams {
 		// An earlier nextAt means that the order waits for the lease.
-		if u.differs() && u.nextAt > o.advancedAt {
+		if u.wantsOrder() && u.nextAt > o.advancedAt {
 			wake = min(wake, u.nextAt)
 		}
 	}
@@ -288,6 +368,37 @@
 
 func (u *upstream) differs() bool { return u.reported != nil && *u.reported != u.want.State }
 
+// needsLoad reports whether the desired state needs weights from the weight
+// store. A change of the role alone does not.
+func (u *upstream) needsLoad() bool {
+	want := u.want.State
+	want.Role = u.reported.Role
+	return *u.reported != want
+}
+
+// mayLoad reports whether the Upstream may be loading weights.
+func (o *Orders) mayLoad(now core.Instant, u *upstream) bool {
+	since := max(o.heldSince, u.orderedAt)
+	if u.reported == nil || now >= since.Add(o.p.LoadLimit) {
+		return false
+	}
+	return u.loading != (State{}) || (u.ordered || u.reportedAt < o.heldSince) && u.needsLoad()
+}
+
+func (o *Orders) loads(now core.Instant) int {
+	n := 0
+	for _, u := range o.upstreams {
+		if o.mayLoad(now, u) {
+			n++
+		}
+	}
+	return n
+}
+
+// wantsOrder reports whether the Upstream differs and is not on its way to the
+// desired state.
+func (u *upstream) wantsOrder() bool { return u.differs() && u.loading != u.want.State }
+
 // advance starts the store call that is due, and all orders that are possible.
 func (o *Orders) advance(now core.Instant) []Output {
 	o.advancedAt = now
@@ -295,14 +406,27 @@
 	if !o.holds(now) || o.resigning || o.lease.Config != o.config {
 		return outs
 	}
+	loads := o.loads(now)
 	for _, u := range o.upstreams {
 		notAfter := o.termEnd - 1
 		if !u.want.ChecksFencing {
-			notAfter = notAfter.Add(-o.p.TimeLimit * candidatePercent / 100)
+			notAfter = notAfter.Add(-o.orderRuns())
 		}
-		if !u.differs() || now < u.nextAt || now > notAfter {
+		if !u.wantsOrder() || now < u.nextAt || now > notAfter {
 			continue
 		}
+		if o.p.MaxLoads > 0 && u.needsLoad() {
+			started := u.ordered || u.loading != (State{})
+			if u.reportedAt < o.heldSince || !started && loads >= o.p.MaxLoads {
+				continue
+			}
+			if !started {
+				loads++
+			}
+		}
+		u.ordered = true
+		u.orderedAt = now
+		u.runsUntil = notAfter.Add(o.orderRuns())
 		// Without a result the order is repeated after its time limit.
 		u.nextAt = now.Add(o.p.TimeLimit + o.p.RetryAfter)
 		outs = append(outs, Order{
