upstream, lab/engine: one order carries the whole state, reports show it

An order named one change (kind and value), so that an engine that missed one of several orders ended in a state that nobody had asked for, and the load report did not tell what the engine serves. Now an order carries model, adapter, version and role with the fencing number, and the report has the present state and the one being loaded. Kinds of orders were ruled out for the reason above.

The fake serves its former state until a settable time has passed, and refuses prefills of another model and new work of a role that it no longer has. TestFencing sends the new form of an order and checks the same two answers.

Tried on the code: a change without load time, a change at once and a report without the load each fail TestOrderIsTakenOverAfterTheLoad.

--- a/pkg/lab/engine/decode.go
+++ b/pkg/lab/engine/decode.go
@@ -49,6 +49,9 @@
 		return &failure{http.StatusBadRequest, upstream.CodeMalformed, "attempt, max_tokens and offset must fit"}
 	}
 	x.log.setAttempt(s, q.Attempt)
+	if fail := s.declines(x.state, Decode, ""); fail != nil {
+		return fail
+	}
 	kv, fail := s.describeKV(x, q)
 	if fail != nil {
 		return fail
--- a/pkg/lab/engine/engine.go
+++ b/pkg/lab/engine/engine.go
@@ -90,6 +90,14 @@
 	FinishedFor time.Duration
 	// CheckFencing refuses orders with a fencing number below the highest seen.
 	CheckFencing bool
+	// Serves is the model, adapter and version at the start. An engine without a
+	// model serves every model until it gets an order.
+	Serves upstream.Served
+	// LoadTime is the time from an order until new weights are served. Default 1 s.
+	LoadTime time.Duration
+	// RoleTime is the time from an order until only the role has changed. Default
+	// 100 ms.
+	RoleTime time.Duration
 	// CrashMarker is the prompt text that crashes the engine. Default
 	// DefaultCrashMarker.
 	CrashMarker string
@@ -120,6 +128,9 @@
 	setDefault(&o.EventGap, 10)
 	setDefault(&o.ReportLag, 200*time.Millisecond)
 	setDefault(&o.FinishedFor, 5*time.Second)
+	setDefault(&o.LoadTime, time.Second)
+	setDefault(&o.RoleTime, 100*time.Millisecond)
+	o.Serves.Role = string(o.Role)
 	setDefault(&o.CrashMarker, DefaultCrashMarker)
 	setDefault(&o.Generation, 1)
 	if o.Clock == nil {
--- a/pkg/lab/engine/engine_test.go
+++ b/pkg/lab/engine/engine_test.go
@@ -224,13 +224,45 @@
 		is := is.New(t)
 		s := New(Options{CheckFencing: check})
 		url, c := run(t, s)
-		is.NoErr(c.Order(t.Context(), url, upstream.OrderRequest{Kind: upstream.OrderLoadModel, Value: "new", Fence: 7}))
-		err := c.Order(t.Context(), url, upstream.OrderRequest{Kind: upstream.OrderLoadModel, Value: "old", Fence: 6})
+		is.NoErr(c.Order(t.Context(), url, order("new", "decode", 7)))
+		err := c.Order(t.Context(), url, order("old", "decode", 6))
 		is.Equal(err != nil, check)
 		is.Equal(len(s.Orders()) == 1, check)
 	}
 }
 
+func order(model, role string, fence core.Fence) upstream.OrderRequest {
+	return upstream.OrderRequest{Want: upstream.Served{Model: model, Role: role}, Fence: fence}
+}
+
+// Guards against an engine that serves new weights before they are loaded, stops
+// serving the old ones meanwhile, or hides from its report what it loads.
+func TestOrderIsTakenOverAfterTheLoad(t *testing.T) {
+	is := is.New(t)
+	s := New(Options{
+		Role: Prefill, Serves: upstream.Served{Model: "old"}, LoadTime: 300 * time.Millisecond, ReportLag: time.Millisecond,
+	})
+	url, c := run(t, s)
+	is.NoErr(c.Order(t.Context(), url, order("new", "prefill", 1)))
+	_, err := c.Prefill(t.Context(), url, upstream.PrefillRequest{Attempt: "a", Model: "old", Prompt: "x"})
+	is.NoErr(err)
+	_, err = c.Prefill(t.Context(), url, upstream.PrefillRequest{Attempt: "b", Model: "new", Prompt: "x"})
+	is.Equal(upstream.KindOf(err), upstream.Refused)
+	time.Sleep(10 * time.Millisecond) // the lag of the report
+	report, err := c.Load(t.Context(), url)
+	is.NoErr(err)
+	is.Equal(report.Serves.Model, "old")
+	is.Equal(report.Loading.Model, "new")
+	for report.Loading != nil {
+		time.Sleep(10 * time.Millisecond)
+		report, err = c.Load(t.Context(), url)
+		is.NoErr(err)
+	}
+	is.Equal(*report.Serves, upstream.Served{Model: "new", Role: "prefill"})
+	_, err = c.Prefill(t.Context(), url, upstream.PrefillRequest{Attempt: "c", Model: "new", Prompt: "x"})
+	is.NoErr(err)
+}
+
 // Guards against transfers that each get the whole rate of the link.
 func TestTransfersShareTheLink(t *testing.T) {
 	is := is.New(t)
--- a/pkg/lab/engine/prefill.go
+++ b/pkg/lab/engine/prefill.go
@@ -26,6 +26,9 @@
 		return fail
 	}
 	x.log.setAttempt(s, q.Attempt)
+	if fail := s.declines(x.state, Prefill, q.Model); fail != nil {
+		return fail
+	}
 	s.crashes(q.Prompt)
 	defer s.cancelable(x, q.Attempt)()
 	turn, fail := s.enqueue(x.state, q)
--- a/pkg/lab/engine/report.go
+++ b/pkg/lab/engine/report.go
@@ -48,6 +48,11 @@
 		Queued:     len(st.queue) + len(st.waiting),
 		FreeBlocks: st.freeBlocks,
 	}
+	serves, wants := st.serves, st.wants
+	report.Serves = &serves
+	if wants != serves {
+		report.Loading = &wants
+	}
 	report.Used = len(report.Attempts)
 	for _, w := range st.queue {
 		report.QueuedTokens += int64(w.tokens)
@@ -79,29 +84,3 @@
 	s.reply(x, http.StatusOK, upstream.CacheEvents{Events: events, Next: next, Generation: x.state.generation})
 	return nil
 }
-
-func (s *Server) serveOrder(x *exchange) *failure {
-	var q upstream.OrderRequest
-	if fail := x.decode(&q); fail != nil {
-		return fail
-	}
-	s.mu.Lock()
-	stale := s.opts.CheckFencing && q.Fence < s.fence
-	if !stale {
-		s.fence = max(s.fence, q.Fence)
-		s.orders = append(s.orders, q)
-	}
-	s.mu.Unlock()
-	if stale {
-		return &failure{http.StatusConflict, upstream.CodeStaleFence, "fencing number is lower than one already seen"}
-	}
-	s.reply(x, http.StatusOK, struct{}{})
-	return nil
-}
-
-// Orders returns the orders that were carried out.
-func (s *Server) Orders() []upstream.OrderRequest {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]upstream.OrderRequest(nil), s.orders...)
-}
--- a/pkg/lab/engine/state.go
+++ b/pkg/lab/engine/state.go
@@ -36,6 +36,10 @@
 	linkFree   time.Time
 	stepping   bool
 
+	// serves is the present state, wants the one that an order asked for.
+	serves upstream.Served
+	wants  upstream.Served
+
 	reports []upstream.LoadReport
 }
 
@@ -49,6 +53,8 @@
 		prefills:   make(map[string]context.CancelFunc),
 		attempts:   make(map[string]*attempt),
 		freeBlocks: s.opts.Blocks,
+		serves:     s.opts.Serves,
+		wants:      s.opts.Serves,
 	}
 	st.observe(s.opts.Clock.Now())
 	return st
--- a/pkg/upstream/wire.go
+++ b/pkg/upstream/wire.go
@@ -110,6 +110,11 @@
 	Generation uint64 `json:"generation"`
 	// FreeBlocks counts blocks of core.BlockTokens tokens.
 	FreeBlocks int `json:"free_blocks"`
+	// Serves is what the engine serves. An engine that takes no orders may leave
+	// it out.
+	Serves *Served `json:"serves,omitempty"`
+	// Loading is the state of an order that the engine carries out.
+	Loading *Served `json:"loading,omitempty"`
 }
 
 // CacheEvent says that a block entered or left the prefix cache of an engine.
@@ -126,21 +131,18 @@
 	Generation uint64       `json:"generation"`
 }
 
-// OrderKind names what an order changes.
-type OrderKind string
-
-// The kinds of orders.
-const (
-	OrderLoadModel   OrderKind = "load_model"
-	OrderLoadAdapter OrderKind = "load_adapter"
-	OrderVersion     OrderKind = "version"
-	OrderRole        OrderKind = "role"
-)
+// Served is the state of an engine: what it serves and in which role.
+type Served struct {
+	Model   string `json:"model"`
+	Adapter string `json:"adapter,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role"`
+}
 
-// OrderRequest changes what an engine serves.
+// OrderRequest asks an engine to take a state. The answer means that the engine
+// has accepted the order; its load report shows when the state is reached.
 type OrderRequest struct {
-	Kind  OrderKind  `json:"kind"`
-	Value string     `json:"value"`
+	Want  Served     `json:"want"`
 	Fence core.Fence `json:"fence"`
 }
 
