router: refuse requests after a drain

Cause: a caller that ignores how long an address answer holds could be accepted after the last request had ended and be cut when the process exits. Such a request is refused now, as not run. TestDrainedInstanceRefuses failed before.

--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -102,6 +102,9 @@
 	if r.stopped != "" {
 		return retryLater(core.CodeDraining, "this instance may not serve now: "+r.stopped, time.Second)
 	}
+	if r.drained {
+		return core.Refuse(core.CodeDraining, "this instance has shut down: ask for addresses again")
+	}
 	if r.snapshot == nil {
 		return retryLater(core.CodeNotConfigured, "no configuration is in force yet", time.Second)
 	}
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/lab/virtual"
 )
 
@@ -82,3 +83,22 @@
 		is.Equal(len(w.Held(up)), 0) // no memory is held after the answers
 	}
 }
+
+// Guards against a request that is accepted between the end of a graceful
+// shutdown and the end of the process, which would cut it (G11).
+func TestDrainedInstanceRefuses(t *testing.T) {
+	is := is.New(t)
+	w := virtual.New(smallFleet(1))
+	settled(t, w)
+	leaving := w.Instances()[0]
+	id := leaving.View().Instance.ID
+	leaving.Shutdown()
+	during := w.Send(id, completion("a", 200, 20))
+	w.RunUntil(w.Now() + 30*time.Second)
+	is.True(during.Completed) // until address answers have expired, it serves
+	is.True(leaving.Drained)
+	after := w.Send(id, completion("a", 200, 20))
+	w.RunUntil(w.Now() + time.Second)
+	is.Equal(after.Refusal.Code, core.CodeDraining)
+	is.Equal(after.Refusal.Ran, core.NotRun)
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -226,23 +226,10 @@
 }
 
 func (s *Server) start(ctx context.Context) {
-	s.background.Add(4)
-	go func() {
-		defer s.background.Done()
-		s.sample(ctx)
-	}()
-	go func() {
-		defer s.background.Done()
-		s.loop(ctx)
-	}()
-	go func() {
-		defer s.background.Done()
-		s.watchRoot(ctx)
-	}()
-	go func() {
-		defer s.background.Done()
-		s.publishStatus(ctx)
-	}()
+	s.background.Go(func() { s.loop(ctx) })
+	s.background.Go(func() { s.sample(ctx) })
+	s.background.Go(func() { s.watchRoot(ctx) })
+	s.background.Go(func() { s.publishStatus(ctx) })
 }
 
 func (s *Server) drain(callers *http.Server, limit time.Duration) error {
