operator: promote VERSION, conflicts of two trials exit with 3

Cause: A tries, B tries, A promotes: A's command promoted B's document and reported success, so A's change was lost without a word. Two trials at the same moment ended with exit code 1 and without versions.

Ruled out: one trial for each operator, since the trial is one environment that Instances follow. A mandatory VERSION would break every script that has none.

Change: config promote takes the version that config trial printed and refuses another one with a conflict that names both. A version that was promoted before is reported as such, so the command can be repeated. Conflicts of simultaneous trials name both versions and exit with 3. The incident test now also sees the warning for a silent Instance and prints config diff.

--- a/cmd/rhubarbsilld/incidents_test.go
+++ b/cmd/rhubarbsilld/incidents_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/lab/site"
 	"github.com/rhubarbsill/rhubarbsill/pkg/platform"
 )
@@ -114,6 +115,7 @@
 	t.Run("instance cut off", f.incident(func(since time.Time) {
 		daemon := f.processes[len(f.processes)-1].Process
 		_ = daemon.Signal(syscall.SIGSTOP)
+		f.sees(since, "call to peer failed", "WARNING entry-3 is silent")
 		f.unlist("entry-3")
 		f.sees(since, "roster in force", "in force on 2 instances")
 		_ = daemon.Signal(syscall.SIGCONT)
@@ -140,6 +142,12 @@
 	}))
 	t.Run("key revoked", f.incident(func(since time.Time) {
 		f.doc.Accounts[1].Keys[0].Revoked = true
+		path := filepath.Join(f.dir, "revoked.jsonc")
+		if err := os.WriteFile(path, config.Format(f.doc), 0o600); err != nil {
+			f.t.Fatal(err)
+		}
+		diff, _ := f.cli("config", "diff", path)
+		f.t.Logf("diff\n%s", diff)
 		f.promote()
 		f.sees(since, "keys: key revoked", "version 3 in force on 3 instances")
 		_, _, body := f.do("GET", f.caller(1)+"/lookup/1", small.Key, "")
--- a/pkg/operator/command.go
+++ b/pkg/operator/command.go
@@ -61,11 +61,12 @@
 
 func exitCode(err error) int {
 	var conflict *ConflictError
+	var trialConflict *TrialConflictError
 	var usage usageError
 	switch {
 	case err == nil:
 		return ExitOK
-	case errors.As(err, &conflict):
+	case errors.As(err, &conflict), errors.As(err, &trialConflict), errors.Is(err, errTrialChanging):
 		return ExitConflict
 	case errors.As(err, &usage), strings.HasPrefix(err.Error(), "unknown command"):
 		return ExitUsage
@@ -102,15 +103,25 @@
 	return cobra.FixedCompletions(list, cobra.ShellCompDirectiveNoFileComp)
 }
 
-func args(n int) cobra.PositionalArgs {
+func args(n int) cobra.PositionalArgs { return argsBetween(n, n) }
+
+func argsBetween(least, most int) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, given []string) error {
-		if len(given) != n {
-			return usageError{fmt.Errorf("%s takes %d arguments, got %d", cmd.CommandPath(), n, len(given))}
+		if len(given) < least || len(given) > most {
+			return usageError{fmt.Errorf("got %d arguments, want %s", len(given), cmd.UseLine())}
 		}
 		return nil
 	}
 }
 
+func parseVersion(text string) (core.Version, error) {
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || version == 0 {
+		return 0, usageError{fmt.Errorf("%q is not a version", text)}
+	}
+	return core.Version(version), nil
+}
+
 func (c *cli) store() (platform.Client, error) {
 	if c.platformURL == "" {
 		return nil, usageError{errors.New("--platform or $RHUBARBSILL_PLATFORM must be set")}
@@ -157,11 +168,11 @@
 			RunE:    func(cmd *cobra.Command, given []string) error { return c.trial(cmd.Context(), given[0]) },
 		},
 		&cobra.Command{
-			Use:     "promote",
-			Short:   "Promote the document in trial to production",
-			Example: "  rhubarbsill config promote",
-			Args:    args(0),
-			RunE:    func(cmd *cobra.Command, _ []string) error { return c.promote(cmd.Context()) },
+			Use:     "promote [VERSION]",
+			Short:   "Promote the document in trial to production; with VERSION only that one",
+			Example: "  rhubarbsill config promote 42",
+			Args:    argsBetween(0, 1),
+			RunE:    func(cmd *cobra.Command, given []string) error { return c.promote(cmd.Context(), given) },
 		},
 		&cobra.Command{
 			Use:     "diff FILE",
@@ -262,15 +273,15 @@
 }
 
 func (c *cli) rollback(ctx context.Context, text string) error {
-	version, err := strconv.ParseUint(text, 10, 64)
+	version, err := parseVersion(text)
 	if err != nil {
-		return usageError{fmt.Errorf("%q is not a version", text)}
+		return err
 	}
 	op, err := c.operator()
 	if err != nil {
 		return err
 	}
-	result, err := op.Rollback(ctx, core.Version(version))
+	result, err := op.Rollback(ctx, version)
 	if err != nil {
 		return err
 	}
@@ -282,12 +293,19 @@
 	return c.printTrial(result)
 }
 
-func (c *cli) promote(ctx context.Context) error {
+func (c *cli) promote(ctx context.Context, given []string) error {
+	var version core.Version
+	if len(given) == 1 {
+		var err error
+		if version, err = parseVersion(given[0]); err != nil {
+			return err
+		}
+	}
 	op, err := c.operator()
 	if err != nil {
 		return err
 	}
-	result, err := op.Promote(ctx)
+	result, err := op.PromoteVersion(ctx, version)
 	if err != nil {
 		return err
 	}
--- a/pkg/operator/promote.go
+++ b/pkg/operator/promote.go
@@ -39,6 +39,9 @@
 	StoreVersion uint64       `json:"production_store_version"`
 }
 
+// errTrialChanging says that two operators wrote the trial at the same time.
+var errTrialChanging = errors.New("the trial was being changed by another operator: try the document again")
+
 // ConflictError says that production has changed since the trial.
 type ConflictError struct {
 	Tried   core.Version // the production version that the trial builds on
@@ -50,6 +53,17 @@
 	return fmt.Sprintf("the trial builds on production version %d, but production is at version %d: try the document again", e.Tried, e.Current)
 }
 
+// TrialConflictError says that another operator's document is in trial.
+type TrialConflictError struct {
+	Asked core.Version // the version of this operator's document
+	Trial core.Version // the version in trial now
+}
+
+// Error names both versions.
+func (e *TrialConflictError) Error() string {
+	return fmt.Sprintf("version %d is not in trial: another operator has put version %d there, try the document again", e.Asked, e.Trial)
+}
+
 // Entry is one promotion in the history.
 type Entry struct {
 	Version core.Version `json:"version"`
@@ -175,7 +189,11 @@
 	_, err = o.put(ctx, router.RootObject(Trial), encoded, trial.storeVersion)
 	var conflict platform.ErrConflict
 	if errors.As(err, &conflict) {
-		return Result{}, fmt.Errorf("another operator changed the trial at the same time: %w", err)
+		now, readErr := o.readRoot(ctx, Trial)
+		if readErr != nil {
+			return Result{}, readErr
+		}
+		return Result{}, &TrialConflictError{Asked: root.Version, Trial: now.root.Version}
 	}
 	return result, err
 }
@@ -206,6 +224,13 @@
 // the version that the trial builds on. Otherwise it returns a *ConflictError
 // and changes nothing.
 func (o *Operator) Promote(ctx context.Context) (Result, error) {
+	return o.PromoteVersion(ctx, 0)
+}
+
+// PromoteVersion is Promote for one version, 0 for whichever is in trial. When
+// another operator's document is in trial instead, it returns a
+// *TrialConflictError and changes nothing.
+func (o *Operator) PromoteVersion(ctx context.Context, want core.Version) (Result, error) {
 	trial, err := o.readRoot(ctx, Trial)
 	if err != nil {
 		return Result{}, err
@@ -213,6 +238,9 @@
 	if trial.root.Version == 0 {
 		return Result{}, errors.New("no document is in trial")
 	}
+	if want != 0 && want != trial.root.Version {
+		return o.promotedBefore(ctx, want, trial.root.Version)
+	}
 	encoded := trial.root.Encode()
 	base, err := o.readBase(ctx, config.HashOf(encoded))
 	if err != nil {
@@ -233,6 +261,23 @@
 	return result, o.writeHistory(ctx, trial.root)
 }
 
+// promotedBefore returns the result of a version that was promoted and is no
+// longer in trial.
+func (o *Operator) promotedBefore(ctx context.Context, want, trial core.Version) (Result, error) {
+	production, err := o.readRoot(ctx, Production)
+	if err != nil {
+		return Result{}, err
+	}
+	if production.root.Version == want {
+		return Result{Version: want}, o.writeHistory(ctx, production.root)
+	}
+	_, err = o.entry(ctx, want)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Result{}, &TrialConflictError{Asked: want, Trial: trial}
+	}
+	return Result{Version: want, ReplacedBy: production.root.Version}, err
+}
+
 // recordCurrent writes the history entry of the version that is about to be
 // replaced, in case the command that promoted it has not. So every version that
 // was ever replaced is in the history, and a promotion whose answer was lost can
@@ -258,7 +303,7 @@
 		return trialBase{}, fmt.Errorf("the base of the trial: %w", err)
 	}
 	if base.Root != root {
-		return trialBase{}, errors.New("the trial was being changed by another operator: try the document again")
+		return trialBase{}, errTrialChanging
 	}
 	return base, nil
 }
--- a/pkg/operator/promote_test.go
+++ b/pkg/operator/promote_test.go
@@ -119,6 +119,33 @@
 	is.Equal(version, tried.Version+7) // A's promotion stands
 }
 
+// Guards against an operator who promotes the other one's document unawares: A
+// tries, B tries, A promotes its version, B promotes its version.
+func TestPromoteOfReplacedTrialConflicts(t *testing.T) {
+	is := is.New(t)
+	store := platform.NewMemory()
+	a, b := New(store), New(store)
+	triedA := mustTry(t, a, document(2, 1))
+	triedB := mustTry(t, b, document(2, 2))
+	_, err := a.PromoteVersion(t.Context(), triedA.Version)
+	var conflict *TrialConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(*conflict, TrialConflictError{Asked: triedA.Version, Trial: triedB.Version})
+	is.Equal(exitCode(err), ExitConflict)
+	result, err := b.PromoteVersion(t.Context(), triedB.Version)
+	is.NoErr(err)
+	is.Equal(result.Version, triedB.Version)
+	triedC := mustTry(t, a, document(2, 3))
+	again, err := b.PromoteVersion(t.Context(), triedB.Version) // B repeats the command
+	is.NoErr(err)
+	is.Equal(again.Version, triedB.Version)
+	mustPromote(t, a)
+	mustTry(t, a, document(2, 4))
+	again, err = b.PromoteVersion(t.Context(), triedB.Version)
+	is.NoErr(err)
+	is.Equal(again.ReplacedBy, triedC.Version)
+}
+
 // Guards against two operators of whom both, or neither, believe to have
 // promoted, and against a version without a history entry.
 func TestRaceOfOperators(t *testing.T) {
