router, server, lab/virtual: carry orders out

pkg/orders was not wired: a change of a model in the document reached no engine. The router now runs one Orders for each model service with a desired state. The lease is the store object orders/<service>; SendOrder carries NotAfter and TimeLimit, and OrderResult and the load reports go back to the module.

Three Instances of the home set of the service compete for the lease; if all did, the reads of the lease would grow with the fleet. What an Upstream serves is told to all Instances on a change and every 30 s, since the holder and requests may be in another region; the load itself still stays within the region. The holder also polls each second what it has orders for, as a notice may be lost. Sending every report to all regions was ruled out for its bytes.

An engine gets work only for the model and in the role that it reports. It stays in the topology under a model that no document can name, because placement decides from the topology who polls it.

--- a/pkg/lab/virtual/engine.go
+++ b/pkg/lab/virtual/engine.go
@@ -8,6 +8,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/orders"
 	"github.com/rhubarbsill/rhubarbsill/pkg/placement"
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
 )
@@ -26,6 +27,8 @@
 	EventGap        int           // every n-th cache event is lost, default 10
 	PlainWork       time.Duration // default 5 ms
 	Downtime        time.Duration // after a crash, default 2 s
+	LoadTime        time.Duration // from an order until new weights are served, default 5 s
+	RoleTime        time.Duration // from an order until only the role has changed, default 100 ms
 }
 
 func (o EngineOptions) withDefaults() EngineOptions {
@@ -40,6 +43,8 @@
 	setDefault(&o.EventGap, 10)
 	setDefault(&o.PlainWork, 5*time.Millisecond)
 	setDefault(&o.Downtime, 2*time.Second)
+	setDefault(&o.LoadTime, 5*time.Second)
+	setDefault(&o.RoleTime, 100*time.Millisecond)
 	return o
 }
 
@@ -60,6 +65,9 @@
 	downUntil  time.Duration
 	// stalled holds back transfers and tokens, as a network fault would.
 	stalled bool
+	// duty is nil for an engine without a desired state at the start.
+	duty   *duty
+	worked int
 
 	// A prefill engine works on one prompt at a time.
 	freeAt time.Duration
@@ -97,6 +105,7 @@
 	used     int
 	queued   int64 // prompt tokens
 	attempts []core.AttemptID
+	serves   *orders.Report
 }
 
 func newEngine(w *World, up config.Upstream) *engine {
@@ -104,6 +113,7 @@
 		world:      w,
 		up:         up,
 		generation: 1,
+		duty:       newDuty(up),
 		kv:         map[core.AttemptID]time.Duration{},
 		running:    map[core.AttemptID]*decoding{},
 	}
@@ -126,6 +136,7 @@
 	clear(e.kv)
 	e.cache = nil
 	e.freeAt = 0
+	e.duty.restart()
 	e.note()
 }
 
@@ -163,6 +174,9 @@
 	if e.freeAt > e.world.now {
 		entry.queued = int64((e.freeAt - e.world.now) / e.world.opts.Engine.PerPromptToken)
 	}
+	if e.duty != nil {
+		entry.serves = &orders.Report{Serves: e.duty.serves, Loading: e.duty.loading}
+	}
 	for _, d := range e.sorted() {
 		entry.attempts = append(entry.attempts, d.attempt)
 	}
@@ -196,7 +210,7 @@
 		i.later(there, router.LoadReported{Upstream: q.Upstream, Report: placement.LoadReport{
 			Slots: e.up.Slots, Used: load.used, QueuedTokens: load.queued, Attempts: load.attempts,
 			AsOf: asked.Add(-w.opts.Engine.ReportLag), Generation: e.generation,
-		}})
+		}, Serves: load.serves})
 		if q.CacheEvents {
 			i.later(there, e.eventsAfter(q.CacheAfter))
 		}
@@ -278,6 +292,7 @@
 			i.failed(there, q.Attempt, q.Upstream, attempts.FailCrashed, true)
 			return
 		}
+		w.checkDuty(e, config.RolePrefill, request.Options.Model)
 		cached := e.touch(request.prefix) * core.BlockTokens
 		tokens := max(1, request.Options.PromptTokens+request.Tokens-cached)
 		request.Prefilled += tokens
@@ -341,6 +356,7 @@
 			i.failed(there, q.Attempt, q.Upstream, attempts.FailKVGone, true)
 			return
 		}
+		w.checkDuty(e, config.RoleDecode, request.Options.Model)
 		base := request.Tokens
 		d := &decoding{attempt: q.Attempt, reader: i, run: run, request: q.Request, base: base, max: max(1, total-base)}
 		e.running[q.Attempt] = d
--- a/pkg/lab/virtual/instance.go
+++ b/pkg/lab/virtual/instance.go
@@ -265,6 +265,10 @@
 		w.listInstances(i)
 	case router.PollLoad:
 		w.pollLoad(i, e)
+	case router.SendOrder:
+		if i.allowed(e, e.NotAfter) {
+			w.sendOrder(i, e)
+		}
 	case router.SendPeer:
 		w.sendPeer(i, e)
 	case router.Drained:
--- /dev/null
+++ b/pkg/lab/virtual/orders_test.go
@@ -0,0 +1,389 @@
+package virtual_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/lab/virtual"
+)
+
+// maxLoads is the router's default bound of simultaneous loads.
+const maxLoads = 4
+
+// fleet is a World of five Instances and nine engines, every second of which
+// checks fencing numbers.
+type fleet struct {
+	*virtual.World
+	opts  virtual.Options
+	calls map[string]int // store calls by kind of object
+}
+
+func newFleet(seed uint64, serve bool) *fleet {
+	f := &fleet{calls: map[string]int{}}
+	f.opts = virtual.Deployment(seed, virtual.Sizes{
+		DataCentres: virtual.TwoRegions(80_000), Instances: 5, PrefillEach: 1, DecodeEach: 2,
+		Accounts: []config.ClientAccount{virtual.Account("large", 1, 50_000, 250_000)},
+	})
+	f.opts.Trace = func(_ time.Duration, _ core.InstanceRef, what string) {
+		if fields := strings.Fields(what); fields[0] == "store" {
+			kind, _, _ := strings.Cut(fields[2], "/")
+			f.calls[kind]++
+		}
+	}
+	if serve {
+		f.serve("1")
+	}
+	f.opts.Engine.RoleTime = 15 * time.Second
+	f.World = virtual.New(f.opts)
+	f.RunUntil(15 * time.Second)
+	return f
+}
+
+// engines returns the entries of the model service.
+func (f *fleet) engines() []config.Upstream { return f.opts.Document.Services[0].Upstreams }
+
+// serve changes the version that every engine has to serve.
+func (f *fleet) serve(version string) {
+	for i := range f.engines() {
+		f.engines()[i].ChecksFencing = i%2 == 0
+		f.engines()[i].Serve = &config.Serve{Model: virtual.Model, Version: version}
+	}
+}
+
+func (f *fleet) promote(version int) {
+	f.serve(strconv.Itoa(version))
+	f.Promote(f.opts.Document)
+}
+
+func (f *fleet) serving(version int) int {
+	n := 0
+	for _, up := range f.engines() {
+		if f.Serves(up.ID).Version == strconv.Itoa(version) {
+			n++
+		}
+	}
+	return n
+}
+
+// converge returns the time until every engine serves the version.
+func (f *fleet) converge(version int, limit time.Duration) (time.Duration, bool) {
+	start := f.Now()
+	for f.Now() < start+limit {
+		if f.serving(version) == len(f.engines()) {
+			return f.Now() - start, true
+		}
+		f.RunUntil(f.Now() + 100*time.Millisecond)
+	}
+	return limit, false
+}
+
+// holder returns the Instance that holds the lease of the service.
+func (f *fleet) holder() *virtual.Instance {
+	for _, i := range f.Instances() {
+		for _, o := range i.View().Orders {
+			if i.Alive() && o.Fence != 0 {
+				return i
+			}
+		}
+	}
+	return nil
+}
+
+func (f *fleet) holders() int {
+	n := 0
+	for _, i := range f.Instances() {
+		for _, o := range i.View().Orders {
+			if i.Alive() && o.Fence != 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (f *fleet) records(kind string) int {
+	n := 0
+	for _, i := range f.Instances() {
+		n += i.Records["orders."+kind]
+	}
+	return n
+}
+
+// reordered describes an order of an older holder, or of an older version by
+// another holder, that an engine executed after a newer one.
+func (f *fleet) reordered() string {
+	last := map[core.UpstreamID]virtual.Executed{}
+	for _, e := range f.Executed {
+		before := last[e.Upstream]
+		was, _ := strconv.Atoi(before.Want.Version)
+		is, _ := strconv.Atoi(e.Want.Version)
+		if e.Fence < before.Fence || e.Fence > before.Fence && is < was {
+			return fmt.Sprintf("%s executed %+v after %+v", e.Upstream, e, before)
+		}
+		last[e.Upstream] = e
+	}
+	return ""
+}
+
+// Guards against orders that don't follow a change of the document, that are sent
+// more often than needed, and that load more weights at a time than permitted.
+// Nine loads of 5 s, four at a time, take 15 s; the bound leaves 10 s for the
+// change to be in force and for reports.
+func TestVersionReachesEveryEngine(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, true)
+	is.Equal(f.holders(), 1)
+	is.Equal(len(f.Executed), 0) // the engines start in the desired state
+	f.promote(2)
+	took, converged := f.converge(2, 25*time.Second)
+	t.Logf("9 engines reached the version in %v with %d orders", took, len(f.Executed))
+	is.True(converged)
+	is.Equal(f.PeakLoads, maxLoads)
+	f.RunUntil(f.Now() + 10*time.Second)
+	is.Equal(len(f.Executed), 9)
+	is.Equal(f.records("sent"), 9)
+	is.Equal(f.records("done"), 9)
+	for _, i := range f.Instances() {
+		for _, o := range i.View().Orders {
+			is.Equal(len(o.Differing), 0) // every candidate knows the reports of all regions
+		}
+	}
+}
+
+// Guards against orders that end with their holder, and against an engine that
+// executes an older holder's order after a newer one's. A successor takes over
+// within 1.02 terms of 30 s and two polls of 5 s; the loads take 15 s, twice after
+// a change in between.
+func TestOrdersSurviveTheirHolder(t *testing.T) {
+	const limit = 100 * time.Second
+	faults := []struct {
+		name string
+		do   func(f *fleet, i *virtual.Instance)
+	}{
+		{"killed", func(_ *fleet, i *virtual.Instance) { i.Kill() }},
+		{"restarted", func(_ *fleet, i *virtual.Instance) { i.Restart() }},
+		{"paused beyond the term", func(_ *fleet, i *virtual.Instance) { i.Pause(40 * time.Second) }},
+		{"cut from the store", func(f *fleet, i *virtual.Instance) { f.CutBoth(string(i.View().Instance.ID), virtual.StoreName) }},
+		{"shut down", func(_ *fleet, i *virtual.Instance) { i.Shutdown() }},
+		{"answers of the store lost and killed", func(f *fleet, i *virtual.Instance) { f.StoreFaults(0.5, 0.2); i.Kill() }},
+		{"cut from the engines and paused", func(f *fleet, i *virtual.Instance) {
+			for _, up := range f.engines() {
+				f.CutBoth(string(i.View().Instance.ID), string(up.ID))
+			}
+			i.Pause(40 * time.Second)
+		}},
+	}
+	for n, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(uint64(n), true)
+			slow := rand.New(rand.NewPCG(uint64(n), 1))
+			f.DelayOrders(func(core.UpstreamID) time.Duration { return time.Duration(slow.Int64N(int64(9 * time.Second))) })
+			f.promote(2)
+			f.RunUntil(f.Now() + 3*time.Second)
+			first := f.holder()
+			is.True(first != nil)
+			fault.do(f, first)
+			f.RunUntil(f.Now() + 10*time.Second)
+			f.promote(3)
+			took, converged := f.converge(3, limit)
+			t.Logf("%d engines after %v, %d orders", f.serving(3), took, len(f.Executed))
+			is.True(converged)
+			is.Equal(f.reordered(), "")
+			is.True(f.PeakLoads <= maxLoads)
+		})
+	}
+}
+
+// Guards against a graceful shutdown that leaves the service without a holder for
+// a term of 30 s: a candidate reads the lease every 5 s.
+func TestShutdownHandsTheLeaseOver(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5, true)
+	first := f.holder()
+	first.Shutdown()
+	f.RunUntil(f.Now() + 7*time.Second)
+	is.Equal(f.holders(), 1)
+	is.True(f.holder() != first)
+}
+
+// Guards against an order to an engine that ignores fencing which the rest of the
+// holder's term does not cover. The holder is cut from the store, the engine
+// restarts in its first state before the term ends, and the holder's order is
+// slow: without the rule it arrives after that of the next holder.
+func TestOrderOfCutHolderIsNotLate(t *testing.T) {
+	for restart := 10 * time.Second; restart < 30*time.Second; restart += time.Second {
+		is := is.New(t)
+		f := newFleet(6, true)
+		f.promote(2)
+		_, converged := f.converge(2, time.Minute)
+		is.True(converged)
+		cut := f.Now()
+		f.DelayOrders(func(core.UpstreamID) time.Duration {
+			if f.Now() < cut+30*time.Second {
+				return 9900 * time.Millisecond
+			}
+			return 0
+		})
+		f.CutBoth(string(f.holder().View().Instance.ID), virtual.StoreName)
+		f.RunUntil(cut + restart)
+		for _, up := range f.engines() {
+			f.Crash(up.ID)
+		}
+		f.RunUntil(f.Now() + 3*time.Second) // the engines are back and have reported
+		f.promote(3)
+		f.converge(3, 100*time.Second)
+		is.Equal(f.reordered(), "")
+	}
+}
+
+// Guards against a holder that goes on after a pause as if nothing had happened:
+// the incarnation that holds the lease has ended.
+func TestPauseDropsTheLease(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, true)
+	first := f.holder()
+	first.Pause(3 * time.Second)
+	f.RunUntil(f.Now() + 3500*time.Millisecond)
+	is.Equal(f.holders(), 0)
+}
+
+// Guards against the same under random faults, at most two at a time.
+func TestOrdersUnderRandomFaults(t *testing.T) {
+	checks := flag.Lookup("rapid.checks")
+	if checks.Value.String() == checks.DefValue {
+		t.Cleanup(func() { _ = checks.Value.Set(checks.DefValue) })
+		_ = checks.Value.Set("20") // a case takes 0.05 s, ten times that under -race
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), true)
+		slow := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "delays"), 1))
+		f.DelayOrders(func(core.UpstreamID) time.Duration { return time.Duration(slow.Int64N(int64(9 * time.Second))) })
+		version := 1
+		for range 8 {
+			if rapid.Bool().Draw(t, "promote") {
+				version++
+				f.promote(version)
+			}
+			for range rapid.IntRange(0, 2).Draw(t, "faults") {
+				f.fault(t)
+			}
+			f.RunUntil(f.Now() + time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds"))*time.Second)
+			f.Heal()
+			f.StoreFaults(0, 0)
+			f.StoreSlow(0)
+		}
+		if _, converged := f.converge(version, 3*time.Minute); !converged {
+			t.Fatalf("%d of %d engines serve version %d", f.serving(version), len(f.engines()), version)
+		}
+		if wrong := f.reordered(); wrong != "" {
+			t.Fatal(wrong)
+		}
+	})
+}
+
+func (f *fleet) fault(t *rapid.T) {
+	i := f.Instances()[rapid.IntRange(0, len(f.Instances())-1).Draw(t, "instance")]
+	if h := f.holder(); h != nil && rapid.Bool().Draw(t, "holder") {
+		i = h
+	}
+	up := rapid.SampledFrom(f.engines()).Draw(t, "engine").ID
+	id := string(i.View().Instance.ID)
+	switch rapid.IntRange(0, 7).Draw(t, "fault") {
+	case 0:
+		i.Restart()
+	case 1:
+		i.Pause(time.Duration(rapid.IntRange(1, 60).Draw(t, "pause")) * time.Second)
+	case 2:
+		f.CutBoth(id, virtual.StoreName)
+	case 3:
+		f.Cut(virtual.StoreName, id)
+	case 4:
+		f.CutBoth(id, string(up))
+	case 5:
+		f.StoreFaults(0.5, 0.3)
+	case 6:
+		f.StoreSlow(3 * time.Second)
+	case 7:
+		f.Crash(up)
+	}
+}
+
+// traffic sends a request every 100 ms and waits for all answers.
+func (f *fleet) traffic(is *is.I, requests int) {
+	is.Helper()
+	for n := range requests {
+		entry := f.Instances()[n%5].View().Instance.ID
+		f.Send(entry, virtual.RequestOptions{Account: "large", Model: virtual.Model, PromptTokens: 500, OutputTokens: 20})
+		f.RunUntil(f.Now() + 100*time.Millisecond)
+	}
+	f.RunUntil(f.Now() + 2*time.Second)
+	for _, r := range f.Sequence {
+		is.True(r.Completed)
+	}
+}
+
+// Guards against work for an engine in its old role after the change is in force,
+// and in its new role before its report says so: the engine changes 15 s after its
+// order.
+func TestRoleChange(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, true)
+	changed := &f.engines()[1]
+	is.Equal(changed.Role, config.RoleDecode)
+	changed.Role = config.RolePrefill
+	f.Promote(f.opts.Document)
+	f.RunUntil(f.Now() + 4*time.Second) // in force on every Instance
+	is.Equal(f.Serves(changed.ID).Role, "decode")
+	worked := f.Worked(changed.ID)
+	f.traffic(is, 80)
+	is.Equal(f.Misplaced, 0)
+	is.Equal(f.Worked(changed.ID), worked) // in neither role
+	f.RunUntil(f.Now() + 5*time.Second)
+	f.traffic(is, 100)
+	is.Equal(f.Serves(changed.ID).Role, "prefill")
+	is.Equal(f.Misplaced, 0)
+	is.True(f.Worked(changed.ID) > worked)
+}
+
+// Guards against work for a model at an engine whose report says that it serves
+// another one. Reports reach every Instance within 2 s of the change.
+func TestWorkFollowsTheReportedModel(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, true)
+	other := &f.engines()[2]
+	service := &f.opts.Document.Services[0]
+	service.Models = []core.ModelName{virtual.Model, "model-b"}
+	other.Models = service.Models
+	other.Serve = &config.Serve{Model: "model-b", Version: "1"}
+	f.Promote(f.opts.Document)
+	f.RunUntil(f.Now() + 12*time.Second)
+	is.Equal(f.Serves(other.ID).Model, core.ModelName("model-b"))
+	f.traffic(is, 100)
+	is.Equal(f.Misplaced, 0)
+}
+
+// Guards against store calls that grow with the fleet or that a document without
+// desired state causes. A holder renews three times in a term of 30 s and two
+// candidates read every 5 s: 1,800 calls an hour; the bound leaves a tenth more.
+func TestIdleStoreCalls(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4, true)
+	before := f.calls["orders"]
+	f.RunUntil(f.Now() + time.Hour)
+	t.Logf("%d store calls an hour for an idle service", f.calls["orders"]-before)
+	is.True(f.calls["orders"]-before <= 1980)
+	f = newFleet(4, false)
+	f.RunUntil(f.Now() + time.Minute)
+	is.Equal(f.calls["orders"], 0)
+}
--- a/pkg/lab/virtual/world.go
+++ b/pkg/lab/virtual/world.go
@@ -63,7 +63,14 @@
 	Sequence []*Request
 	// Messages and Bytes count the messages between Instances.
 	Messages int64
-	nextID   int
+	// Executed holds the orders that engines have accepted, in this order.
+	Executed []Executed
+	// PeakLoads is the largest number of engines that loaded weights at a time.
+	PeakLoads int
+	// Misplaced counts the requests at an engine of another model or role.
+	Misplaced  int
+	orderDelay func(core.UpstreamID) time.Duration
+	nextID     int
 }
 
 type scheduled struct {
--- a/pkg/router/effect.go
+++ b/pkg/router/effect.go
@@ -105,6 +105,7 @@
 	OpRoster OpKind = "roster"
 	OpClaims OpKind = "claims"
 	OpStatus OpKind = "status"
+	OpOrders OpKind = "orders"
 )
 
 // StoreOp names a store call. The daemon returns it in StoreReplied.
@@ -113,6 +114,8 @@
 	Write bool
 	Shard int
 	Hash  config.Hash
+	// Service is set for OpOrders.
+	Service core.ServiceName
 }
 
 // StoreGet reads an object.
--- a/pkg/router/event.go
+++ b/pkg/router/event.go
@@ -8,6 +8,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/keys"
 	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
+	"github.com/rhubarbsill/rhubarbsill/pkg/orders"
 	"github.com/rhubarbsill/rhubarbsill/pkg/placement"
 )
 
@@ -120,6 +121,8 @@
 type LoadReported struct {
 	Upstream core.UpstreamID
 	Report   placement.LoadReport
+	// Serves is nil when the Upstream does not tell what it serves.
+	Serves *orders.Report
 }
 
 // LoadFailed says that an Upstream did not answer a poll of its load.
--- a/pkg/router/load.go
+++ b/pkg/router/load.go
@@ -13,8 +13,9 @@
 
 // upstreamEntry is what the router needs to reach an Upstream.
 type upstreamEntry struct {
-	url  string
-	role config.Role
+	url     string
+	role    config.Role
+	service core.ServiceName
 }
 
 // pollSchedule says which Upstreams this Instance polls, and when. One Instance
@@ -86,6 +87,9 @@
 	running := attempts.Running{AsOf: e.Report.AsOf, Attempts: e.Report.Attempts, Holder: holder == r.self.Ref.ID}
 	r.applyAttempts(now, r.attempts.OnRunning(now, e.Upstream, running))
 	r.loads[e.Upstream] = e.Report
+	if e.Serves != nil {
+		r.served(now, e.Upstream, *e.Serves, e.Report.AsOf)
+	}
 }
 
 func (r *Router) cacheReported(now core.Instant, e CacheReported) {
@@ -146,16 +150,18 @@
 	r.upstreams = map[core.UpstreamID]upstreamEntry{}
 	for _, service := range s.Services() {
 		for _, up := range service.Upstreams {
-			r.upstreams[up.ID] = upstreamEntry{url: up.URL, role: up.Role}
+			r.upstreams[up.ID] = upstreamEntry{url: up.URL, role: up.Role, service: service.Name}
 		}
 	}
-	r.applyPlacement(now, r.placement.SetTopology(now, topologyOf(s)))
+	r.applyPlacement(now, r.placement.SetTopology(now, r.topology()))
 	r.schedulePolls(now)
+	r.setOrders(now)
 	r.emit(InForce{Snapshot: s})
 }
 
-// topologyOf converts the part of the configuration that placement needs.
-func topologyOf(s *config.Snapshot) placement.Topology {
+// topology converts the part of the configuration that placement needs.
+func (r *Router) topology() placement.Topology {
+	s := r.snapshot
 	var topology placement.Topology
 	for _, dc := range s.Root().DataCentres {
 		topology.DataCentres = append(topology.DataCentres, placement.DataCentre{
@@ -165,12 +171,12 @@
 		})
 	}
 	for _, service := range s.Services() {
-		topology.Services = append(topology.Services, serviceOf(service))
+		topology.Services = append(topology.Services, r.serviceOf(service))
 	}
 	return topology
 }
 
-func serviceOf(s *config.Service) placement.Service {
+func (r *Router) serviceOf(s *config.Service) placement.Service {
 	service := placement.Service{
 		Name:   s.Name,
 		Kind:   placement.Kind(s.Kind),
@@ -187,7 +193,7 @@
 			Role:       placement.Role(up.Role),
 			DataCentre: up.DataCentre,
 			Slots:      up.Slots,
-			Models:     up.Models,
+			Models:     r.usableModels(&up),
 		})
 	}
 	return service
--- a/pkg/router/message.go
+++ b/pkg/router/message.go
@@ -22,6 +22,7 @@
 	Suspect      *attempts.SuspectNotice
 	Load         *LoadNotice
 	AskOwner     *AttemptsQuestion
+	Serves       *ServesNotice
 }
 
 // AttemptsQuestion asks an Instance to cancel those attempts at an Upstream that
@@ -77,6 +78,8 @@
 		r.applyAttempts(now, r.attempts.OnSuspect(now, from, *m.Suspect))
 	case m.Load != nil:
 		r.loadNoticed(now, m.Load)
+	case m.Serves != nil:
+		r.servesNoticed(now, m.Serves)
 	case m.AskOwner != nil:
 		r.applyAttempts(now, r.attempts.OnAskOwner(now, m.AskOwner.Upstream, m.AskOwner.Attempts))
 	}
--- a/pkg/router/record.go
+++ b/pkg/router/record.go
@@ -67,6 +67,7 @@
 	Upstreams []core.UpstreamID  `json:"upstreams_polled"`
 	Leaving   bool               `json:"leaving"`
 	Stopped   string             `json:"stopped,omitempty"`
+	Orders    []OrdersView       `json:"orders,omitempty"`
 
 	// Root is the root of the highest version seen, and ConfirmedAt the instant
 	// at which the store is known to have held it. Peers ask for them.
@@ -86,6 +87,7 @@
 		Upstreams: slices.Clone(r.polls.order),
 		Leaving:   r.leaving,
 		Stopped:   r.stopped,
+		Orders:    r.ordersView(now),
 	}
 	_, age := r.keys.Youngest(now)
 	view.Root = r.rollout.Root()
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -21,6 +21,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/keys"
 	"github.com/rhubarbsill/rhubarbsill/pkg/limits"
 	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
+	"github.com/rhubarbsill/rhubarbsill/pkg/orders"
 	"github.com/rhubarbsill/rhubarbsill/pkg/placement"
 	"github.com/rhubarbsill/rhubarbsill/pkg/rollout"
 )
@@ -44,6 +45,7 @@
 	Claims     claims.Params
 	Placement  placement.Params
 	Attempts   attempts.Params
+	Orders     orders.Params
 
 	// ListEvery is the time between two reads of the platform's list.
 	ListEvery time.Duration
@@ -83,6 +85,7 @@
 	// cacheAfter is the sequence number up to which cache events were read.
 	cacheAfter map[core.UpstreamID]uint64
 	beats      heartbeats
+	desk       orderDesk
 	// loads holds the reports that this Instance has read since it last shared
 	// them.
 	loads     map[core.UpstreamID]placement.LoadReport
@@ -112,6 +115,10 @@
 	p.Rollout.Random = p.Rand
 	p.Claims.Random = p.Random
 	p.Placement.Rand = p.Rand
+	p.Orders.Random = p.Random
+	if p.Orders.MaxLoads == 0 {
+		p.Orders.MaxLoads = defaultMaxLoads
+	}
 	if p.Attempts.AbsentGrace == 0 {
 		p.Attempts.AbsentGrace = absentGrace
 	}
@@ -125,6 +132,7 @@
 
 		cacheAfter: map[core.UpstreamID]uint64{},
 		beats:      newHeartbeats(),
+		desk:       newOrderDesk(),
 		loads:      map[core.UpstreamID]placement.LoadReport{},
 	}
 	r.keys = keys.New(p.Keys)
@@ -159,6 +167,7 @@
 		r.claims.NextWake(),
 		r.placement.NextWake(),
 		r.attempts.NextWake(),
+		r.desk.next(),
 	)
 }
 
@@ -193,6 +202,8 @@
 		r.placement.OnUpstreamFailed(now, e.Upstream)
 	case CacheReported:
 		r.cacheReported(now, e)
+	case OrderResult:
+		r.orderResult(now, e)
 	case InstancesListed:
 		r.applyMembership(now, r.membership.OnList(now, e.List))
 	case RootRead:
@@ -232,6 +243,7 @@
 		r.poll(up)
 	}
 	r.shareLoad(now)
+	r.tickOrders(now)
 }
 
 func (r *Router) emit(e Effect) { r.effects = append(r.effects, e) }
@@ -245,6 +257,7 @@
 	r.leaving = true
 	r.drainAt = now.Add(r.membership.Addresses(now, r.self.Region, "").KeepFor)
 	r.applyMembership(now, r.membership.Leave(now))
+	r.resignOrders(now)
 }
 
 func (r *Router) checkDrained(now core.Instant) {
@@ -264,6 +277,7 @@
 	r.keys.Reset()
 	r.membership.Reset(r.self.Ref)
 	r.applyClaims(now, r.claims.Reset(now, r.self.Ref))
+	r.resetOrders(now)
 	if r.leaving {
 		r.applyMembership(now, r.membership.Leave(now))
 	}
--- a/pkg/router/store.go
+++ b/pkg/router/store.go
@@ -8,6 +8,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
+	"github.com/rhubarbsill/rhubarbsill/pkg/orders"
 	"github.com/rhubarbsill/rhubarbsill/pkg/placement"
 	"github.com/rhubarbsill/rhubarbsill/pkg/rollout"
 )
@@ -81,6 +82,7 @@
 	r.applyPlacement(now, r.placement.SetMembers(now, members))
 	r.applyAttempts(now, r.attempts.SetMembers(now, refs))
 	r.schedulePolls(now)
+	r.setOrders(now)
 	r.recordEvent(now, "membership", "roster", fmt.Sprintf("epoch=%d members=%d settled=%t", roster.Epoch, len(members), roster.Settled))
 }
 
@@ -90,6 +92,8 @@
 		r.rosterReplied(now, e)
 	case OpClaims:
 		r.claimsReplied(now, e)
+	case OpOrders:
+		r.ordersReplied(now, e)
 	case OpRoot, OpPiece:
 		r.configReplied(now, e)
 	}
@@ -205,6 +209,8 @@
 	switch e := e.(type) {
 	case StorePut:
 		r.storeReplied(now, StoreReplied{Op: e.Op, Failure: StoreUnavailable, AskedAt: now})
+	case SendOrder:
+		r.orderResult(now, OrderResult{Service: e.Service, Upstream: e.Upstream, Fence: e.Fence, Result: orders.Expired})
 	case StartPrefill:
 		r.attemptExpired(now, e.Attempt, e.Upstream)
 	case StartDecode:
--- /dev/null
+++ b/pkg/server/orders.go
@@ -0,0 +1,60 @@
+package server
+
+import (
+	"context"
+	"errors"
+
+	"go.uber.org/zap"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/orders"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+// sendOrder sends an order to an engine, unless it is too late, and gives it up
+// after its time limit.
+func (s *Server) sendOrder(ctx context.Context, e router.SendOrder) {
+	if s.clock.now() >= e.NotAfter {
+		s.post(router.EffectExpired{Effect: e})
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.TimeLimit)
+	defer cancel()
+	err := s.upstreams.Load().Order(ctx, e.URL, upstream.OrderRequest{Want: wireState(e.Want), Fence: e.Fence})
+	if err != nil {
+		telemetry.Component(s.log, "orders").Warn("order failed", zap.String("upstream", string(e.Upstream)), zap.Error(err))
+	}
+	s.post(router.OrderResult{Service: e.Service, Upstream: e.Upstream, Fence: e.Fence, Result: orderResult(err)})
+}
+
+func orderResult(err error) orders.Result {
+	var failure *upstream.Error
+	switch {
+	case err == nil:
+		return orders.Done
+	case errors.As(err, &failure) && failure.Code == upstream.CodeStaleFence:
+		return orders.Stale
+	}
+	return orders.Failed
+}
+
+func wireState(s orders.State) upstream.Served {
+	return upstream.Served{Model: string(s.Model), Adapter: s.Adapter, Version: s.Version, Role: s.Role}
+}
+
+func stateOf(s *upstream.Served) orders.State {
+	if s == nil {
+		return orders.State{}
+	}
+	return orders.State{Model: core.ModelName(s.Model), Adapter: s.Adapter, Version: s.Version, Role: s.Role}
+}
+
+// servesOf returns nil for an Upstream that does not tell what it serves.
+func servesOf(report upstream.LoadReport) *orders.Report {
+	if report.Serves == nil {
+		return nil
+	}
+	return &orders.Report{Serves: stateOf(report.Serves), Loading: stateOf(report.Loading)}
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -326,6 +326,8 @@
 		go s.listInstances(ctx)
 	case router.PollLoad:
 		go s.pollLoad(ctx, e)
+	case router.SendOrder:
+		go s.sendOrder(ctx, e)
 	case router.SendPeer:
 		s.sendPeer(e)
 	case router.InForce:
--- a/pkg/server/upstreams.go
+++ b/pkg/server/upstreams.go
@@ -292,7 +292,7 @@
 		s.post(router.LoadFailed{Upstream: e.Upstream})
 		return
 	}
-	s.post(router.LoadReported{Upstream: e.Upstream, Report: s.loadOf(asked, report)})
+	s.post(router.LoadReported{Upstream: e.Upstream, Report: s.loadOf(asked, report), Serves: servesOf(report)})
 	if !e.CacheEvents {
 		return
 	}
