--- /dev/null
+++ b/pkg/lab/site/orders_test.go
@@ -0,0 +1,91 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/lab/engine"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+// promoteVersion orders a version and waits until every engine serves it.
+func promoteVersion(ctx context.Context, t *testing.T, s *Site, version string) {
+	t.Helper()
+	upstreams := s.Document.Services[0].Upstreams
+	for i := range upstreams {
+		upstreams[i].ChecksFencing = true
+		upstreams[i].Serve = &config.Serve{Model: Model, Version: version}
+	}
+	if err := s.Promote(ctx); err != nil {
+		t.Fatal(err)
+	}
+	started := time.Now()
+	for _, e := range append(append([]*engine.Server(nil), s.Prefill...), s.Decode...) {
+		for e.Serves().Version != version {
+			if ctx.Err() != nil {
+				t.Fatalf("an engine still serves %+v after %d orders", e.Serves(), len(e.Orders()))
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	t.Logf("version %s in %v", version, time.Since(started).Round(10*time.Millisecond))
+}
+
+// holderOf waits for the Instance whose status shows the lease of the service.
+func holderOf(ctx context.Context, t *testing.T, s *Site) *Instance {
+	t.Helper()
+	for ctx.Err() == nil {
+		for _, instance := range s.Instances {
+			status, err := instance.Status(ctx)
+			if err == nil && len(status.Orders) == 1 && status.Orders[0].Fence != 0 && len(status.Orders[0].Differing) == 0 {
+				return instance
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("no status shows a holder without differing engines")
+	return nil
+}
+
+// Guards against orders that get lost between the document, the daemon and the
+// engines' HTTP interface, and against answers that fail while engines change.
+func TestOrdersOverHTTP(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	s, err := Start(ctx, Options{Instances: 2, Engine: engine.Options{
+		Serves: upstream.Served{Model: Model, Version: "1"}, LoadTime: 200 * time.Millisecond, CheckFencing: true,
+	}})
+	is.NoErr(err)
+	defer s.Close()
+	promoteVersion(ctx, t, s, "2")
+	first := holderOf(ctx, t, s)
+	is.Equal(s.Decode[0].Serves(), upstream.Served{Model: Model, Version: "2", Role: "decode"})
+	fence := s.Decode[0].Orders()[0].Fence
+	is.True(fence > 0)
+	body, err := json.Marshal(map[string]any{"model": Model, "prompt": Prompt("menu", 100), "max_tokens": 8})
+	is.NoErr(err)
+	_, err = firstAnswer(ctx, "http://"+first.CallerAddr+"/v1/completions", s.Large.Key, body)
+	is.NoErr(err)
+	response, err := http.Get("http://" + first.StatusAddr + "/timeline?upstream=decode-1")
+	is.NoErr(err)
+	defer response.Body.Close()
+	events, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	for _, kind := range []string{"sent", "accepted", "done"} {
+		is.True(strings.Contains(string(events), `"`+kind+`"`)) // in the timeline of the engine
+	}
+
+	is.NoErr(first.Shutdown())
+	promoteVersion(ctx, t, s, "3")
+	orders := s.Decode[0].Orders()
+	is.True(orders[len(orders)-1].Fence > fence) // of another holder
+}
