lab: measure messages, store calls and steps of an instance by fleet size

The control budget of a node (1.8% of a core, 256 MB, 10 KB/s) had no figures for a whole Router, only for single modules. `rhubarbsill-lab capacity` runs real Routers in virtual time and counts, for sampled Instances, the peer messages by kind with their gob bytes, the store calls by kind and the elapsed time of the steps by event. `--memory` gives the heap that one idle Router adds.

A single Router with synthetic peers was ruled out: denied reservations, loans and notices depend on what the peers do, so synthetic ones would decide the result. Frames of net/rpc and TCP are not counted.

--- a/cmd/rhubarbsill-lab/main.go
+++ b/cmd/rhubarbsill-lab/main.go
@@ -29,7 +29,7 @@
 		Short:        "Run fakes of the platform, engines and plain services for tests and trials",
 		SilenceUsage: true,
 	}
-	root.AddCommand(platformCommand(), engineCommand(), plainCommand(), upCommand())
+	root.AddCommand(platformCommand(), engineCommand(), plainCommand(), upCommand(), capacityCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
--- /dev/null
+++ b/pkg/lab/capacity/memory.go
@@ -0,0 +1,32 @@
+package capacity
+
+import (
+	"runtime"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/lab/virtual"
+)
+
+// Memory returns the heap in bytes that one idle Router adds to a World, with its
+// Snapshot and the configuration pieces that it keeps for its peers.
+func Memory(o Options) (int64, error) {
+	heap := func(instances int) (int64, error) {
+		sized := o
+		sized.Instances = instances
+		w := virtual.New(deployment(sized))
+		if err := settle(w); err != nil {
+			return 0, err
+		}
+		runtime.GC()
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		runtime.KeepAlive(w)
+		return int64(stats.HeapAlloc), nil
+	}
+	few, err := heap(1)
+	if err != nil {
+		return 0, err
+	}
+	many, err := heap(5)
+	return (many - few) / 4, err
+}
--- a/pkg/lab/virtual/instance.go
+++ b/pkg/lab/virtual/instance.go
@@ -139,7 +139,10 @@
 }
 
 func (i *Instance) step(event router.Event) {
-	for _, effect := range i.router.Step(i.local(), event) {
+	for _, effect := range i.runStep(event) {
+		if i.world.opts.Effect != nil {
+			i.world.opts.Effect(i.ref, effect)
+		}
 		i.perform(effect)
 	}
 	wake := max(i.world.now, min(i.global(i.router.NextWake()), i.world.now+250*time.Millisecond))
@@ -149,6 +152,17 @@
 	}
 }
 
+// runStep measures the step when the World's options ask for it.
+func (i *Instance) runStep(event router.Event) []router.Effect {
+	if i.world.opts.Stepped == nil {
+		return i.router.Step(i.local(), event)
+	}
+	began := time.Now()
+	effects := i.router.Step(i.local(), event)
+	i.world.opts.Stepped(i.ref, event, time.Since(began))
+	return effects
+}
+
 // Kill ends the process at once. Remove also takes it off the platform's list.
 func (i *Instance) Kill() {
 	i.dead = true
--- a/pkg/lab/virtual/world.go
+++ b/pkg/lab/virtual/world.go
@@ -26,6 +26,10 @@
 	Engine   EngineOptions
 	// Trace sees every timeline event and every store call, when set.
 	Trace func(at time.Duration, instance core.InstanceRef, what string)
+	// Effect sees every effect of every Router, when set.
+	Effect func(instance core.InstanceRef, effect router.Effect)
+	// Stepped sees the elapsed time of every step of the Routers, when set.
+	Stepped func(instance core.InstanceRef, event router.Event, took time.Duration)
 	// Adjust changes the settings of each Router before it starts.
 	Adjust func(*router.Params)
 }
