router: send load notices to the peers in turn

Every Instance sent its load notice to every member of its region twice a second, with all its placements by engine. That is 136 KB/s sent at 80 Instances with 42.4 requests/s each, against a budget of 10 KB/s, and grows with the square of the fleet's size.

On heartbeats the bytes would be the same.

Change: a region with more than LoadFanout (7) peers gets the notices in turn, with the loads of the Upstreams that the sender polls and the transfers of one round summed by DataCentre. Placements by engine are left out there; the ledger holder decides over slots. A report older than three polls is not sent again.

--- a/cmd/rhubarbsill-lab/capacity.go
+++ b/cmd/rhubarbsill-lab/capacity.go
@@ -39,6 +39,7 @@
 	flags.IntVar(&opts.Engines, "engines", 0, "engines, 0 for 1,300 in proportion to 330 instances")
 	flags.BoolVar(&memory, "memory", false, "print the heap of one idle router instead")
 	flags.IntVar(&opts.Seconds, "seconds", 5, "virtual seconds to measure")
+	flags.IntVar(&opts.LoadFanout, "load-fanout", 0, "router setting LoadFanout, 0 for the default")
 	flags.Uint64Var(&opts.Seed, "seed", 1, "seed of the run")
 	return command
 }
--- a/pkg/lab/capacity/capacity.go
+++ b/pkg/lab/capacity/capacity.go
@@ -32,6 +32,8 @@
 	Engines int
 	// Seconds is the virtual time measured, after the fleet has settled.
 	Seconds int
+	// LoadFanout is router.Params.LoadFanout.
+	LoadFanout int
 }
 
 // The shape of a request. At 20 ms a token 40 tokens hold a slot for about a
@@ -212,6 +214,7 @@
 		Accounts:    accounts,
 		Policy:      config.PolicyGoodput,
 	})
+	opts.Adjust = func(p *router.Params) { p.LoadFanout = o.LoadFanout }
 	return opts
 }
 
@@ -321,8 +324,8 @@
 func (r Result) Print(to io.Writer) error {
 	o := r.Options
 	t := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintf(t, "instances=%d requests/s=%.1f accounts=%d seed=%d seconds=%d\n",
-		o.Instances, o.PerInstance, o.Accounts, o.Seed, o.Seconds)
+	_, _ = fmt.Fprintf(t, "instances=%d requests/s=%.1f accounts=%d fanout=%d seed=%d seconds=%d\n",
+		o.Instances, o.PerInstance, o.Accounts, o.LoadFanout, o.Seed, o.Seconds)
 	_, _ = fmt.Fprintf(t, "completed=%d of %d refused=%d first token p50=%v p95=%v reservations at peers=%d denied=%d\n",
 		r.Completed, r.Requests, r.Refused, r.FirstToken[0], r.FirstToken[1], r.Asked, r.Denied)
 	for _, part := range []struct {
--- a/pkg/router/load.go
+++ b/pkg/router/load.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -13,8 +12,9 @@
 
 // upstreamEntry is what the router needs to reach an Upstream.
 type upstreamEntry struct {
-	url  string
-	role config.Role
+	url        string
+	role       config.Role
+	dataCentre core.DataCentreName
 }
 
 // pollSchedule says which Upstreams this Instance polls, and when. One Instance
@@ -95,38 +95,6 @@
 	}
 }
 
-// shareLoad tells the members of this region what this Instance has read and
-// placed since the last time. KV cache does not cross regions, so other regions
-// have no use for it.
-func (r *Router) shareLoad(now core.Instant) {
-	if now < r.nextShare {
-		return
-	}
-	r.nextShare = now.Add(r.params.LoadEvery)
-	notice := LoadNotice{Placed: r.placement.TakePlacements(), Age: r.params.LoadEvery / 2}
-	for _, up := range slices.Sorted(maps.Keys(r.loads)) {
-		report := r.loads[up]
-		notice.Upstreams = append(notice.Upstreams, UpstreamLoad{
-			Upstream:     up,
-			Slots:        report.Slots,
-			Used:         report.Used,
-			Queued:       report.Queued,
-			QueuedTokens: report.QueuedTokens,
-			Age:          now.Sub(report.AsOf),
-			Generation:   report.Generation,
-		})
-	}
-	clear(r.loads)
-	if len(notice.Upstreams) == 0 && len(notice.Placed) == 0 {
-		return
-	}
-	for _, member := range r.membership.Roster().Members {
-		if member.Ref.ID != r.self.Ref.ID && member.Region == r.self.Region {
-			r.emit(SendPeer{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Load: &notice}, NotAfter: core.Never})
-		}
-	}
-}
-
 // schedulePolls chooses the Upstreams that this Instance polls: those whose slot
 // ledger it holds.
 func (r *Router) schedulePolls(now core.Instant) {
@@ -146,7 +114,7 @@
 	r.upstreams = map[core.UpstreamID]upstreamEntry{}
 	for _, service := range s.Services() {
 		for _, up := range service.Upstreams {
-			r.upstreams[up.ID] = upstreamEntry{url: up.URL, role: up.Role}
+			r.upstreams[up.ID] = upstreamEntry{url: up.URL, role: up.Role, dataCentre: up.DataCentre}
 		}
 	}
 	r.applyPlacement(now, r.placement.SetTopology(now, topologyOf(s)))
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -49,12 +49,18 @@
 	ListEvery time.Duration
 	// LoadEvery is the time between two polls of an Upstream's load.
 	LoadEvery time.Duration
+	// LoadFanout is the largest number of load notices sent every LoadEvery. A
+	// region with more peers gets them in turn, with the loads only.
+	LoadFanout int
 }
 
 // Defaults of Params.
 const (
 	defaultListEvery = 2 * time.Second
 	defaultLoadEvery = 500 * time.Millisecond
+	// A fleet of 8 sends to all peers. 14 notices a second of four Upstreams each
+	// are about 1.9 KB/s.
+	defaultLoadFanout = 7
 )
 
 // absentGrace is the time from the roster's drop of an Instance to the cancel of
@@ -87,6 +93,9 @@
 	// them.
 	loads     map[core.UpstreamID]placement.LoadReport
 	nextShare core.Instant
+	// shareCursor and transfers belong to sharing in turn.
+	shareCursor int
+	transfers   [][]placement.Placed
 
 	rosterWrite membership.Roster // the roster of the write in flight
 	nextList    core.Instant
@@ -106,6 +115,9 @@
 	if p.LoadEvery == 0 {
 		p.LoadEvery = defaultLoadEvery
 	}
+	if p.LoadFanout == 0 {
+		p.LoadFanout = defaultLoadFanout
+	}
 	p.Keys.Region = p.Self.Region
 	p.Keys.StoreRegion = p.StoreRegion
 	p.Membership.Random = p.Rand
--- /dev/null
+++ b/pkg/router/share_test.go
@@ -0,0 +1,63 @@
+package router_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/lab/virtual"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+)
+
+// Guards against load notices that grow with the fleet, against a peer that never
+// has its turn, and against reports of an Upstream that no longer answers.
+func TestLoadNoticesGoInTurn(t *testing.T) {
+	const instances, fanout = 9, 2
+	type link struct{ from, to core.InstanceID }
+	notices := map[link]int{}
+	var oldest time.Duration
+	on := false
+	opts := virtual.Deployment(1, virtual.Sizes{
+		DataCentres: []config.DataCentre{{Name: "north-a", Region: "north", LinkMbps: 80_000}},
+		Instances:   instances,
+		PrefillEach: 20,
+		DecodeEach:  40,
+		Accounts:    []config.ClientAccount{virtual.Account("large", 1, 50_000, 250_000)},
+		Policy:      config.PolicyGoodput,
+	})
+	opts.Adjust = func(p *router.Params) { p.LoadFanout = fanout }
+	opts.Effect = func(from core.InstanceRef, effect router.Effect) {
+		if e, ok := effect.(router.SendPeer); ok && on && e.Message.Load != nil {
+			notices[link{from.ID, e.To}]++
+			for _, load := range e.Message.Load.Upstreams {
+				oldest = max(oldest, load.Age)
+			}
+		}
+	}
+	w := virtual.New(opts)
+	settled(t, w)
+	on = true
+	const seconds = 8 // 16 turns of 2 notices are four rounds over 8 peers
+	w.Crash(w.Upstreams()[0])
+	w.RunUntil(w.Now() + seconds*time.Second)
+	for _, from := range w.Instances() {
+		sent := 0
+		for _, to := range w.Instances() {
+			if from == to {
+				continue
+			}
+			n := notices[link{from.View().Instance.ID, to.View().Instance.ID}]
+			sent += n
+			if n < 3 {
+				t.Errorf("%s sent %d notices to %s in four rounds", from.View().Instance.ID, n, to.View().Instance.ID)
+			}
+		}
+		if limit := fanout * (2*seconds + 1); sent > limit {
+			t.Errorf("%s sent %d notices, the limit is %d", from.View().Instance.ID, sent, limit)
+		}
+	}
+	if limit := 1500 * time.Millisecond; oldest > limit {
+		t.Errorf("a report of %v was sent, the limit is %v", oldest, limit)
+	}
+}
