--- a/pkg/lab/measure/measure_test.go
+++ b/pkg/lab/measure/measure_test.go
@@ -36,7 +36,7 @@
 	for _, d := range []Deployment{Division(), Cooperative()} {
 		is := is.New(t)
 		result, err := Run{
-			Deployment: d, Scenario: Scenario{Name: "half", Load: 0.5}, Variant: Variants()[0], Seed: 2, Length: 4 * time.Second,
+			Deployment: d, Scenario: Scenario{Name: "half", Load: 0.5}, Variant: Variants()[0], Seed: 2, Length: 20 * time.Second,
 		}.Do()
 		is.NoErr(err)
 		is.True(result.Requests > 10)
