--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
 	"github.com/rhubarbsill/rhubarbsill/pkg/claims"
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -9,7 +9,6 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/claims"
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
-	"github.com/rhubarbsill/rhubarbsill/pkg/limits"
 	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
 	"github.com/rhubarbsill/rhubarbsill/pkg/placement"
 )
