schedule: one queue of due values for modules and virtual worlds

Cause: the same heap ordered by time and insertion stood in attempts, placement, lab/virtual and the test worlds of five packages. pkg/schedule holds it once; attempts, claims and orders use it now.

Ruled out: a library; container/heap is the usual one and is used below it.

--- a/pkg/attempts/attempts.go
+++ b/pkg/attempts/attempts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
 )
 
 // maxSlotWait bounds the time for which a decode waits for its slot after the
@@ -67,12 +68,11 @@
 	stats  Stats
 
 	seq      uint64
-	order    uint64
 	live     map[core.AttemptID]*attempt
 	requests map[core.RequestID]*request
 	cancels  map[core.UpstreamID]map[core.AttemptID]*cancel
 	open     map[core.AttemptID]int // cancels that aren't confirmed
-	timers   timerHeap
+	timers   schedule.Queue[core.Instant, timer]
 	budget   float64
 
 	members map[core.InstanceID]core.Incarnation
--- a/pkg/attempts/timers.go
+++ b/pkg/attempts/timers.go
@@ -1,10 +1,6 @@
 package attempts
 
-import (
-	"container/heap"
-
-	"github.com/rhubarbsill/rhubarbsill/pkg/core"
-)
+import "github.com/rhubarbsill/rhubarbsill/pkg/core"
 
 type timerKind int
 
@@ -21,7 +17,6 @@
 // ignores its old timers.
 type timer struct {
 	at      core.Instant
-	order   uint64
 	kind    timerKind
 	attempt core.AttemptID
 	up      core.UpstreamID
@@ -31,27 +26,27 @@
 }
 
 func (a *Attempts) after(t timer) {
-	a.order++
-	t.order = a.order
-	heap.Push(&a.timers, t)
+	a.timers.Add(t.at, t)
 }
 
 // NextWake returns the time at which Tick is due.
 func (a *Attempts) NextWake() core.Instant {
-	if len(a.timers) == 0 {
-		return core.Never
+	if next, any := a.timers.Next(); any {
+		return next
 	}
-	return a.timers[0].at
+	return core.Never
 }
 
 // Tick does the work that is due at now.
 func (a *Attempts) Tick(now core.Instant) []Output {
 	var outputs []Output
-	for len(a.timers) > 0 && a.timers[0].at <= now {
-		due := heap.Pop(&a.timers).(timer)
-		outputs = append(outputs, a.onTimer(now, due)...)
+	for {
+		timer, _, due := a.timers.PopDue(now)
+		if !due {
+			return outputs
+		}
+		outputs = append(outputs, a.onTimer(now, timer)...)
 	}
-	return outputs
 }
 
 func (a *Attempts) onTimer(now core.Instant, due timer) []Output {
@@ -69,27 +64,3 @@
 	}
 	return a.onSyncTimer(now)
 }
-
-type timerHeap []timer
-
-func (h timerHeap) Len() int { return len(h) }
-
-func (h timerHeap) Less(i, k int) bool {
-	if h[i].at != h[k].at {
-		return h[i].at < h[k].at
-	}
-	return h[i].order < h[k].order
-}
-
-func (h timerHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
-
-// Push is part of heap.Interface.
-func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
-
-// Pop is part of heap.Interface.
-func (h *timerHeap) Pop() any {
-	last := len(*h) - 1
-	t := (*h)[last]
-	*h = (*h)[:last]
-	return t
-}
--- a/pkg/attempts/world_test.go
+++ b/pkg/attempts/world_test.go
@@ -1,13 +1,13 @@
 package attempts
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
 )
 
 const ms = time.Millisecond
@@ -16,8 +16,7 @@
 type world struct {
 	rng       *rand.Rand
 	now       core.Instant
-	order     int
-	events    worldEvents
+	events    schedule.Queue[core.Instant, func()]
 	instances []*instance
 	engines   []*engineModel
 	requests  map[core.RequestID]*caller
@@ -74,27 +73,6 @@
 	decode bool
 }
 
-type worldEvent struct {
-	at    core.Instant
-	order int
-	run   func()
-}
-
-type worldEvents []worldEvent
-
-func (h worldEvents) Len() int { return len(h) }
-func (h worldEvents) Less(i, k int) bool {
-	return h[i].at < h[k].at || (h[i].at == h[k].at && h[i].order < h[k].order)
-}
-func (h worldEvents) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
-func (h *worldEvents) Push(x any)   { *h = append(*h, x.(worldEvent)) }
-func (h *worldEvents) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	*h = (*h)[:last]
-	return e
-}
-
 func newWorld(seed uint64, instances, engines int, p Params) *world {
 	w := &world{
 		rng:      rand.New(rand.NewPCG(seed, 11)),
@@ -119,15 +97,17 @@
 }
 
 func (w *world) after(d time.Duration, run func()) {
-	w.order++
-	heap.Push(&w.events, worldEvent{at: w.now.Add(d), order: w.order, run: run})
+	w.events.Add(w.now.Add(d), run)
 }
 
 func (w *world) runUntil(end core.Instant) {
-	for len(w.events) > 0 && w.events[0].at <= end {
-		e := heap.Pop(&w.events).(worldEvent)
-		w.now = e.at
-		e.run()
+	for {
+		run, at, due := w.events.PopDue(end)
+		if !due {
+			break
+		}
+		w.now = at
+		run()
 	}
 	w.now = end
 }
--- a/pkg/claims/world_test.go
+++ b/pkg/claims/world_test.go
@@ -1,7 +1,6 @@
 package claims
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -26,26 +26,6 @@
 
 type failer interface{ Fatalf(string, ...any) }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 type stored struct {
 	version uint64
 	value   []byte
@@ -68,8 +48,7 @@
 	p          plan
 	rng        *rand.Rand
 	now        time.Duration
-	seq        int
-	queue      events
+	queue      schedule.Queue[time.Duration, func()]
 	history    map[int][]stored
 	version    uint64
 	nodes      []*node
@@ -125,8 +104,7 @@
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now + d, w.seq, do})
+	w.queue.Add(w.now+d, do)
 }
 
 // on runs do at the node's process after d, later if it is paused then, and not
@@ -347,10 +325,13 @@
 
 // drive runs the events until a time.
 func (w *world) drive(until time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= until {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	for {
+		do, at, due := w.queue.PopDue(until)
+		if !due {
+			break
+		}
+		w.now = at
+		do()
 	}
 	w.now = until
 }
--- a/pkg/orders/orders_test.go
+++ b/pkg/orders/orders_test.go
@@ -1,7 +1,6 @@
 package orders
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -11,28 +10,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
 )
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 type stored struct {
 	version uint64
 	value   []byte
@@ -60,8 +40,7 @@
 	rng                                   *rand.Rand
 	outage, slow, stale, lost, late, kill float64
 	now                                   time.Duration
-	seq                                   int
-	queue                                 events
+	queue                                 schedule.Queue[time.Duration, func()]
 	history                               []stored
 	nodes                                 []*node
 	engines                               []*engine
@@ -85,8 +64,7 @@
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now + d, w.seq, do})
+	w.queue.Add(w.now+d, do)
 }
 
 func (w *world) on(n *node, o *Orders, d time.Duration, do func(now core.Instant) []Output) {
@@ -251,10 +229,13 @@
 }
 
 func (w *world) drive(until time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= until {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	for {
+		do, at, due := w.queue.PopDue(until)
+		if !due {
+			break
+		}
+		w.now = at
+		do()
 	}
 	w.now = until
 }
