--- a/pkg/placement/booking_test.go
+++ b/pkg/placement/booking_test.go
@@ -49,7 +49,8 @@
 	is.True(len(p.Tick(core.Instant(900*ms))) > 0) // the engines have worked off theirs
 }
 
-// Guards against pairs in two DataCentres that load two links where one would do.
+// Guards against pairs in two DataCentres that load two links where one would do:
+// a short queue nearby is better than a second link.
 func TestNearPrefillEnginesArePreferred(t *testing.T) {
 	is := is.New(t)
 	p := New(core.InstanceRef{ID: "i0", Incarnation: 1}, "east", Params{Rand: newRand(3)})
@@ -60,7 +61,14 @@
 	p.SetTopology(0, top)
 	for k := range 12 {
 		now := core.Instant(k+1) * core.Instant(time.Second)
+		for _, e := range p.engines {
+			report := LoadReport{Slots: 100, AsOf: now, Leaving: e.Role == RoleDecode && e.DataCentre == "west"}
+			if e.Role == RolePrefill && e.DataCentre == "east" {
+				report.QueuedTokens = 200 // 10 ms
+			}
+			p.OnLoad(now, e.ID, report)
+		}
 		place := placed(t, p.Submit(now, chat("r", 1000, core.Never)))
-		is.Equal(p.engines[place.Prefill].site, p.engines[place.Decode].site)
+		is.Equal(p.engines[place.Prefill].DataCentre, core.DataCentreName("east"))
 	}
 }
