placement: benchmark decisions at a load that can be placed

Cause: BenchmarkDecision offered prompts at a hundred times the speed of its prefill engines.

Change: the time between two jobs is half the load that the prefill engines can do, and the links are unlimited, because two links of 400 Gbit/s can't carry the KV cache of 1,300 engines.

The choice under a full link is a weakness that remains.

--- a/pkg/placement/bench_test.go
+++ b/pkg/placement/bench_test.go
@@ -42,13 +42,20 @@
 	for _, n := range []int{21, 210, 1300} {
 		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
 			p := New(core.InstanceRef{ID: "i1", Incarnation: 1}, "east", Params{Rand: newRand(1)})
-			p.SetTopology(0, fleet(n, 20))
+			top := fleet(n, 20)
+			for i := range top.DataCentres {
+				top.DataCentres[i].LinkMbps = 0 // two links can't carry the largest fleet
+			}
+			p.SetTopology(0, top)
 			live := n * 20 / 3
 			ids := make([]core.RequestID, live)
 			for i := range ids {
 				ids[i] = core.RequestID(fmt.Sprintf("r%d", i))
 			}
 			now := core.Instant(0)
+			// Half of what the prefill engines can do; jobs that wait for a prefill
+			// engine would not be placed.
+			step := seconds(2 * 3000 / (float64(n) / 3 * 20_000))
 			prefix := make([][]uint64, 64)
 			for i := range prefix {
 				prefix[i] = []uint64{1, uint64(i % 8), uint64(100 + i)}
@@ -59,7 +66,7 @@
 			for i := range b.N {
 				id := ids[i%live]
 				p.Release(now, id)
-				now = now.Add(200 * time.Microsecond)
+				now = now.Add(step)
 				outputs := p.Submit(now, Job{
 					ID: id, Account: "a", Service: "chat", Model: "m", Weight: 1,
 					PromptTokens: 3000, MaxOutput: 200, Prefix: prefix[i%64], Deadline: now.Add(time.Minute),
