--- a/pkg/lab/virtual/engine.go
+++ b/pkg/lab/virtual/engine.go
@@ -337,6 +337,7 @@
 		i.failed(2*time.Second, q.Attempt, q.Upstream, attempts.FailStalled, true)
 		return
 	}
+	request.Arrivals = append(request.Arrivals, Arrival{At: w.now, Upstream: q.Upstream})
 	run := i.run
 	w.after(there, func() {
 		switch {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -94,6 +94,8 @@
 	stopped     string
 	drained     bool
 	drainAt     core.Instant
+	// unnamed is set once no address answer names this leaving Instance.
+	unnamed bool
 
 	effects []Effect
 }
@@ -248,7 +250,11 @@
 }
 
 func (r *Router) checkDrained(now core.Instant) {
-	if !r.leaving || r.drained || now < r.drainAt && r.stopped == "" || len(r.flows) > 0 {
+	if now >= r.drainAt {
+		r.unnamed = true
+		r.drainAt = core.Never // a wake in the past would repeat Tick without end
+	}
+	if !r.leaving || r.drained || !r.unnamed && r.stopped == "" || len(r.flows) > 0 {
 		return
 	}
 	r.drained = true
