placement, lab/virtual: use the shared queue of due values

Cause: two more copies of the heap of timers, and one in the tests of placement. pkg/schedule takes their place. The property tests of placement, virtual, measure and router pass.

--- a/pkg/lab/virtual/world.go
+++ b/pkg/lab/virtual/world.go
@@ -4,7 +4,6 @@
 package virtual
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
 )
 
 // Options describe a World.
@@ -47,8 +47,7 @@
 	opts    Options
 	rand    *rand.Rand
 	now     time.Duration
-	queue   eventQueue
-	seq     uint64
+	queue   schedule.Queue[time.Duration, func()]
 	regions map[core.DataCentreName]core.RegionName
 
 	instances []*Instance
@@ -78,32 +77,6 @@
 	nextID     int
 }
 
-type scheduled struct {
-	at  time.Duration
-	seq uint64
-	run func()
-}
-
-type eventQueue []scheduled
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push adds an element, for container/heap.
-func (q *eventQueue) Push(x any) { *q = append(*q, x.(scheduled)) }
-
-// Pop removes the last element, for container/heap.
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	old[len(old)-1] = scheduled{}
-	*q = old[:len(old)-1]
-	return last
-}
-
 // New returns a World whose Instances have started.
 func New(opts Options) *World {
 	opts.Engine = opts.Engine.withDefaults()
@@ -139,8 +112,7 @@
 
 // after runs a function d later.
 func (w *World) after(d time.Duration, run func()) {
-	w.seq++
-	heap.Push(&w.queue, scheduled{at: w.now + max(0, d), seq: w.seq, run: run})
+	w.queue.Add(w.now+max(0, d), run)
 }
 
 // Now returns the virtual time since the start.
@@ -151,10 +123,13 @@
 
 // RunUntil runs everything that happens until the virtual time t.
 func (w *World) RunUntil(t time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= t {
-		next := heap.Pop(&w.queue).(scheduled)
-		w.now = next.at
-		next.run()
+	for {
+		run, at, due := w.queue.PopDue(t)
+		if !due {
+			break
+		}
+		w.now = at
+		run()
 	}
 	w.now = t
 }
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -1,11 +1,11 @@
 package placement
 
 import (
-	"container/heap"
 	"fmt"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
 )
 
 const (
@@ -72,7 +72,7 @@
 	turn   int // of ChooseRoundRobin
 	seq    uint64
 	nonce  uint64
-	timers timerHeap
+	timers schedule.Queue[core.Instant, timer]
 }
 
 // New returns a Placer of the Instance self in the DataCentre dc.
@@ -294,8 +294,11 @@
 // Tick does the work that is due at now.
 func (p *Placer) Tick(now core.Instant) []Output {
 	var outputs []Output
-	for len(p.timers) > 0 && p.timers[0].at <= now {
-		due := heap.Pop(&p.timers).(timer)
+	for {
+		due, _, any := p.timers.PopDue(now)
+		if !any {
+			break
+		}
 		outputs = append(outputs, p.onTimer(now, due)...)
 	}
 	for _, one := range p.pools {
@@ -323,8 +326,8 @@
 // NextWake returns the time at which Tick is due.
 func (p *Placer) NextWake() core.Instant {
 	first := core.Never
-	if len(p.timers) > 0 {
-		first = p.timers[0].at
+	if next, any := p.timers.Next(); any {
+		first = next
 	}
 	for _, one := range p.pools {
 		first = min(first, one.nextTry)
@@ -340,28 +343,4 @@
 	nonce uint64
 }
 
-func (p *Placer) after(t timer) { heap.Push(&p.timers, t) }
-
-type timerHeap []timer
-
-func (h timerHeap) Len() int { return len(h) }
-
-func (h timerHeap) Less(i, k int) bool {
-	if h[i].at != h[k].at {
-		return h[i].at < h[k].at
-	}
-	return h[i].seq < h[k].seq
-}
-
-func (h timerHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
-
-// Push is part of heap.Interface.
-func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
-
-// Pop is part of heap.Interface.
-func (h *timerHeap) Pop() any {
-	last := len(*h) - 1
-	t := (*h)[last]
-	*h = (*h)[:last]
-	return t
-}
+func (p *Placer) after(t timer) { p.timers.Add(t.at, t) }
--- a/pkg/placement/world_test.go
+++ b/pkg/placement/world_test.go
@@ -1,13 +1,13 @@
 package placement
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
 )
 
 const (
@@ -20,8 +20,8 @@
 type world struct {
 	rng       *rand.Rand
 	now       core.Instant
+	events    schedule.Queue[core.Instant, func()]
 	order     int
-	events    worldEvents
 	nodes     []*node
 	engines   map[core.UpstreamID]*decodeModel
 	topology  Topology
@@ -60,27 +60,6 @@
 	waiting []func()
 }
 
-type worldEvent struct {
-	at    core.Instant
-	order int
-	run   func()
-}
-
-type worldEvents []worldEvent
-
-func (h worldEvents) Len() int { return len(h) }
-func (h worldEvents) Less(i, k int) bool {
-	return h[i].at < h[k].at || (h[i].at == h[k].at && h[i].order < h[k].order)
-}
-func (h worldEvents) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
-func (h *worldEvents) Push(x any)   { *h = append(*h, x.(worldEvent)) }
-func (h *worldEvents) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	*h = (*h)[:last]
-	return e
-}
-
 func newWorld(seed uint64, nodes int, t Topology) *world {
 	w := &world{
 		rng:      newRand(seed),
@@ -134,15 +113,17 @@
 }
 
 func (w *world) after(d time.Duration, run func()) {
-	w.order++
-	heap.Push(&w.events, worldEvent{at: w.now.Add(d), order: w.order, run: run})
+	w.events.Add(w.now.Add(d), run)
 }
 
 func (w *world) runUntil(end core.Instant) {
-	for len(w.events) > 0 && w.events[0].at <= end {
-		e := heap.Pop(&w.events).(worldEvent)
-		w.now = e.at
-		e.run()
+	for {
+		run, at, due := w.events.PopDue(end)
+		if !due {
+			break
+		}
+		w.now = at
+		run()
 	}
 	w.now = end
 }
