--- /dev/null
+++ b/cmd/rhubarbsilld/hosted.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/hosted"
+	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
+	"github.com/rhubarbsill/rhubarbsill/platform"
+)
+
+func newHostedCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:          "hosted",
+		Short:        "Run an entry instance on the users' platform",
+		Example:      "  rhubarbsilld hosted --settings instance.jsonc",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE:         func(cmd *cobra.Command, _ []string) error { return runHosted(cmd.Context(), path) },
+	}
+	command.Flags().StringVar(&path, "settings", platform.SettingsPath(), "settings file, JSON with comments")
+	return command
+}
+
+func runHosted(ctx context.Context, path string) error {
+	settings, err := hosted.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	level, err := zapcore.ParseLevel(settings.LogLevel)
+	if err != nil {
+		return fmt.Errorf("settings %s: log_level: %w", path, err)
+	}
+	log := telemetry.NewLogger(os.Stdout, level)
+	daemon, err := hosted.New(settings, platform.New(settings.Store), log)
+	if err != nil {
+		return err
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			reload(log, path)
+		}
+	}()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return daemon.Run(ctx)
+}
+
+// reload reads the settings again. Addresses and names can't change while the
+// process runs, so a changed file takes effect at the next start.
+func reload(log *zap.Logger, path string) {
+	log = telemetry.Component(log, "settings")
+	if _, err := hosted.ReadSettings(path); err != nil {
+		log.Error("changed settings not valid, going on with the former ones", zap.Error(err))
+		return
+	}
+	log.Info("settings read again, in effect at the next start")
+}
--- a/cmd/rhubarbsilld/main.go
+++ b/cmd/rhubarbsilld/main.go
@@ -39,6 +39,7 @@
 	command.Flags().StringVar(&path, "settings", "", "settings file, JSON with comments")
 	command.Flags().DurationVar(&drain, "drain-limit", 15*time.Minute, "longest wait for running requests at shutdown")
 	_ = command.MarkFlagRequired("settings")
+	command.AddCommand(newHostedCommand())
 	return command
 }
 
--- a/pkg/attempts/types.go
+++ b/pkg/attempts/types.go
@@ -55,6 +55,8 @@
 	Upstream core.UpstreamID
 	// Sent says that a byte of the attempt may have reached an Upstream.
 	Sent bool
+	// Rejected says that the Upstream has stated that it did not run the attempt.
+	Rejected bool
 	// Generation is the start of a crashed Upstream, 0 when it isn't certain.
 	Generation uint64
 }
--- /dev/null
+++ b/pkg/config/routing.go
@@ -0,0 +1,183 @@
+package config
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Repeat says what may be repeated on a HostRoute.
+type Repeat string
+
+// The kinds of HostRoutes.
+const (
+	// RepeatSafe requests may run more than once.
+	RepeatSafe Repeat = "safe"
+	// RepeatNever requests run at most once for each attempt of the caller.
+	RepeatNever Repeat = "never"
+)
+
+// HostRoute is a route that is selected by host and path prefix.
+type HostRoute struct {
+	Name   string
+	Host   string
+	Prefix string
+	Repeat Repeat
+	// Streaming routes answer with a series of events.
+	Streaming bool
+	// Resumable streams may go on at another Upstream.
+	Resumable bool
+	// Timeout is the longest time for which a caller is kept waiting.
+	Timeout time.Duration
+	// Target is the time to the answer, or to the first event of a stream.
+	Target time.Duration
+	// Gap is the longest pause between two events that is still on time.
+	Gap time.Duration
+	// Priority is the rank of the route, 0 for the most urgent.
+	Priority int
+	// MaxUpstreams bounds the Upstreams to which one request is sent.
+	MaxUpstreams int
+	// Open routes need no key.
+	Open bool
+	// Split shares the requests between services by weight.
+	Split []ServiceShare
+}
+
+// Idempotent reports whether a request of the route may run again after it was
+// sent.
+func (r *HostRoute) Idempotent() bool {
+	return r.Repeat == RepeatSafe || r.Streaming && r.Resumable
+}
+
+// ServiceShare is the weight of one service on a route.
+type ServiceShare struct {
+	Service core.ServiceName
+	Weight  int
+}
+
+// HostedService describes a service whose Upstreams the platform registers.
+type HostedService struct {
+	Name       core.ServiceName
+	HealthPath string
+	// MaxConnections bounds the connections to one Upstream from all Instances.
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *EngineProfile
+}
+
+// EngineProfile describes the model engines of a service.
+type EngineProfile struct {
+	Slots int
+	// MemoryTokens is the KV cache of one engine in tokens.
+	MemoryTokens int
+	// HoldFor is the longest time for which an engine holds a place.
+	HoldFor time.Duration
+	// KeepsKV is the time for which a prefill engine keeps a KV cache.
+	KeepsKV time.Duration
+	// Stride is the number of tokens in one event of a stream.
+	Stride int
+}
+
+// HostedAccount is a ClientAccount whose keys the platform hands out.
+type HostedAccount struct {
+	ID core.AccountID
+	// Priority takes precedence over the priority of the route when HasPriority.
+	Priority    int
+	HasPriority bool
+	Keys        []KeyDigest
+	// Rate and Burst are tokens per second and tokens over all Instances, 0 for
+	// no limit.
+	Rate  int64
+	Burst int64
+	// CountRequests says that Rate and Burst count requests, not tokens.
+	CountRequests bool
+	// PlainTokens is the charge of a request that states no tokens.
+	PlainTokens int64
+}
+
+// KeyDigest is the SHA-256 of a key. Keys themselves are not kept.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of a key.
+func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
+// CallerLimits bound what a caller may send.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Routing is a configuration that is delivered whole: routes, services and
+// ClientAccounts. It never changes after NewRouting.
+type Routing struct {
+	Version  core.Version
+	Routes   []HostRoute
+	Services []HostedService
+	Accounts []HostedAccount
+	Limits   CallerLimits
+
+	byHost   map[string][]*HostRoute // longest prefix first
+	services map[core.ServiceName]*HostedService
+	keys     map[KeyDigest]*HostedAccount
+	accounts map[core.AccountID]*HostedAccount
+}
+
+// NewRouting compiles a configuration.
+func NewRouting(r Routing) *Routing {
+	r.byHost = map[string][]*HostRoute{}
+	r.services = map[core.ServiceName]*HostedService{}
+	r.keys = map[KeyDigest]*HostedAccount{}
+	r.accounts = map[core.AccountID]*HostedAccount{}
+	for i := range r.Routes {
+		route := &r.Routes[i]
+		r.byHost[route.Host] = append(r.byHost[route.Host], route)
+	}
+	for _, routes := range r.byHost {
+		slices.SortStableFunc(routes, func(a, b *HostRoute) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range r.Services {
+		r.services[r.Services[i].Name] = &r.Services[i]
+	}
+	for i := range r.Accounts {
+		account := &r.Accounts[i]
+		r.accounts[account.ID] = account
+		for _, key := range account.Keys {
+			r.keys[key] = account
+		}
+	}
+	return &r
+}
+
+// Route finds the route with the longest prefix of the path on the host.
+func (r *Routing) Route(host, path string) (*HostRoute, bool) {
+	for _, route := range r.byHost[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// Service finds a service.
+func (r *Routing) Service(name core.ServiceName) (*HostedService, bool) {
+	service, found := r.services[name]
+	return service, found
+}
+
+// AccountOfKey finds the ClientAccount that holds a key.
+func (r *Routing) AccountOfKey(key KeyDigest) (*HostedAccount, bool) {
+	account, found := r.keys[key]
+	return account, found
+}
+
+// Account finds a ClientAccount.
+func (r *Routing) Account(id core.AccountID) (*HostedAccount, bool) {
+	account, found := r.accounts[id]
+	return account, found
+}
--- /dev/null
+++ b/pkg/dispatch/dispatch.go
@@ -0,0 +1,421 @@
+// Package dispatch decides which Upstreams serve a request, which requests wait
+// and which are refused, for Upstreams that hold places themselves. It is pure:
+// instants come with each call, and randomness with Params.
+//
+// A model request first gets a place at a decode engine, then a prefill, so that
+// no prompt is read for an engine that has no room. Requests wait in order of
+// priority and arrival while no decode engine has room. A request that can no
+// longer meet its latency target by starting now is refused at once as not run;
+// a request for which there is room is never refused.
+//
+// The load of an Upstream is what this Instance and its peers have placed there.
+// The answer of an engine to a hold corrects it.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Job is a request that asks for Upstreams.
+type Job struct {
+	ID      core.RequestID
+	Service core.ServiceName
+	// Model requests need a place at a decode engine. Others need one Upstream.
+	Model bool
+	// PlaceTokens is the memory to hold at a decode engine.
+	PlaceTokens int
+	// PromptTokens is the work of a prefill.
+	PromptTokens int
+	// Priority is the rank, 0 for the most urgent.
+	Priority int
+	Arrived  core.Instant
+	// TargetBy is the instant of the latency target.
+	TargetBy core.Instant
+	// Deadline is the instant at which the request ends in any case.
+	Deadline core.Instant
+	// Avoid lists Upstreams that are used only when no other is usable.
+	Avoid []core.UpstreamID
+	// Again says that the request has been placed before. It is not refused for a
+	// missed target, and goes before new requests of its priority.
+	Again bool
+}
+
+// Load is what Instances have placed on an Upstream.
+type Load struct {
+	// Requests counts the requests in progress.
+	Requests int `json:"requests"`
+	// Tokens is the memory held at a decode engine, or the prompt tokens in
+	// progress at a prefill engine.
+	Tokens int `json:"tokens"`
+}
+
+// Engines describes the model engines of a service.
+type Engines struct {
+	Slots        int
+	MemoryTokens int
+}
+
+// Output is one thing that the caller of the Dispatcher must do.
+type Output interface{ output() }
+
+// Hold asks a decode engine for a place.
+type Hold struct {
+	ID       core.RequestID
+	Upstream core.UpstreamID
+	Tokens   int
+}
+
+// Call sends a request to an Upstream of a plain service.
+type Call struct {
+	ID       core.RequestID
+	Upstream core.UpstreamID
+}
+
+// Refused ends a job that has no place.
+type Refused struct {
+	ID      core.RequestID
+	Refusal *core.Refusal
+}
+
+func (Hold) output()    {}
+func (Call) output()    {}
+func (Refused) output() {}
+
+// Params are the settings of a Dispatcher. Zero values select defaults.
+type Params struct {
+	// Rand is the source of randomness. It is required.
+	Rand *rand.Rand
+	// DataCentre is where this Instance runs, Regions the region of each.
+	DataCentre core.DataCentreName
+	Regions    map[core.DataCentreName]core.RegionName
+	// RetryEvery is the pause before the head of a queue is tried again.
+	RetryEvery time.Duration
+	// FullFor is the time for which an engine that refused a hold is left alone.
+	FullFor time.Duration
+	// PrefillTokensPerSecond is the speed of a prefill engine that has not been
+	// measured yet.
+	PrefillTokensPerSecond float64
+	// FirstEvent is the time from the end of a prefill to the first event of a
+	// stream, before the first measurement.
+	FirstEvent time.Duration
+	// RetryAfter is the base of the time after which refused callers return.
+	RetryAfter time.Duration
+}
+
+const (
+	// Two retries fit into the time that an idle engine takes to free a place.
+	defaultRetryEvery = 20 * time.Millisecond
+	// A decode frees a place about every 100 ms on a busy engine.
+	defaultFullFor = 60 * time.Millisecond
+	// The speed of the engines of both deployments at half load.
+	defaultPrefillTokensPerSecond = 40_000
+	// One event of 50 tokens takes 60 ms, plus the transfer.
+	defaultFirstEvent = 120 * time.Millisecond
+	// Bursts last a few seconds.
+	defaultRetryAfter = 2 * time.Second
+)
+
+func (p Params) withDefaults() Params {
+	setDefault(&p.RetryEvery, defaultRetryEvery)
+	setDefault(&p.FullFor, defaultFullFor)
+	setDefault(&p.PrefillTokensPerSecond, defaultPrefillTokensPerSecond)
+	setDefault(&p.FirstEvent, defaultFirstEvent)
+	setDefault(&p.RetryAfter, defaultRetryAfter)
+	return p
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Dispatcher is the state of one Instance.
+type Dispatcher struct {
+	params    Params
+	upstreams map[core.UpstreamID]*upstream
+	byService map[core.ServiceName][]*upstream // sorted by ID
+	engines   map[core.ServiceName]Engines
+	queue     []*job // in the order of service
+	jobs      map[core.RequestID]*job
+	peers     map[core.InstanceID]map[core.UpstreamID]Load
+	nextTry   core.Instant
+	// firstEvent follows the time from the end of a prefill to the first event.
+	firstEvent time.Duration
+}
+
+type job struct {
+	Job
+	waiting bool
+	decode  *upstream // holds PlaceTokens there
+	prefill *upstream // holds PromptTokens there
+	plain   *upstream
+	tried   []core.UpstreamID // engines that refused a hold since the last try
+}
+
+type upstream struct {
+	catalog.Upstream
+	own  Load
+	peer Load
+	// fullUntil is set when the engine refused a hold.
+	fullUntil core.Instant
+	// downUntil is set when the Upstream could not be reached.
+	downUntil core.Instant
+	fails     int
+	// failing follows the share of requests that failed.
+	failing float64
+}
+
+// New returns a Dispatcher that knows no Upstream.
+func New(p Params) *Dispatcher {
+	p = p.withDefaults()
+	return &Dispatcher{
+		params:     p,
+		upstreams:  map[core.UpstreamID]*upstream{},
+		byService:  map[core.ServiceName][]*upstream{},
+		engines:    map[core.ServiceName]Engines{},
+		jobs:       map[core.RequestID]*job{},
+		peers:      map[core.InstanceID]map[core.UpstreamID]Load{},
+		nextTry:    core.Never,
+		firstEvent: p.FirstEvent,
+	}
+}
+
+// SetEngines tells the size of the model engines of each service.
+func (d *Dispatcher) SetEngines(engines map[core.ServiceName]Engines) { d.engines = engines }
+
+// SetUpstreams takes in the registered Upstreams. Requests in progress at an
+// Upstream that is gone stay counted until they end.
+func (d *Dispatcher) SetUpstreams(now core.Instant, list []catalog.Upstream) []Output {
+	known := d.upstreams
+	d.upstreams = make(map[core.UpstreamID]*upstream, len(list))
+	clear(d.byService)
+	for _, entry := range list {
+		up := known[entry.ID]
+		if up == nil || !up.SameRun(entry) {
+			up = &upstream{}
+		}
+		up.Upstream = entry
+		d.upstreams[entry.ID] = up
+		d.byService[entry.Service] = append(d.byService[entry.Service], up)
+	}
+	d.sumPeers()
+	return d.run(now)
+}
+
+// Submit takes in a job.
+func (d *Dispatcher) Submit(now core.Instant, j Job) []Output {
+	entry := &job{Job: j}
+	d.jobs[j.ID] = entry
+	d.enqueue(entry)
+	return d.run(now)
+}
+
+func (d *Dispatcher) enqueue(j *job) {
+	j.waiting = true
+	at := len(d.queue)
+	for i, other := range d.queue {
+		if before(j, other) {
+			at = i
+			break
+		}
+	}
+	d.queue = slices.Insert(d.queue, at, j)
+}
+
+// before is the order of service: by priority, then requests that were placed
+// before, then by arrival.
+func before(a, b *job) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	if a.Again != b.Again {
+		return a.Again
+	}
+	return a.Arrived < b.Arrived
+}
+
+// HoldGranted says that the engine holds the place. It returns the prefill engine
+// to use, or false when none is usable: the decode engine then reads the prompt.
+func (d *Dispatcher) HoldGranted(now core.Instant, id core.RequestID) (core.UpstreamID, bool) {
+	j := d.jobs[id]
+	if j == nil || j.decode == nil {
+		return "", false
+	}
+	j.decode.fails = 0
+	up := d.choosePrefill(now, j)
+	if up == nil {
+		return "", false
+	}
+	j.prefill = up
+	up.own.Requests++
+	up.own.Tokens += j.PromptTokens
+	return up.ID, true
+}
+
+// HoldRefused says that the engine gave no place.
+func (d *Dispatcher) HoldRefused(now core.Instant, id core.RequestID) []Output {
+	j := d.jobs[id]
+	if j == nil || j.decode == nil {
+		return nil
+	}
+	j.decode.fullUntil = now.Add(d.params.FullFor)
+	j.tried = append(j.tried, j.decode.ID)
+	d.freeDecode(j)
+	d.enqueue(j)
+	return d.run(now)
+}
+
+// PrefillEnded frees the prefill engine.
+func (d *Dispatcher) PrefillEnded(id core.RequestID) {
+	if j := d.jobs[id]; j != nil {
+		freePrefill(j)
+	}
+}
+
+// FirstEvent tells how long the first event took after the end of its prefill.
+func (d *Dispatcher) FirstEvent(took time.Duration) {
+	d.firstEvent += (took - d.firstEvent) / 16
+}
+
+// Release ends a job, or takes back its place so that it can be submitted again.
+func (d *Dispatcher) Release(now core.Instant, id core.RequestID) []Output {
+	j := d.jobs[id]
+	if j == nil {
+		return nil
+	}
+	delete(d.jobs, id)
+	d.freeDecode(j)
+	freePrefill(j)
+	if j.plain != nil {
+		j.plain.own.Requests--
+		j.plain = nil
+	}
+	if j.waiting {
+		d.queue = slices.DeleteFunc(d.queue, func(other *job) bool { return other == j })
+	}
+	return d.run(now)
+}
+
+func (d *Dispatcher) freeDecode(j *job) {
+	if j.decode == nil {
+		return
+	}
+	j.decode.own.Requests--
+	j.decode.own.Tokens -= j.PlaceTokens
+	j.decode = nil
+}
+
+func freePrefill(j *job) {
+	if j.prefill == nil {
+		return
+	}
+	j.prefill.own.Requests--
+	j.prefill.own.Tokens -= j.PromptTokens
+	j.prefill = nil
+}
+
+// Tick places waiting jobs and refuses those that can't meet their target.
+func (d *Dispatcher) Tick(now core.Instant) []Output {
+	if len(d.queue) == 0 {
+		d.nextTry = core.Never
+		return nil
+	}
+	if now < d.nextTry {
+		return nil
+	}
+	return d.run(now)
+}
+
+// NextWake returns the instant at which Tick is due.
+func (d *Dispatcher) NextWake() core.Instant { return d.nextTry }
+
+// Waiting returns the number of waiting jobs.
+func (d *Dispatcher) Waiting() int { return len(d.queue) }
+
+// run places the jobs of the queue in order. A job that finds no place does not
+// keep back those behind it that need another service or less room.
+func (d *Dispatcher) run(now core.Instant) []Output {
+	var outputs []Output
+	kept := d.queue[:0]
+	for _, j := range slices.Clone(d.queue) {
+		if output := d.place(now, j); output != nil {
+			j.waiting = false
+			outputs = append(outputs, output)
+			continue
+		}
+		if refusal := d.overdue(now, j); refusal != nil {
+			j.waiting = false
+			delete(d.jobs, j.ID)
+			outputs = append(outputs, Refused{ID: j.ID, Refusal: refusal})
+			continue
+		}
+		kept = append(kept, j)
+	}
+	clear(d.queue[len(kept):])
+	d.queue = kept
+	d.nextTry = core.Never
+	if len(d.queue) > 0 {
+		d.nextTry = now.Add(d.params.RetryEvery)
+	}
+	return outputs
+}
+
+func (d *Dispatcher) place(now core.Instant, j *job) Output {
+	if j.Model {
+		up := d.chooseDecode(now, j)
+		if up == nil {
+			j.tried = nil
+			return nil
+		}
+		j.decode = up
+		up.own.Requests++
+		up.own.Tokens += j.PlaceTokens
+		return Hold{ID: j.ID, Upstream: up.ID, Tokens: j.PlaceTokens}
+	}
+	up := d.choosePlain(now, j)
+	if up == nil {
+		return nil
+	}
+	j.plain = up
+	up.own.Requests++
+	return Call{ID: j.ID, Upstream: up.ID}
+}
+
+// overdue returns the refusal of a waiting job whose target can't be met any
+// more, or whose deadline has come.
+func (d *Dispatcher) overdue(now core.Instant, j *job) *core.Refusal {
+	by := j.TargetBy.Add(-d.expected(now, j))
+	if j.Again {
+		by = j.Deadline
+	}
+	if now < min(by, j.Deadline) {
+		return nil
+	}
+	code, message := core.CodeTargetUnreachable, "no engine has room in time for the latency target"
+	if len(d.byService[j.Service]) == 0 {
+		code, message = core.CodeNoUpstream, "no Upstream of the service is registered"
+	}
+	refusal := core.Refuse(code, message)
+	refusal.RetryAfter = d.retryAfter()
+	return refusal
+}
+
+// retryAfter spreads the returns over as long as the shortest wait.
+func (d *Dispatcher) retryAfter() time.Duration {
+	return d.params.RetryAfter + time.Duration(d.params.Rand.Float64()*float64(d.params.RetryAfter))
+}
+
+// expected is the time from a start to the answer.
+func (d *Dispatcher) expected(now core.Instant, j *job) time.Duration {
+	if !j.Model {
+		return 0
+	}
+	return d.prefillTime(now, j) + d.firstEvent
+}
--- /dev/null
+++ b/pkg/hosted/answer.go
@@ -0,0 +1,120 @@
+package hosted
+
+import (
+	"encoding/json"
+	"maps"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// writeTimeout bounds each write to a caller. A caller that reads nothing for as
+// long has gone.
+const writeTimeout = 8 * time.Second
+
+// answer writes one answer to a caller.
+type answer struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	id      core.RequestID
+	// idHeader names the header that holds id, empty for none.
+	idHeader string
+	leaving  func() bool
+	began    bool
+	// whole is set once a whole answer was written.
+	whole bool
+}
+
+// keptAnswer is a whole answer of an Upstream that was not passed on yet.
+type keptAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func newAnswer(w http.ResponseWriter, idHeader string, leaving func() bool) *answer {
+	return &answer{w: w, control: http.NewResponseController(w), idHeader: idHeader, leaving: leaving}
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code      core.Code      `json:"code"`
+	Message   string         `json:"message"`
+	Ran       core.Ran       `json:"ran"`
+	RequestID core.RequestID `json:"request_id"`
+}
+
+// refuse writes a refusal. An answer that has begun is broken off, so that it
+// does not look complete.
+func (a *answer) refuse(refusal *core.Refusal) {
+	if a.whole {
+		return
+	}
+	if a.began {
+		panic(http.ErrAbortHandler)
+	}
+	body, err := json.Marshal(errorBody{Error: errorDetail{
+		Code: refusal.Code, Message: refusal.Message, Ran: refusal.Ran, RequestID: a.id,
+	}})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	header := http.Header{"Content-Type": {"application/json"}}
+	if a.idHeader != "" && a.id != "" {
+		header.Set(a.idHeader, string(a.id))
+	}
+	if refusal.RetryAfter > 0 {
+		seconds := math.Ceil(refusal.RetryAfter.Seconds()*10) / 10
+		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
+	}
+	a.write(refusal.Code.Status(), header, append(body, '\n'))
+}
+
+// deliver passes on a whole answer of an Upstream.
+func (a *answer) deliver(kept *keptAnswer) {
+	if a.began || kept == nil {
+		panic(http.ErrAbortHandler)
+	}
+	a.write(kept.status, kept.header, kept.body)
+}
+
+func (a *answer) write(status int, header http.Header, body []byte) {
+	a.begin(status, header, int64(len(body)))
+	_, _ = a.w.Write(body) // a caller that has gone is noticed by its context
+	a.whole = true
+}
+
+// begin writes the header of an answer. length is -1 for a stream.
+func (a *answer) begin(status int, header http.Header, length int64) {
+	a.began = true
+	maps.Copy(a.w.Header(), header)
+	a.w.Header().Del("Content-Length")
+	if length >= 0 {
+		a.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	if a.leaving() {
+		a.w.Header().Set("Connection", "close")
+	}
+	a.setDeadline()
+	a.w.WriteHeader(status)
+}
+
+// send writes and flushes a part of a stream.
+func (a *answer) send(part []byte) error {
+	a.setDeadline()
+	if _, err := a.w.Write(part); err != nil {
+		return err
+	}
+	return a.control.Flush()
+}
+
+func (a *answer) setDeadline() {
+	// Where deadlines are not supported, the TCP user timeout of the listener holds.
+	_ = a.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
--- /dev/null
+++ b/pkg/hosted/border.go
@@ -0,0 +1,175 @@
+// Package hosted is the daemon of an Instance on a platform that registers the
+// Upstreams, delivers the configuration and keeps what must last. It turns I/O
+// into events of a router.Router and carries out the effects that it returns.
+//
+// The package knows nothing of the platform's wire. Border is the set of
+// interfaces that an adapter implements.
+package hosted
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+// Border is the adapter of one platform.
+type Border struct {
+	Callers Callers
+	Engines Engines
+	Store   Store
+}
+
+// Inbound is a caller's request as the adapter has decoded it.
+type Inbound struct {
+	ID core.RequestID
+	// Patience is the time for which the caller waits, 0 when it does not say.
+	Patience time.Duration
+	// Key is the caller's key. It must not be passed on.
+	Key string
+	// Model is empty for a plain request.
+	Model core.ModelName
+	// StatesTokens says that the two token counts are set.
+	StatesTokens bool
+	PromptTokens int
+	MaxOutput    int
+	// ExpectedOutput is the caller's estimate, 0 for none.
+	ExpectedOutput int
+	// Forward holds the headers to pass on.
+	Forward http.Header
+}
+
+// Callers decodes what callers send.
+type Callers interface {
+	// Decode reads the header of a request.
+	Decode(r *http.Request) (Inbound, *core.Refusal)
+	// DecodeAddresses reads a question for addresses.
+	DecodeAddresses(r *http.Request) (AddressQuestion, *core.Refusal)
+	// EncodeAddresses returns the body of the answer.
+	EncodeAddresses(addresses []string, keepFor time.Duration) ([]byte, error)
+	// AddressesPath and ReadyPath are the paths of the two questions.
+	AddressesPath() string
+	ReadyPath() string
+	// RequestIDHeader is the header that names a request in answers.
+	RequestIDHeader() string
+}
+
+// AddressQuestion says where a caller is.
+type AddressQuestion struct {
+	Region     core.RegionName
+	DataCentre core.DataCentreName
+	// Limit is the largest number of addresses that the caller takes.
+	Limit int
+}
+
+// Forwarded is a request to pass on to an Upstream.
+type Forwarded struct {
+	ID     core.RequestID
+	Method string
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Upstream and Addr name the Upstream that is meant.
+	Upstream core.UpstreamID
+	Addr     string
+	Account  core.AccountID
+	// Left is the time after which the Upstream is to give up.
+	Left     time.Duration
+	Priority int
+	// Hold, KVSource and KV are set for a decode.
+	Hold     string
+	KVSource string
+	KV       string
+	// After is the id of the last event that the caller has, for a stream that
+	// goes on; empty to pass on what the caller sent.
+	After string
+	// AnswerWithin bounds the time to the header of the answer, 0 for Left.
+	AnswerWithin time.Duration
+}
+
+// Answered is the answer of an Upstream.
+type Answered struct {
+	*upstream.Answer
+	// Header holds what is passed on to the caller.
+	Header http.Header
+	// Signed says that the answer bears the Upstream's signature.
+	Signed bool
+	// NotExecuted says that the Upstream did not run the request.
+	NotExecuted bool
+	// Elsewhere says that another Upstream has the address now.
+	Elsewhere bool
+}
+
+// Errors of Engines. Other failures are of type *upstream.Error.
+var (
+	// ErrFull means that an engine has no place.
+	ErrFull = errors.New("the engine has no room")
+	// ErrElsewhere means that another Upstream has the address now.
+	ErrElsewhere = errors.New("another Upstream has the address")
+	// ErrRejected means that the Upstream did not run the request.
+	ErrRejected = errors.New("the Upstream did not run the request")
+)
+
+// Engines calls Upstreams.
+type Engines interface {
+	// TakeHold asks for a place. Errors: ErrFull, ErrElsewhere.
+	TakeHold(ctx context.Context, up core.UpstreamID, addr string, tokens int, term time.Duration) (hold string, err error)
+	DropHold(ctx context.Context, up core.UpstreamID, addr, hold string) error
+	DropKV(ctx context.Context, up core.UpstreamID, addr, kv string) error
+	// Prefill reads the prompt of a request. Errors: ErrRejected, ErrElsewhere.
+	Prefill(ctx context.Context, f Forwarded) (kv string, err error)
+	// Run sends a request to a decode engine or to a plain service.
+	Run(ctx context.Context, f Forwarded) (*Answered, error)
+	// EventID returns the id of a whole event of a stream, empty for none.
+	EventID(event []byte) string
+	// Sweep closes connections that are no longer needed.
+	Sweep()
+}
+
+// Errors of Store.
+var (
+	// ErrHistoryGone means that the changes since a revision are no longer kept.
+	ErrHistoryGone = errors.New("the store has dropped the history")
+	// ErrNotFound means that the object does not exist.
+	ErrNotFound = errors.New("the object does not exist")
+)
+
+// RoutingObject is a configuration as the store holds it.
+type RoutingObject struct {
+	Routing  *config.Routing
+	Revision uint64
+	// Raw is the encoded configuration, for peers.
+	Raw []byte
+}
+
+// Skipped is an entry that cannot be used, with the reason.
+type Skipped struct {
+	Name   string
+	Reason error
+}
+
+// Store is the platform's store. Every call counts and is paid for.
+type Store interface {
+	// ReadRouting reads the configuration. Errors: ErrNotFound.
+	ReadRouting(ctx context.Context) (RoutingObject, error)
+	// WatchRouting waits for a change after a revision. It returns nil and the
+	// store's revision when there was none. Errors: ErrHistoryGone.
+	WatchRouting(ctx context.Context, after uint64, wait time.Duration) (*RoutingObject, uint64, error)
+	// DecodeRouting decodes the Raw of a RoutingObject.
+	DecodeRouting(raw []byte) (*config.Routing, error)
+	// ListUpstreams reads all registered Upstreams.
+	ListUpstreams(ctx context.Context) (list []catalog.Upstream, skipped []Skipped, revision uint64, err error)
+	// WatchUpstreams waits for changes after a revision. Errors: ErrHistoryGone.
+	WatchUpstreams(ctx context.Context, after uint64, wait time.Duration) (changes []catalog.Change, skipped []Skipped, revision uint64, err error)
+	// PutMember writes the description of this Instance.
+	PutMember(ctx context.Context, member fleet.Member) error
+	// ListMembers reads the descriptions of all Instances, which may be seconds old.
+	ListMembers(ctx context.Context) ([]fleet.Member, error)
+}
--- /dev/null
+++ b/pkg/hosted/daemon.go
@@ -0,0 +1,383 @@
+package hosted
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
+	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/peer"
+	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
+	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
+)
+
+const (
+	// eventQueue bounds the events that wait for the event loop.
+	eventQueue = 4096
+	// longestWait bounds the time between two turns of the event loop, so that a
+	// pause of the process is noticed.
+	longestWait = 500 * time.Millisecond
+	// longestPause is the time between two turns after which the process counts
+	// as paused.
+	longestPause = 2 * time.Second
+	// timelineSize is the number of events that an Instance keeps: some minutes at
+	// 20 requests a second.
+	timelineSize = 4_000
+	// sweepEvery is the time between two searches for unused connections.
+	sweepEvery = time.Second
+	// callerBacklogMemory bounds the header of a caller's request.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout bounds the time in which a caller sends a header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is above the idle time that configurations allow, so that the
+	// caller ends an idle connection and no request crosses its end.
+	idleTimeout = 2 * time.Minute
+)
+
+// Daemon is one hosted Instance.
+type Daemon struct {
+	settings Settings
+	border   Border
+	log      *zap.Logger
+	start    time.Time
+	router   *router.Router
+	events   chan router.Event
+	calls    *calls
+	peers    *peer.Transport[envelope]
+	metrics  *telemetry.Metrics
+	ring     *timeline.Ring
+	stamps   *timeline.Clock
+
+	routing   atomic.Pointer[config.Routing]
+	rawConfig atomic.Pointer[RoutingObject]
+	upstreams atomic.Pointer[upstreamList]
+	leaving   atomic.Bool
+	asks      sync.Map // number of the question -> chan router.CallerAddresses
+	askNumber atomic.Uint64
+
+	drained    chan struct{}
+	loopEnded  chan struct{}
+	background sync.WaitGroup
+}
+
+// upstreamList is the list of Upstreams in force, for peers.
+type upstreamList struct {
+	Revision  uint64             `json:"revision"`
+	Upstreams []catalog.Upstream `json:"upstreams"`
+}
+
+// envelope is a message with the stamp of its sender.
+type envelope struct {
+	Stamp   timeline.Stamp
+	Message router.Message
+}
+
+// New returns a Daemon that does not serve yet.
+func New(settings Settings, border Border, log *zap.Logger) (*Daemon, error) {
+	metrics, err := telemetry.New(telemetry.Options{})
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
+	ref := core.InstanceRef{ID: settings.Instance, Incarnation: core.Incarnation(time.Now().UnixMilli())}
+	d := &Daemon{
+		settings:  settings,
+		border:    border,
+		log:       log,
+		start:     time.Now(),
+		events:    make(chan router.Event, eventQueue),
+		calls:     newCalls(),
+		metrics:   metrics,
+		ring:      timeline.NewRing(timelineSize),
+		stamps:    timeline.NewClock(string(settings.Instance), time.Now),
+		drained:   make(chan struct{}),
+		loopEnded: make(chan struct{}),
+	}
+	d.peers = peer.NewTransport(ref, peer.Options{
+		Secret:      fleetSecret(settings),
+		CallTimeout: peerTimeout,
+		Serve:       d.servePeer,
+		Log:         telemetry.Component(log, "peer"),
+	}, d.deliver)
+	member := fleet.Member{
+		Ref: ref, DataCentre: settings.DataCentre, Region: settings.Region,
+		CallerAddr: settings.CallerAddr, PeerAddr: settings.PeerAddr,
+	}
+	d.router = router.New(router.Params{
+		Rand:   mathrand.New(mathrand.NewPCG(randomUint64(), randomUint64())),
+		Random: rand.Reader,
+		Hosted: &router.HostedParams{
+			Member:   member,
+			Dispatch: dispatch.Params{Regions: settings.DataCentres},
+			Retry: retry.Params{
+				Ratio: settings.RetryRatio, Allowance: settings.RetryAllowance, Window: secondsOf(settings.RetryWindowSeconds),
+			},
+			Grace: settings.grace(),
+		},
+	})
+	return d, nil
+}
+
+// peerTimeout bounds a call to a peer. The round trip between regions takes 60 ms.
+const peerTimeout = time.Second
+
+// fleetSecret is the same at all Instances of a store. The platform lets nobody
+// else reach the peer addresses and hands out no secret.
+func fleetSecret(s Settings) []byte {
+	sum := sha256.Sum256([]byte("rhubarbsill fleet at " + s.Store))
+	return sum[:]
+}
+
+func randomUint64() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails, by its documentation
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+func (d *Daemon) now() core.Instant { return core.Instant(time.Since(d.start)) }
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.peers.Listen(d.settings.PeerAddr); err != nil {
+		return fmt.Errorf("peer listener: %w", err)
+	}
+	servers := []*http.Server{
+		d.server(d.settings.CallerAddr, http.HandlerFunc(d.serveCaller)),
+		d.server(d.settings.ReadyAddr, http.HandlerFunc(d.serveReady)),
+		d.server(d.settings.DirectoryAddr, http.HandlerFunc(d.serveAddresses)),
+	}
+	if d.settings.MetricsAddr != "" {
+		servers = append(servers, d.server(d.settings.MetricsAddr, d.metrics.Handler()))
+	}
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	d.background.Go(func() { d.loop(inner) })
+	d.background.Go(func() { d.followRouting(inner) })
+	d.background.Go(func() { d.followUpstreams(inner) })
+	d.background.Go(func() { d.enroll(inner) })
+	d.background.Go(func() { d.sweep(inner) })
+	failed := make(chan error, len(servers))
+	for _, server := range servers {
+		listener, err := listen(server.Addr)
+		if err != nil {
+			return err
+		}
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	telemetry.Component(d.log, "server").Info("started", zap.String("instance", string(d.settings.Instance)),
+		zap.String("callers", d.settings.CallerAddr), zap.String("store", d.settings.Store))
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		d.post(router.ShutdownAsked{})
+		<-d.drained
+	}
+	telemetry.Component(d.log, "server").Info("stopped", zap.Error(err))
+	stop()
+	for _, server := range servers {
+		_ = server.Close()
+	}
+	d.peers.Close()
+	return err
+}
+
+func (d *Daemon) server(addr string, handler http.Handler) *http.Server {
+	return &http.Server{
+		Addr: addr, Handler: handler, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
+}
+
+// Probes and limits of caller connections: a silent one is found in 8 s.
+const (
+	keepAliveIdle     = 4 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveCount    = 2
+	unackedLimitMS    = 6_000
+)
+
+func listen(addr string) (net.Listener, error) {
+	lc := net.ListenConfig{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+	}
+	listener, err := lc.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return unackedListener{listener}, nil
+}
+
+// unackedListener closes connections whose data stays unacknowledged.
+type unackedListener struct{ net.Listener }
+
+// Accept accepts a connection and bounds its unacknowledged data.
+func (l unackedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) {
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unackedLimitMS)
+			})
+		}
+	}
+	return conn, err
+}
+
+// post hands an event to the event loop. It drops the event when the loop has
+// ended.
+func (d *Daemon) post(event router.Event) {
+	select {
+	case d.events <- event:
+	case <-d.loopEnded:
+	}
+}
+
+// loop is the only goroutine that touches the Router.
+func (d *Daemon) loop(ctx context.Context) {
+	defer close(d.loopEnded)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	last := time.Now()
+	for {
+		var event router.Event
+		select {
+		case <-ctx.Done():
+			return
+		case event = <-d.events:
+		case <-timer.C:
+			event = router.Tick{}
+		}
+		now := time.Now()
+		if pause := max(now.Sub(last), now.Round(0).Sub(last.Round(0))); pause > longestPause {
+			d.step(ctx, router.Paused{})
+		}
+		last = now
+		d.step(ctx, event)
+		if d.router.NextWake() <= d.now() {
+			d.step(ctx, router.Tick{})
+		}
+		wait := d.router.NextWake().Sub(d.now())
+		timer.Reset(min(longestWait, max(time.Millisecond, wait)))
+	}
+}
+
+func (d *Daemon) step(ctx context.Context, event router.Event) {
+	for _, effect := range d.router.Step(d.now(), event) {
+		d.perform(ctx, effect)
+	}
+}
+
+// perform carries out one effect without blocking.
+func (d *Daemon) perform(ctx context.Context, effect router.Effect) {
+	switch e := effect.(type) {
+	case router.Refuse:
+		d.calls.post(e.Request, e)
+	case router.Deliver:
+		d.calls.post(e.Request, e)
+	case router.Complete:
+		d.calls.post(e.Request, e)
+	case router.Dropped:
+		d.calls.post(e.Request, e)
+	case router.StartPrefill:
+		d.calls.post(e.Request, e)
+	case router.StartDecode:
+		d.calls.post(e.Request, e)
+	case router.StartCall:
+		d.calls.post(e.Request, e)
+	case router.Cancel:
+		d.calls.cancelAttempt(e.Request, e.Attempt)
+	case router.TakeHold:
+		go d.takeHold(ctx, e)
+	case router.DropHold:
+		go d.dropHold(ctx, e)
+	case router.DropKV:
+		go d.dropKV(ctx, e)
+	case router.CallerAddresses:
+		if ask, found := d.asks.LoadAndDelete(e.Ask); found {
+			ask.(chan router.CallerAddresses) <- e
+		}
+	case router.ListMembers:
+		go d.listMembers(ctx)
+	case router.FetchState:
+		go d.fetchState(ctx, e)
+	case router.SendPeer:
+		if d.now() < e.NotAfter {
+			d.peers.Send(e.To, e.Addr, envelope{Stamp: d.stamps.Now(), Message: e.Message})
+		}
+	case router.RoutingInForce:
+		d.routing.Store(e.Routing)
+	case router.UpstreamsInForce:
+		d.upstreams.Store(&upstreamList{Revision: e.Revision, Upstreams: e.Upstreams})
+	case router.Leaving:
+		d.leaving.Store(true)
+	case router.Drained:
+		close(d.drained)
+	case router.Record:
+		d.record(e.Event)
+	case router.Observe:
+		d.observe(e.Observation)
+	}
+}
+
+func (d *Daemon) record(event timeline.Event) {
+	event.Stamp = d.stamps.Now()
+	d.ring.Add(event)
+	d.log.Info(event.Part+": "+event.Kind,
+		zap.String("request", string(event.Request)),
+		zap.String("account", string(event.Account)),
+		zap.String("upstream", string(event.Upstream)),
+		zap.String("detail", event.Detail))
+}
+
+func (d *Daemon) observe(o router.Observation) {
+	if o.WastedPrefillTokens > 0 {
+		d.metrics.WastedPrefill(o.Service, int64(o.WastedPrefillTokens))
+	}
+	switch {
+	case o.CallerGone:
+	case o.Code != "":
+		d.metrics.Refused(o.Service, o.Account, o.Code, o.InsideRate)
+	default:
+		d.metrics.Answered(telemetry.Answer{Service: o.Service, Account: o.Account, FirstToken: o.FirstToken})
+	}
+}
+
+func (d *Daemon) sweep(ctx context.Context) {
+	for sleep(ctx, sweepEvery) {
+		d.border.Engines.Sweep()
+	}
+}
+
+// sleep waits and reports whether ctx still runs.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/pkg/hosted/engines.go
@@ -0,0 +1,267 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+const (
+	// holdTimeout bounds a question for a place. An engine answers within
+	// milliseconds; the round trip between regions takes 60 ms.
+	holdTimeout = 400 * time.Millisecond
+	// dropTimeout bounds the release of a place or a KV cache, which ends by itself
+	// soon after.
+	dropTimeout = 500 * time.Millisecond
+	// prefillTimeout bounds a prefill, queue included.
+	prefillTimeout = 2500 * time.Millisecond
+	// firstEventTimeout bounds the time to the first byte of a stream. Callers
+	// leave a stream after four times its latency target.
+	firstEventTimeout = 3 * time.Second
+	// eventTimeout bounds the time between two parts of a stream. Callers leave a
+	// stream that pauses for longer.
+	eventTimeout = 2 * time.Second
+	// maxReply bounds the answer of a plain service.
+	maxReply = 8 << 20
+	// relayBuffer is the size of one read of a stream.
+	relayBuffer = 8 << 10
+)
+
+func (d *Daemon) takeHold(ctx context.Context, e router.TakeHold) {
+	ask, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	hold, err := d.border.Engines.TakeHold(ask, e.Upstream, e.Addr, e.Tokens, e.Term)
+	reply := router.HoldReplied{Request: e.Request, Attempt: e.Attempt, Upstream: e.Upstream, Addr: e.Addr, Hold: hold}
+	switch {
+	case err == nil:
+		reply.Outcome = router.HoldGranted
+	case errors.Is(err, ErrFull):
+		reply.Outcome = router.HoldFull
+	case errors.Is(err, ErrElsewhere):
+		reply.Outcome = router.HoldElsewhere
+	default:
+		reply.Outcome = router.HoldUnreachable
+		d.logCall("hold failed", e.Request, e.Upstream, err)
+	}
+	d.post(reply)
+}
+
+func (d *Daemon) dropHold(ctx context.Context, e router.DropHold) {
+	drop, cancel := context.WithTimeout(ctx, dropTimeout)
+	defer cancel()
+	if err := d.border.Engines.DropHold(drop, e.Upstream, e.Addr, e.Hold); err != nil {
+		d.logCall("place not released", "", e.Upstream, err)
+	}
+}
+
+func (d *Daemon) dropKV(ctx context.Context, e router.DropKV) {
+	drop, cancel := context.WithTimeout(ctx, dropTimeout)
+	defer cancel()
+	if err := d.border.Engines.DropKV(drop, e.Upstream, e.Addr, e.KV); err != nil {
+		d.logCall("kv cache not released", "", e.Upstream, err)
+	}
+}
+
+func (d *Daemon) logCall(what string, id core.RequestID, up core.UpstreamID, err error) {
+	telemetry.Component(d.log, "upstream").Warn(what,
+		zap.String("request", string(id)), zap.String("upstream", string(up)), zap.Error(err))
+}
+
+// forwardTo returns the request as one Upstream gets it. It reports false when no
+// time is left.
+func (d *Daemon) forwardTo(c *call, up core.UpstreamID, addr string, account core.AccountID, deadline core.Instant, priority int) (Forwarded, bool) {
+	f := c.forward
+	f.Upstream, f.Addr, f.Account, f.Priority = up, addr, account, priority
+	f.Left = deadline.Sub(d.now())
+	return f, f.Left > 0
+}
+
+func (d *Daemon) prefill(ctx context.Context, c *call, e router.StartPrefill) {
+	f, ok := d.forwardTo(c, e.Upstream, e.URL, e.Account, e.Deadline, e.Priority)
+	if !ok {
+		return // the router ends the request at its deadline
+	}
+	attempt, cancel := c.begin(ctx, e.Attempt)
+	defer cancel()
+	f.AnswerWithin = min(prefillTimeout, f.Left)
+	kv, err := d.border.Engines.Prefill(attempt, f)
+	if err != nil {
+		d.attemptFailed(attempt, c, e.Attempt, e.Upstream, err)
+		return
+	}
+	d.post(router.PrefillDone{Request: c.id, Attempt: e.Attempt, Upstream: e.Upstream, Addr: e.URL, KV: kv})
+}
+
+// attemptFailed reports a failed call. A call that the router has cancelled, or
+// whose caller has gone, is not reported.
+func (d *Daemon) attemptFailed(ctx context.Context, c *call, id core.AttemptID, up core.UpstreamID, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	failure := attempts.Failure{Kind: attempts.FailStatus, Upstream: up, Sent: true}
+	var callError *upstream.Error
+	switch {
+	case errors.Is(err, ErrElsewhere):
+		failure.Kind, failure.Rejected = attempts.FailConnect, true
+	case errors.Is(err, ErrRejected):
+		failure.Kind, failure.Rejected = attempts.FailFull, true
+	case errors.As(err, &callError):
+		failure.Kind, failure.Sent = failureKind(callError), callError.Sent
+	}
+	d.logCall("call failed", c.id, up, err)
+	d.post(router.AttemptFailed{Request: c.id, Attempt: id, Failure: failure})
+}
+
+func failureKind(err *upstream.Error) attempts.FailureKind {
+	switch err.Kind {
+	case upstream.Connect:
+		return attempts.FailConnect
+	case upstream.Stalled:
+		return attempts.FailStalled
+	case upstream.Crashed, upstream.Canceled:
+		return attempts.FailCrashed
+	}
+	return attempts.FailStatus
+}
+
+// run sends a request to an Upstream that is to serve it.
+func (d *Daemon) run(ctx context.Context, c *call, attempt core.AttemptID, f Forwarded) *Answered {
+	answered, err := d.border.Engines.Run(ctx, f)
+	if err != nil {
+		d.attemptFailed(ctx, c, attempt, f.Upstream, err)
+		return nil
+	}
+	if answered.Elsewhere || answered.NotExecuted {
+		answered.Close()
+		failure := attempts.Failure{Kind: attempts.FailFull, Upstream: f.Upstream, Sent: true, Rejected: true}
+		switch {
+		case answered.Elsewhere:
+			failure.Kind = attempts.FailConnect
+		case f.KV != "":
+			failure.Kind = attempts.FailKVGone
+		}
+		d.post(router.AttemptFailed{Request: c.id, Attempt: attempt, Failure: failure})
+		return nil
+	}
+	if answered.Status < 300 && !answered.Signed {
+		answered.Close()
+		d.attemptFailed(ctx, c, attempt, f.Upstream, errUnsigned)
+		return nil
+	}
+	return answered
+}
+
+var errUnsigned = &upstream.Error{Kind: upstream.Crashed, Sent: true, Err: errors.New("the answer bears no signature of the upstream")}
+
+func (d *Daemon) callPlain(ctx context.Context, c *call, e router.StartCall) {
+	f, ok := d.forwardTo(c, e.Upstream, e.URL, e.Account, e.Deadline, e.Priority)
+	if !ok {
+		return // the router ends the request at its deadline
+	}
+	attempt, cancel := c.begin(ctx, e.Attempt)
+	defer cancel()
+	f.AnswerWithin = e.AnswerWithin
+	answered := d.run(attempt, c, e.Attempt, f)
+	if answered == nil {
+		return
+	}
+	body, err := answered.ReadAll(maxReply)
+	if err != nil {
+		d.attemptFailed(attempt, c, e.Attempt, e.Upstream, &upstream.Error{Kind: upstream.Crashed, Sent: true, URL: e.URL, Err: err})
+		return
+	}
+	kept := &keptAnswer{status: answered.Status, header: answered.Header, body: body}
+	if kept.status >= http.StatusInternalServerError && e.Idempotent {
+		c.kept = kept
+		d.post(router.AttemptFailed{Request: c.id, Attempt: e.Attempt, Failure: attempts.Failure{Kind: attempts.FailStatus, Upstream: e.Upstream, Sent: true}})
+		return
+	}
+	c.answer.deliver(kept)
+	d.post(router.AnswerEnded{Request: c.id, Attempt: e.Attempt, Status: kept.status})
+}
+
+func (d *Daemon) decode(ctx context.Context, c *call, e router.StartDecode) {
+	f, ok := d.forwardTo(c, e.Upstream, e.URL, e.Account, e.Deadline, e.Priority)
+	if !ok {
+		return // the router ends the request at its deadline
+	}
+	attempt, cancel := c.begin(ctx, e.Attempt)
+	defer cancel()
+	f.Hold, f.KVSource, f.KV = e.Hold, e.SourceURL, e.KV
+	f.After = c.forward.After
+	f.AnswerWithin = firstEventTimeout
+	answered := d.run(attempt, c, e.Attempt, f)
+	if answered == nil {
+		return
+	}
+	defer answered.Close()
+	if answered.Status >= 300 {
+		d.deliverFailure(attempt, c, e, answered)
+		return
+	}
+	if !c.answer.began {
+		c.answer.begin(answered.Status, answered.Header, -1)
+	}
+	d.relay(attempt, c, e, answered)
+}
+
+// deliverFailure passes on what an engine has answered instead of a stream.
+func (d *Daemon) deliverFailure(ctx context.Context, c *call, e router.StartDecode, answered *Answered) {
+	body, err := answered.ReadAll(maxReply)
+	if err != nil {
+		d.attemptFailed(ctx, c, e.Attempt, e.Upstream, &upstream.Error{Kind: upstream.Crashed, Sent: true, URL: e.URL, Err: err})
+		return
+	}
+	if !c.answer.began {
+		c.kept = &keptAnswer{status: answered.Status, header: answered.Header, body: body}
+	}
+	d.post(router.AttemptFailed{Request: c.id, Attempt: e.Attempt, Failure: attempts.Failure{Kind: attempts.FailStatus, Upstream: e.Upstream, Sent: true}})
+}
+
+// relay passes the events of a stream on. Where the stream may go on at another
+// Upstream, only whole events are passed on.
+func (d *Daemon) relay(ctx context.Context, c *call, e router.StartDecode, answered *Answered) {
+	var events eventSplitter
+	buffer := make([]byte, relayBuffer)
+	first := true
+	for {
+		answered.SetReadDeadline(time.Now().Add(eventTimeout))
+		n, err := answered.Read(buffer)
+		part := buffer[:n]
+		if e.Resumable {
+			part = events.add(part, func(event []byte) {
+				if id := d.border.Engines.EventID(event); id != "" {
+					c.forward.After = id
+				}
+			})
+		}
+		if len(part) > 0 {
+			if first {
+				first = false
+				d.post(router.FirstToken{Request: c.id, Attempt: e.Attempt})
+			}
+			if failure := c.answer.send(part); failure != nil {
+				d.post(router.CallerGone{Request: c.id})
+				return
+			}
+		}
+		if err == io.EOF && events.empty() {
+			d.post(router.AnswerEnded{Request: c.id, Attempt: e.Attempt, Status: answered.Status})
+			return
+		}
+		if err != nil {
+			d.attemptFailed(ctx, c, e.Attempt, e.Upstream, &upstream.Error{Kind: upstream.Crashed, Sent: true, URL: e.URL, Err: err})
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/hosted/follow.go
@@ -0,0 +1,280 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	mathrand "math/rand/v2"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
+)
+
+const (
+	// watchWait is the time after which a watch ends without a change. A watch
+	// that has fallen silent is found this long after its last answer, which
+	// leaves half of the 3 s in which a configuration has to be in force.
+	watchWait = 1200 * time.Millisecond
+	// watchMargin is the time beyond watchWait after which a watch counts as
+	// silent.
+	watchMargin = 350 * time.Millisecond
+	// readTimeout bounds a read or write of the store.
+	readTimeout = 800 * time.Millisecond
+	// slowReadTimeout bounds a read after a first one ran into its time limit.
+	slowReadTimeout = 2500 * time.Millisecond
+	// firstBackoff and maxBackoff bound the pause after a failed call of the store.
+	firstBackoff = 60 * time.Millisecond
+	maxBackoff   = 800 * time.Millisecond
+)
+
+// storeLink follows the health of the calls of one loop, with a log line for
+// each loss and return of the store.
+type storeLink struct {
+	daemon  *Daemon
+	what    string
+	failing int
+	pause   time.Duration
+}
+
+func (d *Daemon) newStoreLink(what string) *storeLink {
+	return &storeLink{daemon: d, what: what}
+}
+
+// failed notes a failed call and waits. It reports false when ctx has ended.
+func (l *storeLink) failed(ctx context.Context, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	l.failing++
+	if l.failing == 1 {
+		telemetry.Component(l.daemon.log, "store").Warn("lost", zap.String("what", l.what), zap.Error(err))
+	}
+	l.daemon.post(router.StoreDisturbed{})
+	l.pause = min(max(firstBackoff, 2*l.pause), maxBackoff)
+	return sleep(ctx, l.pause/2+time.Duration(mathrand.Int64N(int64(l.pause))))
+}
+
+func (l *storeLink) worked() {
+	if l.failing > 0 {
+		telemetry.Component(l.daemon.log, "store").Info("regained", zap.String("what", l.what), zap.Int("failed_calls", l.failing))
+	}
+	l.failing = 0
+	l.pause = 0
+}
+
+// timeout is longer once a call has failed: the store may be slow, not away.
+func (l *storeLink) timeout() time.Duration {
+	if l.failing > 0 {
+		return slowReadTimeout
+	}
+	return readTimeout
+}
+
+// followRouting reads the configuration and then waits for its changes.
+func (d *Daemon) followRouting(ctx context.Context) {
+	link := d.newStoreLink("config")
+	for ctx.Err() == nil {
+		read, cancel := context.WithTimeout(ctx, link.timeout())
+		object, err := d.border.Store.ReadRouting(read)
+		cancel()
+		if err != nil {
+			link.failed(ctx, err)
+			continue
+		}
+		link.worked()
+		d.sawRouting(object, "")
+		d.watchRouting(ctx, link, object.Revision)
+	}
+}
+
+func (d *Daemon) watchRouting(ctx context.Context, link *storeLink, after uint64) {
+	for ctx.Err() == nil {
+		watch, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
+		object, at, err := d.border.Store.WatchRouting(watch, after, watchWait)
+		cancel()
+		switch {
+		case errors.Is(err, ErrHistoryGone):
+			return
+		case err != nil:
+			link.failed(ctx, err)
+			return
+		}
+		link.worked()
+		after = max(after, at)
+		if object != nil {
+			d.sawRouting(*object, "")
+		}
+	}
+}
+
+func (d *Daemon) sawRouting(object RoutingObject, from core.InstanceID) {
+	held := d.rawConfig.Load()
+	if held == nil || object.Revision > held.Revision {
+		d.rawConfig.Store(&object)
+	}
+	d.post(router.RoutingSeen{Routing: object.Routing, Revision: object.Revision, From: from})
+}
+
+// followUpstreams reads the registered Upstreams and then waits for changes.
+func (d *Daemon) followUpstreams(ctx context.Context) {
+	link := d.newStoreLink("upstreams")
+	for ctx.Err() == nil {
+		read, cancel := context.WithTimeout(ctx, link.timeout())
+		list, skipped, revision, err := d.border.Store.ListUpstreams(read)
+		cancel()
+		if err != nil {
+			link.failed(ctx, err)
+			continue
+		}
+		link.worked()
+		d.logSkipped(skipped)
+		d.post(router.UpstreamsListed{Revision: revision, Upstreams: list})
+		d.watchUpstreams(ctx, link, revision)
+	}
+}
+
+func (d *Daemon) watchUpstreams(ctx context.Context, link *storeLink, after uint64) {
+	for ctx.Err() == nil {
+		watch, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
+		changes, skipped, at, err := d.border.Store.WatchUpstreams(watch, after, watchWait)
+		cancel()
+		switch {
+		case errors.Is(err, ErrHistoryGone):
+			return
+		case err != nil:
+			link.failed(ctx, err)
+			return
+		}
+		link.worked()
+		d.logSkipped(skipped)
+		after = max(after, at)
+		d.post(router.UpstreamsChanged{Revision: after, Changes: changes})
+	}
+}
+
+func (d *Daemon) logSkipped(skipped []Skipped) {
+	for _, entry := range skipped {
+		telemetry.Component(d.log, "catalog").Warn("entry names no upstream", zap.String("name", entry.Name), zap.Error(entry.Reason))
+	}
+}
+
+// enroll writes the description of this Instance until the store has taken it,
+// then lists the others. The last of two Instances to write finds the other.
+func (d *Daemon) enroll(ctx context.Context) {
+	link := d.newStoreLink("members")
+	for _, seed := range d.settings.Seeds {
+		if seed != d.settings.PeerAddr {
+			go d.fetchState(ctx, router.FetchState{Kind: stateMembers, Addr: seed})
+		}
+	}
+	for ctx.Err() == nil {
+		write, cancel := context.WithTimeout(ctx, link.timeout())
+		err := d.border.Store.PutMember(write, d.router.HostedMember())
+		cancel()
+		if err != nil {
+			link.failed(ctx, err)
+			continue
+		}
+		link.worked()
+		d.listMembers(ctx)
+		return
+	}
+}
+
+func (d *Daemon) listMembers(ctx context.Context) {
+	read, cancel := context.WithTimeout(ctx, slowReadTimeout)
+	defer cancel()
+	members, err := d.border.Store.ListMembers(read)
+	if err != nil {
+		telemetry.Component(d.log, "store").Warn("members not read", zap.Error(err))
+		return
+	}
+	d.post(router.MembersListed{Members: members})
+}
+
+// stateMembers is asked of seeds only.
+const stateMembers router.StateKind = "members"
+
+// deliver takes in the messages of a peer.
+func (d *Daemon) deliver(from core.InstanceRef, batch []envelope) {
+	for _, e := range batch {
+		d.stamps.Observe(e.Stamp)
+		d.post(router.PeerReceived{From: from, Message: e.Message})
+	}
+}
+
+// peerConfig is the configuration as one Instance gives it to another.
+type peerConfig struct {
+	Revision uint64 `json:"revision"`
+	Raw      []byte `json:"raw"`
+}
+
+// servePeer answers what peers fetch.
+func (d *Daemon) servePeer(_ core.InstanceRef, name string, _ []byte) ([]byte, error) {
+	switch router.StateKind(name) {
+	case router.StateConfig:
+		held := d.rawConfig.Load()
+		if held == nil {
+			return nil, errorx.IllegalState.New("no configuration is held here")
+		}
+		return json.Marshal(peerConfig{Revision: held.Revision, Raw: held.Raw})
+	case router.StateUpstreams:
+		held := d.upstreams.Load()
+		if held == nil {
+			return nil, errorx.IllegalState.New("no list of upstreams is held here")
+		}
+		return json.Marshal(held)
+	case stateMembers:
+		return json.Marshal([]fleet.Member{d.router.HostedMember()})
+	}
+	return nil, errorx.IllegalArgument.New("%q is not known", name)
+}
+
+// fetchState asks a peer for a state and posts what it answers.
+func (d *Daemon) fetchState(ctx context.Context, e router.FetchState) {
+	defer d.post(router.StateFetched{Kind: e.Kind})
+	fetch, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	body, err := d.peers.Fetch(fetch, e.Addr, string(e.Kind), nil)
+	if err == nil {
+		err = d.takeState(e, body)
+	}
+	if err != nil {
+		telemetry.Component(d.log, "fleet").Warn("state not fetched",
+			zap.String("kind", string(e.Kind)), zap.String("from", string(e.From)), zap.String("addr", e.Addr), zap.Error(err))
+	}
+}
+
+func (d *Daemon) takeState(e router.FetchState, body []byte) error {
+	switch e.Kind {
+	case router.StateConfig:
+		var got peerConfig
+		if err := json.Unmarshal(body, &got); err != nil {
+			return err
+		}
+		routing, err := d.border.Store.DecodeRouting(got.Raw)
+		if err != nil {
+			return err
+		}
+		d.sawRouting(RoutingObject{Routing: routing, Revision: got.Revision, Raw: got.Raw}, e.From)
+	case router.StateUpstreams:
+		var got upstreamList
+		if err := json.Unmarshal(body, &got); err != nil {
+			return err
+		}
+		d.post(router.UpstreamsListed{Revision: got.Revision, Upstreams: got.Upstreams, From: e.From})
+	case stateMembers:
+		var got []fleet.Member
+		if err := json.Unmarshal(body, &got); err != nil {
+			return err
+		}
+		d.post(router.MembersListed{Members: got})
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/hosted/settings.go
@@ -0,0 +1,96 @@
+package hosted
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/tailscale/hujson"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Settings are the settings of a hosted Instance, a file in JSON with comments.
+type Settings struct {
+	Instance    core.InstanceID                         `json:"instance"`
+	DataCentre  core.DataCentreName                     `json:"data_centre"`
+	Region      core.RegionName                         `json:"region"`
+	DataCentres map[core.DataCentreName]core.RegionName `json:"data_centres"`
+
+	CallerAddr    string `json:"caller_addr"`
+	ReadyAddr     string `json:"ready_addr"`
+	DirectoryAddr string `json:"directory_addr"`
+	PeerAddr      string `json:"peer_addr"`
+	MetricsAddr   string `json:"metrics_addr"`
+	// Seeds are peer addresses to try while the store can't be read.
+	Seeds []string `json:"seeds"`
+	Store string   `json:"store_addr"`
+
+	// GraceSeconds is the time from the request to stop to the end of the process.
+	GraceSeconds float64 `json:"grace_seconds"`
+	// AddressesMaxSeconds bounds the life of an address answer.
+	AddressesMaxSeconds float64 `json:"addresses_max_seconds"`
+	// The retry budget of the fleet: RetryRatio resends per request and
+	// RetryAllowance more within each RetryWindowSeconds.
+	RetryRatio         float64 `json:"retry_ratio"`
+	RetryAllowance     float64 `json:"retry_allowance"`
+	RetryWindowSeconds float64 `json:"retry_window_seconds"`
+
+	// LogLevel is debug, info, warn or error. Default: info.
+	LogLevel string `json:"log_level"`
+}
+
+// ReadSettings reads and checks a settings file. The error names every finding.
+func ReadSettings(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	standard, err := hujson.Standardize(text)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+	}
+	s := Settings{LogLevel: "info", GraceSeconds: 8, AddressesMaxSeconds: 5, RetryRatio: 0.1, RetryWindowSeconds: 10}
+	if err := json.Unmarshal(standard, &s); err != nil {
+		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, s.check(path)
+}
+
+func (s Settings) check(path string) error {
+	var findings []error
+	add := func(format string, args ...any) {
+		findings = append(findings, errorx.IllegalArgument.New(format, args...))
+	}
+	if s.Instance == "" {
+		add("instance: must not be empty")
+	}
+	if s.DataCentre == "" {
+		add("data_centre: must not be empty")
+	}
+	for name, addr := range map[string]string{
+		"caller_addr": s.CallerAddr, "ready_addr": s.ReadyAddr, "directory_addr": s.DirectoryAddr,
+		"peer_addr": s.PeerAddr, "store_addr": s.Store,
+	} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			add("%s: %q is not HOST:PORT", name, addr)
+		}
+	}
+	if s.GraceSeconds <= 0 {
+		add("grace_seconds: %v must be above 0", s.GraceSeconds)
+	}
+	if s.RetryWindowSeconds <= 0 {
+		add("retry_window_seconds: %v must be above 0", s.RetryWindowSeconds)
+	}
+	if len(findings) == 0 {
+		return nil
+	}
+	return errorx.DecorateMany("settings "+path, findings...)
+}
+
+func (s Settings) grace() time.Duration { return secondsOf(s.GraceSeconds) }
+
+func secondsOf(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/pkg/quota/quota.go
@@ -0,0 +1,198 @@
+// Package quota shares the token allowance of each ClientAccount between all
+// Instances. Each Instance follows one bucket for the whole fleet: it fills at
+// the account's rate and is drained by own admissions and by those that peers
+// report. A request is admitted while the level is above zero, whatever its
+// size; the level may go below zero and is then repaid by the rate.
+//
+// The fleet exceeds the allowance by at most what arrives between two reports.
+// A peer that is not heard may go on with an even part of the rate, so that part
+// is set aside until the peer is heard again or is known to have ended. An
+// Instance that hears nobody keeps to its own even part.
+package quota
+
+import (
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Limit is the allowance of an account over all Instances.
+type Limit struct {
+	Rate  int64 // tokens per second, 0 for no limit
+	Burst int64 // tokens
+}
+
+// Quota is the state of one Instance.
+type Quota struct {
+	accounts map[core.AccountID]*account
+	peers    map[core.InstanceID]*peer
+	silent   int
+}
+
+type account struct {
+	limit    Limit
+	level    float64 // tokens of the fleet's bucket
+	at       core.Instant
+	admitted int64 // tokens since the start of this Instance
+}
+
+type peer struct {
+	ref      core.InstanceRef
+	silent   bool
+	admitted map[core.AccountID]int64
+	// assumed counts the tokens that were set aside while the peer was silent.
+	assumed map[core.AccountID]float64
+}
+
+// New returns an empty Quota.
+func New() *Quota {
+	return &Quota{accounts: map[core.AccountID]*account{}, peers: map[core.InstanceID]*peer{}}
+}
+
+// SetLimit puts the limit of an account in force. The bucket of a new account is
+// empty, because peers may have used the burst already.
+func (q *Quota) SetLimit(now core.Instant, id core.AccountID, limit Limit) {
+	a := q.accounts[id]
+	if a == nil {
+		a = &account{at: now}
+		q.accounts[id] = a
+	}
+	q.fill(now, id, a)
+	a.limit = limit
+	a.level = min(a.level, float64(limit.Burst))
+}
+
+// Retain drops the accounts that keep does not name.
+func (q *Quota) Retain(keep func(core.AccountID) bool) {
+	for id := range q.accounts {
+		if !keep(id) {
+			delete(q.accounts, id)
+		}
+	}
+}
+
+// Admit asks for tokens of an account. When they are refused it returns the time
+// after which the level is above zero again.
+func (q *Quota) Admit(now core.Instant, id core.AccountID, tokens int64) (bool, time.Duration) {
+	a := q.accounts[id]
+	if a == nil || a.limit.Rate == 0 {
+		return true, 0
+	}
+	q.fill(now, id, a)
+	if a.level <= 0 {
+		return false, time.Duration(-a.level / float64(a.limit.Rate) * float64(time.Second))
+	}
+	a.level -= float64(tokens)
+	a.admitted += tokens
+	return true, 0
+}
+
+// Return gives back the tokens of a request that did not run.
+func (q *Quota) Return(now core.Instant, id core.AccountID, tokens int64) {
+	a := q.accounts[id]
+	if a == nil || a.limit.Rate == 0 {
+		return
+	}
+	q.fill(now, id, a)
+	a.level = min(a.level+float64(tokens), float64(a.limit.Burst))
+	a.admitted -= tokens
+}
+
+// Level returns the level of an account's bucket, for logs.
+func (q *Quota) Level(now core.Instant, id core.AccountID) int64 {
+	a := q.accounts[id]
+	if a == nil {
+		return 0
+	}
+	q.fill(now, id, a)
+	return int64(a.level)
+}
+
+// OnPeer takes in the tokens that a peer has admitted since its start. Accounts
+// that the report leaves out have not changed.
+func (q *Quota) OnPeer(now core.Instant, ref core.InstanceRef, admitted map[core.AccountID]int64) {
+	p := q.peers[ref.ID]
+	if p != nil && ref.Incarnation < p.ref.Incarnation {
+		return
+	}
+	if p == nil || p.ref != ref {
+		q.PeerGone(now, ref.ID)
+		p = &peer{ref: ref, admitted: map[core.AccountID]int64{}}
+		q.peers[ref.ID] = p
+	}
+	for id, tokens := range admitted {
+		a := q.accounts[id]
+		if a != nil {
+			q.fill(now, id, a)
+			a.level = min(a.level-float64(tokens-p.admitted[id])+p.assumed[id], float64(a.limit.Burst))
+		}
+		p.admitted[id] = tokens
+		delete(p.assumed, id)
+	}
+	if p.silent {
+		p.silent = false
+		q.silent--
+	}
+}
+
+// PeerSilent says that a peer is not heard any more.
+func (q *Quota) PeerSilent(now core.Instant, id core.InstanceID) {
+	p := q.peers[id]
+	if p == nil || p.silent {
+		return
+	}
+	q.fillAll(now)
+	p.silent = true
+	p.assumed = map[core.AccountID]float64{}
+	q.silent++
+}
+
+// PeerGone says that a peer has certainly ended.
+func (q *Quota) PeerGone(now core.Instant, id core.InstanceID) {
+	p := q.peers[id]
+	if p == nil {
+		return
+	}
+	q.fillAll(now)
+	if p.silent {
+		q.silent--
+	}
+	delete(q.peers, id)
+}
+
+// Admitted returns the tokens admitted here since the start, for the peers.
+func (q *Quota) Admitted() map[core.AccountID]int64 {
+	admitted := make(map[core.AccountID]int64, len(q.accounts))
+	for id, a := range q.accounts {
+		if a.limit.Rate > 0 {
+			admitted[id] = a.admitted
+		}
+	}
+	return admitted
+}
+
+func (q *Quota) fillAll(now core.Instant) {
+	for id, a := range q.accounts {
+		q.fill(now, id, a)
+	}
+}
+
+// fill adds the tokens since the last call, less the parts of silent peers.
+func (q *Quota) fill(now core.Instant, id core.AccountID, a *account) {
+	elapsed := now.Sub(a.at)
+	if elapsed <= 0 {
+		return
+	}
+	a.at = now
+	tokens := elapsed.Seconds() * float64(a.limit.Rate)
+	if q.silent > 0 {
+		part := tokens / float64(len(q.peers)+1)
+		for _, p := range q.peers {
+			if p.silent {
+				p.assumed[id] += part
+				tokens -= part
+			}
+		}
+	}
+	a.level = min(a.level+tokens, float64(a.limit.Burst))
+}
--- /dev/null
+++ b/pkg/retry/retry.go
@@ -0,0 +1,113 @@
+// Package retry bounds the resends to each service. All Instances share the
+// budget of a service without messages: every Instance may resend a share of its
+// own requests plus its part of a fixed allowance, so the sum stays within the
+// budget whatever the Instances know of each other.
+package retry
+
+import (
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Params are the bounds of the fleet.
+type Params struct {
+	// Ratio is the number of resends allowed per request.
+	Ratio float64
+	// Allowance is the number of resends allowed in a window beside the ratio.
+	Allowance float64
+	// Window is the length of the sliding window.
+	Window time.Duration
+	// Margin is the part of the budget that is used, to cover requests that are
+	// counted in neighbouring windows.
+	Margin float64
+}
+
+// DefaultMargin leaves a quarter of the budget unused: the budget counts the
+// requests of whole windows, and a burst of failures falls at their edges.
+const DefaultMargin = 0.75
+
+// Budget holds the budgets of one Instance.
+type Budget struct {
+	params    Params
+	instances int
+	services  map[core.ServiceName]*window
+}
+
+// window counts the last Window in slices.
+type window struct {
+	requests [slices]float64
+	resends  [slices]float64
+	current  int64 // number of the current slice
+}
+
+// slices is the number of slices of a window. One more than the window is kept
+// in view, so that a resend leaves the count only after it has left the window.
+const slices = 11
+
+// New returns the budgets of an Instance in a fleet of one.
+func New(p Params) *Budget {
+	if p.Margin == 0 {
+		p.Margin = DefaultMargin
+	}
+	return &Budget{params: p, instances: 1, services: map[core.ServiceName]*window{}}
+}
+
+// SetInstances tells how many Instances share the budget.
+func (b *Budget) SetInstances(n int) { b.instances = max(1, n) }
+
+// Arrived counts a request of a service.
+func (b *Budget) Arrived(now core.Instant, service core.ServiceName) {
+	w := b.at(now, service)
+	w.requests[w.slot()]++
+}
+
+// Take asks for one resend to a service and counts it when it is allowed.
+func (b *Budget) Take(now core.Instant, service core.ServiceName) bool {
+	w := b.at(now, service)
+	if sum(w.resends[:])+1 > b.limit(w) {
+		return false
+	}
+	w.resends[w.slot()]++
+	return true
+}
+
+// Spend counts a resend that has happened whether it was allowed or not.
+func (b *Budget) Spend(now core.Instant, service core.ServiceName) {
+	w := b.at(now, service)
+	w.resends[w.slot()]++
+}
+
+func (b *Budget) limit(w *window) float64 {
+	allowance := b.params.Allowance / float64(b.instances)
+	return b.params.Margin * (b.params.Ratio*sum(w.requests[:]) + allowance)
+}
+
+// at returns the window of a service, moved on to now.
+func (b *Budget) at(now core.Instant, service core.ServiceName) *window {
+	w := b.services[service]
+	if w == nil {
+		w = &window{}
+		b.services[service] = w
+	}
+	number := int64(now) / int64(b.params.Window/(slices-1))
+	for w.current < number {
+		if number-w.current > slices {
+			w.current = number - slices
+		}
+		w.current++
+		w.requests[w.slot()] = 0
+		w.resends[w.slot()] = 0
+	}
+	return w
+}
+
+func (w *window) slot() int { return int(w.current % slices) }
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
--- a/pkg/router/effect.go
+++ b/pkg/router/effect.go
@@ -40,7 +40,11 @@
 	URL      string
 	At       core.Instant
 	NotAfter core.Instant
+	// Deadline is when the Upstream is to give up, 0 for no other than its own.
+	Deadline core.Instant
 	Priority int
+	// Account is set at a hosted Instance, which names it to the Upstream.
+	Account core.AccountID
 }
 
 // StartDecode lets a decode engine import the KV cache at the instant At and
@@ -54,10 +58,19 @@
 	KV        string
 	At        core.Instant
 	NotAfter  core.Instant
+	// Hold names the place that the engine holds, empty for none.
+	Hold string
+	// Deadline is when the Upstream is to give up, 0 to leave it to the NotAfter
+	// of the effects.
+	Deadline core.Instant
 	// MaxOutput bounds the tokens of the whole answer, those of earlier attempts
 	// included.
 	MaxOutput int
 	Priority  int
+	// Account is set at a hosted Instance, which names it to the Upstream.
+	Account core.AccountID
+	// Resumable says that the stream may go on at another Upstream.
+	Resumable bool
 }
 
 // StartCall sends a call to a plain service.
@@ -67,6 +80,16 @@
 	Upstream core.UpstreamID
 	URL      string
 	NotAfter core.Instant
+	// Deadline is when the Upstream is to give up, 0 for no other than its own.
+	Deadline core.Instant
+	Priority int
+	// Account is set at a hosted Instance, which names it to the Upstream.
+	Account core.AccountID
+	// Idempotent says that the request may run again if it fails.
+	Idempotent bool
+	// AnswerWithin is the time after which the Upstream counts as silent, 0 to
+	// wait until the Deadline.
+	AnswerWithin time.Duration
 }
 
 // StartResume continues to read an attempt that another reader has left.
--- a/pkg/router/event.go
+++ b/pkg/router/event.go
@@ -44,6 +44,16 @@
 	WallTime time.Time
 	// Resume is set when the caller continues an answer that broke off.
 	Resume *ResumeFrom
+
+	// The following are set at a hosted Instance, where Host and Path select the
+	// route.
+	Host string
+	// Key is the digest of the caller's key, nil without one.
+	Key *config.KeyDigest
+	// StatesTokens says that PromptTokens and MaxOutput are the caller's.
+	StatesTokens bool
+	// ExpectedOutput is the caller's estimate of the output tokens, 0 for none.
+	ExpectedOutput int
 }
 
 // ResumeFrom is the position of an answer that broke off, as read from a sealed
@@ -79,6 +89,10 @@
 // PrefillDone says that a prefill has ended well.
 type PrefillDone struct {
 	Attempt core.AttemptID
+	// Request, Upstream and Addr are set at a hosted Instance.
+	Request  core.RequestID
+	Upstream core.UpstreamID
+	Addr     string
 	// KV names the exported KV cache at the prefill engine.
 	KV string
 	// CachedTokens is the part of the prompt that the prefix cache served.
@@ -90,7 +104,11 @@
 }
 
 // FirstToken says that the first token of an answer was relayed.
-type FirstToken struct{ Attempt core.AttemptID }
+type FirstToken struct {
+	Attempt core.AttemptID
+	// Request is set at a hosted Instance.
+	Request core.RequestID
+}
 
 // Progress gives the number of tokens relayed so far.
 type Progress struct {
@@ -101,6 +119,8 @@
 // AnswerEnded says that an answer was relayed whole.
 type AnswerEnded struct {
 	Attempt core.AttemptID
+	// Request is set at a hosted Instance.
+	Request core.RequestID
 	// Tokens counts all output tokens that the caller has.
 	Tokens int
 	// BetweenTokens is the 95th percentile of the time between two tokens.
@@ -112,6 +132,8 @@
 // AttemptFailed says that an attempt ended without a whole answer.
 type AttemptFailed struct {
 	Attempt core.AttemptID
+	// Request is set at a hosted Instance.
+	Request core.RequestID
 	Failure attempts.Failure
 }
 
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -49,6 +49,9 @@
 	prefilled  int // prompt tokens whose prefill has ended
 	firstToken core.Instant
 	ending     AnswerEnded
+
+	// hosted is set for the requests of a hosted Instance.
+	hosted *hostedFlow
 }
 
 func (f *flow) started() bool { return f.attempt != core.AttemptID{} }
--- /dev/null
+++ b/pkg/router/hosted.go
@@ -0,0 +1,299 @@
+package router
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
+	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
+	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
+	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
+)
+
+// HostedParams are the settings of a Router on a platform that registers the
+// Upstreams, delivers the configuration whole and holds places at its engines.
+type HostedParams struct {
+	Member   fleet.Member
+	Fleet    fleet.Params
+	Dispatch dispatch.Params
+	Retry    retry.Params
+	// AddressesFor is the time for which callers keep an address answer.
+	AddressesFor time.Duration
+	// Grace is the time from the request to stop to the end of the process.
+	Grace time.Duration
+}
+
+const (
+	// defaultAddressesFor is short, so that callers leave a dead Instance within
+	// seconds. One answer a second for each caller costs less than a request.
+	defaultAddressesFor = time.Second
+	// keptAnswers is how long some callers keep an address answer, in multiples of
+	// the time that it states.
+	keptAnswers = 3
+	// stopMargin is the part of the grace period that is left for the exit.
+	stopMargin = 500 * time.Millisecond
+	// endSlack is the time after a request's end at which its answer is given up.
+	// The Upstream knows the same end and may answer just in time.
+	endSlack = 120 * time.Millisecond
+	// maxHold bounds the time for which a place is held before the decode.
+	maxHold = 2 * time.Second
+	// peerLag is the time for which a peer may be ahead before its state is
+	// fetched: the watch of the store delivers the same change in the meantime.
+	peerLag = 400 * time.Millisecond
+	// maxUnsent bounds the tries of one request that reach no Upstream.
+	maxUnsent = 4
+	// crashLimit is the number of Upstreams that one request may lose.
+	crashLimit = 3
+	// crashKept is the time for which the losses of a request are remembered.
+	crashKept = 30 * time.Second
+	// membersEvery is the time between two lists of the members. Heartbeats find
+	// new members sooner; the list finds those that were cut off at their start.
+	membersEvery = 10 * time.Second
+)
+
+// hosted is the part of the Router that composes the hosted modules.
+type hosted struct {
+	*Router
+	params   HostedParams
+	routing  *config.Routing
+	catalog  *catalog.Catalog
+	dispatch *dispatch.Dispatcher
+	quota    *quota.Quota
+	retry    *retry.Budget
+	fleet    *fleet.Fleet
+
+	configRevision uint64
+	attempt        uint64
+	ends           schedule.Queue[core.Instant, core.RequestID]
+	crashes        map[core.Fingerprint]*crashes
+	fetches        map[StateKind]*stateFetch
+	services       map[core.ServiceName]*config.Service
+	accountViews   map[core.AccountID]*config.ClientAccount
+	nextMembers    core.Instant
+	stopAt         core.Instant
+}
+
+// crashes counts the Upstreams that were lost while they ran a request.
+type crashes struct {
+	own   int
+	peers map[core.InstanceID]int
+	until core.Instant
+}
+
+func (c *crashes) count() int {
+	total := c.own
+	for _, n := range c.peers {
+		total += n
+	}
+	return total
+}
+
+// stateFetch follows a peer that is ahead of this Instance.
+type stateFetch struct {
+	since   core.Instant
+	running bool
+}
+
+func newHosted(r *Router, p HostedParams) *hosted {
+	if p.AddressesFor == 0 {
+		p.AddressesFor = defaultAddressesFor
+	}
+	p.Dispatch.Rand = r.params.Rand
+	p.Dispatch.DataCentre = p.Member.DataCentre
+	return &hosted{
+		Router:   r,
+		params:   p,
+		catalog:  catalog.New(),
+		dispatch: dispatch.New(p.Dispatch),
+		quota:    quota.New(),
+		retry:    retry.New(p.Retry),
+		fleet:    fleet.New(p.Member, p.Fleet),
+
+		crashes:      map[core.Fingerprint]*crashes{},
+		fetches:      map[StateKind]*stateFetch{},
+		services:     map[core.ServiceName]*config.Service{},
+		accountViews: map[core.AccountID]*config.ClientAccount{},
+		stopAt:       core.Never,
+	}
+}
+
+// nextWake returns the instant at which the next Tick is due.
+func (h *hosted) nextWake() core.Instant {
+	end, waiting := h.ends.Next()
+	if !waiting {
+		end = core.Never
+	}
+	return core.Earliest(end, h.nextMembers, h.drainAt, h.stopAt, h.catalog.NextWake(), h.dispatch.NextWake(), h.fleet.NextWake())
+}
+
+// step handles the events of a hosted Instance.
+func (h *hosted) step(now core.Instant, event Event) {
+	switch e := event.(type) {
+	case Tick:
+		h.tick(now)
+	case RequestArrived:
+		h.arrive(now, e.Request)
+	case CallerGone:
+		h.callerGone(now, e.Request)
+	case HoldReplied:
+		h.holdReplied(now, e)
+	case PrefillDone:
+		h.prefillDone(now, e)
+	case FirstToken:
+		h.firstToken(now, e)
+	case AnswerEnded:
+		h.answerEnded(now, e)
+	case AttemptFailed:
+		h.attemptFailed(now, e)
+	case AddressesWanted:
+		h.answerAddresses(e)
+	case RoutingSeen:
+		h.routingSeen(now, e)
+	case UpstreamsListed:
+		if h.catalog.Replace(now, e.Revision, e.Upstreams) {
+			h.upstreamsChanged(now, "listed", e.From)
+		}
+	case UpstreamsChanged:
+		if h.catalog.Apply(now, e.Revision, e.Changes) && len(e.Changes) > 0 {
+			h.upstreamsChanged(now, "watched", "")
+		}
+	case StoreDisturbed:
+		h.catalog.Disturb(now)
+	case MembersListed:
+		h.fleet.Listed(now, e.Members)
+	case StateFetched:
+		delete(h.fetches, e.Kind)
+	case PeerReceived:
+		if e.Message.Hosted != nil {
+			h.heartbeatReceived(now, e.From, e.Message.Hosted)
+		}
+	case Paused:
+		h.recordEvent(now, "server", "paused", "")
+	case ShutdownAsked:
+		h.shutdown(now)
+	}
+}
+
+func (h *hosted) tick(now core.Instant) {
+	for {
+		id, _, due := h.ends.PopDue(now)
+		if !due {
+			break
+		}
+		h.timeOut(now, id)
+	}
+	if h.catalog.Tick(now) {
+		h.upstreamsChanged(now, "grace ended", "")
+	}
+	h.applyDispatch(now, h.dispatch.Tick(now))
+	if now >= h.nextMembers {
+		h.nextMembers = now.Add(membersEvery)
+		h.emit(ListMembers{})
+	}
+	changes := h.fleet.Tick(now)
+	for _, id := range changes.Silent {
+		h.quota.PeerSilent(now, id)
+		h.dispatch.OnPeer(id, nil)
+		h.recordEvent(now, "fleet", "peer silent", string(id))
+	}
+	for _, id := range changes.Gone {
+		h.quota.PeerGone(now, id)
+		h.dispatch.OnPeer(id, nil)
+		h.recordEvent(now, "fleet", "peer forgotten", string(id))
+	}
+	if due := h.fleet.DueHeartbeats(now); len(due) > 0 {
+		h.sendHeartbeats(now, due)
+	}
+}
+
+// routingSeen puts a configuration in force unless a newer one is.
+func (h *hosted) routingSeen(now core.Instant, e RoutingSeen) {
+	if h.routing != nil && e.Routing.Version <= h.routing.Version {
+		return
+	}
+	h.routing = e.Routing
+	h.configRevision = e.Revision
+	for _, account := range e.Routing.Accounts {
+		h.quota.SetLimit(now, account.ID, quota.Limit{Rate: account.Rate, Burst: account.Burst})
+		h.accountViews[account.ID] = &config.ClientAccount{ID: account.ID}
+	}
+	h.quota.Retain(func(id core.AccountID) bool { _, kept := e.Routing.Account(id); return kept })
+	engines := map[core.ServiceName]dispatch.Engines{}
+	for _, service := range e.Routing.Services {
+		h.services[service.Name] = &config.Service{Name: service.Name}
+		if service.Engine != nil {
+			engines[service.Name] = dispatch.Engines{Slots: service.Engine.Slots, MemoryTokens: service.Engine.MemoryTokens}
+		}
+	}
+	h.dispatch.SetEngines(engines)
+	state := h.fleet.State()
+	state.Serving = true
+	h.fleet.SetState(state)
+	from := "store"
+	if e.From != "" {
+		from = "peer " + string(e.From)
+	}
+	h.recordEvent(now, "config", "in force", "version="+strconv.FormatUint(uint64(e.Routing.Version), 10)+
+		" revision="+strconv.FormatUint(e.Revision, 10)+" from="+from)
+	h.emit(RoutingInForce{Routing: e.Routing})
+	h.refuseWithdrawn(now)
+}
+
+// refuseWithdrawn refuses the waiting requests whose key was withdrawn.
+func (h *hosted) refuseWithdrawn(now core.Instant) {
+	for _, id := range slices.Sorted(maps.Keys(h.flows)) {
+		f := h.flows[id]
+		if f == nil || f.hosted.stage != stageWaiting || f.request.Key == nil || f.hosted.route.Open {
+			continue
+		}
+		if account, found := h.routing.AccountOfKey(*f.request.Key); !found || account.ID != f.account.ID {
+			h.refuseHosted(now, f, core.Refuse(core.CodeKeyRevoked, "the key was withdrawn while the request waited"))
+		}
+	}
+}
+
+func (h *hosted) upstreamsChanged(now core.Instant, why string, from core.InstanceID) {
+	revision, _ := h.catalog.Revision()
+	list := h.catalog.Upstreams()
+	h.recordEvent(now, "catalog", "upstreams "+why, "count="+strconv.Itoa(len(list))+
+		" revision="+strconv.FormatUint(revision, 10)+" from="+string(from))
+	h.emit(UpstreamsInForce{Revision: revision, Upstreams: list})
+	h.applyDispatch(now, h.dispatch.SetUpstreams(now, list))
+}
+
+func (h *hosted) answerAddresses(e AddressesWanted) {
+	h.emit(CallerAddresses{
+		Ask:       e.Ask,
+		Addresses: h.fleet.Addresses(e.Region, e.DataCentre, e.Limit),
+		KeepFor:   h.params.AddressesFor,
+	})
+}
+
+// shutdown begins a graceful shutdown. Peers are told at once, so that no new
+// address answer names this Instance. It goes on serving until the answers that
+// name it have expired and nothing runs, at the latest until the grace period
+// is nearly over.
+func (h *hosted) shutdown(now core.Instant) {
+	if h.leaving {
+		return
+	}
+	h.leaving = true
+	state := h.fleet.State()
+	state.Leaving = true
+	h.fleet.SetState(state)
+	h.sendHeartbeats(now, h.fleet.Peers())
+	h.drainAt = now.Add(keptAnswers*h.params.AddressesFor + stopMargin)
+	h.stopAt = now.Add(h.params.Grace - stopMargin)
+	h.recordEvent(now, "server", "stop asked", "grace="+h.params.Grace.String())
+	h.emit(Leaving{})
+}
+
+// HostedMember describes this Instance to its peers. It does not change, so it
+// may be called from any goroutine.
+func (r *Router) HostedMember() fleet.Member { return r.hosted.params.Member }
--- /dev/null
+++ b/pkg/router/hosted_peers.go
@@ -0,0 +1,125 @@
+package router
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
+	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+)
+
+// HostedHeartbeat is what a hosted Instance tells each peer.
+type HostedHeartbeat struct {
+	Member fleet.Member
+	State  fleet.State
+	// ConfigRevision and CatalogRevision are the store's revisions of what is in
+	// force at the sender, 0 for none.
+	ConfigRevision  uint64
+	CatalogRevision uint64
+	// Admitted counts the tokens admitted per account since the sender's start.
+	Admitted map[core.AccountID]int64
+	// Loads is what the sender has placed on each Upstream.
+	Loads map[core.UpstreamID]dispatch.Load
+	// Crashes counts the Upstreams that the sender lost to a request lately.
+	Crashes map[core.Fingerprint]int
+}
+
+// heartbeatLife is the time after which a heartbeat that was not sent is dropped:
+// the next one says more.
+const heartbeatLife = 300 * time.Millisecond
+
+func (h *hosted) sendHeartbeats(now core.Instant, to []fleet.Member) {
+	revision, _ := h.catalog.Revision()
+	beat := &HostedHeartbeat{
+		Member:          h.fleet.Self(),
+		State:           h.fleet.State(),
+		ConfigRevision:  h.configRevision,
+		CatalogRevision: revision,
+		Admitted:        h.quota.Admitted(),
+		Loads:           h.dispatch.Loads(),
+		Crashes:         h.ownCrashes(now),
+	}
+	for _, member := range to {
+		h.emit(SendPeer{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: beat}, NotAfter: now.Add(heartbeatLife)})
+	}
+}
+
+func (h *hosted) heartbeatReceived(now core.Instant, from core.InstanceRef, beat *HostedHeartbeat) {
+	known := h.fleet.Known()
+	if !h.fleet.Heard(now, beat.Member, beat.State) {
+		return
+	}
+	if h.fleet.Known() != known {
+		h.recordEvent(now, "fleet", "peer found", from.String())
+	}
+	h.retry.SetInstances(h.fleet.Known())
+	h.quota.OnPeer(now, beat.Member.Ref, beat.Admitted)
+	h.dispatch.OnPeer(from.ID, loadsOf(beat))
+	for print, n := range beat.Crashes {
+		h.crashesOf(now, print).peers[from.ID] = n
+	}
+	h.compare(now, beat.Member, StateConfig, beat.ConfigRevision, h.configRevision)
+	revision, _ := h.catalog.Revision()
+	h.compare(now, beat.Member, StateUpstreams, beat.CatalogRevision, revision)
+}
+
+func loadsOf(beat *HostedHeartbeat) map[core.UpstreamID]dispatch.Load {
+	if beat.Loads == nil {
+		return map[core.UpstreamID]dispatch.Load{}
+	}
+	return beat.Loads
+}
+
+// compare fetches a state from a peer that has been ahead for a while: the store
+// may turn this Instance away and serve others.
+func (h *hosted) compare(now core.Instant, peer fleet.Member, kind StateKind, theirs, own uint64) {
+	if theirs <= own {
+		if f := h.fetches[kind]; f != nil && !f.running && theirs == own {
+			delete(h.fetches, kind)
+		}
+		return
+	}
+	f := h.fetches[kind]
+	if f == nil {
+		h.fetches[kind] = &stateFetch{since: now}
+		return
+	}
+	if f.running || now.Sub(f.since) < peerLag {
+		return
+	}
+	f.running = true
+	h.recordEvent(now, "fleet", "fetch "+string(kind), "from="+peer.Ref.String()+
+		" theirs="+strconv.FormatUint(theirs, 10)+" own="+strconv.FormatUint(own, 10))
+	h.emit(FetchState{Kind: kind, From: peer.Ref.ID, Addr: peer.PeerAddr})
+}
+
+// crashesOf returns the record of a request, and forgets old ones.
+func (h *hosted) crashesOf(now core.Instant, print core.Fingerprint) *crashes {
+	for other, c := range h.crashes {
+		if now >= c.until {
+			delete(h.crashes, other)
+		}
+	}
+	c := h.crashes[print]
+	if c == nil {
+		c = &crashes{peers: map[core.InstanceID]int{}}
+		h.crashes[print] = c
+	}
+	c.until = now.Add(crashKept)
+	return c
+}
+
+func (h *hosted) ownCrashes(now core.Instant) map[core.Fingerprint]int {
+	var own map[core.Fingerprint]int
+	for print, c := range h.crashes {
+		if c.own == 0 || now >= c.until {
+			continue
+		}
+		if own == nil {
+			own = map[core.Fingerprint]int{}
+		}
+		own[print] = c.own
+	}
+	return own
+}
--- a/pkg/router/message.go
+++ b/pkg/router/message.go
@@ -23,6 +23,7 @@
 	Load         *LoadNotice
 	AskOwner     *AttemptsQuestion
 	Serves       *ServesNotice
+	Hosted       *HostedHeartbeat
 }
 
 // AttemptsQuestion asks an Instance to cancel those attempts at an Upstream that
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -54,6 +54,11 @@
 	// LoadFanout is the largest number of load notices sent every LoadEvery. A
 	// region with more peers gets them in turn, with the loads only.
 	LoadFanout int
+
+	// Hosted is set when the Instance runs on a platform that registers the
+	// Upstreams and delivers the configuration. The settings of the modules above
+	// then have no effect.
+	Hosted *HostedParams
 }
 
 // Defaults of Params.
@@ -110,6 +115,9 @@
 	unnamed bool
 
 	effects []Effect
+
+	// hosted is nil unless the Instance is hosted.
+	hosted *hosted
 }
 
 // New returns the Router of a starting Instance.
@@ -156,6 +164,9 @@
 	r.claims = claims.New(p.Self.Ref, p.Claims)
 	r.placement = placement.New(p.Self.Ref, p.Self.DataCentre, p.Placement)
 	r.attempts = attempts.New(p.Self.Ref, p.Attempts)
+	if p.Hosted != nil {
+		r.hosted = newHosted(r, *p.Hosted)
+	}
 	return r
 }
 
@@ -163,6 +174,11 @@
 // order in which they are to be carried out. Instants must not go back.
 func (r *Router) Step(now core.Instant, event Event) []Effect {
 	r.effects = nil
+	if r.hosted != nil {
+		r.hosted.step(now, event)
+		r.hosted.checkDrained(now)
+		return r.effects
+	}
 	r.handle(now, event)
 	r.checkDrained(now)
 	return r.effects
@@ -170,6 +186,9 @@
 
 // NextWake returns the instant at which the next Tick is due.
 func (r *Router) NextWake() core.Instant {
+	if r.hosted != nil {
+		return r.hosted.nextWake()
+	}
 	return core.Earliest(
 		r.nextList,
 		r.polls.next(),
--- /dev/null
+++ b/pkg/upstream/exchange.go
@@ -0,0 +1,359 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// PoolOptions are the settings of a Pool. Zero values select the defaults.
+type PoolOptions struct {
+	// ConnectTimeout bounds the dial. Default 600 ms: an opening packet that was
+	// dropped is sent again only after a second.
+	ConnectTimeout time.Duration
+	// KeepIdle is the longest time for which an idle connection is kept. Default
+	// 1 s: Upstreams may drop idle connections without notice.
+	KeepIdle time.Duration
+	// UnackedLimit is the time after which a connection with unacknowledged data
+	// is closed. Default 3 s.
+	UnackedLimit time.Duration
+	// MaxIdle bounds the idle connections to one address. Default 8.
+	MaxIdle int
+}
+
+func (o PoolOptions) withDefaults() PoolOptions {
+	o.ConnectTimeout = orDefault(o.ConnectTimeout, 600*time.Millisecond)
+	o.KeepIdle = orDefault(o.KeepIdle, time.Second)
+	o.UnackedLimit = orDefault(o.UnackedLimit, 3*time.Second)
+	if o.MaxIdle <= 0 {
+		o.MaxIdle = 8
+	}
+	return o
+}
+
+// Pool sends requests that are passed on as they are, byte for byte, and says
+// whether a failed request can have reached the Upstream. net/http can do
+// neither: it rewrites requests, repeats some on its own, and takes whatever
+// comes first on a connection for the answer.
+type Pool struct {
+	opts PoolOptions
+
+	mu   sync.Mutex
+	idle map[string][]*exchangeConn
+}
+
+// NewPool returns a Pool without connections.
+func NewPool(opts PoolOptions) *Pool {
+	return &Pool{opts: opts.withDefaults(), idle: map[string][]*exchangeConn{}}
+}
+
+// Request is a request of a Pool.
+type Request struct {
+	Method string
+	// Target is the request target as it stands on the request line.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Match reports whether an answer belongs to this request. An answer that does
+	// not is read and dropped. nil accepts every answer.
+	Match func(http.Header) bool
+	// Repeatable requests are sent once more on a new connection when a kept one
+	// ends before the answer. Others are sent on new connections only.
+	Repeatable bool
+	// AnswerWithin bounds the time to the header of the answer, 0 for none.
+	AnswerWithin time.Duration
+}
+
+// Answer is the answer to a Request. Its body must be read to the end or closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	conn   *exchangeConn
+	body   io.ReadCloser
+	whole  bool
+	stop   func() bool
+}
+
+// exchangeConn is one connection of a Pool.
+type exchangeConn struct {
+	net.Conn
+	pool    *Pool
+	addr    string
+	reader  *bufio.Reader
+	writing chan error // result of the write in progress
+	reusable,
+	reused bool
+	until time.Time // end of its use as an idle connection
+}
+
+// maxStrays bounds the answers to other requests that are dropped from one
+// connection.
+const maxStrays = 3
+
+// Do sends a request and reads the header of its answer. Its error is an *Error.
+func (p *Pool) Do(ctx context.Context, addr string, q Request) (*Answer, error) {
+	if q.Repeatable {
+		if conn := p.take(addr); conn != nil {
+			answer, err := p.exchange(ctx, conn, q)
+			if err == nil || ctx.Err() != nil || err.Kind == Stalled {
+				return answer, orNil(err)
+			}
+		}
+	}
+	conn, err := p.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	answer, failure := p.exchange(ctx, conn, q)
+	return answer, orNil(failure)
+}
+
+func orNil(err *Error) error {
+	if err == nil {
+		return nil
+	}
+	return err
+}
+
+func (p *Pool) dial(ctx context.Context, addr string) (*exchangeConn, error) {
+	dialer := net.Dialer{Timeout: p.opts.ConnectTimeout, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, &Error{Kind: Canceled, URL: addr, Err: ctx.Err()}
+		}
+		return nil, &Error{Kind: Connect, URL: addr, Err: err}
+	}
+	limitUnacked(conn, p.opts.UnackedLimit)
+	return &exchangeConn{Conn: conn, pool: p, addr: addr, reader: bufio.NewReader(conn)}, nil
+}
+
+func limitUnacked(conn net.Conn, limit time.Duration) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) {
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+			})
+		}
+	}
+}
+
+// take returns an idle connection that still looks open, nil when there is none.
+func (p *Pool) take(addr string) *exchangeConn {
+	for {
+		p.mu.Lock()
+		list := p.idle[addr]
+		if len(list) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		conn := list[len(list)-1]
+		p.idle[addr] = list[:len(list)-1]
+		p.mu.Unlock()
+		if time.Now().Before(conn.until) && conn.quiet() {
+			conn.reused = true
+			return conn
+		}
+		conn.Close()
+	}
+}
+
+// quiet reports whether the connection is open and nothing was received on it: a
+// late answer to an earlier request would be taken for the next one.
+func (c *exchangeConn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, failure := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(failure, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Sweep closes the idle connections whose time is over.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, conn := range list {
+			if now.Before(conn.until) {
+				kept = append(kept, conn)
+				continue
+			}
+			conn.Close()
+		}
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+			continue
+		}
+		p.idle[addr] = kept
+	}
+}
+
+func (p *Pool) exchange(ctx context.Context, conn *exchangeConn, q Request) (*Answer, *Error) {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	fail := func(kind Kind, err error) (*Answer, *Error) {
+		stop()
+		conn.Close()
+		if ctx.Err() != nil {
+			kind = Canceled
+		}
+		return nil, &Error{Kind: kind, URL: conn.addr, Sent: true, Err: err}
+	}
+	if q.AnswerWithin > 0 {
+		_ = conn.SetReadDeadline(time.Now().Add(q.AnswerWithin))
+	}
+	conn.write(q)
+	for range maxStrays {
+		response, err := conn.readHeader(q)
+		if err != nil {
+			if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+				return fail(Stalled, err)
+			}
+			return fail(Crashed, err)
+		}
+		if q.Match != nil && !q.Match(response.Header) {
+			if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBody)); err != nil || response.Close {
+				return fail(Crashed, errStray)
+			}
+			continue
+		}
+		_ = conn.SetReadDeadline(time.Time{})
+		conn.reusable = !response.Close && response.ProtoAtLeast(1, 1) && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
+		conn.until = time.Now().Add(min(p.opts.KeepIdle, keepAliveOf(response.Header)))
+		return &Answer{Status: response.StatusCode, Header: response.Header, conn: conn, body: response.Body, stop: stop}, nil
+	}
+	return fail(Crashed, errStray)
+}
+
+// maxStrayBody bounds the body of an answer that belongs to another request.
+const maxStrayBody = 1 << 20
+
+var errStray = errors.New("the answer belongs to another request")
+
+// keepAliveOf returns half of the idle time that the Upstream states.
+func keepAliveOf(header http.Header) time.Duration {
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && name == "timeout" {
+			return time.Duration(seconds) * time.Second / 2
+		}
+	}
+	return time.Minute
+}
+
+// write sends the request on a goroutine of its own when it is long: an Upstream
+// may answer before it has read the whole body.
+func (c *exchangeConn) write(q Request) {
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", q.Method, q.Target, q.Host)
+	_ = q.Header.Write(&head) // a bytes.Buffer does not fail
+	if len(q.Body) > 0 || q.Method != http.MethodGet && q.Method != http.MethodHead && q.Method != http.MethodDelete {
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(q.Body))
+	}
+	head.WriteString("\r\n")
+	head.Write(q.Body)
+	c.writing = make(chan error, 1)
+	if len(q.Body) <= inlineWrite {
+		_, err := c.Write(head.Bytes())
+		c.writing <- err
+		return
+	}
+	go func() {
+		_, err := c.Write(head.Bytes())
+		c.writing <- err
+	}()
+}
+
+// inlineWrite is the longest body that is written before the answer is awaited.
+// It fits into the buffers of a connection.
+const inlineWrite = 8 << 10
+
+// readHeader reads the header of the next final answer.
+func (c *exchangeConn) readHeader(q Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, nil
+		}
+	}
+}
+
+// Read reads the body. It returns io.EOF only at the end of a whole body.
+func (a *Answer) Read(b []byte) (int, error) {
+	n, err := a.body.Read(b)
+	if err == io.EOF {
+		a.whole = true
+	}
+	return n, err
+}
+
+// SetReadDeadline bounds the following reads of the body.
+func (a *Answer) SetReadDeadline(t time.Time) { _ = a.conn.SetReadDeadline(t) }
+
+// Close ends the exchange. The connection is kept when the whole body was read
+// and the whole request was sent.
+func (a *Answer) Close() {
+	running := a.stop()
+	sent := false
+	select {
+	case err := <-a.conn.writing:
+		sent = err == nil
+	default:
+	}
+	if !running || !a.whole || !sent || !a.conn.reusable {
+		a.conn.Close()
+		return
+	}
+	_ = a.conn.SetReadDeadline(time.Time{})
+	p := a.conn.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[a.conn.addr]) >= p.opts.MaxIdle {
+		a.conn.Close()
+		return
+	}
+	p.idle[a.conn.addr] = append(p.idle[a.conn.addr], a.conn)
+}
+
+// ReadAll reads the whole body, at most limit bytes, and closes the answer.
+func (a *Answer) ReadAll(limit int64) ([]byte, error) {
+	defer a.Close()
+	body, err := io.ReadAll(io.LimitReader(a, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, fmt.Errorf("the answer is larger than %d bytes", limit)
+	}
+	return body, nil
+}
