hosted: finish answers before the exit, watch from the store's revision

Ruled out: the engine broke off; its run ended whole. Change: the daemon shuts its servers down and waits up to 300 ms for handlers.

Change: read the configuration by a list, which tells the store's revision; space whole reads.

Each test fails without its change (server.Close for Shutdown, object revision, no pause between reads).

--- a/pkg/hosted/border.go
+++ b/pkg/hosted/border.go
@@ -157,8 +157,10 @@
 
 // Store is the platform's store. Every call counts and is paid for.
 type Store interface {
-	// ReadRouting reads the configuration. Errors: ErrNotFound.
-	ReadRouting(ctx context.Context) (RoutingObject, error)
+	// ReadRouting reads the configuration and the revision of the store, from
+	// which to watch: the history since the configuration's own revision may be
+	// gone. Errors: ErrNotFound.
+	ReadRouting(ctx context.Context) (object RoutingObject, revision uint64, err error)
 	// WatchRouting waits for a change after a revision. It returns nil and the
 	// store's revision when there was none. Errors: ErrHistoryGone.
 	WatchRouting(ctx context.Context, after uint64, wait time.Duration) (*RoutingObject, uint64, error)
--- /dev/null
+++ b/pkg/hosted/border_test.go
@@ -0,0 +1,246 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+)
+
+// fakeStore is a store in memory that keeps a bounded history.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision uint64
+	oldest   uint64 // first revision from which a watch can start
+	config   *RoutingObject
+	list     []catalog.Upstream
+	members  []fleet.Member
+	down     bool
+	reads    int
+	watches  int
+	changed  chan struct{}
+}
+
+func newFakeStore(routing config.Routing, list ...catalog.Upstream) *fakeStore {
+	s := &fakeStore{revision: 10, changed: make(chan struct{}), list: list}
+	s.setConfig(routing)
+	return s
+}
+
+var errDown = errors.New("the store is down")
+
+func (s *fakeStore) setConfig(routing config.Routing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	raw, err := json.Marshal(routing)
+	if err != nil {
+		panic(err)
+	}
+	s.config = &RoutingObject{Routing: config.NewRouting(routing), Revision: s.revision, Raw: raw}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) ReadRouting(context.Context) (RoutingObject, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return RoutingObject{}, 0, errDown
+	}
+	return *s.config, s.revision, nil
+}
+
+func (s *fakeStore) WatchRouting(ctx context.Context, after uint64, wait time.Duration) (*RoutingObject, uint64, error) {
+	s.mu.Lock()
+	s.watches++
+	if s.down {
+		s.mu.Unlock()
+		return nil, 0, errDown
+	}
+	if after < s.oldest {
+		s.mu.Unlock()
+		return nil, 0, ErrHistoryGone
+	}
+	if s.config.Revision > after {
+		defer s.mu.Unlock()
+		object := *s.config
+		return &object, s.revision, nil
+	}
+	changed := s.changed
+	s.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-changed:
+	case <-time.After(wait):
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config.Revision > after {
+		object := *s.config
+		return &object, s.revision, nil
+	}
+	return nil, s.revision, nil
+}
+
+func (s *fakeStore) DecodeRouting(raw []byte) (*config.Routing, error) {
+	var routing config.Routing
+	err := json.Unmarshal(raw, &routing)
+	return config.NewRouting(routing), err
+}
+
+func (s *fakeStore) ListUpstreams(context.Context) ([]catalog.Upstream, []Skipped, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, nil, 0, errDown
+	}
+	return s.list, nil, s.revision, nil
+}
+
+func (s *fakeStore) WatchUpstreams(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, []Skipped, uint64, error) {
+	if !sleep(ctx, wait) {
+		return nil, nil, 0, ctx.Err()
+	}
+	return nil, nil, after, nil
+}
+
+func (s *fakeStore) PutMember(_ context.Context, m fleet.Member) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return errDown
+	}
+	s.members = append(s.members, m)
+	return nil
+}
+
+func (s *fakeStore) ListMembers(context.Context) ([]fleet.Member, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, errDown
+	}
+	return s.members, nil
+}
+
+// fakeCallers takes the path and a fixed header for what adapters decode.
+type fakeCallers struct{}
+
+func (fakeCallers) Decode(r *http.Request) (Inbound, *core.Refusal) {
+	return Inbound{ID: core.RequestID(r.Header.Get("X-Id")), Key: r.Header.Get("X-Key"), Forward: http.Header{}}, nil
+}
+
+func (fakeCallers) DecodeAddresses(*http.Request) (AddressQuestion, *core.Refusal) {
+	return AddressQuestion{Limit: 8}, nil
+}
+
+func (fakeCallers) EncodeAddresses(addresses []string, _ time.Duration) ([]byte, error) {
+	return json.Marshal(addresses)
+}
+
+func (fakeCallers) AddressesPath() string   { return "/addresses" }
+func (fakeCallers) ReadyPath() string       { return "/ready" }
+func (fakeCallers) RequestIDHeader() string { return "X-Id" }
+
+// fakeEngines passes requests to a server of the test through a real Pool.
+type fakeEngines struct{ pool *upstream.Pool }
+
+func (e *fakeEngines) TakeHold(context.Context, core.UpstreamID, string, int, time.Duration) (string, error) {
+	return "hold", nil
+}
+func (e *fakeEngines) DropHold(context.Context, core.UpstreamID, string, string) error { return nil }
+func (e *fakeEngines) DropKV(context.Context, core.UpstreamID, string, string) error   { return nil }
+func (e *fakeEngines) Prefill(context.Context, Forwarded) (string, error)              { return "kv", nil }
+func (e *fakeEngines) Sweep()                                                          { e.pool.Sweep() }
+func (e *fakeEngines) EventID([]byte) string                                           { return "" }
+
+func (e *fakeEngines) Run(ctx context.Context, f Forwarded) (*Answered, error) {
+	answer, err := e.pool.Do(ctx, f.Addr, upstream.Request{Method: f.Method, Target: f.Target, Host: f.Host, Header: f.Header, Body: f.Body})
+	if err != nil {
+		return nil, err
+	}
+	return &Answered{Answer: answer, Header: answer.Header.Clone(), Signed: true}, nil
+}
+
+// startDaemon runs a Daemon until the test ends. stop asks it to shut down, done
+// is closed when it has.
+func startDaemon(t *testing.T, store *fakeStore) (settings Settings, stop func(), done <-chan struct{}) {
+	t.Helper()
+	settings = Settings{
+		Instance: "one", DataCentre: "a", Region: "r", DataCentres: map[core.DataCentreName]core.RegionName{"a": "r"},
+		CallerAddr: freeAddr(t), ReadyAddr: freeAddr(t), DirectoryAddr: freeAddr(t), PeerAddr: freeAddr(t), Store: "none:1",
+		GraceSeconds: 4, AddressesMaxSeconds: 0.05, RetryRatio: 0.2, RetryAllowance: 10, RetryWindowSeconds: 10,
+	}
+	border := Border{Callers: fakeCallers{}, Engines: &fakeEngines{pool: upstream.NewPool(upstream.PoolOptions{})}, Store: store}
+	d, err := New(settings, border, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := d.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	waitReady(t, settings.ReadyAddr)
+	return settings, cancel, ended
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func waitReady(t *testing.T, addr string) {
+	t.Helper()
+	for range 200 {
+		if response, err := http.Get("http://" + addr + "/ready"); err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the daemon did not become ready")
+}
+
+// plainRouting routes /p/ of host "h" to the plain service "s".
+func plainRouting(version core.Version) config.Routing {
+	return config.Routing{
+		Version: version,
+		Routes: []config.HostRoute{{
+			Name: "r", Host: "h", Prefix: "/p/", Repeat: config.RepeatNever, Timeout: 5 * time.Second, Target: time.Second,
+			MaxUpstreams: 1, Open: true, Split: []config.ServiceShare{{Service: "s", Weight: 1}},
+		}},
+		Services: []config.HostedService{{Name: "s"}},
+	}
+}
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -129,7 +129,8 @@
 			Retry: retry.Params{
 				Ratio: settings.RetryRatio, Allowance: settings.RetryAllowance, Window: secondsOf(settings.RetryWindowSeconds),
 			},
-			Grace: settings.grace(),
+			Grace:        settings.grace(),
+			AddressesFor: settings.addressesFor(),
 		},
 	})
 	return d, nil
@@ -194,15 +195,30 @@
 		d.post(router.ShutdownAsked{})
 		<-d.drained
 	}
+	d.finishAnswers(servers)
 	telemetry.Component(d.log, "server").Info("stopped", zap.Error(err))
 	stop()
-	for _, server := range servers {
-		_ = server.Close()
-	}
 	d.peers.Close()
 	return err
 }
 
+// finishAnswers lets the handlers write the ends of their answers: the router
+// knows that an Upstream has ended an answer before the caller has all of it.
+func (d *Daemon) finishAnswers(servers []*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), finishWithin)
+	defer cancel()
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			telemetry.Component(d.log, "server").Warn("answers cut at the stop", zap.String("addr", server.Addr), zap.Error(err))
+			_ = server.Close() // its listener is closed already
+		}
+	}
+}
+
+// finishWithin bounds the writing of the last answers. It is shorter than the time
+// that the router leaves before the end of the grace period.
+const finishWithin = 300 * time.Millisecond
+
 func (d *Daemon) server(addr string, handler http.Handler) *http.Server {
 	return &http.Server{
 		Addr: addr, Handler: handler, MaxHeaderBytes: maxHeaderBytes,
--- /dev/null
+++ b/pkg/hosted/daemon_test.go
@@ -0,0 +1,83 @@
+package hosted
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+)
+
+// Guards against a loop of reads when the configuration has not changed for longer
+// than the store keeps its history.
+func TestOldConfigurationIsWatchedFromTheStoresRevision(t *testing.T) {
+	is := is.New(t)
+	store := newFakeStore(plainRouting(1))
+	store.revision = 100
+	store.oldest = 90 // the configuration is of revision 11
+	startDaemon(t, store)
+	time.Sleep(700 * time.Millisecond)
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	is.True(store.reads <= 2)   // one read, and one more at most
+	is.True(store.watches <= 2) // a watch waits for 1.2 s
+}
+
+// Guards against reads without a pause while the store drops its history again
+// and again.
+func TestReadsAreSpacedWhileHistoryIsDropped(t *testing.T) {
+	is := is.New(t)
+	store := newFakeStore(plainRouting(1))
+	store.oldest = 1 << 40
+	startDaemon(t, store)
+	time.Sleep(time.Second)
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	is.True(store.reads <= 6) // 300 ms apart
+}
+
+// Guards against an exit between the end of an answer at the Upstream and its end
+// at the caller.
+func TestStopLetsAnswersFinish(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "data: 1\n\n")
+		w.(http.Flusher).Flush()
+		<-release
+		_, _ = io.WriteString(w, "data: 2\n\n")
+	}))
+	defer engine.Close()
+	routing := plainRouting(1)
+	routing.Routes[0].Streaming = true
+	routing.Services[0].Engine = &config.EngineProfile{Slots: 4, MemoryTokens: 1000, HoldFor: time.Second}
+	store := newFakeStore(routing, catalog.Upstream{
+		ID: "e", Service: "s", Addr: strings.TrimPrefix(engine.URL, "http://"), DataCentre: "a", Stage: catalog.StageDecode, Slots: 4,
+	})
+	settings, stop, done := startDaemon(t, store)
+
+	request, err := http.NewRequest(http.MethodPost, "http://"+settings.CallerAddr+"/p/x", strings.NewReader("body"))
+	is.NoErr(err)
+	request.Host = "h"
+	request.Header.Set("X-Id", "1")
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	stop()
+	time.Sleep(800 * time.Millisecond) // past the life of address answers
+	close(release)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err) // the answer ends whole
+	is.Equal(string(body), "data: 1\n\ndata: 2\n\n")
+	select {
+	case <-done:
+	case <-time.After(3 * time.Second):
+		t.Fatal("the daemon did not stop after its last answer")
+	}
+}
--- a/pkg/hosted/follow.go
+++ b/pkg/hosted/follow.go
@@ -28,6 +28,9 @@
 	readTimeout = 800 * time.Millisecond
 	// slowReadTimeout bounds a read after a first one ran into its time limit.
 	slowReadTimeout = 2500 * time.Millisecond
+	// readEvery is the shortest time between two whole reads, a tenth of the time in
+	// which a configuration has to be in force.
+	readEvery = 300 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed call of the store.
 	firstBackoff = 60 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
@@ -40,6 +43,8 @@
 	what    string
 	failing int
 	pause   time.Duration
+	// lastRead is the time of the last whole read, of whatever outcome.
+	lastRead time.Time
 }
 
 func (d *Daemon) newStoreLink(what string) *storeLink {
@@ -51,6 +56,9 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if errors.Is(err, ErrNotFound) {
+		return sleep(ctx, readEvery) // the operator has not written it yet
+	}
 	l.failing++
 	if l.failing == 1 {
 		telemetry.Component(l.daemon.log, "store").Warn("lost", zap.String("what", l.what), zap.Error(err))
@@ -68,6 +76,15 @@
 	l.pause = 0
 }
 
+// space waits before a whole read that follows another closely: the store may drop
+// its history again and again.
+func (l *storeLink) space(ctx context.Context) {
+	if since := time.Since(l.lastRead); since < readEvery {
+		sleep(ctx, readEvery-since)
+	}
+	l.lastRead = time.Now()
+}
+
 // timeout is longer once a call has failed: the store may be slow, not away.
 func (l *storeLink) timeout() time.Duration {
 	if l.failing > 0 {
@@ -80,8 +97,9 @@
 func (d *Daemon) followRouting(ctx context.Context) {
 	link := d.newStoreLink("config")
 	for ctx.Err() == nil {
+		link.space(ctx)
 		read, cancel := context.WithTimeout(ctx, link.timeout())
-		object, err := d.border.Store.ReadRouting(read)
+		object, revision, err := d.border.Store.ReadRouting(read)
 		cancel()
 		if err != nil {
 			link.failed(ctx, err)
@@ -89,7 +107,7 @@
 		}
 		link.worked()
 		d.sawRouting(object, "")
-		d.watchRouting(ctx, link, object.Revision)
+		d.watchRouting(ctx, link, revision)
 	}
 }
 
@@ -125,6 +143,7 @@
 func (d *Daemon) followUpstreams(ctx context.Context) {
 	link := d.newStoreLink("upstreams")
 	for ctx.Err() == nil {
+		link.space(ctx)
 		read, cancel := context.WithTimeout(ctx, link.timeout())
 		list, skipped, revision, err := d.border.Store.ListUpstreams(read)
 		cancel()
--- a/pkg/hosted/settings.go
+++ b/pkg/hosted/settings.go
@@ -93,4 +93,11 @@
 
 func (s Settings) grace() time.Duration { return secondsOf(s.GraceSeconds) }
 
+// addressesFor is the life of address answers. It is short, so that callers leave
+// a dead Instance within seconds; one answer a second for each caller costs less
+// than a request.
+func (s Settings) addressesFor() time.Duration {
+	return min(time.Second, secondsOf(s.AddressesMaxSeconds))
+}
+
 func secondsOf(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -30,9 +30,6 @@
 }
 
 const (
-	// defaultAddressesFor is short, so that callers leave a dead Instance within
-	// seconds. One answer a second for each caller costs less than a request.
-	defaultAddressesFor = time.Second
 	// keptAnswers is how long some callers keep an address answer, in multiples of
 	// the time that it states.
 	keptAnswers = 3
@@ -101,9 +98,6 @@
 }
 
 func newHosted(r *Router, p HostedParams) *hosted {
-	if p.AddressesFor == 0 {
-		p.AddressesFor = defaultAddressesFor
-	}
 	p.Dispatch.Rand = r.params.Rand
 	p.Dispatch.DataCentre = p.Member.DataCentre
 	return &hosted{
