hosted, fleet, upstream: tell the time left after the dial, pace heartbeats and watches

Change: the header is written once the connection stands, and not at all when nothing is left; a dial takes 250 ms at most. Change: at most about 60 heartbeats a second, half of them to the own data centre. Change: waits grow with the number of instances heard; peers that are ahead tell the others. Also: a request that those ahead keep beyond its target is refused at once.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -148,11 +148,14 @@
 	nextTry   core.Instant
 	// firstEvent follows the time from the end of a prefill to the first event.
 	firstEvent time.Duration
+	// pace follows the time between two placements of waiting jobs, per service.
+	pace map[core.ServiceName]*pace
 }
 
 type job struct {
 	Job
 	waiting bool
+	waited  bool      // found no place at first
 	decode  *upstream // holds PlaceTokens there
 	prefill *upstream // holds PromptTokens there
 	plain   *upstream
@@ -184,6 +187,7 @@
 		peers:      map[core.InstanceID]map[core.UpstreamID]Load{},
 		nextTry:    core.Never,
 		firstEvent: p.FirstEvent,
+		pace:       map[core.ServiceName]*pace{},
 	}
 }
 
@@ -344,18 +348,25 @@
 func (d *Dispatcher) run(now core.Instant) []Output {
 	var outputs []Output
 	kept := d.queue[:0]
+	ahead := map[core.ServiceName]int{}
 	for _, j := range slices.Clone(d.queue) {
 		if output := d.place(now, j); output != nil {
 			j.waiting = false
+			d.paceOf(j.Service).placed(now, j.waited)
 			outputs = append(outputs, output)
 			continue
 		}
-		if refusal := d.overdue(now, j); refusal != nil {
+		if refusal := d.hopeless(now, j, ahead[j.Service]); refusal != nil {
 			j.waiting = false
 			delete(d.jobs, j.ID)
 			outputs = append(outputs, Refused{ID: j.ID, Refusal: refusal})
 			continue
 		}
+		if !j.waited {
+			j.waited = true
+			d.paceOf(j.Service).queued(now, ahead[j.Service] == 0)
+		}
+		ahead[j.Service]++
 		kept = append(kept, j)
 	}
 	clear(d.queue[len(kept):])
@@ -388,14 +399,19 @@
 	return Call{ID: j.ID, Upstream: up.ID}
 }
 
-// overdue returns the refusal of a waiting job whose target can't be met any
-// more, or whose deadline has come.
-func (d *Dispatcher) overdue(now core.Instant, j *job) *core.Refusal {
+// hopeless returns the refusal of a job that can't meet its target any more: its
+// time is over, or those ahead of it take longer than it may wait. It is refused
+// at once then, since waiting would gain its caller nothing.
+func (d *Dispatcher) hopeless(now core.Instant, j *job, ahead int) *core.Refusal {
 	by := j.TargetBy.Add(-d.expected(now, j))
+	start := now
+	if !j.waited {
+		start = now.Add(d.paceOf(j.Service).wait(ahead))
+	}
 	if j.Again {
-		by = j.Deadline
+		by, start = j.Deadline, now
 	}
-	if now < min(by, j.Deadline) {
+	if start < min(by, j.Deadline) {
 		return nil
 	}
 	code, message := core.CodeTargetUnreachable, "no engine has room in time for the latency target"
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -31,8 +31,11 @@
 
 // Params are the settings of a Fleet. Zero values select defaults.
 type Params struct {
-	// Every is the time between two heartbeats to each peer.
+	// Every is the shortest time between two heartbeats to one peer.
 	Every time.Duration
+	// Rate bounds the heartbeats per second that one Instance sends. Half of them
+	// go to the peers of its DataCentre.
+	Rate float64
 	// SilentAfter is the time without a heartbeat after which a peer counts as
 	// silent.
 	SilentAfter time.Duration
@@ -44,9 +47,14 @@
 	// defaultEvery keeps the excess of a quota to a few requests and costs 70
 	// messages a second in a fleet of 8.
 	defaultEvery = 150 * time.Millisecond
+	// defaultRate keeps the cost of a large fleet at that of 8 Instances.
+	defaultRate = 60.0
 	// defaultSilentAfter tolerates some lost or late heartbeats. Callers that were
 	// sent to a dead Instance lose at most this and the life of the answer.
 	defaultSilentAfter = 900 * time.Millisecond
+	// silentBeats is the number of heartbeats that may be missing before a peer with
+	// slower ones counts as silent.
+	silentBeats = 3
 	// defaultGoneAfter outlasts the partitions of an ordinary day.
 	defaultGoneAfter = 15 * time.Second
 )
@@ -66,6 +74,7 @@
 	// heard is the instant of the last heartbeat, 0 before the first.
 	heard  core.Instant
 	listed core.Instant
+	sent   core.Instant
 	silent bool
 }
 
@@ -74,6 +83,9 @@
 	if p.Every == 0 {
 		p.Every = defaultEvery
 	}
+	if p.Rate == 0 {
+		p.Rate = defaultRate
+	}
 	if p.SilentAfter == 0 {
 		p.SilentAfter = defaultSilentAfter
 	}
@@ -146,7 +158,7 @@
 		case now.Sub(last) > f.params.GoneAfter, p.state.Leaving && p.silent:
 			delete(f.peers, id)
 			changes.Gone = append(changes.Gone, id)
-		case !p.silent && now.Sub(last) > f.params.SilentAfter:
+		case !p.silent && now.Sub(last) > f.silentAfter(p.member):
 			p.silent = true
 			changes.Silent = append(changes.Silent, id)
 		}
@@ -160,7 +172,45 @@
 		return nil
 	}
 	f.next = now.Add(f.params.Every)
-	return f.Peers()
+	near, far := f.everyNear(), f.everyFar()
+	var due []Member
+	for _, member := range f.Peers() {
+		p := f.peers[member.Ref.ID]
+		every := far
+		if member.DataCentre == f.self.DataCentre {
+			every = near
+		}
+		// Half an interval is the rounding of the ticks.
+		if p.sent == 0 || now.Sub(p.sent) >= every-f.params.Every/2 {
+			p.sent = now
+			due = append(due, member)
+		}
+	}
+	return due
+}
+
+// everyNear is the time between two heartbeats to a peer of the own DataCentre,
+// everyFar to one of another.
+func (f *Fleet) everyNear() time.Duration { return f.every(true) }
+func (f *Fleet) everyFar() time.Duration  { return f.every(false) }
+
+func (f *Fleet) every(near bool) time.Duration {
+	count := 0
+	for _, p := range f.peers {
+		if (p.member.DataCentre == f.self.DataCentre) == near {
+			count++
+		}
+	}
+	return max(f.params.Every, time.Duration(float64(count)/(f.params.Rate/2)*float64(time.Second)))
+}
+
+// silentAfter is the time without a heartbeat after which a peer counts as silent.
+func (f *Fleet) silentAfter(m Member) time.Duration {
+	every := f.everyFar()
+	if m.DataCentre == f.self.DataCentre {
+		every = f.everyNear()
+	}
+	return max(f.params.SilentAfter, silentBeats*every)
 }
 
 // Peers returns all known peers, sorted by name.
--- a/pkg/hosted/border.go
+++ b/pkg/hosted/border.go
@@ -80,8 +80,9 @@
 	Upstream core.UpstreamID
 	Addr     string
 	Account  core.AccountID
-	// Left is the time after which the Upstream is to give up.
-	Left     time.Duration
+	// Until is when the Upstream is to give up. The adapter tells it the time that
+	// is left when the request is written, and does not write it later.
+	Until    time.Time
 	Priority int
 	// Hold, KVSource and KV are set for a decode.
 	Hold     string
@@ -90,7 +91,7 @@
 	// After is the id of the last event that the caller has, for a stream that
 	// goes on; empty to pass on what the caller sent.
 	After string
-	// AnswerWithin bounds the time to the header of the answer, 0 for Left.
+	// AnswerWithin bounds the time to the header of the answer, 0 for none.
 	AnswerWithin time.Duration
 }
 
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -70,7 +70,8 @@
 	rawConfig atomic.Pointer[RoutingObject]
 	upstreams atomic.Pointer[upstreamList]
 	leaving   atomic.Bool
-	asks      sync.Map // number of the question -> chan router.CallerAddresses
+	heard     atomic.Int64 // Instances that are heard, this one included
+	asks      sync.Map     // number of the question -> chan router.CallerAddresses
 	askNumber atomic.Uint64
 
 	drained    chan struct{}
@@ -303,6 +304,9 @@
 	for _, effect := range d.router.Step(d.now(), event) {
 		d.perform(ctx, effect)
 	}
+	if _, tick := event.(router.Tick); tick {
+		d.heard.Store(int64(d.router.HeardInstances()))
+	}
 }
 
 // perform carries out one effect without blocking.
--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -82,8 +82,8 @@
 func (d *Daemon) forwardTo(c *call, up core.UpstreamID, addr string, account core.AccountID, deadline core.Instant, priority int) (Forwarded, bool) {
 	f := c.forward
 	f.Upstream, f.Addr, f.Account, f.Priority = up, addr, account, priority
-	f.Left = deadline.Sub(d.now())
-	return f, f.Left > 0
+	f.Until = d.start.Add(time.Duration(deadline))
+	return f, time.Now().Before(f.Until)
 }
 
 func (d *Daemon) prefill(ctx context.Context, c *call, e router.StartPrefill) {
@@ -93,7 +93,7 @@
 	}
 	attempt, cancel := c.begin(ctx, e.Attempt)
 	defer cancel()
-	f.AnswerWithin = min(prefillTimeout, f.Left)
+	f.AnswerWithin = min(prefillTimeout, time.Until(f.Until))
 	kv, err := d.border.Engines.Prefill(attempt, f)
 	if err != nil {
 		d.attemptFailed(attempt, c, e.Attempt, e.Upstream, err)
--- a/pkg/hosted/follow.go
+++ b/pkg/hosted/follow.go
@@ -17,12 +17,18 @@
 )
 
 const (
-	// watchWait is the time after which a watch ends without a change. A watch
-	// that has fallen silent is found this long after its last answer, which
-	// leaves half of the 3 s in which a configuration has to be in force.
+	// watchWait is the time after which the watch of a lone Instance ends without a
+	// change. A watch that has fallen silent is found this long after its last
+	// answer, which leaves half of the 3 s in which a configuration has to be in
+	// force. In a fleet each watch waits longer, and at random: the first that ends
+	// finds what the others miss, and their heartbeats tell them.
 	watchWait = 1200 * time.Millisecond
-	// watchMargin is the time beyond watchWait after which a watch counts as
-	// silent.
+	// watchFleet is the number of Instances whose watches together are as fresh as
+	// that of a lone one.
+	watchFleet = 4
+	// maxWatchWait bounds the wait in a large fleet.
+	maxWatchWait = 10 * time.Second
+	// watchMargin is the time beyond its wait after which a watch counts as silent.
 	watchMargin = 350 * time.Millisecond
 	// readTimeout bounds a read or write of the store.
 	readTimeout = 800 * time.Millisecond
@@ -113,8 +119,9 @@
 
 func (d *Daemon) watchRouting(ctx context.Context, link *storeLink, after uint64) {
 	for ctx.Err() == nil {
-		watch, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
-		object, at, err := d.border.Store.WatchRouting(watch, after, watchWait)
+		wait := d.watchWait()
+		watch, cancel := context.WithTimeout(ctx, wait+watchMargin)
+		object, at, err := d.border.Store.WatchRouting(watch, after, wait)
 		cancel()
 		switch {
 		case errors.Is(err, ErrHistoryGone):
@@ -131,6 +138,12 @@
 	}
 }
 
+// watchWait draws the wait of one watch, from half to one and a half of its mean.
+func (d *Daemon) watchWait() time.Duration {
+	mean := watchWait * time.Duration(max(watchFleet, d.heard.Load())) / watchFleet
+	return min(maxWatchWait, mean/2+time.Duration(mathrand.Int64N(int64(mean))))
+}
+
 func (d *Daemon) sawRouting(object RoutingObject, from core.InstanceID) {
 	held := d.rawConfig.Load()
 	if held == nil || object.Revision > held.Revision {
@@ -160,8 +173,9 @@
 
 func (d *Daemon) watchUpstreams(ctx context.Context, link *storeLink, after uint64) {
 	for ctx.Err() == nil {
-		watch, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
-		changes, skipped, at, err := d.border.Store.WatchUpstreams(watch, after, watchWait)
+		wait := d.watchWait()
+		watch, cancel := context.WithTimeout(ctx, wait+watchMargin)
+		changes, skipped, at, err := d.border.Store.WatchUpstreams(watch, after, wait)
 		cancel()
 		switch {
 		case errors.Is(err, ErrHistoryGone):
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -291,3 +291,6 @@
 // HostedMember describes this Instance to its peers. It does not change, so it
 // may be called from any goroutine.
 func (r *Router) HostedMember() fleet.Member { return r.hosted.params.Member }
+
+// HeardInstances is the number of Instances that are heard, this one included.
+func (r *Router) HeardInstances() int { return r.hosted.fleet.HeardCount() }
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -19,8 +19,8 @@
 
 // PoolOptions are the settings of a Pool. Zero values select the defaults.
 type PoolOptions struct {
-	// ConnectTimeout bounds the dial. Default 600 ms: an opening packet that was
-	// dropped is sent again only after a second.
+	// ConnectTimeout bounds the dial. Default 250 ms: four round trips between
+	// regions. An opening packet that was dropped is sent again only after a second.
 	ConnectTimeout time.Duration
 	// KeepIdle is the longest time for which an idle connection is kept. Default
 	// 1 s: Upstreams may drop idle connections without notice.
@@ -33,7 +33,7 @@
 }
 
 func (o PoolOptions) withDefaults() PoolOptions {
-	o.ConnectTimeout = orDefault(o.ConnectTimeout, 600*time.Millisecond)
+	o.ConnectTimeout = orDefault(o.ConnectTimeout, 250*time.Millisecond)
 	o.KeepIdle = orDefault(o.KeepIdle, time.Second)
 	o.UnackedLimit = orDefault(o.UnackedLimit, 3*time.Second)
 	if o.MaxIdle <= 0 {
@@ -74,6 +74,10 @@
 	Repeatable bool
 	// AnswerWithin bounds the time to the header of the answer, 0 for none.
 	AnswerWithin time.Duration
+	// BeforeWrite is called once a connection is made, since that may take long. It
+	// may change Header, and reports false when the request must not be sent any
+	// more. nil changes nothing.
+	BeforeWrite func(http.Header) bool
 }
 
 // Answer is the answer to a Request. Its body must be read to the end or closed.
@@ -229,6 +233,11 @@
 	if q.AnswerWithin > 0 {
 		_ = conn.SetReadDeadline(time.Now().Add(q.AnswerWithin))
 	}
+	if q.BeforeWrite != nil && !q.BeforeWrite(q.Header) {
+		stop()
+		conn.Close()
+		return nil, &Error{Kind: Connect, URL: conn.addr, Err: errTooLate}
+	}
 	conn.write(q)
 	for range maxStrays {
 		response, err := conn.readHeader(q)
@@ -255,6 +264,8 @@
 // maxStrayBody bounds the body of an answer that belongs to another request.
 const maxStrayBody = 1 << 20
 
+var errTooLate = errors.New("the time of the request was over when the connection was made")
+
 var errStray = errors.New("the answer belongs to another request")
 
 // keepAliveOf returns half of the idle time that the Upstream states.
