dispatch, retry, catalog, fleet, upstream: tests of the hosted modules

Each test names the failure that it guards against; the load tests of dispatch play twice and half of the capacity in virtual time, the budget test draws fleets of up to eight instances that know nothing of each other. Found by the tests: a peer whose paced heartbeats take longer than 15 s was forgotten before it could count as silent; the time is at least twice that now.

--- /dev/null
+++ b/pkg/catalog/catalog_test.go
@@ -0,0 +1,60 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+const second = core.Instant(time.Second)
+
+func listed(c *Catalog) []core.UpstreamID {
+	var ids []core.UpstreamID
+	for _, up := range c.Upstreams() {
+		ids = append(ids, up.ID)
+	}
+	return ids
+}
+
+// Guards against requests for Upstreams that left, and against the loss of those
+// whose entries only lapsed while the store was away.
+func TestEntriesThatLapseInADisturbanceStayForAWhile(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.Replace(0, 1, []Upstream{{ID: "a"}, {ID: "b"}, {ID: "leaving", Leaving: true}})
+	c.Disturb(second)
+	c.Replace(second, 2, []Upstream{{ID: "a"}})
+	is.Equal(listed(c), []core.UpstreamID{"a", "b"}) // b may only have lapsed
+	is.True(!c.Tick(2 * second))
+	is.True(c.Tick(4 * second))
+	is.Equal(listed(c), []core.UpstreamID{"a"})
+
+	c.Replace(5*second, 3, []Upstream{{ID: "a"}, {ID: "b"}})
+	c.Replace(20*second, 4, []Upstream{{ID: "a"}})
+	is.Equal(listed(c), []core.UpstreamID{"a"}) // no disturbance: it has left
+}
+
+// Guards against a stale list or a peer's old news that brings back an Upstream
+// which has left.
+func TestOlderRevisionsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	is.True(!c.Apply(0, 5, []Change{{ID: "x", Upstream: &Upstream{ID: "x"}}})) // no list yet
+	c.Replace(0, 5, []Upstream{{ID: "a"}, {ID: "b"}})
+	c.Apply(0, 7, []Change{{ID: "a"}})
+	is.True(!c.Replace(0, 6, []Upstream{{ID: "a"}, {ID: "b"}}))
+	is.True(!c.Apply(0, 6, []Change{{ID: "a", Upstream: &Upstream{ID: "a"}}}))
+	is.Equal(listed(c), []core.UpstreamID{"b"})
+}
+
+// Guards against state of an earlier run that is kept for a new one under the same
+// id.
+func TestNewRunUnderAnOldID(t *testing.T) {
+	is := is.New(t)
+	old := Upstream{ID: "a", Addr: "1:1", Born: 10}
+	is.True(old.SameRun(Upstream{ID: "a", Addr: "1:1", Born: 10, Leaving: true}))
+	is.True(!old.SameRun(Upstream{ID: "a", Addr: "1:1", Born: 11}))
+}
--- /dev/null
+++ b/pkg/dispatch/dispatch_test.go
@@ -0,0 +1,215 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
+)
+
+const (
+	service = core.ServiceName("llm")
+	near    = core.DataCentreName("near")
+	far     = core.DataCentreName("far")
+)
+
+func newDispatcher(decode, prefill int) *Dispatcher {
+	d := New(Params{
+		Rand: rand.New(rand.NewPCG(1, 2)), DataCentre: near,
+		Regions: map[core.DataCentreName]core.RegionName{near: "one", far: "two"},
+	})
+	d.SetEngines(map[core.ServiceName]Engines{service: {Slots: 8, MemoryTokens: 40_000}})
+	var list []catalog.Upstream
+	for i := range decode {
+		list = append(list, catalog.Upstream{
+			ID: core.UpstreamID(fmt.Sprintf("d%d", i)), Service: service, DataCentre: near, Stage: catalog.StageDecode, Slots: 8,
+		})
+	}
+	for i := range prefill {
+		list = append(list, catalog.Upstream{
+			ID: core.UpstreamID(fmt.Sprintf("p%d", i)), Service: service, DataCentre: near, Stage: catalog.StagePrefill, Slots: 8,
+		})
+	}
+	d.SetUpstreams(0, list)
+	return d
+}
+
+func modelJob(id string, now core.Instant) Job {
+	return Job{
+		ID: core.RequestID(id), Service: service, Model: true, PlaceTokens: 8000, PromptTokens: 5000,
+		Arrived: now, TargetBy: now.Add(900 * time.Millisecond), Deadline: now.Add(14 * time.Second),
+	}
+}
+
+func holdOf(t *testing.T, outputs []Output) Hold {
+	t.Helper()
+	for _, output := range outputs {
+		if hold, ok := output.(Hold); ok {
+			return hold
+		}
+	}
+	t.Fatalf("no hold among %v", outputs)
+	return Hold{}
+}
+
+// Guards against prompts that are read for engines without room: an engine that
+// refused a hold is passed over, and the request waits when all have refused.
+func TestRefusedHoldGoesToAnotherEngine(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(2, 1)
+	now := core.Instant(time.Second)
+	first := holdOf(t, d.Submit(now, modelJob("a", now)))
+	second := holdOf(t, d.HoldRefused(now, "a"))
+	is.True(first.Upstream != second.Upstream)
+	is.Equal(len(d.HoldRefused(now, "a")), 0)
+	is.Equal(d.Waiting(), 1)
+	third := holdOf(t, d.Tick(now.Add(100*time.Millisecond)))
+	is.Equal(third.ID, core.RequestID("a"))
+}
+
+// Guards against work for an Upstream that is leaving or was replaced.
+func TestLeavingUpstreamGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(0, 0)
+	d.SetUpstreams(0, []catalog.Upstream{
+		{ID: "old", Service: "plain", DataCentre: near, Slots: 6, Leaving: true},
+		{ID: "new", Service: "plain", DataCentre: far, Slots: 6},
+	})
+	for i := range 20 {
+		outputs := d.Submit(0, Job{ID: core.RequestID(fmt.Sprint(i)), Service: "plain", TargetBy: core.Never, Deadline: core.Never})
+		if i < plainPerSlot*6 {
+			is.Equal(outputs[0].(Call).Upstream, core.UpstreamID("new"))
+		}
+	}
+}
+
+// Guards against requests that go on to an Upstream which fails silently: within a
+// few requests the others get the work, also from farther away.
+func TestFailingUpstreamLosesItsWork(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(0, 0)
+	d.SetUpstreams(0, []catalog.Upstream{
+		{ID: "grey", Service: "plain", DataCentre: near, Slots: 6},
+		{ID: "good", Service: "plain", DataCentre: far, Slots: 6},
+	})
+	atGrey := 0
+	for i := range 100 {
+		id := core.RequestID(fmt.Sprint(i))
+		up := d.Submit(0, Job{ID: id, Service: "plain", TargetBy: core.Never, Deadline: core.Never})[0].(Call).Upstream
+		d.Outcome(up, up == "good")
+		if up == "grey" {
+			atGrey++
+		}
+		d.Release(0, id)
+	}
+	is.True(atGrey <= 10)
+}
+
+// Guards against memory that is counted twice or never given back, whichever way a
+// request ends.
+func TestLoadsReturnToZero(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(2, 2)
+	now := core.Instant(time.Second)
+	for i := range 12 {
+		id := core.RequestID(fmt.Sprint(i))
+		outputs := d.Submit(now, modelJob(string(id), now))
+		if len(outputs) > 0 && i%2 == 0 {
+			d.HoldGranted(now, id)
+		}
+		if i%3 == 0 {
+			d.PrefillEnded(id)
+		}
+	}
+	for i := range 12 {
+		d.Release(now, core.RequestID(fmt.Sprint(i)))
+	}
+	is.Equal(d.Loads(), map[core.UpstreamID]Load{})
+	is.Equal(d.Waiting(), 0)
+}
+
+// outcome is what the callers of a played load got.
+type outcome struct {
+	onTime, late, refused int
+	// heldRefused is the longest time for which a refused caller was kept.
+	heldRefused time.Duration
+}
+
+// play submits requests at a rate for a while to engines that hold each place for
+// as long as a decode takes.
+func play(d *Dispatcher, perSecond float64, length time.Duration) outcome {
+	const decodeTime = 1500 * time.Millisecond
+	var got outcome
+	var events schedule.Queue[core.Instant, func(core.Instant)]
+	arrived := map[core.RequestID]core.Instant{}
+	var apply func(core.Instant, []Output)
+	apply = func(now core.Instant, outputs []Output) {
+		for _, output := range outputs {
+			switch o := output.(type) {
+			case Hold:
+				d.HoldGranted(now, o.ID)
+				events.Add(now.Add(100*time.Millisecond), func(now core.Instant) { d.PrefillEnded(o.ID) })
+				events.Add(now.Add(200*time.Millisecond), func(now core.Instant) {
+					if now.Sub(arrived[o.ID]) <= 900*time.Millisecond {
+						got.onTime++
+						return
+					}
+					got.late++
+				})
+				events.Add(now.Add(decodeTime), func(now core.Instant) { apply(now, d.Release(now, o.ID)) })
+			case Refused:
+				got.refused++
+				got.heldRefused = max(got.heldRefused, now.Sub(arrived[o.ID]))
+			}
+		}
+	}
+	start := core.Instant(time.Second)
+	n := 0
+	for at := start; at < start.Add(length); at = at.Add(time.Duration(float64(time.Second) / perSecond)) {
+		id := core.RequestID(fmt.Sprint(n))
+		n++
+		events.Add(at, func(now core.Instant) {
+			arrived[id] = now
+			apply(now, d.Submit(now, modelJob(string(id), now)))
+		})
+	}
+	for at := start; at < start.Add(length+5*time.Second); at = at.Add(20 * time.Millisecond) {
+		events.Add(at, func(now core.Instant) { apply(now, d.Tick(now)) })
+	}
+	for {
+		next, more := events.Next()
+		if !more {
+			return got
+		}
+		event, _, _ := events.PopDue(next)
+		event(next)
+	}
+}
+
+// Guards against a burst of twice the capacity that makes every answer late: the
+// engines stay full, what they serve is on time, and the rest is refused while it
+// can still be useful to come back.
+func TestBurstOfTwiceTheCapacity(t *testing.T) {
+	is := is.New(t)
+	const engines, places = 4, 5 // 40,000 tokens hold 5 requests of 8,000
+	capacity := float64(engines*places) / 1.5
+	got := play(newDispatcher(engines, 2), 2*capacity, 10*time.Second)
+	served := got.onTime + got.late
+	is.True(float64(served) >= 0.95*capacity*10)         // the engines stay full
+	is.True(float64(got.onTime) >= 0.95*float64(served)) // within the latency target
+	is.True(got.heldRefused < 900*time.Millisecond)      // never held beyond the target
+}
+
+// Guards against refusals while there is room.
+func TestHalfLoadIsNeverRefused(t *testing.T) {
+	is := is.New(t)
+	got := play(newDispatcher(4, 2), 0.5*20/1.5, 10*time.Second)
+	is.Equal(got.refused, 0)
+	is.Equal(got.late, 0)
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -155,7 +155,7 @@
 		p := f.peers[id]
 		last := max(p.heard, p.listed)
 		switch {
-		case now.Sub(last) > f.params.GoneAfter, p.state.Leaving && p.silent:
+		case now.Sub(last) > max(f.params.GoneAfter, 2*f.silentAfter(p.member)), p.state.Leaving && p.silent:
 			delete(f.peers, id)
 			changes.Gone = append(changes.Gone, id)
 		case !p.silent && now.Sub(last) > f.silentAfter(p.member):
