platform, standin: stand-in of the platform, process test, check of names

Change: pkg/lab/hostplatform models the store, engines and a referee of broken promises; platform/standin puts the wire in front, sharing platform/wire with the adapter. Found by the process test: instances fetched the list of upstreams from each other after every change of the configuration, because the store's revision had moved on; the revision now moves with changes only. Plain answers were logged with a first event at minus the age of the process.

--- /dev/null
+++ b/cmd/rhubarbsilld/hosted_test.go
@@ -0,0 +1,367 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/hosted"
+	"github.com/rhubarbsill/rhubarbsill/pkg/lab/hostplatform"
+	"github.com/rhubarbsill/rhubarbsill/platform/standin"
+	"github.com/rhubarbsill/rhubarbsill/platform/wire"
+)
+
+const (
+	hostedAccount = "baker"
+	hostedKey     = "key-of-the-baker"
+	hostedRate    = 1_000_000
+)
+
+// hostedFleet is a stand-in of the platform with three instances as processes.
+type hostedFleet struct {
+	t         *testing.T
+	site      *standin.Site
+	settings  []hosted.Settings
+	processes []*exec.Cmd
+	logs      []string
+	next      int
+	mu        sync.Mutex
+}
+
+func startHostedFleet(t *testing.T) *hostedFleet {
+	t.Helper()
+	engine := hostplatform.EngineParams{
+		Slots: 8, MemoryTokens: 20_000, PrefillTokensPerSecond: 50_000, EventEvery: 10 * time.Millisecond, KVKept: 500 * time.Millisecond,
+	}
+	site, err := standin.Start(standin.Params{
+		Zones: []string{"a", "b"}, Prefill: 2, Decode: 2, Plain: 2, Engine: engine, PlainWork: 10 * time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(site.Close)
+	f := &hostedFleet{t: t, site: site}
+	f.config(func(c *wire.Config) { *c = standin.DefaultConfig(hostedAccount, hostedKey, hostedRate, engine) })
+	bin := filepath.Join(t.TempDir(), "rhubarbsilld")
+	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
+		t.Fatalf("go build: %v\n%s", err, out)
+	}
+	dir := t.TempDir()
+	for i := range 3 {
+		f.startInstance(bin, dir, i)
+	}
+	for i := range f.settings {
+		f.waitFor("instance to be ready", func() bool {
+			response, err := http.Get("http://" + f.settings[i].ReadyAddr + wire.PathReady)
+			if err != nil {
+				return false
+			}
+			response.Body.Close()
+			return response.StatusCode == http.StatusOK
+		})
+	}
+	return f
+}
+
+func (f *hostedFleet) startInstance(bin, dir string, i int) {
+	f.t.Helper()
+	s := hosted.Settings{
+		Instance: core.InstanceID(fmt.Sprintf("entry-%d", i)), DataCentre: "a", Region: "r",
+		DataCentres: map[core.DataCentreName]core.RegionName{"a": "r", "b": "r"},
+		CallerAddr:  f.freeAddr(), ReadyAddr: f.freeAddr(), DirectoryAddr: f.freeAddr(), PeerAddr: f.freeAddr(), MetricsAddr: f.freeAddr(),
+		Store: f.site.StoreAddr, GraceSeconds: 6, AddressesMaxSeconds: 0.2, RetryRatio: 0.2, RetryAllowance: 30, RetryWindowSeconds: 10,
+		LogLevel: "info",
+	}
+	text, err := json.Marshal(s)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	path := filepath.Join(dir, fmt.Sprintf("entry-%d.jsonc", i))
+	if err := os.WriteFile(path, append([]byte("// settings of a test\n"), text...), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	logPath := filepath.Join(dir, fmt.Sprintf("entry-%d.log", i))
+	log, err := os.Create(logPath)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	cmd := exec.Command(bin, "hosted", "--settings", path)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		_ = log.Close()
+		if f.t.Failed() {
+			f.t.Logf("%s:\n%s", logPath, f.log(i))
+		}
+	})
+	f.settings = append(f.settings, s)
+	f.processes = append(f.processes, cmd)
+	f.logs = append(f.logs, logPath)
+}
+
+func (f *hostedFleet) freeAddr() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *hostedFleet) log(i int) string {
+	text, err := os.ReadFile(f.logs[i])
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return string(text)
+}
+
+func (f *hostedFleet) config(change func(*wire.Config)) {
+	f.t.Helper()
+	if err := f.site.SetConfig(change); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *hostedFleet) waitFor(what string, done func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	f.t.Fatalf("waited in vain for %s", what)
+}
+
+// request returns a request of a caller at an instance.
+func (f *hostedFleet) request(instance int, method, path string, body io.Reader) *http.Request {
+	f.t.Helper()
+	r, err := http.NewRequest(method, "http://"+f.settings[instance].CallerAddr+path, body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.mu.Lock()
+	f.next++
+	id := fmt.Sprintf("request-%d", f.next)
+	f.mu.Unlock()
+	r.Host = standin.Host
+	r.Header.Set(wire.HeaderRequestID, id)
+	r.Header.Set(wire.HeaderDeadlineMS, "8000")
+	r.Header.Set(wire.HeaderAuth, "Bearer "+hostedKey)
+	return r
+}
+
+func (f *hostedFleet) stream(instance int, path string, events int) *http.Request {
+	r := f.request(instance, http.MethodPost, path, strings.NewReader("prompt"))
+	r.Header.Set(wire.HeaderModel, "m")
+	r.Header.Set(wire.HeaderTokens, fmt.Sprintf("1000,%d", events))
+	r.Header.Set(wire.HeaderTenant, "somebody-else") // only the system may set it
+	r.Header.Set(wire.HeaderHold, "stolen")
+	return r
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func send(r *http.Request) reply {
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+// wholeStream reports whether a body holds the events 1 to n in order.
+func wholeStream(body string, n int) bool {
+	at := 0
+	for event := range strings.SplitSeq(strings.TrimSuffix(body, "\n\n"), "\n\n") {
+		at++
+		if !strings.HasPrefix(event, fmt.Sprintf("id: %d\n", at)) {
+			return false
+		}
+	}
+	return at == n
+}
+
+// Guards against a path that works in parts only: whole answers, changes of the
+// configuration, an engine that leaves and a stop, over real processes and the
+// users' wire, with the promises checked by the engines.
+func TestHostedFleetServes(t *testing.T) {
+	is := is.New(t)
+	f := startHostedFleet(t)
+
+	got := send(f.stream(0, standin.StreamPath+"x", 20))
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.True(wholeStream(got.body, 20))
+	is.True(got.header.Get(wire.HeaderSignature) != "")
+	got = send(f.request(1, http.MethodPost, standin.CallPath+"x", strings.NewReader("order")))
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.True(strings.HasSuffix(got.body, "order"))
+
+	f.checkAddresses(is)
+	f.checkBadInput(is)
+	f.checkDrain(is)
+	f.checkQuota(is)
+	f.checkStop(is)
+	f.checkWithdrawnKey(is)
+	is.Equal(f.site.Referee.Broken(), nil)
+	for i := range f.logs {
+		is.True(!strings.Contains(f.log(i), hostedKey)) // no key in a log line
+	}
+}
+
+func (f *hostedFleet) checkAddresses(is *is.I) {
+	f.waitFor("all instances in the address answer", func() bool {
+		response, err := http.Get("http://" + f.settings[0].DirectoryAddr + wire.PathResolve + "?name=" + standin.Host + "&region=r&zone=a")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		var answer wire.ResolveReply
+		return json.NewDecoder(response.Body).Decode(&answer) == nil && len(answer.Addresses) == 3 && answer.TTL > 0
+	})
+}
+
+// checkBadInput sends what callers and other writers may get wrong. Each has its own
+// answer and log line.
+func (f *hostedFleet) checkBadInput(is *is.I) {
+	unknownHost := f.request(0, http.MethodGet, standin.ReadPath+"x", nil)
+	unknownHost.Host = "nobody.example"
+	is.Equal(send(unknownHost).status, http.StatusNotFound)
+	is.Equal(send(f.request(0, http.MethodGet, "/nowhere/", nil)).status, http.StatusNotFound)
+
+	unknownKey := f.request(0, http.MethodGet, standin.ReadPath+"x", nil)
+	unknownKey.Header.Set(wire.HeaderAuth, "Bearer guessed")
+	is.Equal(send(unknownKey).status, http.StatusUnauthorized)
+
+	noID := f.request(0, http.MethodGet, standin.ReadPath+"x", nil)
+	noID.Header.Del(wire.HeaderRequestID)
+	is.Equal(send(noID).status, http.StatusBadRequest)
+
+	longHeader := f.request(0, http.MethodGet, standin.ReadPath+"x", nil)
+	longHeader.Header.Set("X-Long", strings.Repeat("x", 128<<10))
+	is.Equal(send(longHeader).status, http.StatusRequestHeaderFieldsTooLarge)
+
+	longBody := f.request(0, http.MethodPost, standin.CallPath+"x", bytes.NewReader(make([]byte, 2<<20)))
+	if got := send(longBody); got.err == nil { // the connection may end while the body is sent
+		is.Equal(got.status, http.StatusRequestEntityTooLarge)
+	}
+
+	conn, err := net.Dial("tcp", f.settings[0].CallerAddr)
+	is.NoErr(err)
+	_, err = fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\n%s: broken-body\r\nContent-Length: 100\r\n\r\nhalf", standin.CallPath, standin.Host, wire.HeaderRequestID)
+	is.NoErr(err)
+	is.NoErr(conn.Close())
+	f.waitFor("a log line of the broken body", func() bool { return strings.Contains(f.log(0), "broken-body") })
+
+	is.NoErr(f.site.PutRaw("forged-1", `"not an entry"`))
+	is.NoErr(f.site.PutRaw("forged-2", `{"service":"models","address":"127.0.0.1:1","zone":"a","slots":"many","state":"ready"}`))
+	f.waitFor("log lines of the forged entries", func() bool {
+		return strings.Contains(f.log(0), "forged-1") && strings.Contains(f.log(0), "forged-2")
+	})
+	got := send(f.request(0, http.MethodGet, standin.ReadPath+"x", nil))
+	is.Equal(got.status, http.StatusOK) // the other entries hold
+}
+
+// checkDrain sends requests while an engine leaves. The referee sees what reaches it.
+func (f *hostedFleet) checkDrain(is *is.I) {
+	f.site.Referee.DrainWithin = time.Second
+	is.NoErr(f.site.Drain("plain-0"))
+	end := time.Now().Add(2 * time.Second)
+	for i := 0; time.Now().Before(end); i++ {
+		got := send(f.request(i%3, http.MethodPost, standin.CallPath+"x", strings.NewReader("x")))
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+	}
+}
+
+// checkQuota lowers the quota and sends more than it allows to all instances.
+func (f *hostedFleet) checkQuota(is *is.I) {
+	const rate = 300 // tokens per second: 30 plain requests
+	f.config(func(c *wire.Config) { c.Tenants[0].RatePerS, c.Tenants[0].Burst = rate, rate })
+	time.Sleep(time.Second)
+	// Excess: one report of each instance, a tenth of the window.
+	f.site.Referee.SetAllowance(hostedAccount, hostplatform.Allowance{Window: 2 * time.Second, Tokens: (2*rate+rate)*11/10 + 3*rate/5})
+	refused := 0
+	for i := range 200 {
+		got := send(f.request(i%3, http.MethodPost, standin.CallPath+"x", strings.NewReader("x")))
+		is.NoErr(got.err)
+		f.site.Referee.Refused(fmt.Sprintf("request-%d", f.next), got.status == http.StatusTooManyRequests)
+		if got.status == http.StatusTooManyRequests {
+			refused++
+			is.True(got.header.Get("Retry-After") != "")
+		}
+	}
+	is.True(refused > 50)
+	f.site.Referee.SetAllowance(hostedAccount, hostplatform.Allowance{Window: 2 * time.Second, Tokens: 3 * hostedRate})
+	f.config(func(c *wire.Config) { c.Tenants[0].RatePerS, c.Tenants[0].Burst = hostedRate, hostedRate })
+	time.Sleep(time.Second)
+}
+
+// checkStop stops an instance by SIGTERM while it streams.
+func (f *hostedFleet) checkStop(is *is.I) {
+	results := make(chan reply, 4)
+	for range cap(results) {
+		request := f.stream(2, standin.OncePath+"x", 150)
+		go func() { results <- send(request) }()
+	}
+	time.Sleep(300 * time.Millisecond)
+	is.NoErr(f.processes[2].Process.Signal(syscall.SIGTERM))
+	f.waitFor("the instance to leave the address answers", func() bool {
+		response, err := http.Get("http://" + f.settings[0].DirectoryAddr + wire.PathResolve + "?name=x&region=r&zone=a")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		return err == nil && !strings.Contains(string(body), f.settings[2].CallerAddr)
+	})
+	for range cap(results) {
+		got := <-results
+		is.NoErr(got.err)
+		is.True(wholeStream(got.body, 150))
+	}
+	is.NoErr(f.processes[2].Wait())
+}
+
+// checkWithdrawnKey takes the key away. An unreadable configuration after it changes
+// nothing.
+func (f *hostedFleet) checkWithdrawnKey(is *is.I) {
+	f.config(func(c *wire.Config) { c.Tenants[0].Keys = []string{"another"} })
+	changed := time.Now()
+	for _, instance := range []int{0, 1} {
+		f.waitFor("the key to stop working", func() bool {
+			return send(f.request(instance, http.MethodGet, standin.ReadPath+"x", nil)).status == http.StatusUnauthorized
+		})
+	}
+	is.True(time.Since(changed) < 3*time.Second)
+	is.NoErr(f.site.PutRawConfig(`{"version":"many"}`))
+	f.waitFor("a log line of the unreadable configuration", func() bool { return strings.Contains(f.log(0), "unreadable") })
+	is.Equal(send(f.request(0, http.MethodGet, standin.ReadPath+"x", nil)).status, http.StatusUnauthorized)
+}
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -99,9 +99,10 @@
 	return true
 }
 
-// Apply takes in the changes up to a revision.
+// Apply takes in the changes up to a revision. Without changes the revision stays,
+// so that Instances whose entries are the same compare as equal.
 func (c *Catalog) Apply(now core.Instant, revision uint64, changes []Change) bool {
-	if !c.known || revision < c.revision {
+	if !c.known || revision < c.revision || len(changes) == 0 {
 		return false
 	}
 	c.revision = revision
--- /dev/null
+++ b/pkg/lab/hostplatform/store.go
@@ -0,0 +1,314 @@
+// Package hostplatform models a hosting platform for tests and trials: a store of
+// objects with revisions, watches and finalizers, engines that hold places and KV
+// caches, and plain services. It speaks no wire; an adapter puts one in front. A
+// Referee reports broken promises from what callers and engines have seen.
+package hostplatform
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Errors of a Store.
+var (
+	// ErrNotFound means that the object does not exist.
+	ErrNotFound = errors.New("object does not exist")
+	// ErrConflict means that the object exists already, or has another revision.
+	ErrConflict = errors.New("object has another revision")
+	// ErrHistoryGone means that the history since a revision was dropped.
+	ErrHistoryGone = errors.New("history is gone")
+	// ErrBusy means that the rate of calls is used up.
+	ErrBusy = errors.New("too many calls")
+	// ErrDown means that nothing was done.
+	ErrDown = errors.New("store is down")
+	// ErrAnswerLost means that the call was carried out and must not be answered.
+	ErrAnswerLost = errors.New("answer is lost")
+)
+
+// Object is an object of a Store.
+type Object struct {
+	Kind, Name string
+	Revision   uint64 // of the last change
+	Created    uint64
+	Finalizers []string
+	Deleting   bool
+	Spec       []byte
+	Status     []byte
+}
+
+// Change is one entry of the history.
+type Change struct {
+	Object  Object
+	Deleted bool
+}
+
+// Faults are the faults of a Store.
+type Faults struct {
+	// Down rejects all calls.
+	Down bool
+	// Slow delays every call.
+	Slow time.Duration
+	// LoseAnswers carries writes out without an answer.
+	LoseAnswers bool
+	// Stale is the number of changes by which stale reads lag.
+	Stale int
+	// CallsPerSecond bounds the calls, 0 for no bound.
+	CallsPerSecond int
+}
+
+// Store is a store in memory. It is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]map[string]Object
+	history  []Change
+	dropped  uint64 // revisions up to this one are not in the history
+	faults   Faults
+	changed  chan struct{}
+	second   int64
+	inSecond int
+	calls    int
+}
+
+// PageSize is the number of objects in one page of a list.
+const PageSize = 50
+
+// NewStore returns an empty Store.
+func NewStore() *Store {
+	return &Store{revision: 1, objects: map[string]map[string]Object{}, changed: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wake()
+}
+
+// DropHistory forgets all changes so far and cuts the watches.
+func (s *Store) DropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.dropped = s.revision
+	s.wake()
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// enter counts a call and applies the faults that come before it. It returns with
+// the lock held when there is no error.
+func (s *Store) enter(ctx context.Context) error {
+	s.mu.Lock()
+	slow := s.faults.Slow
+	s.calls++
+	if limit := s.faults.CallsPerSecond; limit > 0 {
+		if now := time.Now().Unix(); now != s.second {
+			s.second, s.inSecond = now, 0
+		}
+		if s.inSecond++; s.inSecond > limit {
+			s.mu.Unlock()
+			return ErrBusy
+		}
+	}
+	if s.faults.Down {
+		s.mu.Unlock()
+		return ErrDown
+	}
+	if slow == 0 {
+		return nil
+	}
+	s.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(slow):
+	}
+	s.mu.Lock()
+	return nil
+}
+
+// Get reads an object.
+func (s *Store) Get(ctx context.Context, kind, name string) (Object, error) {
+	if err := s.enter(ctx); err != nil {
+		return Object{}, err
+	}
+	defer s.mu.Unlock()
+	object, found := s.objects[kind][name]
+	if !found {
+		return Object{}, ErrNotFound
+	}
+	return object, nil
+}
+
+// List reads one page of the objects of a kind whose names come after a name, with
+// the revision of the store.
+func (s *Store) List(ctx context.Context, kind, after string, stale bool) (page []Object, more bool, at uint64, err error) {
+	if err := s.enter(ctx); err != nil {
+		return nil, false, 0, err
+	}
+	defer s.mu.Unlock()
+	objects, at := s.objects[kind], s.revision
+	if stale {
+		objects, at = s.past(kind, s.faults.Stale)
+	}
+	for _, object := range objects {
+		if object.Name > after {
+			page = append(page, object)
+		}
+	}
+	slices.SortFunc(page, func(a, b Object) int { return cmp.Compare(a.Name, b.Name) })
+	if len(page) > PageSize {
+		return page[:PageSize], true, at, nil
+	}
+	return page, false, at, nil
+}
+
+// past returns the objects of a kind as they were some changes ago.
+func (s *Store) past(kind string, changes int) (map[string]Object, uint64) {
+	changes = min(changes, len(s.history))
+	if changes == 0 {
+		return s.objects[kind], s.revision
+	}
+	at := s.revision - uint64(changes)
+	objects := map[string]Object{}
+	for name, object := range s.objects[kind] {
+		if object.Revision <= at {
+			objects[name] = object
+		}
+	}
+	return objects, at
+}
+
+// Watch waits for changes of a kind after a revision.
+func (s *Store) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	if err := s.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		if s.faults.Down {
+			s.mu.Unlock()
+			return nil, 0, ErrDown
+		}
+		if after < s.dropped {
+			s.mu.Unlock()
+			return nil, 0, ErrHistoryGone
+		}
+		var found []Change
+		for _, change := range s.history {
+			if change.Object.Kind == kind && change.Object.Revision > after {
+				found = append(found, change)
+			}
+		}
+		at, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(found) > 0 {
+			return found, at, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-timer.C:
+			return nil, at, nil
+		case <-changed:
+		}
+		s.mu.Lock()
+	}
+}
+
+// Create adds an object.
+func (s *Store) Create(ctx context.Context, object Object) (Object, error) {
+	if err := s.enter(ctx); err != nil {
+		return Object{}, err
+	}
+	defer s.mu.Unlock()
+	if existing, exists := s.objects[object.Kind][object.Name]; exists {
+		return existing, ErrConflict
+	}
+	object.Created = s.revision + 1
+	return s.put(object, false)
+}
+
+// Replace replaces the spec and the finalizers of an object. base is the revision
+// that the object must have, 0 for any.
+func (s *Store) Replace(ctx context.Context, object Object, base uint64) (Object, error) {
+	if err := s.enter(ctx); err != nil {
+		return Object{}, err
+	}
+	defer s.mu.Unlock()
+	existing, exists := s.objects[object.Kind][object.Name]
+	if !exists {
+		return Object{}, ErrNotFound
+	}
+	if base != 0 && base != existing.Revision {
+		return existing, ErrConflict
+	}
+	if slices.Equal(existing.Spec, object.Spec) && slices.Equal(existing.Finalizers, object.Finalizers) {
+		return existing, nil
+	}
+	existing.Spec, existing.Finalizers = object.Spec, object.Finalizers
+	if existing.Deleting && len(existing.Finalizers) == 0 {
+		return s.remove(existing)
+	}
+	return s.put(existing, false)
+}
+
+// Delete removes an object, or marks it while it has finalizers.
+func (s *Store) Delete(ctx context.Context, kind, name string, base uint64) (Object, error) {
+	if err := s.enter(ctx); err != nil {
+		return Object{}, err
+	}
+	defer s.mu.Unlock()
+	existing, exists := s.objects[kind][name]
+	if !exists {
+		return Object{}, ErrNotFound
+	}
+	if base != 0 && base != existing.Revision {
+		return existing, ErrConflict
+	}
+	if len(existing.Finalizers) > 0 {
+		existing.Deleting = true
+		return s.put(existing, false)
+	}
+	return s.remove(existing)
+}
+
+func (s *Store) remove(object Object) (Object, error) { return s.put(object, true) }
+
+func (s *Store) put(object Object, deleted bool) (Object, error) {
+	s.revision++
+	object.Revision = s.revision
+	kind := s.objects[object.Kind]
+	if kind == nil {
+		kind = map[string]Object{}
+		s.objects[object.Kind] = kind
+	}
+	if deleted {
+		delete(kind, object.Name)
+	} else {
+		kind[object.Name] = object
+	}
+	s.history = append(s.history, Change{Object: object, Deleted: deleted})
+	s.wake()
+	if s.faults.LoseAnswers {
+		return object, ErrAnswerLost
+	}
+	return object, nil
+}
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -154,7 +154,7 @@
 			h.upstreamsChanged(now, "listed", e.From)
 		}
 	case UpstreamsChanged:
-		if h.catalog.Apply(now, e.Revision, e.Changes) && len(e.Changes) > 0 {
+		if h.catalog.Apply(now, e.Revision, e.Changes) {
 			h.upstreamsChanged(now, "watched", "")
 		}
 	case StoreDisturbed:
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -365,8 +365,11 @@
 	h.dispatch.Outcome(f.hosted.decode.ID, e.Status < 500)
 	f.ending = e
 	h.emit(Complete{Request: f.request.ID})
-	h.recordAt(now, "request", "complete", f, f.hosted.decode.ID,
-		fmt.Sprintf("status=%d first_event=%s took=%s runs=%d", e.Status, f.firstToken.Sub(f.arrived), now.Sub(f.arrived), f.hosted.runs))
+	detail := fmt.Sprintf("status=%d took=%s runs=%d", e.Status, now.Sub(f.arrived), f.hosted.runs)
+	if f.firstToken != 0 {
+		detail += " first_event=" + f.firstToken.Sub(f.arrived).String()
+	}
+	h.recordAt(now, "request", "complete", f, f.hosted.decode.ID, detail)
 	h.observe(f, "", e.Tokens)
 	h.end(now, f)
 }
