--- a/cmd/rhubarbsilld/hosted.go
+++ b/cmd/rhubarbsilld/hosted.go
@@ -39,7 +39,9 @@
 	if err != nil {
 		return fmt.Errorf("settings %s: log_level: %w", path, err)
 	}
-	log := telemetry.NewLogger(os.Stdout, level)
+	output := telemetry.NewQueue(os.Stdout)
+	defer output.Close()
+	log := telemetry.NewLogger(output, level)
 	daemon, err := hosted.New(settings, platform.New(settings.Store), log)
 	if err != nil {
 		return err
--- a/pkg/hosted/follow.go
+++ b/pkg/hosted/follow.go
@@ -37,6 +37,10 @@
 	// readEvery is the shortest time between two whole reads, a tenth of the time in
 	// which a configuration has to be in force.
 	readEvery = 300 * time.Millisecond
+	// coalesce is the pause after a watch with changes. Changes come in series, at a
+	// start, a release or a storm of configurations, and each call is paid for. It is
+	// a twelfth of the time in which a change has to be in force.
+	coalesce = 250 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed call of the store.
 	firstBackoff = 60 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
@@ -134,6 +138,7 @@
 		after = max(after, at)
 		if object != nil {
 			d.sawRouting(*object, "")
+			sleep(ctx, coalesce)
 		}
 	}
 }
@@ -187,7 +192,10 @@
 		link.worked()
 		d.logSkipped(skipped)
 		after = max(after, at)
-		d.post(router.UpstreamsChanged{Revision: after, Changes: changes})
+		if len(changes) > 0 {
+			d.post(router.UpstreamsChanged{Revision: after, Changes: changes})
+			sleep(ctx, coalesce)
+		}
 	}
 }
 
--- /dev/null
+++ b/pkg/telemetry/queue.go
@@ -0,0 +1,85 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Queue is a writer that never blocks: lines wait in a bounded queue for the sink
+// and are dropped and counted when it is full, so that a blocked log output delays
+// no request.
+type Queue struct {
+	sink    io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	closing chan struct{}
+	closed  sync.WaitGroup
+}
+
+const (
+	// queueLines bounds the waiting lines: some seconds of decisions at 50 requests
+	// a second.
+	queueLines = 2048
+	// reportEvery is the shortest time between two lines about dropped lines.
+	reportEvery = time.Second
+	// drainWithin bounds the wait for the sink at the end.
+	drainWithin = 100 * time.Millisecond
+)
+
+// NewQueue returns a Queue in front of a sink.
+func NewQueue(sink io.Writer) *Queue {
+	q := &Queue{sink: sink, lines: make(chan []byte, queueLines), closing: make(chan struct{})}
+	q.closed.Go(q.run)
+	return q
+}
+
+// Write takes over a copy of the line.
+func (q *Queue) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), line...):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were dropped so far.
+func (q *Queue) Dropped() int64 { return q.dropped.Load() }
+
+// Close writes what waits, for a short time at most.
+func (q *Queue) Close() {
+	close(q.closing)
+	done := make(chan struct{})
+	go func() {
+		q.closed.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(drainWithin):
+	}
+}
+
+func (q *Queue) run() {
+	reported := int64(0)
+	last := time.Now()
+	for {
+		select {
+		case line := <-q.lines:
+			_, _ = q.sink.Write(line) // there is no other place to report a broken output
+		case <-q.closing:
+			for len(q.lines) > 0 {
+				_, _ = q.sink.Write(<-q.lines)
+			}
+			return
+		}
+		if n := q.dropped.Load(); n > reported && time.Since(last) > reportEvery {
+			_, _ = fmt.Fprintf(q.sink, "{\"level\":\"warn\",\"msg\":\"log: lines dropped\",\"count\":%d}\n", n-reported)
+			reported = n
+			last = time.Now()
+		}
+	}
+}
