--- a/pkg/hosted/border.go
+++ b/pkg/hosted/border.go
@@ -82,8 +82,7 @@
 	Account  core.AccountID
 	// Until is when the Upstream is to give up. The adapter tells it the time that
 	// is left when the request is written, and does not write it later.
-	Until    time.Time
-	Priority int
+	Until time.Time
 	// Hold, KVSource and KV are set for a decode.
 	Hold     string
 	KVSource string
--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -79,15 +79,15 @@
 
 // forwardTo returns the request as one Upstream gets it. It reports false when no
 // time is left.
-func (d *Daemon) forwardTo(c *call, up core.UpstreamID, addr string, account core.AccountID, deadline core.Instant, priority int) (Forwarded, bool) {
+func (d *Daemon) forwardTo(c *call, up core.UpstreamID, addr string, account core.AccountID, deadline core.Instant) (Forwarded, bool) {
 	f := c.forward
-	f.Upstream, f.Addr, f.Account, f.Priority = up, addr, account, priority
+	f.Upstream, f.Addr, f.Account = up, addr, account
 	f.Until = d.start.Add(time.Duration(deadline))
 	return f, time.Now().Before(f.Until)
 }
 
 func (d *Daemon) prefill(ctx context.Context, c *call, e router.StartPrefill) {
-	f, ok := d.forwardTo(c, e.Upstream, e.URL, e.Account, e.Deadline, e.Priority)
+	f, ok := d.forwardTo(c, e.Upstream, e.URL, e.Account, e.Deadline)
 	if !ok {
 		return // the router ends the request at its deadline
 	}
@@ -164,7 +164,7 @@
 var errUnsigned = &upstream.Error{Kind: upstream.Crashed, Sent: true, Err: errors.New("the answer bears no signature of the upstream")}
 
 func (d *Daemon) callPlain(ctx context.Context, c *call, e router.StartCall) {
-	f, ok := d.forwardTo(c, e.Upstream, e.URL, e.Account, e.Deadline, e.Priority)
+	f, ok := d.forwardTo(c, e.Upstream, e.URL, e.Account, e.Deadline)
 	if !ok {
 		return // the router ends the request at its deadline
 	}
@@ -191,7 +191,7 @@
 }
 
 func (d *Daemon) decode(ctx context.Context, c *call, e router.StartDecode) {
-	f, ok := d.forwardTo(c, e.Upstream, e.URL, e.Account, e.Deadline, e.Priority)
+	f, ok := d.forwardTo(c, e.Upstream, e.URL, e.Account, e.Deadline)
 	if !ok {
 		return // the router ends the request at its deadline
 	}
