--- a/cmd/rhubarbsilld/incidents_test.go
+++ b/cmd/rhubarbsilld/incidents_test.go
@@ -72,7 +72,7 @@
 var componentPrefix = regexp.MustCompile(`^[a-z]+: `)
 
 // Guards against an incident that status, log and timeline don't show. The
-// walk-through in docs/operators.md is the output of this test (go test -v).
+// walk-through in docs/OPERATIONS.md is the output of this test (go test -v).
 func TestIncidents(t *testing.T) {
 	f := startFleet(t, 3)
 	began := time.Now()
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -111,6 +112,23 @@
 	is.True(atGrey <= 10)
 }
 
+// Guards against KV caches and answers that cross regions while there is room near
+// the caller, and against near engines that fill up while others idle.
+func TestNearEnginesComeFirst(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(0, 1)
+	d.SetUpstreams(0, []catalog.Upstream{
+		{ID: "far", Service: service, DataCentre: far, Stage: catalog.StageDecode, Slots: 8},
+		{ID: "near", Service: service, DataCentre: near, Stage: catalog.StageDecode, Slots: 8},
+	})
+	var got []core.UpstreamID
+	for i := range 8 {
+		got = append(got, holdOf(t, d.Submit(0, modelJob(fmt.Sprint(i), 0))).Upstream)
+	}
+	is.Equal(got[:4], []core.UpstreamID{"near", "near", "near", "near"})
+	is.True(slices.Contains(got, "far")) // near is full at five
+}
+
 // Guards against memory that is counted twice or never given back, whichever way a
 // request ends.
 func TestLoadsReturnToZero(t *testing.T) {
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -237,6 +237,24 @@
 	want[Deliver](r)
 }
 
+// Guards against a promise about a request that ran at an Upstream before it waited
+// for another one in vain.
+func TestHostedRefusalAfterARunPromisesNothing(t *testing.T) {
+	is := is.New(t)
+	r := newHostedRun(t)
+	r.arrive("1", "/read/x")
+	r.fail("1", want[StartCall](r).Attempt, crash)
+	attempt := want[StartCall](r).Attempt
+	r.fail("1", attempt, attempts.Failure{Kind: attempts.FailFull, Upstream: "s1", Sent: true, Rejected: true})
+	attempt = want[StartCall](r).Attempt
+	r.step(UpstreamsListed{Revision: 20}) // no Upstream is left
+	r.fail("1", attempt, attempts.Failure{Kind: attempts.FailConnect, Upstream: "s2"})
+	none[StartCall](r)
+	r.later(10*time.Second + endSlack)
+	is.Equal(want[Refuse](r).Refusal.Ran, core.Unknown)
+	is.Equal(want[Refuse](r).Refusal.Code.Status(), 502)
+}
+
 // Guards against a second prefill, which would count as a further Upstream of the
 // request, when a stream goes on after a crash.
 func TestHostedStreamGoesOnWithoutASecondPrefill(t *testing.T) {
