--- a/pkg/lab/hostplatform/engine.go
+++ b/pkg/lab/hostplatform/engine.go
@@ -46,7 +46,6 @@
 	holds   map[string]hold
 	caches  map[string]cache
 	leaving time.Time
-	gone    bool
 	crashed chan struct{}
 }
 
