router, hosted: notice silent engines while the caller still waits

Cause: a stream at an engine that falls silent was given up after 2 s, and 3 s before its first event; callers leave after 2.4 s and 3.6 s, so what went on elsewhere came too late. A prefill was given 2.5 s while the place at the decode engine is held for 2 s. Ruled out: the time to the new place (20 to 60 ms). Change: 1 s where the stream may go on at another engine, 5 s where it may not; a prefill gets four times what it is expected to take, 0.7 to 2 s. Engines that fell silent are left alone for a while, failing prefill engines count as slower.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -20,6 +20,9 @@
 	// maxPrefillBacklog is the time of queued prefill work above which requests
 	// wait here: a hold lasts for 2 s.
 	maxPrefillBacklog = 600 * time.Millisecond
+	// failingPrefill is the handicap of a prefill engine that fails every request: a
+	// lost prefill costs about as much.
+	failingPrefill = 500 * time.Millisecond
 	// Latency between DataCentres, in units of prefill time.
 	otherDataCentreDelay = 4 * time.Millisecond
 	otherRegionDelay     = 70 * time.Millisecond
@@ -76,7 +79,7 @@
 		if up.Stage != catalog.StagePrefill || !up.usable(now) {
 			return 0, false
 		}
-		return d.prefillAt(up, j).Seconds(), true
+		return d.prefillAt(up, j).Seconds() + failingPrefill.Seconds()*up.failing, true
 	})
 }
 
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -246,21 +246,23 @@
 }
 
 // HoldGranted says that the engine holds the place. It returns the prefill engine
-// to use, or false when none is usable: the decode engine then reads the prompt.
-func (d *Dispatcher) HoldGranted(now core.Instant, id core.RequestID) (core.UpstreamID, bool) {
+// to use with the time that the prefill is expected to take, or false when none is
+// usable: the decode engine then reads the prompt.
+func (d *Dispatcher) HoldGranted(now core.Instant, id core.RequestID) (core.UpstreamID, time.Duration, bool) {
 	j := d.jobs[id]
 	if j == nil || j.decode == nil {
-		return "", false
+		return "", 0, false
 	}
 	j.decode.fails = 0
 	up := d.choosePrefill(now, j)
 	if up == nil {
-		return "", false
+		return "", 0, false
 	}
+	took := d.prefillAt(up, j)
 	j.prefill = up
 	up.own.Requests++
 	up.own.Tokens += j.PromptTokens
-	return up.ID, true
+	return up.ID, took, true
 }
 
 // HoldRefused says that the engine gave no place.
--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,14 +24,6 @@
 	// dropTimeout bounds the release of a place or a KV cache, which ends by itself
 	// soon after.
 	dropTimeout = 500 * time.Millisecond
-	// prefillTimeout bounds a prefill, queue included.
-	prefillTimeout = 2500 * time.Millisecond
-	// firstEventTimeout bounds the time to the first byte of a stream. Callers
-	// leave a stream after four times its latency target.
-	firstEventTimeout = 3 * time.Second
-	// eventTimeout bounds the time between two parts of a stream. Callers leave a
-	// stream that pauses for longer.
-	eventTimeout = 2 * time.Second
 	// maxReply bounds the answer of a plain service.
 	maxReply = 8 << 20
 	// relayBuffer is the size of one read of a stream.
@@ -93,7 +86,7 @@
 	}
 	attempt, cancel := c.begin(ctx, e.Attempt)
 	defer cancel()
-	f.AnswerWithin = min(prefillTimeout, time.Until(f.Until))
+	f.AnswerWithin = e.AnswerWithin
 	kv, err := d.border.Engines.Prefill(attempt, f)
 	if err != nil {
 		d.attemptFailed(attempt, c, e.Attempt, e.Upstream, err)
@@ -199,7 +192,7 @@
 	defer cancel()
 	f.Hold, f.KVSource, f.KV = e.Hold, e.SourceURL, e.KV
 	f.After = c.forward.After
-	f.AnswerWithin = firstEventTimeout
+	f.AnswerWithin = e.EventWithin
 	answered := d.run(attempt, c, e.Attempt, f)
 	if answered == nil {
 		return
@@ -235,7 +228,7 @@
 	buffer := make([]byte, relayBuffer)
 	first := true
 	for {
-		answered.SetReadDeadline(time.Now().Add(eventTimeout))
+		answered.SetReadDeadline(time.Now().Add(e.EventWithin))
 		n, err := answered.Read(buffer)
 		part := buffer[:n]
 		if e.Resumable {
@@ -260,7 +253,11 @@
 			return
 		}
 		if err != nil {
-			d.attemptFailed(ctx, c, e.Attempt, e.Upstream, &upstream.Error{Kind: upstream.Crashed, Sent: true, URL: e.URL, Err: err})
+			kind := upstream.Crashed
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				kind = upstream.Stalled
+			}
+			d.attemptFailed(ctx, c, e.Attempt, e.Upstream, &upstream.Error{Kind: kind, Sent: true, URL: e.URL, Err: err})
 			return
 		}
 	}
--- a/pkg/router/effect.go
+++ b/pkg/router/effect.go
@@ -45,6 +45,8 @@
 	Priority int
 	// Account is set at a hosted Instance, which names it to the Upstream.
 	Account core.AccountID
+	// AnswerWithin is the time after which the engine counts as silent.
+	AnswerWithin time.Duration
 }
 
 // StartDecode lets a decode engine import the KV cache at the instant At and
@@ -71,6 +73,9 @@
 	Account core.AccountID
 	// Resumable says that the stream may go on at another Upstream.
 	Resumable bool
+	// EventWithin is the time between two events, and to the first one, after which
+	// the engine counts as silent.
+	EventWithin time.Duration
 }
 
 // StartCall sends a call to a plain service.
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -265,7 +265,7 @@
 		h.startDecode(now, f)
 		return
 	}
-	id, found := h.dispatch.HoldGranted(now, f.request.ID)
+	id, expected, found := h.dispatch.HoldGranted(now, f.request.ID)
 	if !found {
 		h.startDecode(now, f)
 		return
@@ -275,6 +275,7 @@
 	h.emit(StartPrefill{
 		Request: f.request.ID, Attempt: h.nextAttempt(f), Upstream: id, URL: f.hosted.prefill.Addr,
 		At: now, NotAfter: f.hosted.deadline, Deadline: f.hosted.deadline, Priority: h.rank(f), Account: f.accountID(),
+		AnswerWithin: min(max(shortestPrefillWait, prefillWaits*expected), maxHold),
 	})
 	h.recordAt(now, "dispatch", "prefill", f, id, fmt.Sprintf("decode=%s place=%d waited=%s", f.hosted.decode.ID, f.placeTokens(), now.Sub(f.arrived)))
 }
@@ -295,6 +296,29 @@
 	h.startDecode(now, f)
 }
 
+const (
+	// A prefill that takes prefillWaits times as long as expected is given up while
+	// the place at the decode engine is still held, but not before
+	// shortestPrefillWait, since the load that peers report is late.
+	prefillWaits        = 4
+	shortestPrefillWait = 700 * time.Millisecond
+	// silentEngine is the pause after which a stream goes on at another engine. An
+	// event takes 60 ms at a busy engine; callers leave after about 2.4 s.
+	silentEngine = time.Second
+	// patientPause is the pause after which a stream that can't go on elsewhere is
+	// given up. Callers leave sooner.
+	patientPause = 5 * time.Second
+)
+
+// eventWithin is the longest pause of a stream: short while it may go on at another
+// engine.
+func (h *hosted) eventWithin(f *flow) time.Duration {
+	if f.hosted.route.Resumable && f.hosted.runs < f.hosted.route.MaxUpstreams {
+		return silentEngine
+	}
+	return patientPause
+}
+
 // flowOf returns the request whose current attempt is meant, else nil.
 func (h *hosted) flowOf(id core.RequestID, attempt core.AttemptID) *flow {
 	f := h.flows[id]
@@ -319,6 +343,7 @@
 		Request: f.request.ID, Attempt: h.nextAttempt(f), Upstream: host.decode.ID, URL: host.decode.Addr,
 		SourceURL: source, KV: f.kv, Hold: host.hold, At: now, NotAfter: host.deadline, Deadline: host.deadline,
 		Priority: h.rank(f), Account: f.accountID(), Resumable: host.route.Resumable,
+		EventWithin: h.eventWithin(f),
 	})
 	h.recordAt(now, "dispatch", "decode", f, host.decode.ID, fmt.Sprintf("kv=%t hold=%t run=%d", f.kv != "", host.hold != "", host.runs))
 }
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -36,6 +36,9 @@
 		h.dispatch.Unreachable(now, failure.Upstream)
 	case attempts.FailStalled:
 		h.dispatch.Outcome(failure.Upstream, false)
+		if f.hosted.service.Engine != nil { // a plain call may only be slow
+			h.dispatch.Unreachable(now, failure.Upstream)
+		}
 	case attempts.FailCrashed:
 		h.dispatch.Outcome(failure.Upstream, false)
 		if failure.Sent && f.hosted.stage == stageRun {
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -274,6 +274,23 @@
 	is.Equal(want[Refuse](r).Refusal.Ran, core.Unknown) // two Upstreams are allowed
 }
 
+// Guards against callers that leave a silent engine before the stream goes on
+// elsewhere, and against an answer that is ended because its only engine pauses.
+func TestHostedSilentEngine(t *testing.T) {
+	is := is.New(t)
+	r := newHostedRun(t)
+	first := r.toDecode("1", "/resumable/x")
+	is.Equal(first.EventWithin, silentEngine)
+	r.fail("1", first.Attempt, attempts.Failure{Kind: attempts.FailStalled, Upstream: first.Upstream, Sent: true})
+	r.grant(want[TakeHold](r))
+	is.Equal(want[StartDecode](r).EventWithin, patientPause) // the last one that is allowed
+	is.Equal(r.toDecode("2", "/once/x").EventWithin, patientPause)
+
+	r.arrive("3", "/once/x")
+	r.grant(want[TakeHold](r))
+	is.True(want[StartPrefill](r).AnswerWithin < 2*time.Second) // the place is still held then
+}
+
 // Guards against a stream that is lost because its prefill or its KV cache was: the
 // decode engine reads the prompt itself.
 func TestHostedStreamSurvivesALostPrefill(t *testing.T) {
