--- a/pkg/upstream/exchange_test.go
+++ b/pkg/upstream/exchange_test.go
@@ -201,6 +201,9 @@
 	var failure *Error
 	is.True(errors.As(err, &failure))
 	is.True(!failure.Sent)
+	for end := time.Now().Add(time.Second); connections.Load() < 2 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond) // the server may accept later than the client connects
+	}
 	is.Equal(connections.Load(), int64(2))
 }
 
