--- a/pkg/core/refusal.go
+++ b/pkg/core/refusal.go
@@ -102,3 +102,21 @@
 func Refuse(code Code, message string) *Refusal {
 	return &Refusal{Code: code, Ran: NotRun, Message: message}
 }
+
+// RefusalBody is the JSON form in which callers get a refusal.
+type RefusalBody struct {
+	Error RefusalDetail `json:"error"`
+}
+
+// RefusalDetail is the content of a RefusalBody.
+type RefusalDetail struct {
+	Code      Code      `json:"code"`
+	Message   string    `json:"message"`
+	Ran       Ran       `json:"ran"`
+	RequestID RequestID `json:"request_id"`
+}
+
+// Body returns the JSON form of the refusal of a request.
+func (r *Refusal) Body(id RequestID) RefusalBody {
+	return RefusalBody{Error: RefusalDetail{Code: r.Code, Message: r.Message, Ran: r.Ran, RequestID: id}}
+}
--- a/pkg/hosted/answer.go
+++ b/pkg/hosted/answer.go
@@ -39,17 +39,6 @@
 	return &answer{w: w, control: http.NewResponseController(w), idHeader: idHeader, leaving: leaving}
 }
 
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Code      core.Code      `json:"code"`
-	Message   string         `json:"message"`
-	Ran       core.Ran       `json:"ran"`
-	RequestID core.RequestID `json:"request_id"`
-}
-
 // refuse writes a refusal. An answer that has begun is broken off, so that it
 // does not look complete.
 func (a *answer) refuse(refusal *core.Refusal) {
@@ -59,9 +48,7 @@
 	if a.began {
 		panic(http.ErrAbortHandler)
 	}
-	body, err := json.Marshal(errorBody{Error: errorDetail{
-		Code: refusal.Code, Message: refusal.Message, Ran: refusal.Ran, RequestID: a.id,
-	}})
+	body, err := json.Marshal(refusal.Body(a.id))
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
@@ -27,6 +26,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
 	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
 	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
+	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
 )
 
 const (
@@ -43,7 +43,8 @@
 	timelineSize = 4_000
 	// sweepEvery is the time between two searches for unused connections.
 	sweepEvery = time.Second
-	// callerBacklogMemory bounds the header of a caller's request.
+	// maxHeaderBytes bounds the header of a caller's request. It is above what
+	// configurations allow, so that their limit decides.
 	maxHeaderBytes = 64 << 10
 	// headerTimeout bounds the time in which a caller sends a header.
 	headerTimeout = 10 * time.Second
@@ -232,7 +233,7 @@
 	keepAliveIdle     = 4 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 2
-	unackedLimitMS    = 6_000
+	unackedLimit      = 6 * time.Second
 )
 
 func listen(addr string) (net.Listener, error) {
@@ -252,12 +253,8 @@
 // Accept accepts a connection and bounds its unacknowledged data.
 func (l unackedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		if raw, err := tcp.SyscallConn(); err == nil {
-			_ = raw.Control(func(fd uintptr) {
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unackedLimitMS)
-			})
-		}
+	if err == nil {
+		upstream.LimitUnacked(conn, unackedLimit)
 	}
 	return conn, err
 }
--- a/pkg/server/answer.go
+++ b/pkg/server/answer.go
@@ -59,17 +59,6 @@
 	TotalTokens      int `json:"total_tokens"`
 }
 
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Code      core.Code      `json:"code"`
-	Message   string         `json:"message"`
-	Ran       core.Ran       `json:"ran"`
-	RequestID core.RequestID `json:"request_id"`
-}
-
 // token relays one token. The event id lets the caller resume after it.
 func (a *answer) token(t upstream.Token, eventID string) error {
 	a.count++
@@ -176,7 +165,7 @@
 // refuse writes a refusal: as an event when the stream has begun, otherwise as
 // the whole answer.
 func (a *answer) refuse(refusal *core.Refusal) {
-	body := errorBody{Error: errorDetail{Code: refusal.Code, Message: refusal.Message, Ran: refusal.Ran, RequestID: a.id}}
+	body := refusal.Body(a.id)
 	if a.began {
 		data, err := json.Marshal(body)
 		if err == nil {
--- a/pkg/server/callers.go
+++ b/pkg/server/callers.go
@@ -14,7 +14,6 @@
 	"github.com/google/uuid"
 	"github.com/kataras/iris/v12"
 	iriscontext "github.com/kataras/iris/v12/context"
-	"golang.org/x/sys/unix"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/keys"
@@ -28,9 +27,9 @@
 	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 3
 	// unackedLimit is the time after which a connection whose data stays
-	// unacknowledged is closed, in milliseconds. Writes alone do not notice:
+	// unacknowledged is closed. Writes alone do not notice:
 	// the kernel buffers many small tokens.
-	unackedLimitMS = 8_000
+	unackedLimit = 8 * time.Second
 	// commentEvery is the time between two comments on a stream without tokens.
 	commentEvery = 3 * time.Second
 )
@@ -44,20 +43,6 @@
 	return lc.Listen(context.Background(), "tcp", addr)
 }
 
-func limitUnacked(conn net.Conn) {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unackedLimitMS)
-	})
-}
-
 // callerServer builds the HTTP server for callers.
 func (s *Server) callerServer() (*http.Server, error) {
 	app := iris.New()
@@ -106,7 +91,7 @@
 func (s *Server) countConnections(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		limitUnacked(conn)
+		upstream.LimitUnacked(conn, unackedLimit)
 		s.connections.Add(1)
 	case http.StateClosed, http.StateHijacked:
 		s.connections.Add(-1)
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -140,11 +140,14 @@
 		}
 		return nil, &Error{Kind: Connect, URL: addr, Err: err}
 	}
-	limitUnacked(conn, p.opts.UnackedLimit)
+	LimitUnacked(conn, p.opts.UnackedLimit)
 	return &exchangeConn{Conn: conn, pool: p, addr: addr, reader: bufio.NewReader(conn)}, nil
 }
 
-func limitUnacked(conn net.Conn, limit time.Duration) {
+// LimitUnacked closes a TCP connection whose data stays unacknowledged for longer
+// than the limit. Writes alone don't notice a silent peer, since the kernel buffers
+// them. Other connections are left alone.
+func LimitUnacked(conn net.Conn, limit time.Duration) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		if raw, err := tcp.SyscallConn(); err == nil {
 			_ = raw.Control(func(fd uintptr) {
