--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -43,8 +43,8 @@
 	timelineSize = 4_000
 	// sweepEvery is the time between two searches for unused connections.
 	sweepEvery = time.Second
-	// maxHeaderBytes bounds the header of a caller's request. It is above what
-	// configurations allow, so that their limit decides.
+	// maxHeaderBytes bounds the header of a caller's request, above what
+	// configurations allow.
 	maxHeaderBytes = 64 << 10
 	// headerTimeout bounds the time in which a caller sends a header.
 	headerTimeout = 10 * time.Second
