placement: a slot is reserved ahead only behind an attempt that the engine reports

Change: only the end of an attempt that the last report shows counts for a slot that is reserved ahead, and one grant at most waits for it. An attempt has the longest use among the unbound grants of its owner, counted from the report before. The estimate that a denied owner is told stays as it was.

--- a/pkg/placement/doc.go
+++ b/pkg/placement/doc.go
@@ -11,7 +11,8 @@
 // the engine's DataCentre holds (rendezvous hashing over the members). The ledger
 // is soft state. A reservation becomes visible as an attempt in the engine's
 // report, after which the report decides; a reservation that never does ends
-// after its term. A release that overtakes its reservation is remembered, so that
+// after its term. A slot in use is reserved ahead only when the report shows its
+// attempt and no other reservation waits for it. A release that overtakes its reservation is remembered, so that
 // the late reservation is denied. When the holder changes, owners announce their
 // unused reservations to the new one. A holder that doesn't answer makes its
 // engines unusable for holderBackoff, after which they are tried again.
--- a/pkg/placement/ledger.go
+++ b/pkg/placement/ledger.go
@@ -44,6 +44,9 @@
 	attempt core.AttemptID
 }
 
+// use returns the time for which the slot is expected to be used.
+func (g *grant) use() time.Duration { return g.end.Sub(g.start) }
+
 // forgetAt is the time at which a released key is forgotten.
 type forgetAt struct {
 	key grantKey
@@ -72,6 +75,7 @@
 	if len(r.Attempts) == 0 && r.Used > 0 {
 		return // forwarded without its list
 	}
+	before := l.asOf
 	l.asOf = r.AsOf
 	shown := make(map[core.AttemptID]bool, len(r.Attempts))
 	for _, id := range r.Attempts {
@@ -93,7 +97,7 @@
 		if h == nil {
 			h = &held{seen: r.AsOf}
 			l.attempts[id] = h
-			l.bind(id, h, r.AsOf)
+			l.bind(id, h, before, r.AsOf)
 		}
 		if h.released <= r.AsOf {
 			h.released = 0 // released, and still on the engine afterwards
@@ -101,12 +105,17 @@
 	}
 }
 
-func (l *ledger) bind(id core.AttemptID, h *held, asOf core.Instant) {
+// bind lets a new attempt stand for a grant. The attempt started after the report
+// before, which may be later than the grant expected, and it may be that of any
+// grant of its owner, so its end is that of the longest one.
+func (l *ledger) bind(id core.AttemptID, h *held, before, asOf core.Instant) {
 	var oldest *grant
+	var longest time.Duration
 	for _, g := range l.grants {
 		if g.bound || g.key.owner != id.Owner || g.granted > asOf {
 			continue
 		}
+		longest = max(longest, g.use())
 		if oldest == nil || g.granted < oldest.granted || (g.granted == oldest.granted && g.key.nonce < oldest.key.nonce) {
 			oldest = g
 		}
@@ -115,6 +124,7 @@
 		return
 	}
 	oldest.bound = true
+	oldest.end = max(oldest.end, before.Add(longest))
 	oldest.attempt = id
 	h.grant = oldest
 }
@@ -168,25 +178,18 @@
 // It plays the waiting grants forward, because a slot that ends late delays all
 // that wait behind it. It reports false when too few of the ends are known.
 func (l *ledger) nextFree(now core.Instant, slots int, hold time.Duration) (time.Duration, bool) {
-	l.ends = l.ends[:0]
+	l.ends = l.reportedEnds(now, hold)
 	l.waiting = l.waiting[:0]
 	soonest := now.Add(overdueFree)
 	for _, g := range l.grants {
-		if g.bound {
-			l.ends = append(l.ends, max(g.end, soonest))
-		} else {
+		if !g.bound {
 			l.waiting = append(l.waiting, g)
 		}
 	}
-	for _, h := range l.attempts {
-		if h.grant == nil && h.released == 0 {
-			l.ends = append(l.ends, max(h.seen.Add(hold), soonest))
-		}
-	}
 	slices.SortFunc(l.waiting, func(a, b *grant) int { return cmp.Compare(a.start, b.start) })
 	slices.Sort(l.ends)
 	for _, g := range l.waiting {
-		use := g.end.Sub(g.start)
+		use := g.use()
 		if len(l.ends) < slots {
 			// The last report doesn't show it, so it started later at the earliest.
 			l.ends = append(l.ends, max(g.end, l.asOf.Add(use), soonest))
@@ -202,6 +205,44 @@
 	return l.ends[len(l.ends)-slots].Sub(now), true
 }
 
+// reportedEnds returns the expected ends of the attempts that the last report shows,
+// in scratch space and unordered.
+func (l *ledger) reportedEnds(now core.Instant, hold time.Duration) []core.Instant {
+	ends := l.ends[:0]
+	soonest := now.Add(overdueFree)
+	for _, g := range l.grants {
+		if g.bound {
+			ends = append(ends, max(g.end, soonest))
+		}
+	}
+	for _, h := range l.attempts {
+		if h.grant == nil && h.released == 0 {
+			ends = append(ends, max(h.seen.Add(hold), soonest))
+		}
+	}
+	return ends
+}
+
+// nextReportedFree returns the expected time until an attempt that the last report
+// shows ends and leaves its slot to no grant. Only such a slot may be granted ahead.
+// A grant that no report shows may still wait for its prefill, and a decode that
+// takes its slot meanwhile would leave it without one for a whole use.
+func (l *ledger) nextReportedFree(now core.Instant, slots int, hold time.Duration) (time.Duration, bool) {
+	l.ends = l.reportedEnds(now, hold)
+	unbound := 0
+	for _, g := range l.grants {
+		if !g.bound {
+			unbound++
+		}
+	}
+	next := max(0, unbound-max(0, slots-len(l.ends)))
+	if next >= len(l.ends) {
+		return 0, false
+	}
+	slices.Sort(l.ends)
+	return l.ends[next].Sub(now), true
+}
+
 // OnReserve answers a reservation request of a peer. Only the holder of the
 // engine's ledger is asked; a repeat of a granted request gets the same grant.
 func (p *Placer) OnReserve(now core.Instant, from core.InstanceRef, q ReserveRequest) ReserveReply {
@@ -250,11 +291,13 @@
 	if slots == 0 || used < slots || q.Announce {
 		return 0, true
 	}
-	wait, known := e.ledger.nextFree(now, slots, e.service.hold)
-	if !known {
-		return p.params.MaxSlotWait, false
+	if wait, known := e.ledger.nextReportedFree(now, slots, e.service.hold); known && wait <= q.Within {
+		return wait, true
+	}
+	if wait, known := e.ledger.nextFree(now, slots, e.service.hold); known {
+		return wait, false
 	}
-	return wait, wait <= q.Within
+	return p.params.MaxSlotWait, false
 }
 
 // OnReleaseNotice ends a reservation of a peer. It may come before the
