quota: a large fleet keeps the allowance of an account that asks for several times its rate

Ruled out: a larger heartbeat rate (bytes between regions and processor grow with all accounts, not with those at their limit); a ledger an account at one instance (a round trip between regions for each request, and no answer in a cut).

Change: - accounts whose level is below three quarters of the burst are told to all peers at once, at most every 0.15 s and 200 notes a second (quota.Urgent, QuotaNote); - a data centre of which nobody is heard is silent after the gap that its members' heartbeats together leave, 0.9 to 1.4 s; heartbeats are spread over the interval; - what a peer may have used between its last report and the time at which its silence is noticed is set aside too; - Fleet.Tick computed the interval for each peer by a loop over all peers, at every tick; it does so once every 150 ms now.

TestPacedPeersAreNotSilent now plays the senders' own pacing instead of a schedule written in the test, which had all far peers send in the same instant; it demands silence 0 over 20 s at 330 instances, and that a cut is noticed within 2 s.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -6,9 +6,12 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
 
@@ -39,6 +42,9 @@
 	// SilentAfter is the time without a heartbeat after which a peer counts as
 	// silent.
 	SilentAfter time.Duration
+	// NoteRate bounds the short notes per second that one Instance sends beside its
+	// heartbeats.
+	NoteRate float64
 	// GoneAfter is the time without a heartbeat after which a peer is forgotten.
 	GoneAfter time.Duration
 }
@@ -49,6 +55,9 @@
 	defaultEvery = 150 * time.Millisecond
 	// defaultRate keeps the cost of a large fleet at that of 8 Instances.
 	defaultRate = 60.0
+	// defaultNoteRate lets each of 84 Instances tell all others of an account near its
+	// limit every 0.4 s. Notes are sent only while there is news of such accounts.
+	defaultNoteRate = 200.0
 	// defaultSilentAfter tolerates some lost or late heartbeats. Callers that were
 	// sent to a dead Instance lose at most this and the life of the answer.
 	defaultSilentAfter = 900 * time.Millisecond
@@ -65,7 +74,9 @@
 	self   Member
 	state  State
 	peers  map[core.InstanceID]*peer
-	next   core.Instant
+	next   core.Instant // heartbeats
+	// nextCheck is the next look for silent peers.
+	nextCheck core.Instant
 }
 
 type peer struct {
@@ -86,6 +97,9 @@
 	if p.Rate == 0 {
 		p.Rate = defaultRate
 	}
+	if p.NoteRate == 0 {
+		p.NoteRate = defaultNoteRate
+	}
 	if p.SilentAfter == 0 {
 		p.SilentAfter = defaultSilentAfter
 	}
@@ -144,28 +158,87 @@
 
 // Changes are the peers whose liveness has changed in a Tick.
 type Changes struct {
-	Silent []core.InstanceID
+	Silent []Silence
 	Gone   []core.InstanceID
 }
 
+// Silence is a peer that was last heard, or listed without being heard, at Since.
+type Silence struct {
+	ID    core.InstanceID
+	Since core.Instant
+}
+
 // Tick finds the peers that have fallen silent, and those to be forgotten.
 func (f *Fleet) Tick(now core.Instant) Changes {
 	var changes Changes
+	if now < f.nextCheck {
+		return changes
+	}
+	f.nextCheck = now.Add(f.params.Every)
+	near, far := f.silentAfter(f.everyNear()), f.silentAfter(f.everyFar())
+	cutOff := f.silentDataCentres(now)
 	for _, id := range slices.Sorted(maps.Keys(f.peers)) {
 		p := f.peers[id]
 		last := max(p.heard, p.listed)
+		silentAfter := far
+		if p.member.DataCentre == f.self.DataCentre {
+			silentAfter = near
+		}
 		switch {
-		case now.Sub(last) > max(f.params.GoneAfter, 2*f.silentAfter(p.member)), p.state.Leaving && p.silent:
+		case now.Sub(last) > max(f.params.GoneAfter, 2*silentAfter), p.state.Leaving && p.silent:
 			delete(f.peers, id)
 			changes.Gone = append(changes.Gone, id)
-		case !p.silent && now.Sub(last) > f.silentAfter(p.member):
+		case !p.silent && (now.Sub(last) > silentAfter || cutOff[p.member.DataCentre]):
 			p.silent = true
-			changes.Silent = append(changes.Silent, id)
+			changes.Silent = append(changes.Silent, Silence{ID: id, Since: last})
 		}
 	}
 	return changes
 }
 
+// gapMargin is the logarithm of how rarely the heartbeats of a DataCentre, which come
+// at random, leave a gap that silentDataCentres takes for silence.
+const gapMargin = 5
+
+// silentDataCentres returns the other DataCentres of which no member is heard.
+// Together the members send often even where each one sends seldom, so a cut is
+// noticed long before silentAfter of each.
+func (f *Fleet) silentDataCentres(now core.Instant) map[core.DataCentreName]bool {
+	last := map[core.DataCentreName]core.Instant{}
+	members := map[core.DataCentreName]int{}
+	for _, p := range f.peers {
+		dc := p.member.DataCentre
+		last[dc] = max(last[dc], p.heard, p.listed)
+		members[dc]++
+	}
+	silent := map[core.DataCentreName]bool{}
+	far := float64(f.everyFar())
+	for dc, heard := range last {
+		n := float64(members[dc])
+		gap := time.Duration(far / n * (math.Log(n) + gapMargin))
+		if dc != f.self.DataCentre && now.Sub(heard) > max(f.params.SilentAfter, gap) {
+			silent[dc] = true
+		}
+	}
+	return silent
+}
+
+// NoteEvery is the shortest time between two notes to all peers.
+func (f *Fleet) NoteEvery() time.Duration {
+	return max(f.params.Every, time.Duration(float64(len(f.peers))/f.params.NoteRate*float64(time.Second)))
+}
+
+// HeardPeers returns the peers that are heard, sorted by name.
+func (f *Fleet) HeardPeers() []Member {
+	return slices.DeleteFunc(f.Peers(), func(m Member) bool { return !f.Hears(m.Ref) })
+}
+
+// Hears reports whether a peer in this run is heard.
+func (f *Fleet) Hears(ref core.InstanceRef) bool {
+	p := f.peers[ref.ID]
+	return p != nil && p.member.Ref == ref && p.heard > 0 && !p.silent
+}
+
 // DueHeartbeats returns the peers to which a heartbeat is due now.
 func (f *Fleet) DueHeartbeats(now core.Instant) []Member {
 	if now < f.next {
@@ -174,21 +247,33 @@
 	f.next = now.Add(f.params.Every)
 	near, far := f.everyNear(), f.everyFar()
 	var due []Member
-	for _, member := range f.Peers() {
-		p := f.peers[member.Ref.ID]
+	for _, p := range f.peers {
 		every := far
-		if member.DataCentre == f.self.DataCentre {
+		if p.member.DataCentre == f.self.DataCentre {
 			every = near
 		}
 		// Half an interval is the rounding of the ticks.
-		if p.sent == 0 || now.Sub(p.sent) >= every-f.params.Every/2 {
+		if p.sent != 0 && now.Sub(p.sent) < every-f.params.Every/2 {
+			continue
+		}
+		if p.sent == 0 {
+			// Spreads the next ones, so that a peer hears its DataCentres evenly.
+			p.sent = now.Add(-time.Duration(f.phase(p.member) * float64(every)))
+		} else {
 			p.sent = now
-			due = append(due, member)
 		}
+		due = append(due, p.member)
 	}
+	sortMembers(due)
 	return due
 }
 
+// phase returns a part of an interval that differs for each pair of Instances.
+func (f *Fleet) phase(m Member) float64 {
+	hash := xxhash.Sum64String(string(f.self.Ref.ID) + "\n" + string(m.Ref.ID))
+	return float64(hash>>11) / (1 << 53)
+}
+
 // everyNear is the time between two heartbeats to a peer of the own DataCentre,
 // everyFar to one of another.
 func (f *Fleet) everyNear() time.Duration { return f.every(true) }
@@ -204,12 +289,9 @@
 	return max(f.params.Every, time.Duration(float64(count)/(f.params.Rate/2)*float64(time.Second)))
 }
 
-// silentAfter is the time without a heartbeat after which a peer counts as silent.
-func (f *Fleet) silentAfter(m Member) time.Duration {
-	every := f.everyFar()
-	if m.DataCentre == f.self.DataCentre {
-		every = f.everyNear()
-	}
+// silentAfter is the time without a heartbeat after which a peer that sends one in
+// every interval counts as silent.
+func (f *Fleet) silentAfter(every time.Duration) time.Duration {
 	return max(f.params.SilentAfter, silentBeats*every)
 }
 
@@ -219,10 +301,14 @@
 	for _, p := range f.peers {
 		members = append(members, p.member)
 	}
-	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Ref.ID, b.Ref.ID) })
+	sortMembers(members)
 	return members
 }
 
+func sortMembers(members []Member) {
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Ref.ID, b.Ref.ID) })
+}
+
 // NextWake returns the instant at which Tick or a heartbeat is due.
 func (f *Fleet) NextWake() core.Instant { return f.next }
 
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,17 +74,44 @@
 	is.True(sent >= 20*20)                       // and are sent at all
 }
 
-// Guards against a peer that counts as silent because its heartbeats are paced.
+// Guards against a peer that counts as silent because its heartbeats are paced, and
+// against a cut between two regions that is noticed only when each peer has missed
+// several slow heartbeats.
 func TestPacedPeersAreNotSilent(t *testing.T) {
 	is := is.New(t)
-	f := New(member(0, "dc0", "r"), Params{})
-	now := core.Instant(time.Second)
-	for i := 1; i < 330; i++ {
-		serving(t, f, now, member(i, core.DataCentreName(fmt.Sprintf("dc%d", i%5)), "r"))
+	const n, zones = 330, 5
+	region := func(i int) core.RegionName { return core.RegionName(fmt.Sprintf("r%d", i%zones%2)) }
+	var fleets []*Fleet
+	var members []Member
+	for i := range n {
+		members = append(members, member(i, core.DataCentreName(fmt.Sprintf("dc%d", i%zones)), region(i)))
+	}
+	start := core.Instant(time.Second)
+	for i := range n {
+		f := New(members[i], Params{})
+		f.Listed(start, members)
+		fleets = append(fleets, f)
+	}
+	receiver, silent := fleets[0], 0
+	run := func(now, end core.Instant, cut bool) {
+		for ; now < end; now = now.Add(defaultEvery) {
+			for i, f := range fleets[1:] {
+				if slices.Contains(f.DueHeartbeats(now), members[0]) && (!cut || region(i+1) == region(0)) {
+					receiver.Heard(now, members[i+1], State{Serving: true})
+				}
+			}
+			silent += len(receiver.Tick(now).Silent)
+		}
 	}
-	for i := 5; i < 330; i += 5 { // the peers of the own data centre send more often
-		serving(t, f, now.Add(f.everyNear()), member(i, "dc0", "r"))
-		serving(t, f, now.Add(3*f.everyNear()), member(i, "dc0", "r"))
+	run(start, start.Add(20*time.Second), false)
+	is.Equal(silent, 0)
+	is.Equal(receiver.HeardCount(), n)
+	run(start.Add(20*time.Second), start.Add(22*time.Second), true)
+	far := 0
+	for i := range n {
+		if region(i) != region(0) {
+			far++
+		}
 	}
-	is.Equal(len(f.Tick(now.Add(f.everyFar())).Silent), 0)
+	is.Equal(silent, far)
 }
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -4,7 +4,9 @@
 // report. A request is admitted while the level is above zero, whatever its
 // size; the level may go below zero and is then repaid by the rate.
 //
-// The fleet exceeds the allowance by at most what arrives between two reports.
+// The fleet exceeds the allowance by at most what arrives between two reports. In a
+// large fleet the time between two full reports is seconds, so an account that is
+// used near its limit is reported at once (Urgent).
 // A peer that is not heard may go on with an even part of the level and of the
 // rate, so that part is set aside until the peer is heard again or is known to have
 // ended. An Instance that hears nobody keeps to its own even part.
@@ -43,6 +45,7 @@
 	level    float64 // tokens of the fleet's bucket
 	at       core.Instant
 	admitted int64 // tokens since the start of this Instance
+	told     int64 // of admitted, what Urgent has returned
 }
 
 type peer struct {
@@ -164,9 +167,10 @@
 	a.level = min(a.level-float64(used)+p.assumed[id], float64(a.limit.Burst))
 }
 
-// PeerSilent says that a peer is not heard any more, or that one that is listed has
-// not been heard yet.
-func (q *Quota) PeerSilent(now core.Instant, id core.InstanceID) {
+// PeerSilent says that a peer has not been heard since an instant, or that one that
+// is listed since then has not been heard yet. What it may have used since counts
+// as set aside, too.
+func (q *Quota) PeerSilent(now, since core.Instant, id core.InstanceID) {
 	q.fillAll(now)
 	p := q.peers[id]
 	if p == nil {
@@ -179,11 +183,10 @@
 	p.silent = true
 	p.assumed = map[core.AccountID]float64{}
 	heard := float64(len(q.peers) + 1 - q.silent)
+	unheard := now.Sub(since).Seconds() / float64(len(q.peers)+1)
 	for id, a := range q.accounts {
-		if a.level > 0 {
-			p.assumed[id] = a.level / heard
-			a.level -= p.assumed[id]
-		}
+		p.assumed[id] = max(0, a.level)/heard + unheard*float64(a.limit.Rate)
+		a.level -= p.assumed[id]
 	}
 	q.silent++
 }
@@ -213,6 +216,32 @@
 	return reports
 }
 
+// tightLevel is the part of the burst below which an account is used near its limit.
+// Requests that arrive at random at half of the rate rarely take a quarter of a
+// burst, which is a second of the rate.
+const tightLevel = 0.75
+
+// Urgent returns the accounts that are used near their limit and of which this
+// Instance has admitted requests since the last call.
+func (q *Quota) Urgent(now core.Instant) map[core.AccountID]Report {
+	var reports map[core.AccountID]Report
+	for id, a := range q.accounts {
+		if a.limit.Rate == 0 || a.admitted == a.told {
+			continue
+		}
+		q.fill(now, id, a)
+		if a.level >= tightLevel*q.burst(a) {
+			continue
+		}
+		if reports == nil {
+			reports = map[core.AccountID]Report{}
+		}
+		a.told = a.admitted
+		reports[id] = Report{Admitted: a.admitted, Level: int64(a.level)}
+	}
+	return reports
+}
+
 func (q *Quota) fillAll(now core.Instant) {
 	for id, a := range q.accounts {
 		q.fill(now, id, a)
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -36,12 +36,40 @@
 	q := New(ref("self", 2))
 	q.SetLimit(at(0), customer, Limit{Rate: 1000, Burst: 1000})
 	q.OnPeer(at(0), ref("p", 1), map[core.AccountID]Report{customer: {Level: 1000}})
-	q.PeerSilent(at(0), "p")
+	q.PeerSilent(at(0), at(0), "p")
 	is.Equal(q.Level(at(time.Second), customer), int64(500))
 	q.OnPeer(at(time.Second), ref("p", 1), map[core.AccountID]Report{customer: {Admitted: 200}})
 	is.Equal(q.Level(at(time.Second), customer), int64(800)) // 500 were set aside, 200 used
 }
 
+// Guards against an excess of what a peer uses between its last report and the time
+// at which its silence is noticed.
+func TestSilenceCountsFromTheLastReport(t *testing.T) {
+	is := is.New(t)
+	q := New(ref("self", 2))
+	q.SetLimit(at(0), customer, Limit{Rate: 1000, Burst: 1000})
+	heard, noticed := at(time.Second), at(1600*time.Millisecond)
+	q.OnPeer(heard, ref("p", 1), map[core.AccountID]Report{customer: {Level: 1000}})
+	admitted, _ := q.Admit(heard, customer, 1000)
+	is.True(admitted)
+	q.PeerSilent(noticed, heard, "p")
+	is.Equal(q.Level(noticed, customer), int64(0)) // of 600, a half may have been used and a half of the rest is set aside
+}
+
+// Guards against news that waits for the next full report although the account is
+// near its limit, and against news that is told twice.
+func TestUrgentReports(t *testing.T) {
+	is := is.New(t)
+	q := New(ref("self", 2))
+	q.SetLimit(at(0), customer, Limit{Rate: 1000, Burst: 1000})
+	now := at(time.Second)
+	q.Admit(now, customer, 100)
+	is.Equal(len(q.Urgent(now)), 0) // nine tenths are left
+	q.Admit(now, customer, 300)
+	is.Equal(q.Urgent(now), map[core.AccountID]Report{customer: {Admitted: 400, Level: 600}})
+	is.Equal(len(q.Urgent(now)), 0)
+}
+
 // fleet plays Instances that admit as much as they can and report to each other.
 type fleet struct {
 	limit     Limit
@@ -68,7 +96,7 @@
 			switch {
 			case i == j:
 			case f.cut[i] || f.cut[j]:
-				to.PeerSilent(now, f.refs[i].ID)
+				to.PeerSilent(now, now, f.refs[i].ID)
 			default:
 				to.OnPeer(now, f.refs[i], from.Reports(now))
 			}
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -73,6 +73,7 @@
 	services       map[core.ServiceName]*config.Service
 	accountViews   map[core.AccountID]*config.ClientAccount
 	nextMembers    core.Instant
+	nextNote       core.Instant
 	stopAt         core.Instant
 }
 
@@ -167,6 +168,9 @@
 		if e.Message.Hosted != nil {
 			h.heartbeatReceived(now, e.From, e.Message.Hosted)
 		}
+		if e.Message.Quota != nil {
+			h.quotaNoted(now, e.From, e.Message.Quota)
+		}
 	case Paused:
 		h.recordEvent(now, "server", "paused", "")
 	case ShutdownAsked:
@@ -191,19 +195,21 @@
 		h.emit(ListMembers{})
 	}
 	changes := h.fleet.Tick(now)
-	for _, id := range changes.Silent {
-		h.quota.PeerSilent(now, id)
-		h.dispatch.OnPeer(id, nil)
-		h.recordEvent(now, "fleet", "peer silent", string(id))
+	for _, peer := range changes.Silent {
+		h.quota.PeerSilent(now, peer.Since, peer.ID)
+		h.dispatch.OnPeer(peer.ID, nil)
+		h.recordEvent(now, "fleet", "peer silent", string(peer.ID)+" since="+now.Sub(peer.Since).String())
 	}
 	for _, id := range changes.Gone {
 		h.quota.PeerGone(now, id)
 		h.dispatch.OnPeer(id, nil)
 		h.recordEvent(now, "fleet", "peer forgotten", string(id))
 	}
-	if due := h.fleet.DueHeartbeats(now); len(due) > 0 {
+	due := h.fleet.DueHeartbeats(now)
+	if len(due) > 0 {
 		h.sendHeartbeats(now, due)
 	}
+	h.sendQuotaNotes(now, due)
 }
 
 // routingSeen puts a configuration in force unless a newer one is.
--- /dev/null
+++ b/pkg/router/hosted_fleet_test.go
@@ -0,0 +1,176 @@
+package router
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
+	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
+)
+
+// hostedFleet runs hosted Routers against each other in virtual time. Callers send
+// plain calls of one account, which are answered at once.
+type hostedFleet struct {
+	rng     *rand.Rand
+	now     core.Instant
+	events  schedule.Queue[core.Instant, func()]
+	members []fleet.Member
+	routers []*Router
+	byID    map[core.InstanceID]int
+	// cut loses the messages between regions.
+	cut      bool
+	limit    config.HostedAccount
+	sent     int
+	arrived  int
+	admitted []core.Instant
+}
+
+// callTokens is the charge of each call.
+const callTokens = 8000
+
+// newHostedFleet starts n Routers in six DataCentres of two regions.
+func newHostedFleet(seed uint64, n int, account config.HostedAccount) *hostedFleet {
+	f := &hostedFleet{
+		rng: rand.New(rand.NewPCG(seed, 4)), now: core.Instant(time.Second), byID: map[core.InstanceID]int{}, limit: account,
+	}
+	routing := hostedRouting(1)
+	routing.Accounts = []config.HostedAccount{account}
+	for i := range n {
+		member := fleet.Member{
+			Ref:        core.InstanceRef{ID: core.InstanceID(fmt.Sprintf("i%03d", i)), Incarnation: 1},
+			DataCentre: core.DataCentreName(fmt.Sprintf("dc%d", i%6)),
+			Region:     core.RegionName(fmt.Sprintf("r%d", i%2)),
+		}
+		f.byID[member.Ref.ID] = i
+		f.members = append(f.members, member)
+		f.routers = append(f.routers, New(Params{
+			Rand: rand.New(rand.NewPCG(1, uint64(i))), Random: bytes.NewReader(nil),
+			Hosted: &HostedParams{Member: member, Retry: retry.Params{Window: 10 * time.Second}, AddressesFor: time.Second, Grace: 8 * time.Second},
+		}))
+	}
+	for i := range n {
+		f.after(time.Duration(f.rng.IntN(150))*time.Millisecond, func() {
+			f.step(i, MembersListed{Members: f.members})
+			f.step(i, RoutingSeen{Routing: config.NewRouting(*routing), Revision: 10})
+			f.step(i, UpstreamsListed{Revision: 10, Upstreams: []catalog.Upstream{{ID: "s1", Service: "plain", Addr: "s1:1", DataCentre: "dc0"}}})
+			f.tick(i)
+		})
+	}
+	return f
+}
+
+func (f *hostedFleet) after(d time.Duration, run func()) { f.events.Add(f.now.Add(d), run) }
+
+func (f *hostedFleet) tick(i int) {
+	f.step(i, Tick{})
+	f.after(max(time.Millisecond, f.routers[i].NextWake().Sub(f.now)), func() { f.tick(i) })
+}
+
+func (f *hostedFleet) step(i int, event Event) {
+	for _, effect := range f.routers[i].Step(f.now, event) {
+		switch e := effect.(type) {
+		case SendPeer:
+			f.sent++
+			to := f.byID[e.To]
+			transit := time.Millisecond
+			if f.members[to].Region != f.members[i].Region {
+				if f.cut {
+					continue
+				}
+				transit = 30 * time.Millisecond
+			}
+			f.after(transit, func() { f.step(to, PeerReceived{From: f.members[i].Ref, Message: e.Message}) })
+		case StartCall:
+			f.admitted = append(f.admitted, f.now)
+			f.after(0, func() { f.step(i, AnswerEnded{Request: e.Request, Attempt: e.Attempt, Status: 200}) })
+		}
+	}
+}
+
+// ask sends calls of the account to random Instances, perSecond for a while.
+func (f *hostedFleet) ask(perSecond float64, length time.Duration) {
+	every := time.Duration(float64(time.Second) / perSecond)
+	key := hostedKey
+	for at := time.Duration(0); at < length; at += every {
+		f.after(at, func() {
+			f.arrived++
+			f.step(f.rng.IntN(len(f.routers)), RequestArrived{Request: Request{
+				ID: core.RequestID(fmt.Sprintf("q%d", f.arrived)), Host: "h", Path: "/call/", Key: &key, Deadline: f.now.Add(time.Second),
+			}})
+		})
+	}
+	f.run(length)
+}
+
+func (f *hostedFleet) run(length time.Duration) {
+	end := f.now.Add(length)
+	for {
+		event, at, due := f.events.PopDue(end)
+		if !due {
+			break
+		}
+		f.now = at
+		event()
+	}
+	f.now = end
+}
+
+// most returns the largest number of tokens that ran in a sliding window.
+func (f *hostedFleet) most(window time.Duration) int64 {
+	var most int64
+	for first := range f.admitted {
+		after, _ := slices.BinarySearch(f.admitted, f.admitted[first].Add(window))
+		most = max(most, int64(after-first)*callTokens)
+	}
+	return most
+}
+
+// allowed is what the platform allows the account in a window of 8 s.
+func (f *hostedFleet) allowed() int64 {
+	const overage, slack = 1.1, 120_000
+	return int64(overage*float64(8*f.limit.Rate+f.limit.Burst)) + slack
+}
+
+func largeAccount() config.HostedAccount {
+	return config.HostedAccount{ID: "acct", Keys: []config.KeyDigest{hostedKey}, PlainTokens: callTokens, Rate: 160_000, Burst: 160_000}
+}
+
+// Guards against an excess that grows with the time between two heartbeats, which is
+// seconds in a fleet of 84: an account asks for five times its rate.
+func TestHostedQuotaOfALargeFleet(t *testing.T) {
+	for seed := range uint64(2) {
+		is := is.New(t)
+		f := newHostedFleet(seed, 84, largeAccount())
+		f.ask(10, 5*time.Second)
+		f.ask(100, 24*time.Second)
+		t.Logf("admitted %d tokens in a window, allowed are %d", f.most(8*time.Second), f.allowed())
+		is.True(f.most(8*time.Second) <= f.allowed())
+		is.True(int64(len(f.admitted))*callTokens >= 24*f.limit.Rate*9/10) // and the allowance is used
+	}
+}
+
+// Guards against two halves of a large fleet that each spend the whole allowance
+// for the seconds until they miss each other's heartbeats.
+func TestHostedQuotaOfALargeFleetInTwoParts(t *testing.T) {
+	for seed := range uint64(2) {
+		is := is.New(t)
+		f := newHostedFleet(seed, 84, largeAccount())
+		f.ask(10, 5*time.Second)
+		f.cut = true
+		f.ask(100, 12*time.Second)
+		f.cut = false
+		f.ask(100, 12*time.Second)
+		t.Logf("admitted %d tokens in a window, allowed are %d", f.most(8*time.Second), f.allowed())
+		is.True(f.most(8*time.Second) <= f.allowed())
+	}
+}
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,6 +27,12 @@
 	Crashes map[core.Fingerprint]int
 }
 
+// QuotaNote is what a hosted Instance tells its peers between two heartbeats.
+type QuotaNote struct {
+	// Quotas is what the sender has admitted of the accounts near their limit.
+	Quotas map[core.AccountID]quota.Report
+}
+
 // heartbeatLife is the time after which a heartbeat that was not sent is dropped:
 // the next one says more.
 const heartbeatLife = 300 * time.Millisecond
@@ -46,6 +53,33 @@
 	}
 }
 
+// sendQuotaNotes tells the peers that get no heartbeat now of the accounts that are
+// near their limit.
+func (h *hosted) sendQuotaNotes(now core.Instant, told []fleet.Member) {
+	if now < h.nextNote {
+		return
+	}
+	reports := h.quota.Urgent(now)
+	if len(reports) == 0 {
+		return
+	}
+	h.nextNote = now.Add(h.fleet.NoteEvery())
+	for _, member := range h.fleet.HeardPeers() {
+		if slices.Contains(told, member) {
+			continue
+		}
+		h.emit(SendPeer{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Quota: &QuotaNote{Quotas: reports}}, NotAfter: now.Add(heartbeatLife)})
+	}
+}
+
+// quotaNoted takes in a note. That of a peer which isn't heard waits for its next
+// heartbeat, which says as much.
+func (h *hosted) quotaNoted(now core.Instant, from core.InstanceRef, note *QuotaNote) {
+	if h.fleet.Hears(from) {
+		h.quota.OnPeer(now, from, note.Quotas)
+	}
+}
+
 func (h *hosted) heartbeatReceived(now core.Instant, from core.InstanceRef, beat *HostedHeartbeat) {
 	known := h.fleet.Known()
 	if !h.fleet.Heard(now, beat.Member, beat.State) {
--- a/pkg/router/message.go
+++ b/pkg/router/message.go
@@ -24,6 +24,7 @@
 	AskOwner     *AttemptsQuestion
 	Serves       *ServesNotice
 	Hosted       *HostedHeartbeat
+	Quota        *QuotaNote
 }
 
 // AttemptsQuestion asks an Instance to cancel those attempts at an Upstream that
