quota: small requests pass an account's debt

One stream of 10,000 tokens takes the bucket below zero, and until the rate has repaid it every call of the account is refused.

Also tried on the dispatcher and not kept: cheap requests first with a place kept for them.

Change: a request of up to a hundredth of the burst is admitted until the level is half a burst below zero. That is within the tenth by which the allowance may be exceeded.

Conclusion: kept, since callers are answered who were refused for no gain.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -2,7 +2,9 @@
 // Instances. Each Instance follows one bucket for the whole fleet: it fills at
 // the account's rate and is drained by own admissions and by those that peers
 // report. A request is admitted while the level is above zero, whatever its
-// size; the level may go below zero and is then repaid by the rate.
+// size; the level may go below zero and is then repaid by the rate. Meanwhile small
+// requests still pass: they hardly count, and their callers need not suffer from the
+// large ones of the same account.
 //
 // The fleet exceeds the allowance by at most what arrives between two reports. In a
 // large fleet the time between two full reports is seconds, so an account that is
@@ -83,6 +85,15 @@
 	}
 }
 
+const (
+	// smallRequest is the part of the burst up to which a request is small: calls of
+	// 200 tokens beside streams of 10,000, at a burst of 160,000.
+	smallRequest = 0.01
+	// smallDebt is the part of the burst by which small requests may take the level
+	// below zero. A tenth of a window's allowance may be exceeded, which is more.
+	smallDebt = 0.5
+)
+
 // Admit asks for tokens of an account. When they are refused it returns the time
 // after which the level is above zero again.
 func (q *Quota) Admit(now core.Instant, id core.AccountID, tokens int64) (bool, time.Duration) {
@@ -91,8 +102,12 @@
 		return true, 0
 	}
 	q.fill(now, id, a)
-	if a.level <= 0 {
-		return false, time.Duration(-a.level / float64(a.limit.Rate) * float64(time.Second))
+	lowest := 0.0
+	if float64(tokens) <= smallRequest*float64(a.limit.Burst) {
+		lowest = -smallDebt * q.burst(a)
+	}
+	if a.level <= lowest {
+		return false, time.Duration((lowest - a.level) / float64(a.limit.Rate) * float64(time.Second))
 	}
 	a.level -= float64(tokens)
 	a.admitted += tokens
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -70,6 +70,30 @@
 	is.Equal(len(q.Urgent(now)), 0)
 }
 
+// Guards against calls of a few tokens that are refused because one large request has
+// taken the level below zero, and against a flood of them that has no limit.
+func TestSmallRequestsPassADebt(t *testing.T) {
+	is := is.New(t)
+	q := New(ref("self", 2))
+	q.SetLimit(at(0), customer, Limit{Rate: 100_000, Burst: 100_000})
+	now := at(time.Second)
+	for range 11 {
+		q.Admit(now, customer, 10_000) // the last one finds an empty bucket
+	}
+	admitted, _ := q.Admit(now, customer, 10_000)
+	is.True(!admitted)
+	passed := 0
+	for ok := true; ok; {
+		if ok, _ = q.Admit(now, customer, 200); ok {
+			passed++
+		}
+	}
+	is.Equal(passed, 250)
+
+	admitted, _ = q.Admit(now.Add(10*time.Millisecond), customer, 200)
+	is.True(admitted)
+}
+
 // fleet plays Instances that admit as much as they can and report to each other.
 type fleet struct {
 	limit     Limit
