hosted: the log says the longest pause of each stream

A stream is late for its caller when its first event is late or when it pauses for longer than the route allows; the log only told the first. 'request: complete' now has longest_pause.

--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -227,6 +227,8 @@
 	var events eventSplitter
 	buffer := make([]byte, relayBuffer)
 	first := true
+	var last time.Time
+	var longestPause time.Duration
 	for {
 		answered.SetReadDeadline(time.Now().Add(e.EventWithin))
 		n, err := answered.Read(buffer)
@@ -239,17 +241,21 @@
 			})
 		}
 		if len(part) > 0 {
+			arrived := time.Now()
 			if first {
 				first = false
 				d.post(router.FirstToken{Request: c.id, Attempt: e.Attempt})
+			} else {
+				longestPause = max(longestPause, arrived.Sub(last))
 			}
+			last = arrived
 			if failure := c.answer.send(part); failure != nil {
 				d.post(router.CallerGone{Request: c.id})
 				return
 			}
 		}
 		if err == io.EOF && events.empty() {
-			d.post(router.AnswerEnded{Request: c.id, Attempt: e.Attempt, Status: answered.Status})
+			d.post(router.AnswerEnded{Request: c.id, Attempt: e.Attempt, Status: answered.Status, LongestPause: longestPause})
 			return
 		}
 		if err != nil {
--- a/pkg/router/event.go
+++ b/pkg/router/event.go
@@ -127,6 +127,9 @@
 	BetweenTokens time.Duration
 	// Status is the HTTP status of a plain call.
 	Status int
+	// LongestPause is the longest time between two parts of a stream, 0 for an answer
+	// that isn't one.
+	LongestPause time.Duration
 }
 
 // AttemptFailed says that an attempt ended without a whole answer.
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -392,7 +392,7 @@
 	h.emit(Complete{Request: f.request.ID})
 	detail := fmt.Sprintf("status=%d took=%s runs=%d", e.Status, now.Sub(f.arrived), f.hosted.runs)
 	if f.firstToken != 0 {
-		detail += " first_event=" + f.firstToken.Sub(f.arrived).String()
+		detail += " first_event=" + f.firstToken.Sub(f.arrived).String() + " longest_pause=" + e.LongestPause.String()
 	}
 	h.recordAt(now, "request", "complete", f, f.hosted.decode.ID, detail)
 	h.observe(f, "", e.Tokens)
