hosted: metrics for goodput, answer times, pauses, failed calls, resends and levels

Cause: the users' on-call engineers have logs and metrics only; a hosted instance fed five instruments, without targets, so goodput equalled answers, and plain calls counted as first tokens of 0 s.

Change: the reducer tells the outcome of each request with its route's targets; answer times of plain services and the longest pause of a stream have histograms, failed calls, resends and callers that left counters, and instances heard, configuration in force, lost watches and queue lengths gauges. Refusals before an account is asked count by code, not as refusals inside a rate.

A test counts a good, a late, a failed and a refused request and looks for the key; it failed before for all lines but answers and refusals.

Left: plain calls of the product's own wire still count as first tokens of 0 s.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -345,6 +345,15 @@
 // Waiting returns the number of waiting jobs.
 func (d *Dispatcher) Waiting() int { return len(d.queue) }
 
+// WaitingFor returns the number of waiting jobs of each service that has any.
+func (d *Dispatcher) WaitingFor() map[core.ServiceName]int {
+	waiting := map[core.ServiceName]int{}
+	for _, j := range d.queue {
+		waiting[j.Service]++
+	}
+	return waiting
+}
+
 // run places the jobs of the queue in order. A job that finds no place does not
 // keep back those behind it that need another service or less room.
 func (d *Dispatcher) run(now core.Instant) []Output {
--- a/pkg/hosted/border_test.go
+++ b/pkg/hosted/border_test.go
@@ -184,7 +184,8 @@
 	t.Helper()
 	settings = Settings{
 		Instance: "one", DataCentre: "a", Region: "r", DataCentres: map[core.DataCentreName]core.RegionName{"a": "r"},
-		CallerAddr: freeAddr(t), ReadyAddr: freeAddr(t), DirectoryAddr: freeAddr(t), PeerAddr: freeAddr(t), Store: "none:1",
+		MetricsAddr: freeAddr(t),
+		CallerAddr:  freeAddr(t), ReadyAddr: freeAddr(t), DirectoryAddr: freeAddr(t), PeerAddr: freeAddr(t), Store: "none:1",
 		GraceSeconds: 4, AddressesMaxSeconds: 0.05, RetryRatio: 0.2, RetryAllowance: 10, RetryWindowSeconds: 10,
 	}
 	border := Border{Callers: fakeCallers{}, Engines: &fakeEngines{pool: upstream.NewPool(upstream.PoolOptions{})}, Store: store}
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -41,6 +41,9 @@
 	// timelineSize is the number of events that an Instance keeps: some minutes at
 	// 20 requests a second.
 	timelineSize = 4_000
+	// gaugeEvery is the time between two looks at the levels for the metrics, which
+	// are read every few seconds.
+	gaugeEvery = 250 * time.Millisecond
 	// sweepEvery is the time between two searches for unused connections.
 	sweepEvery = time.Second
 	// maxHeaderBytes bounds the header of a caller's request, above what
@@ -72,6 +75,7 @@
 	upstreams atomic.Pointer[upstreamList]
 	leaving   atomic.Bool
 	heard     atomic.Int64 // Instances that are heard, this one included
+	gauged    time.Time    // when the gauges were read, used by the loop alone
 	asks      sync.Map     // number of the question -> chan router.CallerAddresses
 	askNumber atomic.Uint64
 
@@ -301,8 +305,15 @@
 	for _, effect := range d.router.Step(d.now(), event) {
 		d.perform(ctx, effect)
 	}
-	if _, tick := event.(router.Tick); tick {
-		d.heard.Store(int64(d.router.HeardInstances()))
+	if _, tick := event.(router.Tick); tick && time.Since(d.gauged) >= gaugeEvery {
+		d.gauged = time.Now()
+		gauges := d.router.HostedGauges()
+		d.heard.Store(int64(gauges.Heard))
+		d.metrics.InstancesHeard(gauges.Heard)
+		d.metrics.ConfigVersion(gauges.Version)
+		for service, n := range gauges.Waiting {
+			d.metrics.QueueLength(service, n)
+		}
 	}
 }
 
@@ -372,12 +383,22 @@
 	if o.WastedPrefillTokens > 0 {
 		d.metrics.WastedPrefill(o.Service, int64(o.WastedPrefillTokens))
 	}
+	outcome := o.Hosted
 	switch {
 	case o.CallerGone:
+		d.metrics.CallerGone(o.Service)
 	case o.Code != "":
 		d.metrics.Refused(o.Service, o.Account, o.Code, o.InsideRate)
+	case outcome.Failure != "":
+		d.metrics.UpstreamFailed(o.Service, string(outcome.Failure))
+	case outcome.Resent:
+		d.metrics.Resent(o.Service)
 	default:
-		d.metrics.Answered(telemetry.Answer{Service: o.Service, Account: o.Account, FirstToken: o.FirstToken})
+		d.metrics.Answered(telemetry.Answer{
+			Service: o.Service, Account: o.Account, Failed: outcome.Status >= http.StatusInternalServerError,
+			Plain: outcome.Plain, Took: outcome.Took, FirstToken: o.FirstToken, FirstTokenTarget: outcome.Target,
+			LongestPause: outcome.LongestPause, PauseTarget: outcome.PauseTarget,
+		})
 	}
 }
 
--- a/pkg/hosted/daemon_test.go
+++ b/pkg/hosted/daemon_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -81,3 +82,57 @@
 		t.Fatal("the daemon did not stop after its last answer")
 	}
 }
+
+// Guards against a failed, a late or a refused request that the metrics count as
+// well served, and against a key among the labels.
+func TestMetrics(t *testing.T) {
+	is := is.New(t)
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/p/late":
+			time.Sleep(50 * time.Millisecond)
+		case "/p/failed":
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	}))
+	defer service.Close()
+	routing := plainRouting(7)
+	routing.Routes[0].Target = 40 * time.Millisecond
+	store := newFakeStore(routing, catalog.Upstream{ID: "s1", Service: "s", Addr: strings.TrimPrefix(service.URL, "http://"), DataCentre: "a"})
+	settings, _, _ := startDaemon(t, store)
+	for i, path := range []string{"/p/good", "/p/late", "/p/failed", "/unknown"} {
+		request, err := http.NewRequest(http.MethodGet, "http://"+settings.CallerAddr+path, nil)
+		is.NoErr(err)
+		request.Host = "h"
+		request.Header.Set("X-Id", fmt.Sprint(i))
+		request.Header.Set("Authorization", "Bearer secret")
+		response, err := http.DefaultClient.Do(request)
+		is.NoErr(err)
+		response.Body.Close()
+	}
+	time.Sleep(2 * gaugeEvery)
+	response, err := http.Get("http://" + settings.MetricsAddr + "/metrics")
+	is.NoErr(err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	for _, line := range []string{
+		`rhubarbsill_answers_total{service="s"} 3`,
+		`rhubarbsill_goodput_total{service="s"} 1`,
+		`rhubarbsill_answer_time_seconds_count{service="s"} 3`,
+		`rhubarbsill_answer_time_seconds_bucket{service="s",le="0.05"} 2`,
+		`rhubarbsill_refusals_total{code="unknown_route",service=""} 1`,
+		`rhubarbsill_config_version 7`,
+		`rhubarbsill_instances_heard 1`,
+		`rhubarbsill_queue_length{service="s"} 0`,
+	} {
+		if !strings.Contains(string(text), line) {
+			t.Errorf("%s is missing", line)
+		}
+	}
+	is.True(!strings.Contains(string(text), "rhubarbsill_refusals_inside_rate_total"))
+	is.True(!strings.Contains(string(text), "secret"))
+	if t.Failed() {
+		t.Logf("%s", text)
+	}
+}
--- a/pkg/hosted/follow.go
+++ b/pkg/hosted/follow.go
@@ -72,6 +72,7 @@
 	l.failing++
 	if l.failing == 1 {
 		telemetry.Component(l.daemon.log, "store").Warn("lost", zap.String("what", l.what), zap.Error(err))
+		l.daemon.metrics.StoreLost(l.what, true)
 	}
 	l.daemon.post(router.StoreDisturbed{})
 	l.pause = min(max(firstBackoff, 2*l.pause), maxBackoff)
@@ -81,6 +82,7 @@
 func (l *storeLink) worked() {
 	if l.failing > 0 {
 		telemetry.Component(l.daemon.log, "store").Info("regained", zap.String("what", l.what), zap.Int("failed_calls", l.failing))
+		l.daemon.metrics.StoreLost(l.what, false)
 	}
 	l.failing = 0
 	l.pause = 0
--- a/pkg/router/effect.go
+++ b/pkg/router/effect.go
@@ -229,6 +229,8 @@
 	BetweenTokens time.Duration
 	Targets       config.Targets
 	OutputTokens  int
+	// Hosted is set for a request of a hosted Instance.
+	Hosted *HostedOutcome
 	// WastedPrefillTokens counts prompt tokens whose prefill led to no answer.
 	WastedPrefillTokens int
 }
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -298,5 +298,22 @@
 // may be called from any goroutine.
 func (r *Router) HostedMember() fleet.Member { return r.hosted.params.Member }
 
-// HeardInstances is the number of Instances that are heard, this one included.
-func (r *Router) HeardInstances() int { return r.hosted.fleet.HeardCount() }
+// HostedGauges are levels that the metrics show.
+type HostedGauges struct {
+	// Heard is the number of Instances that are heard, this one included.
+	Heard int
+	// Version is the configuration in force, 0 for none.
+	Version core.Version
+	// Waiting counts the requests that wait for an Upstream, per service.
+	Waiting map[core.ServiceName]int
+}
+
+// HostedGauges returns the levels of a hosted Instance.
+func (r *Router) HostedGauges() HostedGauges {
+	h := r.hosted
+	waiting := h.dispatch.WaitingFor()
+	for name := range h.services {
+		waiting[name] += 0
+	}
+	return HostedGauges{Heard: h.fleet.HeardCount(), Version: h.version(), Waiting: waiting}
+}
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
@@ -159,3 +160,24 @@
 func (RoutingInForce) effect()   {}
 func (UpstreamsInForce) effect() {}
 func (Leaving) effect()          {}
+
+// HostedOutcome is what the metrics of a hosted Instance count.
+type HostedOutcome struct {
+	// Failure is the kind of a failed call to an Upstream. The request may go on:
+	// the other fields are not set then.
+	Failure attempts.FailureKind
+	// Resent says that the request was sent to another Upstream.
+	Resent bool
+	// Plain says that the answer is that of a plain service.
+	Plain bool
+	// Took is the time from the arrival to the end of the answer.
+	Took time.Duration
+	// LongestPause is the longest pause of a stream.
+	LongestPause time.Duration
+	// Target is the time to the answer, or to the first event of a stream, and
+	// PauseTarget bounds the pauses of a stream. 0 means that there is none.
+	Target      time.Duration
+	PauseTarget time.Duration
+	// Status is the HTTP status of the answer.
+	Status int
+}
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -54,12 +54,15 @@
 	f := &flow{request: q, arrived: now, startBefore: core.Never, promptTokens: q.PromptTokens, hosted: &hostedFlow{stage: stageWaiting}}
 	if refusal := h.authorize(f); refusal != nil {
 		h.emit(Refuse{Request: q.ID, Refusal: refusal})
+		// No account was asked for it, so it is not one that was refused inside its rate.
+		h.emit(Observe{Observation: Observation{Account: f.accountID(), Service: f.service.Name, Code: refusal.Code}})
 		h.record(now, "request", "refused", f, h.refusalDetail(refusal, "host="+q.Host+" path="+q.Path))
 		return
 	}
 	if c := h.crashes[q.Fingerprint]; c != nil && c.count() >= crashLimit && now < c.until {
 		refusal := core.Refuse(core.CodeNoCapacity, "the request has ended the Upstreams that ran it")
 		h.emit(Refuse{Request: q.ID, Refusal: refusal})
+		h.observe(f, refusal.Code, 0)
 		h.record(now, "request", "refused", f, h.refusalDetail(refusal, fmt.Sprintf("crashes=%d", c.count())))
 		return
 	}
@@ -395,7 +398,13 @@
 		detail += " first_event=" + f.firstToken.Sub(f.arrived).String() + " longest_pause=" + e.LongestPause.String()
 	}
 	h.recordAt(now, "request", "complete", f, f.hosted.decode.ID, detail)
-	h.observe(f, "", e.Tokens)
+	h.emit(Observe{Observation: Observation{
+		Account: f.accountID(), Service: f.service.Name, FirstToken: f.firstToken.Sub(f.arrived),
+		Hosted: &HostedOutcome{
+			Plain: f.hosted.service.Engine == nil, Took: now.Sub(f.arrived), LongestPause: e.LongestPause,
+			Target: f.hosted.route.Target, PauseTarget: f.hosted.route.Gap, Status: e.Status,
+		},
+	}})
 	h.end(now, f)
 }
 
@@ -417,11 +426,11 @@
 	}
 	h.record(now, "request", "caller_gone", f, "stage="+string(f.hosted.stage))
 	h.cancelAttempt(f)
-	if f.firstToken == 0 && f.prefilled > 0 {
-		h.emit(Observe{Observation: Observation{
-			Account: f.accountID(), Service: f.service.Name, CallerGone: true, WastedPrefillTokens: f.prefilled,
-		}})
+	gone := Observation{Account: f.accountID(), Service: f.service.Name, CallerGone: true}
+	if f.firstToken == 0 {
+		gone.WastedPrefillTokens = f.prefilled
 	}
+	h.emit(Observe{Observation: gone})
 	h.giveBack(now, f)
 	h.emit(Dropped{Request: id})
 	h.end(now, f)
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -19,6 +19,7 @@
 	}
 	failure := e.Failure
 	h.noteFailure(now, f, failure)
+	h.emit(Observe{Observation: Observation{Service: f.service.Name, Hosted: &HostedOutcome{Failure: failure.Kind}}})
 	h.recordAt(now, "dispatch", "failed", f, failure.Upstream, fmt.Sprintf("stage=%s kind=%s sent=%t rejected=%t began=%t runs=%d",
 		f.hosted.stage, failure.Kind, failure.Sent, failure.Rejected, f.firstToken != 0, f.hosted.runs))
 	if f.hosted.stage == stagePrefill {
@@ -91,6 +92,7 @@
 	if !failure.Rejected || failure.Kind != attempts.FailKVGone {
 		f.avoid = append(f.avoid, failure.Upstream)
 	}
+	h.emit(Observe{Observation: Observation{Service: f.service.Name, Hosted: &HostedOutcome{Resent: true}}})
 	h.applyDispatch(now, h.dispatch.Release(now, f.request.ID))
 	h.submit(now, f)
 }
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -39,20 +39,33 @@
 	Account       core.AccountID
 	FirstToken    time.Duration
 	BetweenTokens time.Duration
-	Tokens        int64
+	Tokens        int64 // 0 where they are not counted
 	// FirstTokenTarget and BetweenTokensTarget are the targets of the service;
 	// 0 means that there is none.
 	FirstTokenTarget    time.Duration
 	BetweenTokensTarget time.Duration
+	// Plain says that the answer is that of a plain service: Took, the time to its
+	// end, takes the place of FirstToken.
+	Plain bool
+	Took  time.Duration
+	// LongestPause is the longest pause of a stream whose tokens are not counted.
+	LongestPause time.Duration
+	PauseTarget  time.Duration // 0 means that there is none
+	// Failed says that the Upstream has answered with a failure.
+	Failed bool
 }
 
-// WithinTargets reports whether the answer met both latency targets.
+// WithinTargets reports whether the answer met its latency targets.
 func (a Answer) WithinTargets() bool {
-	first := a.FirstTokenTarget == 0 || a.FirstToken <= a.FirstTokenTarget
-	between := a.BetweenTokensTarget == 0 || a.BetweenTokens <= a.BetweenTokensTarget
-	return first && between
+	start := a.FirstToken
+	if a.Plain {
+		start = a.Took
+	}
+	return !a.Failed && within(start, a.FirstTokenTarget) && within(a.BetweenTokens, a.BetweenTokensTarget) && within(a.LongestPause, a.PauseTarget)
 }
 
+func within(took, target time.Duration) bool { return target == 0 || took <= target }
+
 // Direction is the direction of control traffic.
 type Direction string
 
@@ -86,6 +99,15 @@
 	controlBytes  metric.Int64Counter
 	lateAnswers   metric.Int64Counter
 	queueLength   metric.Int64Gauge
+
+	answerTime       metric.Float64Histogram
+	longestPause     metric.Float64Histogram
+	callersGone      metric.Int64Counter
+	upstreamFailures metric.Int64Counter
+	resends          metric.Int64Counter
+	instancesHeard   metric.Int64Gauge
+	configVersion    metric.Int64Gauge
+	storeLost        metric.Int64Gauge
 }
 
 // New creates the instruments and the Prometheus exporter.
@@ -121,6 +143,14 @@
 	m.controlBytes = b.counter("control", "By", "Bytes of traffic with peers and the platform by direction.")
 	m.lateAnswers = b.counter("late_answers_dropped", "{answer}", "Answers that arrived after their attempt had ended.")
 	m.queueLength = b.gauge("queue_length", "{request}", "Requests that wait for an engine.")
+	m.answerTime = b.histogram("answer_time", "Time from arrival to the end of the answer of a plain service.", 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10)
+	m.longestPause = b.histogram("longest_pause", "Longest pause of a stream.", 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5)
+	m.callersGone = b.counter("callers_gone", "{request}", "Requests whose caller left before the end of the answer.")
+	m.upstreamFailures = b.counter("upstream_failures", "{call}", "Failed calls to upstreams by kind.")
+	m.resends = b.counter("resends", "{request}", "Requests sent to another upstream after a failed call.")
+	m.instancesHeard = b.gauge("instances_heard", "{instance}", "Instances that are heard, this one included.")
+	m.configVersion = b.gauge("config_version", "{version}", "Configuration version in force, 0 for none.")
+	m.storeLost = b.gauge("store_lost", "{watch}", "1 while a watch of the store fails.")
 	b.observe("worst_account_service", "1", "Share of requests answered within both targets, of the account with the lowest share in the window. 1 when no account has enough requests.", m.accounts.worst)
 	return b.err
 }
@@ -136,8 +166,16 @@
 	ctx := context.Background()
 	service := metric.WithAttributes(serviceLabel(a.Service))
 	m.answers.Add(ctx, 1, service)
-	m.firstToken.Record(ctx, a.FirstToken.Seconds(), service)
-	m.betweenTokens.Record(ctx, a.BetweenTokens.Seconds(), service)
+	switch {
+	case a.Plain:
+		m.answerTime.Record(ctx, a.Took.Seconds(), service)
+	case a.Tokens > 0:
+		m.firstToken.Record(ctx, a.FirstToken.Seconds(), service)
+		m.betweenTokens.Record(ctx, a.BetweenTokens.Seconds(), service)
+	default:
+		m.firstToken.Record(ctx, a.FirstToken.Seconds(), service)
+		m.longestPause.Record(ctx, a.LongestPause.Seconds(), service)
+	}
 	good := a.WithinTargets()
 	if good {
 		m.goodput.Add(ctx, 1, service)
@@ -189,6 +227,38 @@
 	m.queueLength.Record(context.Background(), int64(n), metric.WithAttributes(serviceLabel(service)))
 }
 
+// CallerGone records a request whose caller left.
+func (m *Metrics) CallerGone(service core.ServiceName) {
+	m.callersGone.Add(context.Background(), 1, metric.WithAttributes(serviceLabel(service)))
+}
+
+// UpstreamFailed records a failed call to an Upstream.
+func (m *Metrics) UpstreamFailed(service core.ServiceName, kind string) {
+	m.upstreamFailures.Add(context.Background(), 1, metric.WithAttributes(serviceLabel(service), attribute.String("kind", kind)))
+}
+
+// Resent records a request that was sent to another Upstream.
+func (m *Metrics) Resent(service core.ServiceName) {
+	m.resends.Add(context.Background(), 1, metric.WithAttributes(serviceLabel(service)))
+}
+
+// InstancesHeard records the number of Instances that are heard.
+func (m *Metrics) InstancesHeard(n int) { m.instancesHeard.Record(context.Background(), int64(n)) }
+
+// ConfigVersion records the configuration in force.
+func (m *Metrics) ConfigVersion(v core.Version) {
+	m.configVersion.Record(context.Background(), int64(v))
+}
+
+// StoreLost records whether a watch of the store fails.
+func (m *Metrics) StoreLost(what string, lost bool) {
+	value := int64(0)
+	if lost {
+		value = 1
+	}
+	m.storeLost.Record(context.Background(), value, metric.WithAttributes(attribute.String("what", what)))
+}
+
 func serviceLabel(name core.ServiceName) attribute.KeyValue {
 	return attribute.String("service", string(name))
 }
