--- a/cmd/rhubarbsill-lab/main.go
+++ b/cmd/rhubarbsill-lab/main.go
@@ -29,7 +29,7 @@
 		Short:        "Run fakes of the platform, engines and plain services for tests and trials",
 		SilenceUsage: true,
 	}
-	root.AddCommand(platformCommand(), engineCommand(), plainCommand(), upCommand(), measureCommand(), capacityCommand())
+	root.AddCommand(platformCommand(), engineCommand(), plainCommand(), upCommand(), measureCommand(), capacityCommand(), playCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
--- /dev/null
+++ b/pkg/lab/hostedsim/experiment.go
@@ -0,0 +1,228 @@
+package hostedsim
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/joomcode/errorx"
+	"github.com/tailscale/hujson"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Experiment describes a site, its load and its faults.
+type Experiment struct {
+	Seed    uint64  `json:"seed"`
+	Seconds float64 `json:"seconds"`
+	// DataCentres names the region of each.
+	DataCentres map[core.DataCentreName]core.RegionName `json:"data_centres"`
+
+	// The following are counts in each DataCentre.
+	Instances      int `json:"instances"`
+	PrefillEngines int `json:"prefill_engines"`
+	DecodeEngines  int `json:"decode_engines"`
+	PlainUpstreams int `json:"plain_upstreams"`
+
+	Engine   EngineSettings    `json:"engine"`
+	Plain    PlainSettings     `json:"plain"`
+	Streams  Load              `json:"streams"`
+	Calls    Load              `json:"calls"`
+	Accounts []AccountSettings `json:"accounts"`
+	Faults   []Fault           `json:"faults"`
+}
+
+// EngineSettings describe each model engine.
+type EngineSettings struct {
+	Slots                  int     `json:"slots"`
+	MemoryTokens           int     `json:"memory_tokens"`
+	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
+	// An event of a stream takes EventMS and EventMSPerStream more for each stream
+	// that the engine runs.
+	EventMS          float64 `json:"event_ms"`
+	EventMSPerStream float64 `json:"event_ms_per_stream"`
+	EventTokens      int     `json:"event_tokens"`
+}
+
+// PlainSettings describe each Upstream of the plain service.
+type PlainSettings struct {
+	Slots  int     `json:"slots"`
+	WorkMS float64 `json:"work_ms"`
+}
+
+// Load is one kind of request.
+type Load struct {
+	PerSecond float64 `json:"per_second"`
+	// PromptTokens and OutputTokens are means; single requests have from 0.3 to 1.7
+	// times as many.
+	PromptTokens int `json:"prompt_tokens"`
+	OutputTokens int `json:"output_tokens"`
+	// TargetMS is the time to the answer or to the first event, PauseMS the longest
+	// pause that is on time, TimeoutMS the end of the request.
+	TargetMS  float64 `json:"target_ms"`
+	PauseMS   float64 `json:"pause_ms"`
+	TimeoutMS float64 `json:"timeout_ms"`
+	// Repeatable requests may run more than once.
+	Repeatable bool `json:"repeatable"`
+	// Retries is the number of times that a caller comes back.
+	Retries int `json:"retries"`
+}
+
+// AccountSettings describe a ClientAccount.
+type AccountSettings struct {
+	Name core.AccountID `json:"name"`
+	// Share is its part of the load, relative to the others.
+	Share float64 `json:"share"`
+	// Rate and Burst are tokens, 0 for no limit.
+	Rate  int64 `json:"rate"`
+	Burst int64 `json:"burst"`
+}
+
+// FaultKind names a disturbance.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	// FaultBurst multiplies the load by X, that of one account if one is named.
+	FaultBurst FaultKind = "burst"
+	// FaultEngineCrash ends Count decode engines, which return at the end.
+	FaultEngineCrash FaultKind = "engine_crash"
+	// FaultEngineSlow makes Count decode engines X times slower.
+	FaultEngineSlow FaultKind = "engine_slow"
+	// FaultInstanceKill ends Count Instances, which return at the end.
+	FaultInstanceKill FaultKind = "instance_kill"
+	// FaultRegionCut loses all messages between regions.
+	FaultRegionCut FaultKind = "region_cut"
+)
+
+// Fault is one disturbance.
+type Fault struct {
+	Kind    FaultKind      `json:"kind"`
+	At      float64        `json:"at_seconds"`
+	For     float64        `json:"for_seconds"`
+	Count   int            `json:"count"`
+	X       float64        `json:"x"`
+	Account core.AccountID `json:"account"`
+}
+
+// Small returns a site of eight Instances at half of its capacity.
+func Small() Experiment {
+	return Experiment{
+		Seed: 1, Seconds: 20,
+		DataCentres: map[core.DataCentreName]core.RegionName{"east-1": "east", "east-2": "east", "west-1": "west", "west-2": "west"},
+		Instances:   2, PrefillEngines: 1, DecodeEngines: 3, PlainUpstreams: 2,
+		Engine:  EngineSettings{Slots: 12, MemoryTokens: 70_000, PrefillTokensPerSecond: 55_000, EventMS: 30, EventMSPerStream: 3, EventTokens: 50},
+		Plain:   PlainSettings{Slots: 6, WorkMS: 15},
+		Streams: Load{PerSecond: 12, PromptTokens: 5000, OutputTokens: 2500, TargetMS: 900, PauseMS: 300, TimeoutMS: 14_000, Repeatable: true, Retries: 1},
+		Calls:   Load{PerSecond: 40, TargetMS: 200, TimeoutMS: 1200, Retries: 1},
+		Accounts: []AccountSettings{
+			{Name: "bakery", Share: 3, Rate: 160_000, Burst: 160_000}, {Name: "tavern", Share: 1, Rate: 80_000, Burst: 80_000},
+		},
+	}
+}
+
+// ReadExperiment reads an experiment from a file of JSON with comments. What the
+// file leaves out is as in Small.
+func ReadExperiment(path string) (Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Experiment{}, fmt.Errorf("experiment: %w", err)
+	}
+	standard, err := hujson.Standardize(text)
+	if err != nil {
+		return Experiment{}, fmt.Errorf("experiment %s: %w", path, err)
+	}
+	x := Small()
+	var named struct {
+		DataCentres json.RawMessage `json:"data_centres"`
+		Accounts    json.RawMessage `json:"accounts"`
+	}
+	if err := json.Unmarshal(standard, &named); err != nil {
+		return Experiment{}, fmt.Errorf("experiment %s: %w", path, err)
+	}
+	// The file replaces these, it doesn't add to them.
+	if named.DataCentres != nil {
+		x.DataCentres = nil
+	}
+	if named.Accounts != nil {
+		x.Accounts = nil
+	}
+	if err := json.Unmarshal(standard, &x); err != nil {
+		return Experiment{}, fmt.Errorf("experiment %s: %w", path, err)
+	}
+	if err := x.Check(); err != nil {
+		return Experiment{}, fmt.Errorf("experiment %s: %w", path, err)
+	}
+	return x, nil
+}
+
+const (
+	// maxInstances and maxSeconds bound a run to minutes.
+	maxInstances = 400
+	maxSeconds   = 600
+)
+
+// Check returns every finding.
+func (x Experiment) Check() error {
+	var findings []error
+	add := func(format string, args ...any) {
+		findings = append(findings, errorx.IllegalArgument.New(format, args...))
+	}
+	if x.Seconds <= 0 || x.Seconds > maxSeconds {
+		add("seconds: %v must be above 0 and at most %d", x.Seconds, maxSeconds)
+	}
+	if len(x.DataCentres) == 0 {
+		add("data_centres: at least one is needed")
+	}
+	if n := x.Instances * len(x.DataCentres); x.Instances < 1 || n > maxInstances {
+		add("instances: %d in all must be 1 in each data centre and at most %d in all", n, maxInstances)
+	}
+	if x.PrefillEngines < 0 || x.DecodeEngines < 0 || x.PlainUpstreams < 0 {
+		add("prefill_engines, decode_engines, plain_upstreams: must not be negative")
+	}
+	if x.Engine.Slots < 1 || x.Engine.MemoryTokens < 1 || x.Engine.PrefillTokensPerSecond <= 0 || x.Engine.EventTokens < 1 || x.Engine.EventMS <= 0 {
+		add("engine: slots, memory_tokens, prefill_tokens_per_second, event_ms and event_tokens must be above 0")
+	}
+	if x.Plain.Slots < 1 || x.Plain.WorkMS <= 0 {
+		add("plain: slots and work_ms must be above 0")
+	}
+	for name, load := range map[string]Load{"streams": x.Streams, "calls": x.Calls} {
+		if load.PerSecond < 0 || load.TargetMS <= 0 || load.TimeoutMS < load.TargetMS {
+			add("%s: per_second must not be negative, target_ms above 0, timeout_ms not below target_ms", name)
+		}
+	}
+	names := map[core.AccountID]bool{}
+	total := 0.0
+	for i, account := range x.Accounts {
+		if account.Name == "" || names[account.Name] {
+			add("accounts[%d].name: %q is empty or used twice", i, account.Name)
+		}
+		names[account.Name] = true
+		if account.Share < 0 || account.Rate < 0 || account.Burst < 0 {
+			add("accounts[%d]: share, rate and burst must not be negative", i)
+		}
+		total += account.Share
+	}
+	if total <= 0 {
+		add("accounts: at least one needs a share above 0")
+	}
+	for i, fault := range x.Faults {
+		switch fault.Kind {
+		case FaultBurst, FaultEngineSlow:
+			if fault.X <= 0 {
+				add("faults[%d].x: %v must be above 0", i, fault.X)
+			}
+		case FaultEngineCrash, FaultInstanceKill, FaultRegionCut:
+		default:
+			add("faults[%d].kind: %q is not a kind of fault", i, fault.Kind)
+		}
+		if fault.At < 0 || fault.For <= 0 {
+			add("faults[%d]: at_seconds must not be negative, for_seconds above 0", i)
+		}
+		if fault.Account != "" && !names[fault.Account] {
+			add("faults[%d].account: %q does not exist", i, fault.Account)
+		}
+	}
+	return errors.Join(findings...)
+}
--- /dev/null
+++ b/pkg/lab/hostedsim/hostedsim_test.go
@@ -0,0 +1,128 @@
+package hostedsim
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func play(t *testing.T, change func(*Experiment)) *Result {
+	t.Helper()
+	x := Small()
+	if change != nil {
+		change(&x)
+	}
+	r, err := Play(x)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text bytes.Buffer
+	if err := r.Print(&text); err != nil {
+		t.Fatal(err)
+	}
+	t.Log("\n" + text.String())
+	for _, broken := range r.Broken {
+		t.Error(broken)
+	}
+	return r
+}
+
+// Guards against refusals, late answers and waste while there is room for all.
+func TestCalmDay(t *testing.T) {
+	is := is.New(t)
+	r := play(t, nil)
+	is.Equal(r.Streams.Refused+r.Streams.Failed+r.Calls.Refused+r.Calls.Failed, 0)
+	is.True(r.Streams.Good() >= 0.95)
+	is.True(r.Calls.Good() >= 0.99)
+	is.Equal(r.WastedPrefill, int64(0))
+}
+
+// Guards against a run that can't be repeated.
+func TestSameSeedSameResult(t *testing.T) {
+	is := is.New(t)
+	faults := func(x *Experiment) {
+		x.Seconds = 8
+		x.Faults = []Fault{{Kind: FaultBurst, At: 1, For: 3, X: 2}, {Kind: FaultEngineCrash, At: 2, For: 3, Count: 2}, {Kind: FaultInstanceKill, At: 3, For: 2}}
+	}
+	first, second := play(t, faults), play(t, faults)
+	is.Equal(first.Windows, second.Windows)
+	is.Equal(first.Messages, second.Messages)
+}
+
+// Guards against a burst of three times the load that leaves the engines idle, makes
+// answers late instead of refusing what can't be served, or reads prompts in vain.
+func TestBurst(t *testing.T) {
+	is := is.New(t)
+	r := play(t, func(x *Experiment) {
+		x.Accounts[0].Rate, x.Accounts[1].Rate = 0, 0
+		x.Faults = []Fault{{Kind: FaultBurst, At: 4, For: 8, X: 6}}
+	})
+	is.True(r.Streams.Good() >= 0.5)
+	is.True(r.Calls.Good() >= 0.95)
+	is.True(float64(r.WastedPrefill) <= 0.02*float64(r.PromptTokens))
+	last := r.Windows[9] // 7 s after the burst
+	is.True(last.Good() >= 0.9)
+}
+
+// Guards against an account whose burst takes the engines from the others, and against
+// an excess over its quota.
+func TestHotAccount(t *testing.T) {
+	is := is.New(t)
+	r := play(t, func(x *Experiment) {
+		x.Accounts[0].Rate, x.Accounts[0].Burst = 80_000, 80_000
+		x.Faults = []Fault{{Kind: FaultBurst, At: 4, For: 10, X: 5, Account: "bakery"}}
+	})
+	is.True(r.QuotaUse <= 1.1)
+	is.True(r.Accounts["tavern"].Good() >= 0.9)
+}
+
+// Guards against streams that are lost with their engine although they may go on
+// elsewhere, and against unsafe calls that run twice.
+func TestEngineCrashes(t *testing.T) {
+	is := is.New(t)
+	r := play(t, func(x *Experiment) {
+		x.Faults = []Fault{{Kind: FaultEngineCrash, At: 5, For: 5, Count: 3}, {Kind: FaultEngineCrash, At: 12, For: 3, Count: 3}}
+	})
+	is.True(r.Streams.Failed <= r.Streams.Asked/50)
+	is.True(r.Streams.Good() >= 0.75)
+}
+
+// Guards against callers that are lost with an Instance, and against quotas that are
+// spent twice when Instances restart or the regions are cut from each other.
+func TestInstancesAndRegions(t *testing.T) {
+	is := is.New(t)
+	r := play(t, func(x *Experiment) {
+		x.Faults = []Fault{
+			{Kind: FaultInstanceKill, At: 3, For: 3, Count: 4},
+			{Kind: FaultRegionCut, At: 8, For: 5},
+			{Kind: FaultInstanceKill, At: 15, For: 1, Count: 8},
+			{Kind: FaultBurst, At: 8, For: 10, X: 4, Account: "bakery"},
+		}
+	})
+	is.True(r.QuotaUse <= 1.1)
+	is.True(r.Accounts["tavern"].Good() >= 0.75)
+}
+
+// Guards against a file whose mistakes are reported one at a time or not at all, and
+// against data centres of the defaults beside those of the file.
+func TestReadExperiment(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "x.jsonc")
+	is.NoErr(os.WriteFile(path, []byte(`{ // comment
+		"data_centres": {"a": "r"}, "seconds": 5, "faults": [{"kind": "burst", "x": 2, "at_seconds": 1, "for_seconds": 1}],
+	}`), 0o600))
+	x, err := ReadExperiment(path)
+	is.NoErr(err)
+	is.Equal(len(x.DataCentres), 1)
+	is.NoErr(os.WriteFile(path, []byte(`{"seconds": -1, "faults": [{"kind": "flood", "at_seconds": 1, "for_seconds": 1}], "accounts": [{"name": ""}]}`), 0o600))
+	_, err = ReadExperiment(path)
+	for _, want := range []string{path, "seconds: -1", `faults[0].kind: "flood"`, "accounts[0].name", "needs a share"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v lacks %q", err, want)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/lab/hostedsim/world.go
@@ -0,0 +1,441 @@
+// Package hostedsim plays hosted Routers against models of engines, plain services
+// and callers in virtual time: the same experiment with the same seed always gives
+// the same result. It judges as the users' platform does, from what callers and
+// Upstreams saw.
+package hostedsim
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
+	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
+	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
+	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
+)
+
+const (
+	modelService = core.ServiceName("llm")
+	plainService = core.ServiceName("plain")
+	host         = "site"
+	streamPath   = "/stream/"
+	callPath     = "/call/"
+	// callTokens is the charge of a plain call.
+	callTokens = 200
+)
+
+// Times of the models, those of the users' sites.
+const (
+	withinDataCentre = 200 * time.Microsecond
+	withinRegion     = 1400 * time.Microsecond
+	betweenRegions   = 30 * time.Millisecond
+	storeTime        = 4 * time.Millisecond
+	// lostCall is when a call that can't reach its Upstream is given up.
+	lostCall = 400 * time.Millisecond
+	// deregistered is the time after which the entry of an ended engine vanishes.
+	deregistered = time.Second
+	// warmUp is the time before the load, in which Instances find each other.
+	warmUp = 3 * time.Second
+)
+
+// World is one run of an experiment.
+type World struct {
+	x         Experiment
+	rng       *rand.Rand
+	now       core.Instant
+	start     core.Instant
+	events    schedule.Queue[core.Instant, func()]
+	routing   *config.Routing
+	instances []*instance
+	byID      map[core.InstanceID]*instance
+	engines   map[core.UpstreamID]*engine
+	plain     map[core.UpstreamID]*plainUpstream
+	revision  uint64
+	cut       bool
+	load      map[core.AccountID]float64 // the factor of each account
+	jobs      map[core.RequestID]*attempt
+	asked     int
+	result    *Result
+}
+
+type instance struct {
+	member fleet.Member
+	router *router.Router
+	alive  bool
+	wake   core.Instant
+	// calls are the calls in progress by attempt.
+	calls map[core.AttemptID]*call
+}
+
+// call is one call of an Instance to an Upstream. ended calls get no further news.
+type call struct {
+	owner   *instance
+	attempt core.AttemptID
+	request *attempt
+	up      core.UpstreamID
+	ended   bool
+	free    func() // ends the work at the Upstream
+}
+
+// Play runs an experiment.
+func Play(x Experiment) (*Result, error) {
+	if err := x.Check(); err != nil {
+		return nil, err
+	}
+	w := newWorld(x)
+	w.run(w.start)
+	w.drive()
+	for _, fault := range x.Faults {
+		w.after(seconds(fault.At), func() { w.strike(fault) })
+	}
+	end := w.start.Add(seconds(x.Seconds))
+	w.run(end)
+	w.run(end.Add(seconds(x.Streams.TimeoutMS/1000) + time.Second)) // what has begun may end
+	w.result.finish(w)
+	return w.result, nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+func millis(ms float64) time.Duration { return seconds(ms / 1000) }
+
+func newWorld(x Experiment) *World {
+	w := &World{
+		x: x, rng: rand.New(rand.NewPCG(x.Seed, 9)), now: core.Instant(time.Hour), revision: 1,
+		byID: map[core.InstanceID]*instance{}, engines: map[core.UpstreamID]*engine{}, plain: map[core.UpstreamID]*plainUpstream{},
+		load: map[core.AccountID]float64{}, jobs: map[core.RequestID]*attempt{}, result: newResult(x),
+	}
+	w.start = w.now.Add(warmUp)
+	w.routing = config.NewRouting(w.configuration())
+	for _, dc := range slices.Sorted(maps.Keys(x.DataCentres)) {
+		for i := range x.DecodeEngines {
+			w.addEngine(core.UpstreamID(fmt.Sprintf("decode-%s-%d", dc, i)), dc, catalog.StageDecode)
+		}
+		for i := range x.PrefillEngines {
+			w.addEngine(core.UpstreamID(fmt.Sprintf("prefill-%s-%d", dc, i)), dc, catalog.StagePrefill)
+		}
+		for i := range x.PlainUpstreams {
+			id := core.UpstreamID(fmt.Sprintf("plain-%s-%d", dc, i))
+			w.plain[id] = &plainUpstream{world: w, id: id, dc: dc}
+		}
+		for i := range x.Instances {
+			ref := core.InstanceRef{ID: core.InstanceID(fmt.Sprintf("%s-%03d", dc, i)), Incarnation: 1}
+			one := &instance{member: fleet.Member{Ref: ref, DataCentre: dc, Region: x.DataCentres[dc]}}
+			w.instances = append(w.instances, one)
+			w.byID[ref.ID] = one
+		}
+	}
+	for _, one := range w.instances {
+		w.after(time.Duration(w.rng.IntN(300))*time.Millisecond, func() { w.boot(one) })
+	}
+	return w
+}
+
+func (w *World) configuration() config.Routing {
+	stream, calls := w.x.Streams, w.x.Calls
+	repeat := config.RepeatNever
+	if calls.Repeatable {
+		repeat = config.RepeatSafe
+	}
+	r := config.Routing{
+		Version: 1,
+		Routes: []config.HostRoute{{
+			Host: host, Prefix: streamPath, Repeat: config.RepeatNever, Streaming: true, Resumable: stream.Repeatable, MaxUpstreams: 2,
+			Timeout: millis(stream.TimeoutMS), Target: millis(stream.TargetMS), Gap: millis(stream.PauseMS),
+			Split: []config.ServiceShare{{Service: modelService, Weight: 1}},
+		}, {
+			Host: host, Prefix: callPath, Repeat: repeat, MaxUpstreams: 2, Timeout: millis(calls.TimeoutMS), Target: millis(calls.TargetMS),
+			Split: []config.ServiceShare{{Service: plainService, Weight: 1}},
+		}},
+		Services: []config.HostedService{{
+			Name:   modelService,
+			Engine: &config.EngineProfile{Slots: w.x.Engine.Slots, MemoryTokens: w.x.Engine.MemoryTokens, HoldFor: 2 * time.Second},
+		}, {Name: plainService}},
+	}
+	for _, account := range w.x.Accounts {
+		r.Accounts = append(r.Accounts, config.HostedAccount{
+			ID: account.Name, Keys: []config.KeyDigest{keyOf(account.Name)}, Rate: account.Rate, Burst: account.Burst, PlainTokens: callTokens,
+		})
+		w.load[account.Name] = 1
+	}
+	return r
+}
+
+func keyOf(account core.AccountID) config.KeyDigest { return config.DigestKey(string(account)) }
+
+func (w *World) after(d time.Duration, run func()) { w.events.Add(w.now.Add(d), run) }
+
+func (w *World) run(end core.Instant) {
+	for {
+		event, at, due := w.events.PopDue(end)
+		if !due {
+			break
+		}
+		w.now = at
+		event()
+	}
+	w.now = end
+}
+
+func (w *World) boot(one *instance) {
+	one.alive = true
+	one.wake = core.Never
+	one.calls = map[core.AttemptID]*call{}
+	one.router = router.New(router.Params{
+		Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 1)), Random: bytes.NewReader(nil),
+		Hosted: &router.HostedParams{
+			Member: one.member, Dispatch: dispatch.Params{Regions: w.x.DataCentres},
+			Retry:        retry.Params{Ratio: 0.2, Allowance: 56, Window: 10 * time.Second},
+			AddressesFor: time.Second, Grace: 8 * time.Second,
+		},
+	})
+	members := make([]fleet.Member, 0, len(w.instances))
+	for _, other := range w.instances {
+		members = append(members, other.member)
+	}
+	w.step(one, router.MembersListed{Members: members})
+	w.step(one, router.RoutingSeen{Routing: w.routing, Revision: 1})
+	w.step(one, router.UpstreamsListed{Revision: w.revision, Upstreams: w.registered()})
+	w.step(one, router.Tick{})
+}
+
+// registered lists the Upstreams that run.
+func (w *World) registered() []catalog.Upstream {
+	var list []catalog.Upstream
+	for _, id := range slices.Sorted(maps.Keys(w.engines)) {
+		if e := w.engines[id]; e.registered {
+			list = append(list, catalog.Upstream{
+				ID: id, Service: modelService, Addr: string(id), DataCentre: e.dc, Stage: e.stage, Slots: w.x.Engine.Slots, Born: e.born,
+			})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.plain)) {
+		list = append(list, catalog.Upstream{ID: id, Service: plainService, Addr: string(id), DataCentre: w.plain[id].dc, Slots: w.x.Plain.Slots})
+	}
+	return list
+}
+
+// publish tells every Instance of a change of the registered Upstreams.
+func (w *World) publish() {
+	w.revision++
+	revision, list := w.revision, w.registered()
+	for _, one := range w.instances {
+		w.after(storeTime+time.Duration(w.rng.IntN(200))*time.Millisecond, func() {
+			w.step(one, router.UpstreamsListed{Revision: revision, Upstreams: list})
+		})
+	}
+}
+
+// step gives an event to an Instance and carries out the effects.
+func (w *World) step(one *instance, event router.Event) {
+	if !one.alive {
+		return
+	}
+	for _, effect := range one.router.Step(w.now, event) {
+		w.perform(one, effect)
+	}
+	if next := one.router.NextWake(); next < one.wake || one.wake <= w.now {
+		one.wake = max(next, w.now.Add(time.Millisecond))
+		at := one.wake
+		w.events.Add(at, func() {
+			if one.wake == at {
+				w.step(one, router.Tick{})
+			}
+		})
+	}
+}
+
+func (w *World) perform(one *instance, effect router.Effect) {
+	switch e := effect.(type) {
+	case router.TakeHold:
+		w.takeHold(one, e)
+	case router.DropHold:
+		w.toEngine(one, e.Upstream, func(to *engine) { to.dropHold(e.Hold) })
+	case router.DropKV:
+		w.toEngine(one, e.Upstream, func(to *engine) { delete(to.caches, e.KV) })
+	case router.StartPrefill:
+		w.startPrefill(one, e)
+	case router.StartDecode:
+		w.startDecode(one, e)
+	case router.StartCall:
+		w.startCall(one, e)
+	case router.Cancel:
+		if c := one.calls[e.Attempt]; c != nil {
+			w.abandon(c)
+		}
+	case router.Refuse:
+		w.refused(e.Request, e.Refusal)
+	case router.Deliver:
+		w.refused(e.Request, &core.Refusal{Code: core.CodeUpstreamFailed, Ran: core.Unknown})
+	case router.Complete:
+		w.completed(e.Request)
+	case router.SendPeer:
+		w.result.Messages++
+		if to := w.byID[e.To]; to != nil && w.reaches(one.member.DataCentre, to.member.DataCentre) {
+			from := one.member.Ref
+			w.after(w.transit(one.member.DataCentre, to.member.DataCentre), func() {
+				w.step(to, router.PeerReceived{From: from, Message: e.Message})
+			})
+		}
+	case router.ListMembers:
+		w.after(storeTime, func() {
+			members := make([]fleet.Member, 0, len(w.instances))
+			for _, other := range w.instances {
+				members = append(members, other.member)
+			}
+			w.step(one, router.MembersListed{Members: members})
+		})
+	case router.FetchState:
+		w.after(storeTime, func() { w.step(one, router.StateFetched{Kind: e.Kind}) })
+	case router.Observe:
+		w.result.WastedPrefill += int64(e.Observation.WastedPrefillTokens)
+	}
+}
+
+func (w *World) reaches(a, b core.DataCentreName) bool {
+	return !w.cut || w.x.DataCentres[a] == w.x.DataCentres[b]
+}
+
+func (w *World) transit(a, b core.DataCentreName) time.Duration {
+	switch {
+	case a == b:
+		return withinDataCentre
+	case w.x.DataCentres[a] == w.x.DataCentres[b]:
+		return withinRegion
+	}
+	return betweenRegions
+}
+
+// begin opens a call to an Upstream. arrive runs there; a call that can't arrive
+// fails as not sent.
+func (w *World) begin(one *instance, id core.RequestID, attempt core.AttemptID, up core.UpstreamID, dc core.DataCentreName, up2 func() bool, arrive func(*call)) {
+	request := w.jobs[id]
+	if request == nil {
+		return
+	}
+	c := &call{owner: one, attempt: attempt, request: request, up: up}
+	one.calls[attempt] = c
+	if !w.reaches(one.member.DataCentre, dc) {
+		w.after(lostCall, func() { w.fail(c, attempts.FailConnect, false, false) })
+		return
+	}
+	w.after(w.transit(one.member.DataCentre, dc), func() {
+		switch {
+		case c.ended:
+		case !up2():
+			w.fail(c, attempts.FailConnect, false, false)
+		default:
+			arrive(c)
+		}
+	})
+}
+
+// answer ends a call and gives its Instance an event.
+func (w *World) answer(c *call, dc core.DataCentreName, event router.Event) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	w.after(w.transit(dc, c.owner.member.DataCentre), func() {
+		if c.owner.calls[c.attempt] == c {
+			delete(c.owner.calls, c.attempt)
+			w.step(c.owner, event)
+		}
+	})
+}
+
+func (w *World) fail(c *call, kind attempts.FailureKind, sent, rejected bool) {
+	w.answer(c, c.owner.member.DataCentre, router.AttemptFailed{Request: c.request.id, Attempt: c.attempt, Failure: attempts.Failure{
+		Kind: kind, Upstream: c.up, Sent: sent, Rejected: rejected,
+	}})
+}
+
+// abandon ends a call whose Instance no longer wants the answer.
+func (w *World) abandon(c *call) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	delete(c.owner.calls, c.attempt)
+	if c.free != nil {
+		w.after(withinRegion, c.free)
+	}
+}
+
+// strike begins a fault and plans its end.
+func (w *World) strike(f Fault) {
+	length := seconds(f.For)
+	switch f.Kind {
+	case FaultBurst:
+		for name := range w.load {
+			if f.Account == "" || f.Account == name {
+				w.load[name] *= f.X
+				w.after(length, func() { w.load[name] /= f.X })
+			}
+		}
+	case FaultEngineCrash, FaultEngineSlow:
+		var ids []core.UpstreamID
+		for _, id := range slices.Sorted(maps.Keys(w.engines)) {
+			if w.engines[id].stage == catalog.StageDecode {
+				ids = append(ids, id)
+			}
+		}
+		for _, id := range w.choose(ids, f.Count) {
+			e := w.engines[id]
+			if f.Kind == FaultEngineSlow {
+				e.slow *= f.X
+				w.after(length, func() { e.slow /= f.X })
+				continue
+			}
+			e.crash()
+			w.after(length, e.restart)
+		}
+	case FaultInstanceKill:
+		ids := slices.Sorted(maps.Keys(w.byID))
+		for _, id := range choose(w, ids, f.Count) {
+			w.kill(w.byID[id], length)
+		}
+	case FaultRegionCut:
+		w.cut = true
+		w.after(length, func() { w.cut = false })
+	}
+}
+
+func (w *World) choose(ids []core.UpstreamID, n int) []core.UpstreamID { return choose(w, ids, n) }
+
+// choose draws up to n of the list, one when n is 0.
+func choose[T any](w *World, list []T, n int) []T {
+	w.rng.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	return list[:min(len(list), max(1, n))]
+}
+
+// kill ends an Instance. Its callers see their connections break.
+func (w *World) kill(one *instance, length time.Duration) {
+	if !one.alive {
+		return
+	}
+	one.alive = false
+	for _, c := range slices.SortedFunc(maps.Values(one.calls), func(a, b *call) int { return int(a.attempt.Seq) - int(b.attempt.Seq) }) {
+		w.abandon(c)
+	}
+	var broken []*attempt
+	for _, a := range w.jobs {
+		if a.at == one {
+			broken = append(broken, a)
+		}
+	}
+	slices.SortFunc(broken, func(a, b *attempt) int { return a.number - b.number })
+	for _, a := range broken {
+		w.broke(a)
+	}
+	one.member.Ref.Incarnation++
+	w.after(length, func() { w.boot(one) })
+}
