fleet: a region cut spares accounts inside their rate; notes may come in a burst

Change: since the last heartbeat of any member of the data centre; notes have a rate of 200 a second and may run 4 s ahead of it; a peer that is heard again is greeted at once.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -55,8 +55,9 @@
 	defaultEvery = 150 * time.Millisecond
 	// defaultRate keeps the cost of a large fleet at that of 8 Instances.
 	defaultRate = 60.0
-	// defaultNoteRate lets each of 84 Instances tell all others of an account near its
-	// limit every 0.4 s. Notes are sent only while there is news of such accounts.
+	// defaultNoteRate lets each of 330 Instances tell all others of accounts near their
+	// limit every 1.7 s, and for a while every 0.15 s. Notes are sent only while there
+	// is such news.
 	defaultNoteRate = 200.0
 	// defaultSilentAfter tolerates some lost or late heartbeats. Callers that were
 	// sent to a dead Instance lose at most this and the life of the answer.
@@ -77,6 +78,8 @@
 	next   core.Instant // heartbeats
 	// nextCheck is the next look for silent peers.
 	nextCheck core.Instant
+	// notedUntil is when the notes sent so far have used up their rate.
+	notedUntil core.Instant
 }
 
 type peer struct {
@@ -155,7 +158,10 @@
 	p.member = m
 	p.state = s
 	p.heard = now
-	p.silent = false
+	if p.silent {
+		p.silent = false
+		p.greeted = false // it has not heard this Instance for as long
+	}
 	return true
 }
 
@@ -165,7 +171,8 @@
 	Gone   []core.InstanceID
 }
 
-// Silence is a peer that was last heard, or listed without being heard, at Since.
+// Silence is a peer that was last heard, or listed without being heard, at Since. Where
+// its whole DataCentre is not heard, Since is when the last of its members was.
 type Silence struct {
 	ID    core.InstanceID
 	Since core.Instant
@@ -191,7 +198,10 @@
 		case now.Sub(last) > max(f.params.GoneAfter, 2*silentAfter), p.state.Leaving && p.silent:
 			delete(f.peers, id)
 			changes.Gone = append(changes.Gone, id)
-		case !p.silent && (now.Sub(last) > silentAfter || cutOff[p.member.DataCentre]):
+		case !p.silent && cutOff[p.member.DataCentre] != 0:
+			p.silent = true
+			changes.Silent = append(changes.Silent, Silence{ID: id, Since: cutOff[p.member.DataCentre]})
+		case !p.silent && now.Sub(last) > silentAfter:
 			p.silent = true
 			changes.Silent = append(changes.Silent, Silence{ID: id, Since: last})
 		}
@@ -203,10 +213,10 @@
 // at random, leave a gap that silentDataCentres takes for silence.
 const gapMargin = 5
 
-// silentDataCentres returns the other DataCentres of which no member is heard.
-// Together the members send often even where each one sends seldom, so a cut is
+// silentDataCentres returns the other DataCentres of which no member is heard, with
+// the instant at which the last one was. Together the members send often even where each one sends seldom, so a cut is
 // noticed long before silentAfter of each.
-func (f *Fleet) silentDataCentres(now core.Instant) map[core.DataCentreName]bool {
+func (f *Fleet) silentDataCentres(now core.Instant) map[core.DataCentreName]core.Instant {
 	last := map[core.DataCentreName]core.Instant{}
 	members := map[core.DataCentreName]int{}
 	for _, p := range f.peers {
@@ -214,21 +224,29 @@
 		last[dc] = max(last[dc], p.heard, p.listed)
 		members[dc]++
 	}
-	silent := map[core.DataCentreName]bool{}
+	silent := map[core.DataCentreName]core.Instant{}
 	far := float64(f.everyFar())
 	for dc, heard := range last {
 		n := float64(members[dc])
 		gap := time.Duration(far / n * (math.Log(n) + gapMargin))
 		if dc != f.self.DataCentre && now.Sub(heard) > max(f.params.SilentAfter, gap) {
-			silent[dc] = true
+			silent[dc] = heard
 		}
 	}
 	return silent
 }
 
-// NoteEvery is the shortest time between two notes to all peers.
-func (f *Fleet) NoteEvery() time.Duration {
-	return max(f.params.Every, time.Duration(float64(len(f.peers))/f.params.NoteRate*float64(time.Second)))
+// noteBurst is the time for which notes may be sent ahead of their rate: a few in a
+// row to each of 330 Instances.
+const noteBurst = 4 * time.Second
+
+// TakeNote asks to send a note to all peers, and counts it when it is allowed.
+func (f *Fleet) TakeNote(now core.Instant) bool {
+	if f.notedUntil.Sub(now) > noteBurst {
+		return false
+	}
+	f.notedUntil = max(f.notedUntil, now).Add(time.Duration(float64(len(f.peers)) / f.params.NoteRate * float64(time.Second)))
+	return true
 }
 
 // HeardPeers returns the peers that are heard, sorted by name.
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -239,24 +239,34 @@
 // Urgent returns the accounts that are used near their limit and of which this
 // Instance has admitted requests since the last call.
 func (q *Quota) Urgent(now core.Instant) map[core.AccountID]Report {
-	var reports map[core.AccountID]Report
+	reports := map[core.AccountID]Report{}
 	for id, a := range q.accounts {
-		if a.limit.Rate == 0 || a.admitted == a.told {
-			continue
-		}
-		q.fill(now, id, a)
-		if a.level >= tightLevel*q.burst(a) {
-			continue
-		}
-		if reports == nil {
-			reports = map[core.AccountID]Report{}
+		if q.urgent(now, id, a) {
+			a.told = a.admitted
+			reports[id] = Report{Admitted: a.admitted, Level: int64(a.level)}
 		}
-		a.told = a.admitted
-		reports[id] = Report{Admitted: a.admitted, Level: int64(a.level)}
 	}
 	return reports
 }
 
+// HasUrgent reports whether Urgent would return any.
+func (q *Quota) HasUrgent(now core.Instant) bool {
+	for id, a := range q.accounts {
+		if q.urgent(now, id, a) {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Quota) urgent(now core.Instant, id core.AccountID, a *account) bool {
+	if a.limit.Rate == 0 || a.admitted == a.told {
+		return false
+	}
+	q.fill(now, id, a)
+	return a.level < tightLevel*q.burst(a)
+}
+
 func (q *Quota) fillAll(now core.Instant) {
 	for id, a := range q.accounts {
 		q.fill(now, id, a)
--- a/pkg/router/hosted_fleet_test.go
+++ b/pkg/router/hosted_fleet_test.go
@@ -174,3 +174,19 @@
 		is.True(f.most(8*time.Second) <= f.allowed())
 	}
 }
+
+// Guards against refusals of an account at half of its rate because the regions are
+// cut from each other: what the other half may have used is counted from the last
+// heartbeat of any of its members, not from that of each.
+func TestHostedCutSparesAccountsInsideTheirRate(t *testing.T) {
+	is := is.New(t)
+	f := newHostedFleet(1, 84, largeAccount())
+	f.ask(10, 5*time.Second)
+	f.admitted, f.arrived = nil, 0
+	f.cut = true
+	f.ask(10, 8*time.Second)
+	f.cut = false
+	f.ask(10, 6*time.Second)
+	t.Logf("%d of %d admitted", len(f.admitted), f.arrived)
+	is.True(len(f.admitted) >= f.arrived*98/100)
+}
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -53,17 +53,18 @@
 	}
 }
 
+// noteEvery is the shortest time between two notes: as often as a small fleet sends
+// heartbeats.
+const noteEvery = 150 * time.Millisecond
+
 // sendQuotaNotes tells the peers that get no heartbeat now of the accounts that are
 // near their limit.
 func (h *hosted) sendQuotaNotes(now core.Instant, told []fleet.Member) {
-	if now < h.nextNote {
+	if now < h.nextNote || !h.quota.HasUrgent(now) || !h.fleet.TakeNote(now) {
 		return
 	}
+	h.nextNote = now.Add(noteEvery)
 	reports := h.quota.Urgent(now)
-	if len(reports) == 0 {
-		return
-	}
-	h.nextNote = now.Add(h.fleet.NoteEvery())
 	for _, member := range h.fleet.HeardPeers() {
 		if slices.Contains(told, member) {
 			continue
