--- a/pkg/lab/hostedsim/hostedsim_test.go
+++ b/pkg/lab/hostedsim/hostedsim_test.go
@@ -53,8 +53,9 @@
 	is.Equal(first.Messages, second.Messages)
 }
 
-// Guards against a burst of three times the load that leaves the engines idle, makes
-// answers late instead of refusing what can't be served, or reads prompts in vain.
+// Guards against a burst of six times the load that leaves the engines idle, makes
+// answers late instead of refusing what can't be served, or reads prompts in vain. The
+// engines have 84 places, each for 2.6 s: with the calm time 55 % can be served.
 func TestBurst(t *testing.T) {
 	is := is.New(t)
 	r := play(t, func(x *Experiment) {
@@ -107,6 +108,18 @@
 	is.True(r.Accounts["tavern"].Good() >= 0.75)
 }
 
+// Guards against an example that can't be read.
+func TestExamples(t *testing.T) {
+	is := is.New(t)
+	paths, err := filepath.Glob("../../../examples/experiments/*.jsonc")
+	is.NoErr(err)
+	is.Equal(len(paths), 3)
+	for _, path := range paths {
+		_, err := ReadExperiment(path)
+		is.NoErr(err)
+	}
+}
+
 // Guards against a file whose mistakes are reported one at a time or not at all, and
 // against data centres of the defaults beside those of the file.
 func TestReadExperiment(t *testing.T) {
