--- a/pkg/router/hosted_fleet_test.go
+++ b/pkg/router/hosted_fleet_test.go
@@ -30,7 +30,7 @@
 	// cut loses the messages between regions.
 	cut      bool
 	limit    config.HostedAccount
-	sent     int
+	notes    int // quota notes sent
 	arrived  int
 	admitted []core.Instant
 }
@@ -80,7 +80,9 @@
 	for _, effect := range f.routers[i].Step(f.now, event) {
 		switch e := effect.(type) {
 		case SendPeer:
-			f.sent++
+			if e.Message.Quota != nil {
+				f.notes++
+			}
 			to := f.byID[e.To]
 			transit := time.Millisecond
 			if f.members[to].Region != f.members[i].Region {
@@ -152,7 +154,9 @@
 		is := is.New(t)
 		f := newHostedFleet(seed, 84, largeAccount())
 		f.ask(10, 5*time.Second)
+		calm := f.notes
 		f.ask(100, 24*time.Second)
+		is.True(f.notes > calm+84) // an account at its limit is told between heartbeats
 		t.Logf("admitted %d tokens in a window, allowed are %d", f.most(8*time.Second), f.allowed())
 		is.True(f.most(8*time.Second) <= f.allowed())
 		is.True(int64(len(f.admitted))*callTokens >= 24*f.limit.Rate*9/10) // and the allowance is used
