quota: a flood of small requests keeps the allowance

Change: the debt is 0.4 s of the rate, and small requests are thinned by the demand of small requests, which reports tell apart.

Ruled out: leaving small requests unthinned under the bound alone (a flood at six times the rate exceeds it within the lag of the reports).

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -214,8 +214,8 @@
 const gapMargin = 5
 
 // silentDataCentres returns the other DataCentres of which no member is heard, with
-// the instant at which the last one was. Together the members send often even where each one sends seldom, so a cut is
-// noticed long before silentAfter of each.
+// the instant at which the last one was. Together the members send often even where
+// each one sends seldom, so a cut is noticed long before silentAfter of each.
 func (f *Fleet) silentDataCentres(now core.Instant) map[core.DataCentreName]core.Instant {
 	last := map[core.DataCentreName]core.Instant{}
 	members := map[core.DataCentreName]int{}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -33,8 +33,10 @@
 type Report struct {
 	// Admitted counts the tokens admitted since the start of the Instance.
 	Admitted int64
-	// Asked counts the tokens of all requests since then, refused ones included.
-	Asked int64
+	// Asked counts the tokens of all requests since then, refused ones included, and
+	// AskedSmall those of small requests among them.
+	Asked      int64
+	AskedSmall int64
 	// Level is the level of the fleet's bucket as the Instance sees it.
 	Level int64
 }
@@ -53,10 +55,14 @@
 	level    float64 // tokens of the fleet's bucket
 	at       core.Instant
 	admitted int64 // tokens since the start of this Instance
-	asked    int64 // of all requests since then
-	told     int64 // of admitted, what Urgent has returned
-	// recent are the tokens that the fleet was asked for, decaying with recentFor.
-	recent float64
+	// asked are the tokens of all requests since then, askedSmall those of small ones.
+	asked      int64
+	askedSmall int64
+	told       int64 // of admitted, what Urgent has returned
+	// recent are the tokens that the fleet was asked for, decaying with recentFor, and
+	// recentSmall those of small requests.
+	recent      float64
+	recentSmall float64
 }
 
 type peer struct {
@@ -105,9 +111,9 @@
 	reportLag = 250 * time.Millisecond
 	// recentFor is the time over which the demand is measured, some reports.
 	recentFor = 600 * time.Millisecond
-	// smallDebt is the part of the burst by which small requests may take the level
-	// below zero. A tenth of a window's allowance may be exceeded, which is more.
-	smallDebt = 0.5
+	// smallDebt is the time at the rate by which small requests may take the level
+	// below zero. A tenth of what a window of 8 s allows may be exceeded, twice that.
+	smallDebt = 400 * time.Millisecond
 )
 
 // Admit asks for tokens of an account. When they are refused it returns the time
@@ -118,17 +124,17 @@
 		return true, 0
 	}
 	q.fill(now, id, a)
-	lowest := 0.0
-	if float64(tokens) <= smallRequest*float64(a.limit.Burst) {
-		lowest = -smallDebt * q.burst(a)
+	room, demand := a.level, a.recent
+	small := float64(tokens) <= smallRequest*float64(a.limit.Burst)
+	if small {
+		room += smallDebt.Seconds() * float64(a.limit.Rate)
+		demand = a.recentSmall
 	}
-	expected := a.recent / recentFor.Seconds() * reportLag.Seconds()
-	a.asked += tokens
-	a.recent += float64(tokens)
-	if a.level <= lowest {
-		return false, time.Duration((lowest - a.level) / float64(a.limit.Rate) * float64(time.Second))
+	a.ask(tokens, small)
+	if room <= 0 {
+		return false, time.Duration(-room / float64(a.limit.Rate) * float64(time.Second))
 	}
-	if lowest == 0 && q.rand.Float64()*expected > a.level {
+	if expected := demand * (reportLag.Seconds() / recentFor.Seconds()); q.rand.Float64()*expected > room {
 		return false, reportLag
 	}
 	a.level -= float64(tokens)
@@ -136,6 +142,15 @@
 	return true, 0
 }
 
+func (a *account) ask(tokens int64, small bool) {
+	a.asked += tokens
+	a.recent += float64(tokens)
+	if small {
+		a.askedSmall += tokens
+		a.recentSmall += float64(tokens)
+	}
+}
+
 // Return gives back the tokens of a request that did not run.
 func (q *Quota) Return(now core.Instant, id core.AccountID, tokens int64) {
 	a := q.accounts[id]
@@ -196,6 +211,7 @@
 	used := report.Admitted - p.reports[id].Admitted
 	if !first {
 		a.recent += float64(report.Asked - p.reports[id].Asked)
+		a.recentSmall += float64(report.AskedSmall - p.reports[id].AskedSmall)
 	}
 	if first {
 		used = min(used, a.limit.Rate*firstReport/int64(time.Second))
@@ -293,7 +309,7 @@
 }
 
 func (a *account) report() Report {
-	return Report{Admitted: a.admitted, Asked: a.asked, Level: int64(a.level)}
+	return Report{Admitted: a.admitted, Asked: a.asked, AskedSmall: a.askedSmall, Level: int64(a.level)}
 }
 
 func (q *Quota) fillAll(now core.Instant) {
@@ -309,7 +325,9 @@
 		return
 	}
 	a.at = now
-	a.recent *= math.Exp(-elapsed.Seconds() / recentFor.Seconds())
+	decay := math.Exp(-elapsed.Seconds() / recentFor.Seconds())
+	a.recent *= decay
+	a.recentSmall *= decay
 	tokens := elapsed.Seconds() * float64(a.limit.Rate)
 	if q.silent > 0 {
 		part := tokens / float64(len(q.peers)+1)
