--- a/pkg/lab/hostedsim/result.go
+++ b/pkg/lab/hostedsim/result.go
@@ -17,7 +17,6 @@
 	outcomeLate
 	outcomeRefused
 	outcomeFailed
-	outcomes
 )
 
 // Counts are requests of callers by their end. Attempts of one caller count once.
@@ -30,9 +29,16 @@
 }
 
 func (c *Counts) end(o outcome) {
-	[outcomes]func(){
-		func() { c.OnTime++ }, func() { c.Late++ }, func() { c.Refused++ }, func() { c.Failed++ },
-	}[o]()
+	switch o {
+	case outcomeOnTime:
+		c.OnTime++
+	case outcomeLate:
+		c.Late++
+	case outcomeRefused:
+		c.Refused++
+	case outcomeFailed:
+		c.Failed++
+	}
 }
 
 // Good is the share that was answered in time, 1 when nothing was asked.
--- a/pkg/lab/hostedsim/world.go
+++ b/pkg/lab/hostedsim/world.go
@@ -316,7 +316,7 @@
 
 // begin opens a call to an Upstream. arrive runs there; a call that can't arrive
 // fails as not sent.
-func (w *World) begin(one *instance, id core.RequestID, attempt core.AttemptID, up core.UpstreamID, dc core.DataCentreName, up2 func() bool, arrive func(*call)) {
+func (w *World) begin(one *instance, id core.RequestID, attempt core.AttemptID, up core.UpstreamID, dc core.DataCentreName, isUp func() bool, arrive func(*call)) {
 	request := w.jobs[id]
 	if request == nil {
 		return
@@ -330,7 +330,7 @@
 	w.after(w.transit(one.member.DataCentre, dc), func() {
 		switch {
 		case c.ended:
-		case !up2():
+		case !isUp():
 			w.fail(c, attempts.FailConnect, false, false)
 		default:
 			arrive(c)
@@ -388,7 +388,7 @@
 				ids = append(ids, id)
 			}
 		}
-		for _, id := range w.choose(ids, f.Count) {
+		for _, id := range choose(w.rng, ids, f.Count) {
 			e := w.engines[id]
 			if f.Kind == FaultEngineSlow {
 				e.slow *= f.X
@@ -400,7 +400,7 @@
 		}
 	case FaultInstanceKill:
 		ids := slices.Sorted(maps.Keys(w.byID))
-		for _, id := range choose(w, ids, f.Count) {
+		for _, id := range choose(w.rng, ids, f.Count) {
 			w.kill(w.byID[id], length)
 		}
 	case FaultRegionCut:
@@ -409,11 +409,9 @@
 	}
 }
 
-func (w *World) choose(ids []core.UpstreamID, n int) []core.UpstreamID { return choose(w, ids, n) }
-
 // choose draws up to n of the list, one when n is 0.
-func choose[T any](w *World, list []T, n int) []T {
-	w.rng.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+func choose[T any](rng *rand.Rand, list []T, n int) []T {
+	rng.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
 	return list[:min(len(list), max(1, n))]
 }
 
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -313,7 +313,7 @@
 	h := r.hosted
 	waiting := h.dispatch.WaitingFor()
 	for name := range h.services {
-		waiting[name] += 0
+		waiting[name] += 0 // a queue that has become empty is shown, too
 	}
 	return HostedGauges{Heard: h.fleet.HeardCount(), Version: h.version(), Waiting: waiting}
 }
