hosted: the log tells an unresponsive watch of the store from a failed one

Cause: 'store: lost' carried the error of the closed connection for a watch without a reply as for a reset, and did not say since when the store had been silent. Change: fields unanswered and since_reply; a Pool reports the cause of an ended context. Test: TestLogTellsUnresponsiveWatchFromFailedOne (fails without the fields). No decision is changed.

--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -32,6 +32,8 @@
 	reads    int
 	watches  int
 	changed  chan struct{}
+	// unresponsive is set when watches get no reply.
+	unresponsive bool
 }
 
 func newFakeStore(routing config.Routing, list ...catalog.Upstream) *fakeStore {
@@ -81,8 +83,12 @@
 		object := *s.config
 		return &object, s.revision, nil
 	}
-	changed := s.changed
+	changed, unresponsive := s.changed, s.unresponsive
 	s.mu.Unlock()
+	if unresponsive {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	select {
 	case <-ctx.Done():
 		return nil, 0, ctx.Err()
@@ -181,6 +187,11 @@
 // startDaemon runs a Daemon until the test ends. stop requests its shutdown; done is
 // closed when Run has returned.
 func startDaemon(t *testing.T, store *fakeStore) (settings Settings, stop func(), done <-chan struct{}) {
+	t.Helper()
+	return startDaemonWithLog(t, store, zap.NewNop())
+}
+
+func startDaemonWithLog(t *testing.T, store *fakeStore, log *zap.Logger) (settings Settings, stop func(), done <-chan struct{}) {
 	t.Helper()
 	settings = Settings{
 		Instance: "one", DataCentre: "a", Region: "r", DataCentres: map[core.DataCentreName]core.RegionName{"a": "r"},
@@ -189,7 +200,7 @@
 		GraceSeconds: 4, MaxAddressTTLSeconds: 0.05, RetryRatio: 0.2, RetryAllowance: 10, RetryWindowSeconds: 10,
 	}
 	adapter := Adapter{Callers: fakeCallers{}, Upstreams: &fakeEngines{pool: upstream.NewPool(upstream.PoolOptions{})}, Store: store}
-	d, err := New(settings, adapter, zap.NewNop())
+	d, err := New(settings, adapter, log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/hosted/daemon_test.go
+++ b/pkg/hosted/daemon_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
@@ -136,3 +138,29 @@
 		t.Logf("%s", text)
 	}
 }
+
+// Guards against a log in which an unresponsive watch looks like a rejected one.
+func TestLogTellsUnresponsiveWatchFromFailedOne(t *testing.T) {
+	is := is.New(t)
+	core, logs := observer.New(zap.WarnLevel)
+	store := newFakeStore(plainRouting(1))
+	store.unresponsive = true
+	startDaemonWithLog(t, store, zap.New(core))
+	lost := waitForLog(t, logs, "store: lost")
+	is.Equal(lost["what"], "config")
+	is.Equal(lost["unanswered"], true)
+	is.True(lost["since_reply"].(time.Duration) > 0)
+}
+
+// waitForLog returns the fields of the first log entry with a message.
+func waitForLog(t *testing.T, logs *observer.ObservedLogs, message string) map[string]any {
+	t.Helper()
+	for range 500 {
+		if found := logs.FilterMessage(message).All(); len(found) > 0 {
+			return found[0].ContextMap()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("no log entry %q", message)
+	return nil
+}
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -59,6 +59,8 @@
 	backoff     time.Duration
 	// lastRead is the time of the last full read, successful or not.
 	lastRead time.Time
+	// lastReply is the time of the last successful call, zero before the first.
+	lastReply time.Time
 }
 
 func (d *Daemon) newStoreHealth(resource string) *storeHealth {
@@ -76,7 +78,8 @@
 	}
 	h.failedCalls++
 	if h.failedCalls == 1 {
-		telemetry.ComponentLogger(h.daemon.log, "store").Warn("lost", zap.String("what", h.resource), zap.Error(err))
+		telemetry.ComponentLogger(h.daemon.log, "store").Warn("lost", zap.String("what", h.resource),
+			zap.Bool("unanswered", errors.Is(err, context.DeadlineExceeded)), zap.Duration("since_reply", h.sinceReply()), zap.Error(err))
 		h.daemon.metrics.SetStoreWatchFailing(h.resource, true)
 	}
 	h.daemon.post(router.StoreCallFailed{})
@@ -84,12 +87,22 @@
 	return sleep(ctx, h.backoff/2+time.Duration(mathrand.Int64N(int64(h.backoff))))
 }
 
+// sinceReply returns the time since the last successful call, 0 before the first.
+func (h *storeHealth) sinceReply() time.Duration {
+	if h.lastReply.IsZero() {
+		return 0
+	}
+	return time.Since(h.lastReply)
+}
+
 // recordSuccess records a successful call and resets the backoff.
 func (h *storeHealth) recordSuccess() {
 	if h.failedCalls > 0 {
-		telemetry.ComponentLogger(h.daemon.log, "store").Info("regained", zap.String("what", h.resource), zap.Int("failed_calls", h.failedCalls))
+		telemetry.ComponentLogger(h.daemon.log, "store").Info("regained", zap.String("what", h.resource),
+			zap.Int("failed_calls", h.failedCalls), zap.Duration("since_reply", h.sinceReply()))
 		h.daemon.metrics.SetStoreWatchFailing(h.resource, false)
 	}
+	h.lastReply = time.Now()
 	h.failedCalls = 0
 	h.backoff = 0
 }
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -231,7 +231,7 @@
 		stop()
 		conn.Close()
 		if ctx.Err() != nil {
-			kind = Canceled
+			kind, err = Canceled, context.Cause(ctx)
 		}
 		return nil, &Error{Kind: kind, URL: conn.addr, Sent: true, Err: err}
 	}
