catalog: a list without changes keeps the revision of the entries

Cause: each list of the store carried the store's revision at that moment, so an Instance that listed again looked newer than its peers with the same entries. Change: an equal list leaves the revision and is remembered as confirmed; behind is who has confirmed less than a peer has changed. Lists and changes older than the confirmed revision are ignored as before. Test: TestListWithoutChangesKeepsTheRevision, which fails without the change (revision 9 in place of 5).

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -57,7 +57,8 @@
 
 // Catalog holds the registered Upstreams. Create it with New.
 type Catalog struct {
-	revision    uint64
+	revision    uint64 // of the last change of the entries
+	confirmed   uint64 // of the last list
 	initialized bool
 	entries     map[core.UpstreamID]Upstream
 	// removeAt holds the end of the grace period of entries that are no longer listed.
@@ -73,14 +74,22 @@
 // Revision returns the revision of the entries, and false before the first list.
 func (c *Catalog) Revision() (uint64, bool) { return c.revision, c.initialized }
 
+// ConfirmedRevision returns the revision up to which the entries are known to be complete.
+// It is above Revision when a later list had the same entries.
+func (c *Catalog) ConfirmedRevision() uint64 { return max(c.revision, c.confirmed) }
+
 // OnStoreError records that a call of the store failed. Entries that are removed within
 // RemovalGrace after it are kept for a grace period.
 func (c *Catalog) OnStoreError(now core.Instant) { c.graceUntil = now.Add(RemovalGrace) }
 
-// Replace applies a complete list. It returns false and changes nothing when the list is
-// older than the entries.
+// Replace applies a complete list. It returns false when the list is older than the
+// entries or equal to them. An equal list leaves the revision, like Apply without changes.
 func (c *Catalog) Replace(now core.Instant, revision uint64, list []Upstream) bool {
-	if c.initialized && revision < c.revision {
+	if c.initialized && revision < c.ConfirmedRevision() {
+		return false
+	}
+	c.confirmed = max(c.confirmed, revision)
+	if c.initialized && c.equals(list) {
 		return false
 	}
 	c.initialized = true
@@ -98,11 +107,24 @@
 	return true
 }
 
+// equals reports whether the entries are those of a list, without pending removals.
+func (c *Catalog) equals(list []Upstream) bool {
+	if len(list) != len(c.entries) || len(c.removeAt) > 0 {
+		return false
+	}
+	for _, up := range list {
+		if entry, found := c.entries[up.ID]; !found || entry != up {
+			return false
+		}
+	}
+	return true
+}
+
 // Apply applies the changes up to a revision. It returns false and changes nothing before
 // the first list, for an older revision and without changes. In the last case the revision
 // stays, so that Instances with the same entries have the same revision.
 func (c *Catalog) Apply(now core.Instant, revision uint64, changes []Change) bool {
-	if !c.initialized || revision < c.revision || len(changes) == 0 {
+	if !c.initialized || revision < c.ConfirmedRevision() || len(changes) == 0 {
 		return false
 	}
 	c.revision = revision
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -49,6 +49,23 @@
 	is.Equal(listed(c), []core.UpstreamID{"b"})
 }
 
+// Guards against Instances that fetch equal lists from each other without end: each list
+// of the store would have another revision.
+func TestListWithoutChangesKeepsTheRevision(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	is.True(c.Replace(0, 5, []Upstream{{ID: "a"}, {ID: "b"}}))
+	is.True(!c.Replace(0, 9, []Upstream{{ID: "b"}, {ID: "a"}}))
+	revision, _ := c.Revision()
+	is.Equal(revision, uint64(5))
+	is.Equal(c.ConfirmedRevision(), uint64(9))
+	is.True(!c.Replace(0, 8, []Upstream{{ID: "a"}})) // older than the equal list
+	is.True(!c.Apply(0, 8, []Change{{ID: "a"}}))
+	is.True(c.Replace(0, 9, []Upstream{{ID: "b"}, {ID: "a", Leaving: true}}))
+	revision, _ = c.Revision()
+	is.Equal(revision, uint64(9))
+}
+
 // Guards against state of a previous process that is kept for a new one under the same ID.
 func TestNewProcessUnderAnOldID(t *testing.T) {
 	is := is.New(t)
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -99,8 +99,7 @@
 		h.crashRecordOf(now, fingerprint).peers[from.ID] = n
 	}
 	h.fetchIfBehind(now, heartbeat.Member, StateConfig, heartbeat.ConfigRevision, h.configRevision)
-	revision, _ := h.catalog.Revision()
-	h.fetchIfBehind(now, heartbeat.Member, StateUpstreams, heartbeat.CatalogRevision, revision)
+	h.fetchIfBehind(now, heartbeat.Member, StateUpstreams, heartbeat.CatalogRevision, h.catalog.ConfirmedRevision())
 }
 
 func loadsOf(heartbeat *HostedHeartbeat) map[core.UpstreamID]dispatch.Load {
