hosted: ports of tests lie outside the range of outgoing connections

Its ports came from listeners on port 0, which were closed again; that range (32768 to 60999 here) also serves outgoing connections, and the test polls the readiness address while the daemon still opens its other listeners. The collision itself was not seen again and is the likely cause, not a traced one. Change: ports are drawn from 20000 to 29999.

--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -220,14 +222,24 @@
 	return settings, cancel, ended
 }
 
+// The system draws the ports of outgoing connections from a range above lastTestPort. A
+// port of that range could be taken between the check and its use.
+const (
+	firstTestPort = 20_000
+	lastTestPort  = 29_999
+)
+
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstTestPort+rand.IntN(lastTestPort-firstTestPort))
+		if l, err := net.Listen("tcp", addr); err == nil {
+			defer l.Close()
+			return addr
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func waitReady(t *testing.T, addr string) {
