router: peers that are behind as well no longer put off the fetch of a newer state

Cause: an Instance fetches a state from a peer that has had a newer revision for 400 ms, but a heartbeat of a peer with the same revision started that time anew. When the watches of a data centre hear nothing, all its members are behind, and in a fleet of 62 they send each other 30 heartbeats a second. Ruled out: slow Instances (the version is in force 50 to 100 ms after the read), a watch that skips a change (no watch had ended with a reply). Change: the revision that was reported first and its time are kept until this Instance has that revision; the fetch starts at the next tick after 400 ms, without another heartbeat. A configuration that is written again with the same version moves the revision along. One log line 'behind on' tells when and from whom an Instance learned that it is behind. Test: TestHostedFetchesAlthoughOtherPeersAreBehind fails before ('no fetch within 2 s'). TestHostedFetchesFromAPeerThatIsAhead now expects the fetch at stateFetchDelay without another heartbeat, which is stricter; it fails before as well.

--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -102,8 +102,12 @@
 // stateFetch tracks a state of which a peer has a newer revision than this
 // Instance.
 type stateFetch struct {
+	// revision is the newer revision that was reported first, at behindSince.
+	revision    uint64
 	behindSince core.Instant
-	running     bool
+	// peer reported a newer revision last.
+	peer    fleet.Member
+	running bool
 }
 
 func newHosted(r *Router, p HostedParams) *hosted {
@@ -213,6 +217,7 @@
 		h.dispatch.SetPeerLoads(id, nil)
 		h.recordEvent(now, "fleet", "peer forgotten", string(id))
 	}
+	h.fetchOverdueStates(now)
 	due := h.fleet.DueHeartbeats(now)
 	if len(due) > 0 {
 		h.sendHeartbeats(now, due)
@@ -223,6 +228,9 @@
 // onRoutingReceived activates a configuration if it is newer than the active one.
 func (h *hosted) onRoutingReceived(now core.Instant, e RoutingReceived) {
 	if h.routing != nil && e.Routing.Version <= h.routing.Version {
+		if e.Routing.Version == h.routing.Version {
+			h.configRevision = max(h.configRevision, e.Revision) // written again without a change
+		}
 		return
 	}
 	h.routing = e.Routing
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -98,8 +98,8 @@
 	for fingerprint, n := range heartbeat.Crashes {
 		h.crashRecordOf(now, fingerprint).peers[from.ID] = n
 	}
-	h.fetchIfBehind(now, heartbeat.Member, StateConfig, heartbeat.ConfigRevision, h.configRevision)
-	h.fetchIfBehind(now, heartbeat.Member, StateUpstreams, heartbeat.CatalogRevision, h.catalog.ConfirmedRevision())
+	h.noteRevision(now, heartbeat.Member, StateConfig, heartbeat.ConfigRevision)
+	h.noteRevision(now, heartbeat.Member, StateUpstreams, heartbeat.CatalogRevision)
 }
 
 func loadsOf(heartbeat *HostedHeartbeat) map[core.UpstreamID]dispatch.Load {
@@ -109,27 +109,54 @@
 	return heartbeat.Loads
 }
 
-// fetchIfBehind fetches a state from a peer once this Instance has had an older
-// revision for stateFetchDelay: the store may reject the calls of this Instance only.
-func (h *hosted) fetchIfBehind(now core.Instant, peer fleet.Member, kind StateKind, peerRevision, ownRevision uint64) {
-	if peerRevision <= ownRevision {
-		if f := h.fetches[kind]; f != nil && !f.running && peerRevision == ownRevision {
-			delete(h.fetches, kind)
-		}
+// noteRevision records that a peer has a newer state than this Instance.
+func (h *hosted) noteRevision(now core.Instant, peer fleet.Member, kind StateKind, revision uint64) {
+	own := h.ownRevision(kind)
+	if revision <= own {
 		return
 	}
 	f := h.fetches[kind]
 	if f == nil {
-		h.fetches[kind] = &stateFetch{behindSince: now}
-		return
+		f = &stateFetch{revision: revision, behindSince: now}
+		h.fetches[kind] = f
+		h.recordEvent(now, "fleet", "behind on "+string(kind), "peer="+peer.Ref.String()+
+			" theirs="+strconv.FormatUint(revision, 10)+" own="+strconv.FormatUint(own, 10))
 	}
-	if f.running || now.Sub(f.behindSince) < stateFetchDelay {
-		return
+	if !f.running {
+		f.peer = peer
+	}
+}
+
+// fetchOverdueStates fetches the states of which this Instance has had an older revision
+// for stateFetchDelay: its watch of the store is unresponsive, or the store rejects only
+// its calls. Peers that are behind as well do not matter.
+func (h *hosted) fetchOverdueStates(now core.Instant) {
+	for _, kind := range []StateKind{StateConfig, StateUpstreams} {
+		f := h.fetches[kind]
+		if f == nil || f.running {
+			continue
+		}
+		own := h.ownRevision(kind)
+		if own >= f.revision {
+			delete(h.fetches, kind)
+			continue
+		}
+		if now.Sub(f.behindSince) < stateFetchDelay {
+			continue
+		}
+		f.running = true
+		h.recordEvent(now, "fleet", "fetch "+string(kind), "from="+f.peer.Ref.String()+
+			" theirs="+strconv.FormatUint(f.revision, 10)+" own="+strconv.FormatUint(own, 10))
+		h.emit(FetchState{Kind: kind, From: f.peer.Ref.ID, Addr: f.peer.PeerAddr})
+	}
+}
+
+// ownRevision returns the revision up to which this Instance has a state.
+func (h *hosted) ownRevision(kind StateKind) uint64 {
+	if kind == StateConfig {
+		return h.configRevision
 	}
-	f.running = true
-	h.recordEvent(now, "fleet", "fetch "+string(kind), "from="+peer.Ref.String()+
-		" theirs="+strconv.FormatUint(peerRevision, 10)+" own="+strconv.FormatUint(ownRevision, 10))
-	h.emit(FetchState{Kind: kind, From: peer.Ref.ID, Addr: peer.PeerAddr})
+	return h.catalog.ConfirmedRevision()
 }
 
 // crashRecordOf returns the record of a fingerprint, created if necessary, with a new
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -397,18 +397,39 @@
 	r.step(heartbeat)
 	wantNoEffect[FetchState](r) // the watch of the store may still deliver it
 	r.advance(stateFetchDelay)
-	r.step(heartbeat)
 	is.Equal(wantEffect[FetchState](r), FetchState{Kind: StateConfig, From: "peer", Addr: "peer:1"})
 	r.step(heartbeat)
 	wantNoEffect[FetchState](r) // one at a time
 	r.step(StateFetchEnded{Kind: StateConfig})
 	r.step(RoutingReceived{Routing: hostedRouting(9), Revision: 99, From: "peer"})
 	wantEffect[RoutingActivated](r)
-	r.advance(stateFetchDelay)
 	r.step(heartbeat)
+	r.advance(stateFetchDelay)
 	wantNoEffect[FetchState](r)
 }
 
+// Guards against an Instance that stays behind because the peers of its DataCentre are
+// behind as well.
+func TestHostedFetchesAlthoughOtherPeersAreBehind(t *testing.T) {
+	r := newHostedHarness(t)
+	report := func(id core.InstanceID, revision uint64) PeerMessageReceived {
+		peer := fleet.Member{Ref: core.InstanceRef{ID: id, Incarnation: 1}, PeerAddr: string(id) + ":1", DataCentre: "a", Region: "r"}
+		return PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigRevision: revision, CatalogRevision: 10}}}
+	}
+	for range 20 {
+		r.step(report("ahead", 99))
+		r.advance(50 * time.Millisecond)
+		r.step(report("behind", 10))
+		for _, effect := range r.advance(50 * time.Millisecond) {
+			if e, found := effect.(FetchState); found {
+				is.New(t).Equal(e, FetchState{Kind: StateConfig, From: "ahead", Addr: "ahead:1"})
+				return
+			}
+		}
+	}
+	t.Fatal("no fetch within 2 s")
+}
+
 // Guards against address responses that contain a leaving Instance, and against a
 // graceful shutdown that interrupts active requests.
 func TestHostedShutdown(t *testing.T) {
