hosted: the watches of a large fleet end at different times

Cause: an Instance notices that its watch is unresponsive when the wait is over. The waits were to differ, so that the first watch of the fleet to end finds what the others miss. But the mean wait grows with the fleet (18.6 s at 62) and the drawn wait was cut at 10 s, so nearly all waits were 10 s, and a change makes all watches begin together. Class of fault: a bound that rests on random times, lost by a limit that is applied after the draw. Change: a watch ends at a phase of the period that each Instance draws once, whenever it begins. The number of calls stays. Test: TestWatchesOfALargeFleetEndAtDifferentTimes; on the old code the first watch of 62 ends after more than 9 s (limit 2 s).

--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -33,6 +33,7 @@
 	down     bool
 	reads    int
 	watches  int
+	waits    []time.Duration // of the watches of the configuration
 	changed  chan struct{}
 	// unresponsive is set when watches get no reply.
 	unresponsive bool
@@ -72,6 +73,7 @@
 func (s *fakeStore) WatchRouting(ctx context.Context, after uint64, wait time.Duration) (*RoutingObject, uint64, error) {
 	s.mu.Lock()
 	s.watches++
+	s.waits = append(s.waits, wait)
 	if s.down {
 		s.mu.Unlock()
 		return nil, 0, errDown
@@ -195,17 +197,8 @@
 
 func startDaemonWithLog(t *testing.T, store *fakeStore, log *zap.Logger) (settings Settings, stop func(), done <-chan struct{}) {
 	t.Helper()
-	settings = Settings{
-		Instance: "one", DataCentre: "a", Region: "r", DataCentres: map[core.DataCentreName]core.RegionName{"a": "r"},
-		MetricsAddr: freeAddr(t),
-		CallerAddr:  freeAddr(t), ReadyAddr: freeAddr(t), DirectoryAddr: freeAddr(t), PeerAddr: freeAddr(t), StoreAddr: "none:1",
-		GraceSeconds: 4, MaxAddressTTLSeconds: 0.05, RetryRatio: 0.2, RetryAllowance: 10, RetryWindowSeconds: 10,
-	}
-	adapter := Adapter{Callers: fakeCallers{}, Upstreams: &fakeEngines{pool: upstream.NewPool(upstream.PoolOptions{})}, Store: store}
-	d, err := New(settings, adapter, log)
-	if err != nil {
-		t.Fatal(err)
-	}
+	d := newDaemon(t, store, log)
+	settings = d.settings
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -222,6 +215,22 @@
 	return settings, cancel, ended
 }
 
+func newDaemon(t *testing.T, store *fakeStore, log *zap.Logger) *Daemon {
+	t.Helper()
+	settings := Settings{
+		Instance: "one", DataCentre: "a", Region: "r", DataCentres: map[core.DataCentreName]core.RegionName{"a": "r"},
+		MetricsAddr: freeAddr(t),
+		CallerAddr:  freeAddr(t), ReadyAddr: freeAddr(t), DirectoryAddr: freeAddr(t), PeerAddr: freeAddr(t), StoreAddr: "none:1",
+		GraceSeconds: 4, MaxAddressTTLSeconds: 0.05, RetryRatio: 0.2, RetryAllowance: 10, RetryWindowSeconds: 10,
+	}
+	adapter := Adapter{Callers: fakeCallers{}, Upstreams: &fakeEngines{pool: upstream.NewPool(upstream.PoolOptions{})}, Store: store}
+	d, err := New(settings, adapter, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
 // The system draws the ports of outgoing connections from a range above lastTestPort. A
 // port of that range could be taken between the check and its use.
 const (
--- a/pkg/hosted/daemon_test.go
+++ b/pkg/hosted/daemon_test.go
@@ -1,10 +1,12 @@
 package hosted
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -152,6 +154,39 @@
 	is.True(lost["since_reply"].(time.Duration) > 0)
 }
 
+// Guards against unresponsive watches that no Instance of a large fleet detects in time:
+// all of them begin after the same change, and must not end together.
+func TestWatchesOfALargeFleetEndAtDifferentTimes(t *testing.T) {
+	is := is.New(t)
+	const instances = 62
+	const maxGap = 2 * time.Second // half of the time in which a change must become active there
+	store := newFakeStore(plainRouting(1))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range instances {
+		d := newDaemon(t, store, zap.NewNop())
+		d.liveInstances.Store(instances)
+		go d.syncRouting(ctx)
+	}
+	var waits []time.Duration
+	for range 500 {
+		store.mu.Lock()
+		waits = slices.Clone(store.waits)
+		store.mu.Unlock()
+		if len(waits) >= instances {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(len(waits), instances)
+	slices.Sort(waits)
+	is.True(waits[0] < maxGap)
+	for i := range waits[1:] {
+		is.True(waits[i+1]-waits[i] < maxGap)
+	}
+	is.True(waits[instances-1] <= maxWatchPeriod+minWatchWait)
+}
+
 // waitForLog returns the fields of the first log entry with a message.
 func waitForLog(t *testing.T, logs *observer.ObservedLogs, message string) map[string]any {
 	t.Helper()
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -17,19 +17,16 @@
 )
 
 const (
-	// meanWatchWait is the mean time for which an Instance of a small fleet watches
-	// without a change. An unresponsive watch is detected that long after its last
-	// reply, which leaves half of the 3 s in which a configuration must become active.
-	// In a larger fleet each watch waits longer, for a random time: the first one to
-	// end finds a change that the others miss, and heartbeats announce it to them.
-	meanWatchWait = 1200 * time.Millisecond
-	// watchFleetSize is the number of live Instances up to which the mean wait is
-	// meanWatchWait. Above it, the wait grows in proportion to their number: the
-	// watches of that many Instances together detect a change as early as the watch
-	// of a lone one.
-	watchFleetSize = 4
-	// maxWatchWait bounds the wait in a large fleet.
-	maxWatchWait = 10 * time.Second
+	// watchInterval is the mean time between the ends of two watches in a small fleet.
+	// An unresponsive watch is detected when it ends, and heartbeats then announce the
+	// change to the Instances whose watches are unresponsive too. Half of the 3 s in
+	// which a configuration must become active is left for that.
+	watchInterval = 300 * time.Millisecond
+	// minWatchPeriod and maxWatchPeriod bound the period of the watches of one Instance.
+	minWatchPeriod = 1200 * time.Millisecond
+	maxWatchPeriod = 10 * time.Second
+	// minWatchWait is the shortest wait of a watch.
+	minWatchWait = 200 * time.Millisecond
 	// watchMargin is the time beyond its wait after which a watch counts as
 	// unresponsive.
 	watchMargin = 350 * time.Millisecond
@@ -127,7 +124,7 @@
 
 // syncRouting reads the configuration, then watches it for changes.
 func (d *Daemon) syncRouting(ctx context.Context) {
-	health := d.newStoreHealth("config")
+	health, phase := d.newStoreHealth("config"), mathrand.Float64()
 	for ctx.Err() == nil {
 		health.waitForReadInterval(ctx)
 		readCtx, cancel := context.WithTimeout(ctx, health.timeout())
@@ -139,13 +136,13 @@
 		}
 		health.recordSuccess()
 		d.storeRouting(object, "")
-		d.watchRouting(ctx, health, revision)
+		d.watchRouting(ctx, health, revision, phase)
 	}
 }
 
-func (d *Daemon) watchRouting(ctx context.Context, health *storeHealth, after uint64) {
+func (d *Daemon) watchRouting(ctx context.Context, health *storeHealth, after uint64, phase float64) {
 	for ctx.Err() == nil {
-		wait := d.drawWatchWait()
+		wait := watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase)
 		watchCtx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 		object, at, err := d.adapter.Store.WatchRouting(watchCtx, after, wait)
 		cancel()
@@ -165,11 +162,22 @@
 	}
 }
 
-// drawWatchWait returns the wait of one watch: a random time of 0.5 to 1.5 times the
-// mean, at most maxWatchWait.
-func (d *Daemon) drawWatchWait() time.Duration {
-	mean := meanWatchWait * time.Duration(max(watchFleetSize, d.liveInstances.Load())) / watchFleetSize
-	return min(maxWatchWait, mean/2+time.Duration(mathrand.Int64N(int64(mean))))
+// watchPeriod returns the time between the ends of two watches of one Instance. It grows
+// with the fleet, so that the ends of all watches are watchInterval apart on average.
+func watchPeriod(liveInstances int64) time.Duration {
+	return min(maxWatchPeriod, max(minWatchPeriod, time.Duration(liveInstances)*watchInterval))
+}
+
+// watchWait returns the wait of a watch that begins at elapsed, so that it ends at a fixed
+// phase of the period. The phase is a fraction that each Instance draws at random. A change
+// makes all watches of a fleet begin together; due to the phases they still end at
+// different times.
+func watchWait(elapsed, period time.Duration, phase float64) time.Duration {
+	wait := period - (elapsed+time.Duration(phase*float64(period)))%period
+	if wait < minWatchWait {
+		wait += period
+	}
+	return wait
 }
 
 func (d *Daemon) storeRouting(object RoutingObject, from core.InstanceID) {
@@ -182,7 +190,7 @@
 
 // syncUpstreams reads the registered Upstreams, then watches them for changes.
 func (d *Daemon) syncUpstreams(ctx context.Context) {
-	health := d.newStoreHealth("upstreams")
+	health, phase := d.newStoreHealth("upstreams"), mathrand.Float64()
 	for ctx.Err() == nil {
 		health.waitForReadInterval(ctx)
 		readCtx, cancel := context.WithTimeout(ctx, health.timeout())
@@ -195,13 +203,13 @@
 		health.recordSuccess()
 		d.logSkipped(skipped)
 		d.post(router.UpstreamsListed{Revision: revision, Upstreams: list})
-		d.watchUpstreams(ctx, health, revision)
+		d.watchUpstreams(ctx, health, revision, phase)
 	}
 }
 
-func (d *Daemon) watchUpstreams(ctx context.Context, health *storeHealth, after uint64) {
+func (d *Daemon) watchUpstreams(ctx context.Context, health *storeHealth, after uint64, phase float64) {
 	for ctx.Err() == nil {
-		wait := d.drawWatchWait()
+		wait := watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase)
 		watchCtx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 		changes, skipped, at, err := d.adapter.Store.WatchUpstreams(watchCtx, after, wait)
 		cancel()
