hosted: an instance that loses its peers ends its long watches

Cause: in a large fleet a watch waits up to 10 s, because peers tell an Instance what its watch misses. An Instance that is cut off from its peers, but not from the store, kept the long wait: an unresponsive watch was noticed after 10 s, a change must be active within 3 to 4 s. Change: when the number of live Instances falls so far that the period of the watches halves, the current watches end and the store is read. Test: TestInstanceThatLosesItsPeersReadsTheStore, fails without the call of endAll (1 read in place of 2).

--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -76,8 +76,9 @@
 	upstreams      atomic.Pointer[upstreamList]
 	leaving        atomic.Bool
 	liveInstances  atomic.Int64 // including this one
-	lastGaugeRead  time.Time    // only used by the event loop
-	addressQueries sync.Map     // query ID -> chan router.CallerAddresses
+	watches        activeWatches
+	lastGaugeRead  time.Time // only used by the event loop
+	addressQueries sync.Map  // query ID -> chan router.CallerAddresses
 	lastQueryID    atomic.Uint64
 
 	drained    chan struct{}
@@ -177,8 +178,8 @@
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	d.background.Go(func() { d.loop(serveCtx) })
-	d.background.Go(func() { d.syncRouting(serveCtx) })
-	d.background.Go(func() { d.syncUpstreams(serveCtx) })
+	d.background.Go(func() { d.syncRouting(serveCtx, mathrand.Float64()) })
+	d.background.Go(func() { d.syncUpstreams(serveCtx, mathrand.Float64()) })
 	d.background.Go(func() { d.registerMember(serveCtx) })
 	d.background.Go(func() { d.closeIdleConnections(serveCtx) })
 	failed := make(chan error, len(servers))
@@ -311,7 +312,7 @@
 	if _, tick := event.(router.Tick); tick && time.Since(d.lastGaugeRead) >= gaugeInterval {
 		d.lastGaugeRead = time.Now()
 		gauges := d.router.HostedGauges()
-		d.liveInstances.Store(int64(gauges.LiveInstances))
+		d.setLiveInstances(int64(gauges.LiveInstances))
 		d.metrics.SetReachableInstances(gauges.LiveInstances)
 		d.metrics.SetConfigVersion(gauges.Version)
 		for service, n := range gauges.Queued {
--- a/pkg/hosted/daemon_test.go
+++ b/pkg/hosted/daemon_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -166,7 +167,7 @@
 	for range instances {
 		d := newDaemon(t, store, zap.NewNop())
 		d.liveInstances.Store(instances)
-		go d.syncRouting(ctx)
+		go d.syncRouting(ctx, rand.Float64())
 	}
 	var waits []time.Duration
 	for range 500 {
@@ -187,6 +188,32 @@
 	is.True(waits[instances-1] <= maxWatchPeriod+minWatchWait)
 }
 
+// Guards against an Instance that loses its peers during a long watch: nobody else tells
+// it that the watch is unresponsive.
+func TestInstanceThatLosesItsPeersReadsTheStore(t *testing.T) {
+	is := is.New(t)
+	store := newFakeStore(plainRouting(1))
+	store.unresponsive = true
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d := newDaemon(t, store, zap.NewNop())
+	d.setLiveInstances(62)
+	go d.syncRouting(ctx, 0) // the first watch waits for nearly a period
+	reads := func() int {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return store.reads
+	}
+	time.Sleep(minReadInterval)
+	is.Equal(reads(), 1)
+	d.setLiveInstances(60) // the loss of a few changes nothing
+	time.Sleep(minReadInterval)
+	is.Equal(reads(), 1)
+	d.setLiveInstances(1)
+	time.Sleep(minReadInterval)
+	is.Equal(reads(), 2)
+}
+
 // waitForLog returns the fields of the first log entry with a message.
 func waitForLog(t *testing.T, logs *observer.ObservedLogs, message string) map[string]any {
 	t.Helper()
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	mathrand "math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -122,9 +123,10 @@
 	return readTimeout
 }
 
-// syncRouting reads the configuration, then watches it for changes.
-func (d *Daemon) syncRouting(ctx context.Context) {
-	health, phase := d.newStoreHealth("config"), mathrand.Float64()
+// syncRouting reads the configuration, then watches it for changes. phase is that of
+// watchWait.
+func (d *Daemon) syncRouting(ctx context.Context, phase float64) {
+	health := d.newStoreHealth("config")
 	for ctx.Err() == nil {
 		health.waitForReadInterval(ctx)
 		readCtx, cancel := context.WithTimeout(ctx, health.timeout())
@@ -143,11 +145,11 @@
 func (d *Daemon) watchRouting(ctx context.Context, health *storeHealth, after uint64, phase float64) {
 	for ctx.Err() == nil {
 		wait := watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase)
-		watchCtx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+		watchCtx, cancel := d.watches.start(ctx, wait+watchMargin)
 		object, at, err := d.adapter.Store.WatchRouting(watchCtx, after, wait)
 		cancel()
 		switch {
-		case errors.Is(err, ErrCompacted):
+		case errors.Is(err, ErrCompacted), err != nil && context.Cause(watchCtx) == errWatchEnded:
 			return
 		case err != nil:
 			health.recordFailureAndWait(ctx, err)
@@ -180,6 +182,50 @@
 	return wait
 }
 
+// activeWatches are the watches of the store in progress.
+type activeWatches struct {
+	mu   sync.Mutex
+	ends map[context.Context]context.CancelCauseFunc
+}
+
+var errWatchEnded = errors.New("the watch was ended early")
+
+// start returns the context of a watch.
+func (w *activeWatches) start(ctx context.Context, timeout time.Duration) (context.Context, func()) {
+	timeoutCtx, cancel := context.WithTimeout(ctx, timeout)
+	watchCtx, end := context.WithCancelCause(timeoutCtx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ends == nil {
+		w.ends = map[context.Context]context.CancelCauseFunc{}
+	}
+	w.ends[watchCtx] = end
+	return watchCtx, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.ends, watchCtx)
+		end(nil)
+		cancel()
+	}
+}
+
+// endAll ends all watches, so that a full read follows each of them.
+func (w *activeWatches) endAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, end := range w.ends {
+		end(errWatchEnded)
+	}
+}
+
+// setLiveInstances records the number of live Instances. When most of them are lost, the
+// waits of the current watches are too long: they were chosen for the number before.
+func (d *Daemon) setLiveInstances(n int64) {
+	if before := d.liveInstances.Swap(n); watchPeriod(n) <= watchPeriod(before)/2 {
+		d.watches.endAll()
+	}
+}
+
 func (d *Daemon) storeRouting(object RoutingObject, from core.InstanceID) {
 	current := d.rawConfig.Load()
 	if current == nil || object.Revision > current.Revision {
@@ -188,9 +234,10 @@
 	d.post(router.RoutingReceived{Routing: object.Routing, Revision: object.Revision, From: from})
 }
 
-// syncUpstreams reads the registered Upstreams, then watches them for changes.
-func (d *Daemon) syncUpstreams(ctx context.Context) {
-	health, phase := d.newStoreHealth("upstreams"), mathrand.Float64()
+// syncUpstreams reads the registered Upstreams, then watches them for changes. phase is
+// that of watchWait.
+func (d *Daemon) syncUpstreams(ctx context.Context, phase float64) {
+	health := d.newStoreHealth("upstreams")
 	for ctx.Err() == nil {
 		health.waitForReadInterval(ctx)
 		readCtx, cancel := context.WithTimeout(ctx, health.timeout())
@@ -210,11 +257,11 @@
 func (d *Daemon) watchUpstreams(ctx context.Context, health *storeHealth, after uint64, phase float64) {
 	for ctx.Err() == nil {
 		wait := watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase)
-		watchCtx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+		watchCtx, cancel := d.watches.start(ctx, wait+watchMargin)
 		changes, skipped, at, err := d.adapter.Store.WatchUpstreams(watchCtx, after, wait)
 		cancel()
 		switch {
-		case errors.Is(err, ErrCompacted):
+		case errors.Is(err, ErrCompacted), err != nil && context.Cause(watchCtx) == errWatchEnded:
 			return
 		case err != nil:
 			health.recordFailureAndWait(ctx, err)
