--- a/pkg/router/hosted_fleet_test.go
+++ b/pkg/router/hosted_fleet_test.go
@@ -92,6 +92,8 @@
 				transit = 30 * time.Millisecond
 			}
 			f.schedule(transit, func() { f.step(to, PeerMessageReceived{From: f.members[i].Ref, Message: e.Message}) })
+		case FetchState:
+			f.fetch(i, e)
 		case StartCall:
 			f.admittedAt = append(f.admittedAt, f.now)
 			f.schedule(0, func() { f.step(i, ResponseCompleted{Request: e.Request, Attempt: e.Attempt, Status: 200}) })
@@ -99,6 +101,18 @@
 	}
 }
 
+// fetch delivers the configuration of a peer after two round trips between regions.
+func (f *hostedFleet) fetch(i int, e FetchState) {
+	if e.Kind != StateConfig {
+		return
+	}
+	f.schedule(120*time.Millisecond, func() {
+		peer := f.routers[f.byID[e.From]].hosted
+		f.step(i, RoutingReceived{Routing: peer.routing, Revision: peer.configRevision, From: e.From})
+		f.step(i, StateFetchEnded{Kind: e.Kind})
+	})
+}
+
 // sendLoad sends requests of the account to random Instances for a duration.
 func (f *hostedFleet) sendLoad(perSecond float64, duration time.Duration) {
 	interval := time.Duration(float64(time.Second) / perSecond)
@@ -195,3 +209,29 @@
 	t.Logf("%d of %d admitted", len(f.admittedAt), f.requestsSent)
 	is.True(len(f.admittedAt) >= f.requestsSent*98/100)
 }
+
+// Guards against a configuration that most of a large fleet takes up late because all
+// watches of the store are unresponsive and one Instance alone has read the store.
+func TestHostedFleetFollowsTheInstanceThatReadTheStore(t *testing.T) {
+	// A configuration must become active within 3 s in a small fleet and 4 s in a large one.
+	// maxSpread is what remains after the detection of an unresponsive watch, which is
+	// sooner in a large fleet, where more watches end in a second.
+	for _, test := range []struct {
+		instances int
+		maxSpread time.Duration
+	}{{8, time.Second}, {62, 2 * time.Second}, {330, 3 * time.Second}} {
+		is := is.New(t)
+		f := newHostedFleet(1, test.instances, largeAccount())
+		f.runFor(12 * time.Second)
+		f.step(0, RoutingReceived{Routing: hostedRouting(2), Revision: 20})
+		f.runFor(test.maxSpread)
+		behind := 0
+		for _, r := range f.routers {
+			if r.hosted.activeVersion() != 2 {
+				behind++
+			}
+		}
+		t.Logf("%d of %d Instances are behind", behind, test.instances)
+		is.Equal(behind, 0)
+	}
+}
