router: the log names the shared parts of prompts whose runs fail

Cause: nothing in the logs told what the requests that crash engines have in common. Change: the adapter decodes the parts of a prompt but the last, and 'dispatch: failed' has them, with began for the current attempt. Test: TestDecodeRequest.

--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -101,6 +101,9 @@
 	return fmt.Sprintf("%s.%d.%d", a.Owner.ID, a.Owner.Incarnation, a.Seq)
 }
 
+// PromptPart identifies a part of a prompt that several requests may share.
+type PromptPart string
+
 // Fingerprint identifies the content of a request. It is a digest of the ClientAccount,
 // the model and the body.
 type Fingerprint [16]byte
--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -42,6 +42,8 @@
 	MaxOutputTokens int
 	// ExpectedOutput is the caller's estimate of the output tokens, 0 for none.
 	ExpectedOutput int
+	// SharedParts are the parts of the prompt that other requests may contain too.
+	SharedParts []core.PromptPart
 	// ForwardHeader holds the headers to pass on.
 	ForwardHeader http.Header
 }
--- a/pkg/hosted/serve.go
+++ b/pkg/hosted/serve.go
@@ -106,6 +106,7 @@
 		MaxOutputTokens: inbound.MaxOutputTokens,
 		HasTokenCounts:  inbound.HasTokenCounts,
 		ExpectedOutput:  inbound.ExpectedOutput,
+		SharedParts:     inbound.SharedParts,
 		Deadline:        d.now().Add(timeout),
 	}
 	if inbound.Key != "" {
--- a/pkg/router/event.go
+++ b/pkg/router/event.go
@@ -55,6 +55,8 @@
 	HasTokenCounts bool
 	// ExpectedOutput is the caller's estimate of the output tokens, 0 for none.
 	ExpectedOutput int
+	// SharedParts are the parts of the prompt that other requests may contain too.
+	SharedParts []core.PromptPart
 }
 
 // ResumePosition is the position at which a response was interrupted, decoded
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -36,6 +36,8 @@
 	// count towards the route's MaxUpstreams.
 	skipPrefill    bool
 	prefillEndedAt core.Instant
+	// firstEventAt is the instant of the first event of the current attempt, 0 before.
+	firstEventAt core.Instant
 	// deliveries counts the attempts that may have reached an Upstream, executions
 	// those that an Upstream may have run, undelivered those that reached none.
 	deliveries  int
@@ -340,6 +342,7 @@
 	hr := rs.hosted
 	hr.stage = stageRun
 	hr.executions++
+	hr.firstEventAt = 0
 	if hr.prefillEndedAt == 0 {
 		hr.prefillEndedAt = now
 	}
@@ -384,7 +387,11 @@
 
 func (h *hosted) onFirstToken(now core.Instant, e FirstToken) {
 	rs := h.requestWithAttempt(e.Request, e.Attempt)
-	if rs == nil || rs.firstTokenAt != 0 {
+	if rs == nil {
+		return
+	}
+	rs.hosted.firstEventAt = now
+	if rs.firstTokenAt != 0 {
 		return
 	}
 	rs.firstTokenAt = now
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -20,8 +20,8 @@
 	failure := e.Failure
 	h.recordFailure(now, rs, failure)
 	h.emit(Observe{Observation: Observation{Service: rs.service.Name, Hosted: &HostedOutcome{Failure: failure.Kind}}})
-	h.recordWithUpstream(now, "dispatch", "failed", rs, failure.Upstream, fmt.Sprintf("stage=%s kind=%s sent=%t rejected=%t began=%t runs=%d",
-		rs.hosted.stage, failure.Kind, failure.MaybeSent, failure.ConfirmedNotRun, rs.firstTokenAt != 0, rs.hosted.executions))
+	h.recordWithUpstream(now, "dispatch", "failed", rs, failure.Upstream, fmt.Sprintf("stage=%s kind=%s sent=%t rejected=%t began=%t runs=%d parts=%v",
+		rs.hosted.stage, failure.Kind, failure.MaybeSent, failure.ConfirmedNotRun, rs.hosted.firstEventAt != 0, rs.hosted.executions, rs.request.SharedParts))
 	if rs.hosted.stage == stagePrefill {
 		h.onPrefillFailed(now, rs, failure)
 		return
