router: refuse prompts with a part that crashes engines

Cause: crashes are counted by a fingerprint of path, key and body, and no two of these requests are alike. Ruled out: late news of crashes (no refusal for crashes at all), sound streams that carry the crash along (each crash has a run with both parts that had not begun). Change: pkg/poison keeps evidence by part: engine processes that crashed before the first event of a run, against completed runs. 3 processes (5 for a part with a completed run in the last minute) over at least a second make a part poison; a completed run clears it; a part whose crashed runs share further parts counts only together with those. The evidence travels in heartbeats. Requests with such a part are refused as not run on arrival, in the queue, before the prefill and before the decode, and not retried. Tests: pkg/poison, TestHostedPartOfAPromptThatCrashesEngines, TestHostedAdmittedRequestsWithAPartThatCrashesEngines (both fail when Find finds nothing), TestHostedStreamsInProgressAreNotBlamedForACrash.

--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -11,6 +11,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/poison"
 	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
 	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
 	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
@@ -69,6 +70,7 @@
 	dispatch *dispatch.Dispatcher
 	quota    *quota.Quota
 	retry    *retry.Budget
+	poison   *poison.Detector
 	fleet    *fleet.Fleet
 
 	configRevision    uint64
@@ -120,6 +122,7 @@
 		dispatch: dispatch.New(p.Dispatch),
 		quota:    quota.New(p.Member.Ref, r.params.Rand),
 		retry:    retry.New(p.Retry),
+		poison:   poison.New(),
 		fleet:    fleet.New(p.Member, p.Fleet),
 
 		crashes:      map[core.Fingerprint]*crashRecord{},
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
@@ -70,6 +72,13 @@
 		h.record(now, "request", "refused", rs, h.refusalDetail(refusal, fmt.Sprintf("crashes=%d", c.count())))
 		return
 	}
+	if part, found := h.poison.Find(now, q.SharedParts); found {
+		refusal := poisonRefusal()
+		h.emit(Refuse{Request: q.ID, Refusal: refusal})
+		h.observe(rs, refusal.Code, 0)
+		h.record(now, "request", "refused", rs, h.refusalDetail(refusal, "poison="+string(part)))
+		return
+	}
 	if refusal := h.charge(now, rs); refusal != nil {
 		h.emit(Refuse{Request: q.ID, Refusal: refusal})
 		h.observe(rs, refusal.Code, 0)
@@ -83,6 +92,35 @@
 	h.submit(now, rs)
 }
 
+// poisonRetryAfter is the Retry-After of a request with a part that crashes engines. Only
+// an operator or a new version of the engines can change that.
+const poisonRetryAfter = 30 * time.Second
+
+func poisonRefusal() *core.Refusal {
+	return refusalWithRetryAfter(core.CodeNoCapacity, "a part of the prompt has crashed the engines that ran it", poisonRetryAfter)
+}
+
+// refusePoison refuses a request with a part that crashes engines. It reports whether it
+// did.
+func (h *hosted) refusePoison(now core.Instant, rs *requestState) bool {
+	part, found := h.poison.Find(now, rs.request.SharedParts)
+	if found {
+		h.record(now, "request", "poison", rs, "part="+string(part))
+		h.releaseKV(rs)
+		h.refuseHosted(now, rs, poisonRefusal())
+	}
+	return found
+}
+
+// refuseWaitingPoison refuses the waiting requests with a part that crashes engines.
+func (h *hosted) refuseWaitingPoison(now core.Instant) {
+	for _, id := range slices.Sorted(maps.Keys(h.requests)) {
+		if rs := h.requests[id]; rs != nil && rs.hosted.stage == stageWaiting {
+			h.refusePoison(now, rs)
+		}
+	}
+}
+
 func (h *hosted) refusalDetail(refusal *core.Refusal, inputs string) string {
 	return fmt.Sprintf("code=%s ran=%s retry_after=%s config=%d %s", refusal.Code, refusal.Ran, refusal.RetryAfter, h.activeVersion(), inputs)
 }
@@ -230,7 +268,7 @@
 
 func (h *hosted) acquireHold(now core.Instant, o dispatch.Hold) {
 	rs := h.requests[o.ID]
-	if rs == nil {
+	if rs == nil || h.refusePoison(now, rs) {
 		return
 	}
 	rs.hosted.stage = stageHold
@@ -270,6 +308,9 @@
 // startPrefill sends the prompt to a prefill engine. If there is none, or skipPrefill
 // is set, the decode engine computes the prefill itself.
 func (h *hosted) startPrefill(now core.Instant, rs *requestState) {
+	if h.refusePoison(now, rs) {
+		return
+	}
 	if rs.hosted.skipPrefill {
 		h.startDecode(now, rs)
 		return
@@ -339,6 +380,9 @@
 }
 
 func (h *hosted) startDecode(now core.Instant, rs *requestState) {
+	if h.refusePoison(now, rs) {
+		return
+	}
 	hr := rs.hosted
 	hr.stage = stageRun
 	hr.executions++
@@ -404,6 +448,9 @@
 		return
 	}
 	h.dispatch.RecordOutcome(rs.hosted.upstream.ID, e.Status < 500)
+	if e.Status < 300 {
+		h.poison.OnCompleted(now, rs.request.SharedParts)
+	}
 	rs.completion = e
 	h.emit(Complete{Request: rs.request.ID})
 	detail := fmt.Sprintf("status=%d took=%s runs=%d", e.Status, now.Sub(rs.arrivedAt), rs.hosted.executions)
@@ -425,7 +472,7 @@
 func (h *hosted) finish(now core.Instant, rs *requestState) {
 	delete(h.requests, rs.request.ID)
 	hr := rs.hosted
-	if hr.stage == stagePrefill && hr.holdID != "" {
+	if (hr.stage == stageHold || hr.stage == stagePrefill) && hr.holdID != "" {
 		h.emit(ReleaseHold{Upstream: hr.upstream.ID, Addr: hr.upstream.Addr, Hold: hr.holdID})
 	}
 	h.applyDispatch(now, h.dispatch.Release(now, rs.request.ID))
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -8,6 +8,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/poison"
 	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
 )
 
@@ -27,6 +28,8 @@
 	// Crashes counts, per request fingerprint, the Upstreams that crashed recently
 	// while they ran such a request for the sender.
 	Crashes map[core.Fingerprint]int
+	// Poison holds the evidence on parts of prompts that may crash Upstreams.
+	Poison map[core.PromptPart]poison.Report
 }
 
 // QuotaUpdate is the message that a hosted Instance sends to its peers between two
@@ -50,6 +53,7 @@
 		Quotas:          h.quota.Reports(now),
 		Loads:           h.dispatch.Loads(),
 		Crashes:         h.ownCrashes(now),
+		Poison:          h.poison.Reports(now),
 	}
 	for _, member := range to {
 		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: heartbeat}, NotAfter: now.Add(peerMessageTTL)})
@@ -98,6 +102,10 @@
 	for fingerprint, n := range heartbeat.Crashes {
 		h.crashRecordOf(now, fingerprint).peers[from.ID] = n
 	}
+	if len(heartbeat.Poison) > 0 {
+		h.poison.OnPeerReports(now, heartbeat.Poison)
+		h.refuseWaitingPoison(now)
+	}
 	h.noteRevision(now, heartbeat.Member, StateConfig, heartbeat.ConfigRevision)
 	h.noteRevision(now, heartbeat.Member, StateUpstreams, heartbeat.CatalogRevision)
 }
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -6,6 +6,7 @@
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/poison"
 )
 
 // onAttemptFailed retries or ends a request whose attempt failed because the
@@ -44,12 +45,28 @@
 		h.dispatch.RecordOutcome(failure.Upstream, false)
 		if failure.MaybeSent && rs.hosted.stage == stageRun {
 			h.crashRecordOf(now, rs.request.Fingerprint).own++
+			h.recordPromptCrash(now, rs)
 		}
 	case attempts.FailProtocolError:
 		h.dispatch.RecordOutcome(failure.Upstream, false)
 	}
 }
 
+// firstEventMargin is the time after the first event of a run in which a crash of the
+// engine still counts as one at the begin of the run.
+const firstEventMargin = 100 * time.Millisecond
+
+// recordPromptCrash blames the parts of a prompt for the crash of an engine that had just
+// begun to generate on it. Other streams of that engine are broken off later.
+func (h *hosted) recordPromptCrash(now core.Instant, rs *requestState) {
+	hr := rs.hosted
+	if hr.firstEventAt != 0 && now.Sub(hr.firstEventAt) > firstEventMargin {
+		return
+	}
+	h.poison.OnCrash(now, rs.request.SharedParts, poison.Process{ID: hr.upstream.ID, Born: hr.upstream.Born})
+	h.refuseWaitingPoison(now)
+}
+
 // onPrefillFailed starts another prefill if the engine was not reached, else it
 // continues without one: the decode engine computes the prefill itself.
 func (h *hosted) onPrefillFailed(now core.Instant, rs *requestState, failure attempts.Failure) {
@@ -119,6 +136,9 @@
 	if c := h.crashes[rs.request.Fingerprint]; c != nil && c.count() >= crashLimit {
 		return false
 	}
+	if _, found := h.poison.Find(now, rs.request.SharedParts); found {
+		return false
+	}
 	return h.retry.Allow(now, hr.service.Name)
 }
 
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/poison"
 	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
 )
 
@@ -110,11 +112,19 @@
 	}
 }
 
-func (r *hostedHarness) sendRequest(id, path string) {
+func (r *hostedHarness) sendRequest(id, path string) { r.sendRequestWithParts(id, path) }
+
+// sendRequestWithParts sends a request whose prompt has shared parts. Requests with
+// different parts have different fingerprints.
+func (r *hostedHarness) sendRequestWithParts(id, path string, parts ...core.PromptPart) {
 	key := hostedKey
+	fingerprint := core.Fingerprint{1}
+	if len(parts) > 0 {
+		copy(fingerprint[:], id)
+	}
 	r.step(RequestArrived{Request: Request{
 		ID: core.RequestID(id), Host: "h", Path: path, Key: &key, PromptTokens: 1000, MaxOutputTokens: 500, HasTokenCounts: true,
-		Deadline: r.now.Add(20 * time.Second), Fingerprint: core.Fingerprint{1},
+		Deadline: r.now.Add(20 * time.Second), Fingerprint: fingerprint, SharedParts: parts,
 	}})
 }
 
@@ -455,3 +465,82 @@
 	r.advance(8 * time.Second)
 	wantEffect[Drained](r) // before the end of the grace period, even if a request is active
 }
+
+// crashEngines sends requests with one part in common, no two of them alike, until n
+// engine processes have crashed.
+func (r *hostedHarness) crashEngines(n int, parts ...core.PromptPart) {
+	for i := range n {
+		id := "crash" + strconv.Itoa(i)
+		r.step(UpstreamsListed{Revision: uint64(100 + i), Upstreams: []catalog.Upstream{
+			{ID: "p1", Service: "llm", Addr: "p1:1", DataCentre: "a", Stage: catalog.StagePrefill, Slots: 8},
+			{ID: "d1", Service: "llm", Addr: "d1:1", DataCentre: "a", Stage: catalog.StageDecode, Slots: 8, Born: int64(i + 1)},
+		}})
+		r.sendRequestWithParts(id, "/once/x", parts...)
+		r.grantHold(wantEffect[AcquireHold](r))
+		r.completePrefill(wantEffect[StartPrefill](r))
+		r.failAttempt(id, wantEffect[StartDecode](r).Attempt, crashFailure)
+		r.advance(time.Second)
+	}
+}
+
+// Guards against requests of one kind that crash one engine after the other, although no
+// two of them are alike, and against the refusal of sound ones that share other parts.
+func TestHostedPartOfAPromptThatCrashesEngines(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	r.crashEngines(3, "first", "bad")
+	r.sendRequestWithParts("new", "/once/x", "first", "bad")
+	refusal := wantEffect[Refuse](r).Refusal
+	is.Equal(refusal.Ran, core.NotRun)
+	is.True(refusal.RetryAfter > 0)
+	wantNoEffect[AcquireHold](r)
+	r.sendRequestWithParts("sound", "/once/x", "first")
+	wantEffect[AcquireHold](r)
+}
+
+// Guards against requests that reach an engine after their part has become known, because
+// they were admitted before.
+func TestHostedAdmittedRequestsWithAPartThatCrashesEngines(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	r.crashEngines(2, "bad")
+	r.sendRequestWithParts("hold", "/once/x", "bad")
+	hold := wantEffect[AcquireHold](r)
+	r.sendRequestWithParts("prefill", "/once/x", "bad")
+	r.grantHold(wantEffect[AcquireHold](r))
+	prefill := wantEffect[StartPrefill](r)
+	peer := fleet.Member{Ref: core.InstanceRef{ID: "peer", Incarnation: 1}, PeerAddr: "peer:1", DataCentre: "a", Region: "r"}
+	report := poison.Report{Crashes: []poison.Crash{{Process: poison.Process{ID: "d9"}}}, Common: []core.PromptPart{"bad"}}
+	r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, Poison: map[core.PromptPart]poison.Report{"bad": report}}}})
+	r.grantHold(hold)
+	is.Equal(wantEffect[Refuse](r).Refusal.Ran, core.NotRun)
+	wantEffect[ReleaseHold](r)
+	wantNoEffect[StartPrefill](r)
+	r.completePrefill(prefill)
+	is.Equal(wantEffect[Refuse](r).Refusal.Ran, core.NotRun)
+	wantEffect[ReleaseHold](r)
+	wantEffect[ReleaseKV](r)
+	wantNoEffect[StartDecode](r)
+}
+
+// Guards against the blame of streams that an engine was already generating when another
+// request crashed it.
+func TestHostedStreamsInProgressAreNotBlamedForACrash(t *testing.T) {
+	r := newHostedHarness(t)
+	for i := range 6 {
+		id := "stream" + strconv.Itoa(i)
+		r.step(UpstreamsListed{Revision: uint64(100 + i), Upstreams: []catalog.Upstream{
+			{ID: "p1", Service: "llm", Addr: "p1:1", DataCentre: "a", Stage: catalog.StagePrefill, Slots: 8},
+			{ID: "d1", Service: "llm", Addr: "d1:1", DataCentre: "a", Stage: catalog.StageDecode, Slots: 8, Born: int64(i + 1)},
+		}})
+		r.sendRequestWithParts(id, "/once/x", "shared")
+		r.grantHold(wantEffect[AcquireHold](r))
+		r.completePrefill(wantEffect[StartPrefill](r))
+		attempt := wantEffect[StartDecode](r).Attempt
+		r.step(FirstToken{Request: core.RequestID(id), Attempt: attempt})
+		r.advance(time.Second)
+		r.failAttempt(id, attempt, crashFailure)
+	}
+	r.sendRequestWithParts("next", "/once/x", "shared")
+	wantEffect[AcquireHold](r)
+}
