upstream: bound the header of a response

Cause: a Pool read the header of a response with http.ReadResponse, which has no limit; an Upstream that sends a line, headers or 1xx responses without end filled the memory of the Instance until the time limit. Tests: TestEndlessHeaderEndsTheExchange, five ways, all fail before (256 MB read, or no end within 5 s); TestLongBodyAfterAHeaderIsComplete.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -96,6 +96,7 @@
 	net.Conn
 	pool        *Pool
 	addr        string
+	limit       headLimit
 	reader      *bufio.Reader
 	writeResult chan error // result of the current write
 	reusable,
@@ -142,7 +143,34 @@
 		return nil, &Error{Kind: ConnectFailed, URL: addr, Err: err}
 	}
 	SetTCPUserTimeout(conn, p.opts.TCPUserTimeout)
-	return &exchangeConn{Conn: conn, pool: p, addr: addr, reader: bufio.NewReader(conn)}, nil
+	c := &exchangeConn{Conn: conn, pool: p, addr: addr, limit: headLimit{conn: conn}}
+	c.reader = bufio.NewReader(&c.limit)
+	return c, nil
+}
+
+// maxHeadBytes bounds the header of a response, with the 1xx responses before it.
+const maxHeadBytes = 64 << 10
+
+var errHeadTooLarge = errors.New("the header of the response is too large")
+
+// headLimit reads from a connection and fails when a header has more than maxHeadBytes.
+type headLimit struct {
+	conn      net.Conn
+	inHead    bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if !l.inHead {
+		return l.conn.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 // SetTCPUserTimeout makes the kernel close a TCP connection whose data stays
@@ -315,6 +343,8 @@
 
 // readHeader reads the header of the next final response, skipping 1xx responses.
 func (c *exchangeConn) readHeader(q Request) (*http.Response, error) {
+	c.limit.inHead, c.limit.remaining = true, maxHeadBytes
+	defer func() { c.limit.inHead = false }()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
 		if err != nil {
--- a/pkg/upstream/exchange_test.go
+++ b/pkg/upstream/exchange_test.go
@@ -238,3 +238,59 @@
 	}
 	is.Equal(connections.Load(), int64(2)) // the first one is not reused
 }
+
+// Guards against an Upstream that sends bytes without end where a header is due.
+func TestEndlessHeaderEndsTheExchange(t *testing.T) {
+	for name, pieces := range map[string][2]string{
+		"no line end":       {"", strings.Repeat("x", 1000)},
+		"status line":       {"HTTP/1.1 200 ", strings.Repeat("x", 1000)},
+		"header lines":      {"HTTP/1.1 200 OK\r\n", "X-Y: " + strings.Repeat("z", 100) + "\r\n"},
+		"one header":        {"HTTP/1.1 200 OK\r\nX-Y: ", strings.Repeat("z", 1000)},
+		"interim responses": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var written atomic.Int64
+			closed := make(chan struct{})
+			addr, _ := rawServer(t, func(conn net.Conn, r *bufio.Reader) {
+				defer close(closed)
+				_, _ = readRequest(r)
+				_, err := io.WriteString(conn, pieces[0])
+				for err == nil && written.Load() < 256<<20 {
+					_, err = io.WriteString(conn, pieces[1])
+					written.Add(int64(len(pieces[1])))
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_, err := NewPool(PoolOptions{}).Do(ctx, addr, getRequest("1", false))
+			is.True(err != nil)
+			is.NoErr(ctx.Err())
+			<-closed
+			is.True(written.Load() < 32<<20) // what the buffers of the connection hold
+		})
+	}
+}
+
+// Guards against a limit for headers that also cuts bodies.
+func TestLongBodyAfterAHeaderIsComplete(t *testing.T) {
+	is := is.New(t)
+	text := strings.Repeat("x", 256<<10)
+	addr, _ := rawServer(t, func(conn net.Conn, r *bufio.Reader) {
+		for range 2 {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, okResponse(id, text))
+		}
+	})
+	pool := NewPool(PoolOptions{})
+	for range 2 { // the second one on the same connection
+		response, err := pool.Do(context.Background(), addr, getRequest("1", true))
+		is.NoErr(err)
+		body, err := response.ReadAll(int64(len(text)))
+		is.NoErr(err)
+		is.Equal(len(body), len(text))
+	}
+}
