hosted: a stream that ends inside an event is broken off

Cause: the end of a stream that cannot be resumed was taken as complete wherever it was, so a caller got a complete response that ended inside an event when the engine closed the connection. Resumable streams were checked already. Change: a stream of events that is passed on as it arrives must end with an empty line, else the response is aborted. Lines may end in CR LF; resumable streams with such lines were held back until their end, found by the same test.

--- a/pkg/hosted/daemon_test.go
+++ b/pkg/hosted/daemon_test.go
@@ -1,10 +1,12 @@
 package hosted
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -226,3 +228,67 @@
 	t.Fatalf("no log entry %q", message)
 	return nil
 }
+
+// rawEngine serves one fixed response on each connection and closes it.
+func rawEngine(t *testing.T, response string) (addr string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, response)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a stream that looks complete although its engine broke it off: without
+// a length or chunks, only the end of the last event tells.
+func TestStreamThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	for name, test := range map[string]struct {
+		response string
+		complete bool
+	}{
+		"until the end of the connection":             {head + "\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n", true},
+		"carriage returns":                            {head + "\r\nid: 1\r\ndata: a\r\n\r\n", true},
+		"end of the connection inside an event":       {head + "\r\nid: 1\ndata: a\n\nid: 2\nda", false},
+		"end of the connection before the empty line": {head + "\r\nid: 1\ndata: a\n", false},
+		"length that ends inside an event":            {head + "Content-Length: 4\r\n\r\nid: ", false},
+	} {
+		for _, resumable := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, resumable=%t", name, resumable), func(t *testing.T) {
+				is := is.New(t)
+				routing := plainRouting(1)
+				routing.Routes[0].Streaming, routing.Routes[0].Resumable = true, resumable
+				routing.Services[0].Engine = &config.EngineProfile{Slots: 4, KVCacheTokens: 1000, MaxHoldDuration: time.Second}
+				settings, _, _ := startDaemon(t, newFakeStore(routing, catalog.Upstream{
+					ID: "e", Service: "s", Addr: rawEngine(t, test.response), DataCentre: "a", Stage: catalog.StageDecode, Slots: 4,
+				}))
+				request, err := http.NewRequest(http.MethodPost, "http://"+settings.CallerAddr+"/p/x", strings.NewReader("body"))
+				is.NoErr(err)
+				request.Host = "h"
+				request.Header.Set("X-Id", "1")
+				response, err := http.DefaultClient.Do(request)
+				if err == nil {
+					defer response.Body.Close()
+					_, err = io.ReadAll(response.Body)
+				}
+				complete := err == nil && response.StatusCode == http.StatusOK
+				is.Equal(complete, test.complete)
+			})
+		}
+	}
+}
--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -223,10 +224,14 @@
 	d.post(router.AttemptFailed{Request: active.id, Attempt: e.Attempt, Failure: attempts.Failure{Kind: attempts.FailProtocolError, Upstream: e.Upstream, MaybeSent: true}})
 }
 
+const eventStreamType = "text/event-stream"
+
 // relay passes a stream on to the caller. A stream that may be resumed at another
 // Upstream is passed on in complete events only.
 func (d *Daemon) relay(ctx context.Context, active *activeRequest, e router.StartDecode, response *UpstreamResponse) {
 	var events eventSplitter
+	var boundary eventBoundary
+	isEventStream := strings.HasPrefix(response.Header.Get("Content-Type"), eventStreamType)
 	buffer := make([]byte, relayBufferSize)
 	first := true
 	var last time.Time
@@ -241,6 +246,8 @@
 					active.template.LastEventID = id
 				}
 			})
+		} else if isEventStream {
+			boundary.add(part)
 		}
 		if len(part) > 0 {
 			arrived := time.Now()
@@ -256,7 +263,7 @@
 				return
 			}
 		}
-		if err == io.EOF && events.empty() {
+		if err == io.EOF && events.empty() && !boundary.inEvent {
 			d.post(router.ResponseCompleted{Request: active.id, Attempt: e.Attempt, Status: response.Status, LongestPause: longestPause})
 			return
 		}
--- a/pkg/hosted/events.go
+++ b/pkg/hosted/events.go
@@ -11,17 +11,47 @@
 	s.incomplete = append(s.incomplete, part...)
 	end := 0
 	for {
-		n := bytes.Index(s.incomplete[end:], []byte("\n\n"))
+		n, separator := nextEventEnd(s.incomplete[end:])
 		if n < 0 {
 			break
 		}
 		onEvent(s.incomplete[end : end+n])
-		end += n + 2
+		end += n + separator
 	}
 	complete := bytes.Clone(s.incomplete[:end])
 	s.incomplete = append(s.incomplete[:0], s.incomplete[end:]...)
 	return complete
 }
 
+// nextEventEnd returns the length of the first event and of the line ends after it, -1
+// without a complete event.
+func nextEventEnd(text []byte) (length, separator int) {
+	length = bytes.Index(text, []byte("\n\n"))
+	withReturn := bytes.Index(text, []byte("\n\r\n"))
+	if withReturn >= 0 && (length < 0 || withReturn < length) {
+		return withReturn, len("\n\r\n")
+	}
+	return length, len("\n\n")
+}
+
 // empty reports whether the stream ends with a complete event.
 func (s *eventSplitter) empty() bool { return len(s.incomplete) == 0 }
+
+// eventBoundary finds out whether a stream that is passed on as it arrives ends with a
+// complete event.
+type eventBoundary struct {
+	inEvent  bool
+	lineEnds int // at the end of the stream so far
+}
+
+// add appends part to the stream.
+func (b *eventBoundary) add(part []byte) {
+	text := bytes.TrimRight(part, "\r\n")
+	if len(text) > 0 {
+		b.inEvent, b.lineEnds = true, 0
+	}
+	b.lineEnds += bytes.Count(part[len(text):], []byte("\n"))
+	if b.lineEnds >= 2 {
+		b.inEvent = false
+	}
+}
