hosted: bound one event of a stream

Cause: a stream that may be resumed is passed on in complete events, and an event without an end was kept in memory until the time limit. Change: at most 1 MB; then the attempt has failed.

--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -241,11 +241,15 @@
 		n, err := response.Read(buffer)
 		part := buffer[:n]
 		if e.Resumable {
-			part = events.add(part, func(event []byte) {
+			var failure error
+			part, failure = events.add(part, func(event []byte) {
 				if id := d.adapter.Upstreams.EventID(event); id != "" {
 					active.template.LastEventID = id
 				}
 			})
+			if failure != nil {
+				err = failure
+			}
 		} else if isEventStream {
 			boundary.add(part)
 		}
--- a/pkg/hosted/events.go
+++ b/pkg/hosted/events.go
@@ -1,13 +1,22 @@
 package hosted
 
-import "bytes"
+import (
+	"bytes"
+	"errors"
+)
+
+// maxEventBytes bounds one event of a stream that is passed on in complete events.
+const maxEventBytes = 1 << 20
+
+var errEventTooLarge = errors.New("an event of the stream is too large")
 
 // eventSplitter splits a stream into complete events, which end with an empty line.
 type eventSplitter struct{ incomplete []byte }
 
 // add appends part to the stream and returns the events that it completes, as they
-// were received. It calls onEvent with each of them, without its empty line.
-func (s *eventSplitter) add(part []byte, onEvent func(event []byte)) []byte {
+// were received. It calls onEvent with each of them, without its empty line. It fails when
+// an event has more than maxEventBytes.
+func (s *eventSplitter) add(part []byte, onEvent func(event []byte)) ([]byte, error) {
 	s.incomplete = append(s.incomplete, part...)
 	end := 0
 	for {
@@ -20,7 +29,10 @@
 	}
 	complete := bytes.Clone(s.incomplete[:end])
 	s.incomplete = append(s.incomplete[:0], s.incomplete[end:]...)
-	return complete
+	if len(s.incomplete) > maxEventBytes {
+		return complete, errEventTooLarge
+	}
+	return complete, nil
 }
 
 // nextEventEnd returns the length of the first event and of the line ends after it, -1
