hosted: responses without end do not fill the memory of an instance

Cause: each buffered response may have 8 MB, and nothing bounded them together: 40 responses without end grew the heap by 192 to 280 MB; instances have 112 MB and more. Change: responses of up to 256 KB are read as before; of larger ones two are read at a time, the others wait within their time limit. Ruled out: a smaller limit for each response, which would refuse what is served today.

--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -81,9 +81,11 @@
 	addressQueries sync.Map  // query ID -> chan router.CallerAddresses
 	lastQueryID    atomic.Uint64
 
-	drained    chan struct{}
-	loopEnded  chan struct{}
-	background sync.WaitGroup
+	drained   chan struct{}
+	loopEnded chan struct{}
+	// largeResponses has one element for each large response that is being read.
+	largeResponses chan struct{}
+	background     sync.WaitGroup
 }
 
 // upstreamList is the current list of Upstreams, which peers may fetch.
@@ -117,6 +119,8 @@
 		clock:     timeline.NewClock(string(settings.Instance), time.Now),
 		drained:   make(chan struct{}),
 		loopEnded: make(chan struct{}),
+
+		largeResponses: make(chan struct{}, maxLargeResponses),
 	}
 	d.peers = peer.NewTransport(ref, peer.Options{
 		Secret:       fleetSecret(settings),
--- a/pkg/hosted/daemon_test.go
+++ b/pkg/hosted/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,8 +10,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -292,3 +295,67 @@
 		}
 	}
 }
+
+// Guards against Upstreams that fill the memory of an Instance with responses without end.
+func TestEndlessResponsesAreBounded(t *testing.T) {
+	is := is.New(t)
+	const requests = 40
+	piece := []byte(strings.Repeat("x", 64<<10))
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/p/large" {
+			_, _ = w.Write(bytes.Repeat(piece, 16))
+			return
+		}
+		var err error
+		for err == nil {
+			_, err = w.Write(piece)
+		}
+	}))
+	defer service.Close()
+	settings, _, _ := startDaemon(t, newFakeStore(plainRouting(1), catalog.Upstream{
+		ID: "s1", Service: "s", Addr: strings.TrimPrefix(service.URL, "http://"), DataCentre: "a", Slots: requests,
+	}))
+	send := func(id int, path string) (status int, length int64) {
+		request, err := http.NewRequest(http.MethodGet, "http://"+settings.CallerAddr+path, nil)
+		is.NoErr(err)
+		request.Host = "h"
+		request.Header.Set("X-Id", fmt.Sprint(id))
+		response, err := http.DefaultClient.Do(request)
+		is.NoErr(err)
+		defer response.Body.Close()
+		length, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		return response.StatusCode, length
+	}
+	runtime.GC()
+	var before, current runtime.MemStats
+	runtime.ReadMemStats(&before)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var wait sync.WaitGroup
+		for i := range requests {
+			wait.Go(func() {
+				status, _ := send(i, "/p/endless")
+				is.Equal(status, http.StatusBadGateway)
+			})
+		}
+		wait.Wait()
+	}()
+	peak := before.HeapInuse
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		case <-time.After(5 * time.Millisecond):
+			runtime.GC()
+			runtime.ReadMemStats(&current)
+			peak = max(peak, current.HeapInuse)
+		}
+	}
+	t.Logf("the heap grew by %d MB", (peak-before.HeapInuse)>>20)
+	is.True(peak-before.HeapInuse < 112<<20) // the memory of the smallest instance
+	status, length := send(requests, "/p/large")
+	is.Equal(status, http.StatusOK)
+	is.Equal(length, int64(16*len(piece)))
+}
--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -27,6 +27,10 @@
 	releaseTimeout = 500 * time.Millisecond
 	// maxResponseBytes bounds the body of a buffered response.
 	maxResponseBytes = 8 << 20
+	// smallResponseBytes is the size up to which any number of responses is read at the
+	// same time. Of larger ones maxLargeResponses are.
+	smallResponseBytes = 256 << 10
+	maxLargeResponses  = 2
 	// relayBufferSize is the size of one read of a stream.
 	relayBufferSize = 8 << 10
 )
@@ -170,7 +174,7 @@
 	if response == nil {
 		return
 	}
-	body, err := response.ReadAll(maxResponseBytes)
+	body, err := d.readResponseBody(attemptCtx, response)
 	if err != nil {
 		d.attemptFailed(attemptCtx, active, e.Attempt, e.Upstream, &upstream.Error{Kind: upstream.Crashed, Sent: true, URL: e.URL, Err: err})
 		return
@@ -210,10 +214,28 @@
 	d.relay(attemptCtx, active, e, response)
 }
 
+// readResponseBody reads and closes a buffered response. Large ones wait for each other, so that
+// Upstreams which send bytes without end do not fill the memory of the Instance.
+func (d *Daemon) readResponseBody(ctx context.Context, response *UpstreamResponse) ([]byte, error) {
+	defer response.Close()
+	body, err := io.ReadAll(io.LimitReader(response, smallResponseBytes))
+	if err != nil || len(body) < smallResponseBytes {
+		return body, err
+	}
+	select {
+	case d.largeResponses <- struct{}{}:
+		defer func() { <-d.largeResponses }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	rest, err := response.ReadAll(maxResponseBytes - smallResponseBytes)
+	return append(body, rest...), err
+}
+
 // handleErrorResponse handles the response of an engine that did not start a stream.
 // The response is kept for the caller unless part of a stream was already sent.
 func (d *Daemon) handleErrorResponse(ctx context.Context, active *activeRequest, e router.StartDecode, response *UpstreamResponse) {
-	body, err := response.ReadAll(maxResponseBytes)
+	body, err := d.readResponseBody(ctx, response)
 	if err != nil {
 		d.attemptFailed(ctx, active, e.Attempt, e.Upstream, &upstream.Error{Kind: upstream.Crashed, Sent: true, URL: e.URL, Err: err})
 		return
