router: old evidence on parts of prompts is repeated in one round of heartbeats of eight

Cause: evidence is remembered for 10 minutes and was in every heartbeat, at 60 heartbeats a second some 15 KB/s for one part (derived from 250 B), above the 10 KB/s of control traffic a node. Change: every heartbeat has what changed within 10 s, one round of eight has all, for Instances that have just started. Test: TestOldEvidenceIsRepeatedOnlyInFullReports.

--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -36,6 +36,9 @@
 	maxCompleted = 4096
 	// maxReports bounds the parts in one heartbeat. Those with most crashes go first.
 	maxReports = 16
+	// recentEvidence is the time after its last change for which the evidence on a part is
+	// in every report. It is longer than the interval of heartbeats in a fleet of 330.
+	recentEvidence = 10 * time.Second
 	// clearedMemory is the time for which a part that a completed run has cleared stays in
 	// the reports, so that all peers learn of that run.
 	clearedMemory = 10 * time.Second
@@ -113,6 +116,9 @@
 // clear removes the crashes up to a completed run.
 func (s *suspect) clear(completedAt core.Instant) {
 	s.completedAt = max(s.completedAt, completedAt)
+	if len(s.crashes) > 0 {
+		s.updatedAt = max(s.updatedAt, completedAt)
+	}
 	maps.DeleteFunc(s.crashes, func(_ Process, at core.Instant) bool { return at <= s.completedAt })
 }
 
@@ -163,20 +169,27 @@
 	return key
 }
 
-// Reports returns the evidence for the peers, nil without any. Crashes include those that
+// Reports returns the evidence for the peers, nil without any: all of it, or only what has
+// changed within recentEvidence. Crashes include those that
 // peers have reported; completed runs are only those of this Instance, so that their age
 // does not lose the time of each relay.
-func (d *Detector) Reports(now core.Instant) map[core.PromptPart]Report {
+func (d *Detector) Reports(now core.Instant, all bool) map[core.PromptPart]Report {
 	for part, s := range d.suspects {
 		maps.DeleteFunc(s.crashes, func(_ Process, at core.Instant) bool { return now.Sub(at) > crashMemory })
 		if len(s.crashes) == 0 && now.Sub(s.completedAt) > clearedMemory {
 			delete(d.suspects, part)
 		}
 	}
-	if len(d.suspects) == 0 {
+	var parts []core.PromptPart
+	for part, s := range d.suspects {
+		if all || now.Sub(s.updatedAt) <= recentEvidence {
+			parts = append(parts, part)
+		}
+	}
+	if len(parts) == 0 {
 		return nil
 	}
-	parts := slices.SortedFunc(maps.Keys(d.suspects), func(a, b core.PromptPart) int {
+	slices.SortFunc(parts, func(a, b core.PromptPart) int {
 		return cmp.Or(cmp.Compare(len(d.suspects[b].crashes), len(d.suspects[a].crashes)), cmp.Compare(a, b))
 	})
 	reports := make(map[core.PromptPart]Report, maxReports)
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -91,21 +91,34 @@
 	a, b, c := New(), New(), New()
 	now := crash(a, 10*second, 2, "bad")
 	now = crash(b, now, 1, "bad")
-	b.OnPeerReports(now, a.Reports(now))
-	c.OnPeerReports(now, b.Reports(now)) // includes the crashes that a has reported
+	b.OnPeerReports(now, a.Reports(now, true))
+	c.OnPeerReports(now, b.Reports(now, true)) // includes the crashes that a has reported
 	_, found := c.Find(now, parts("bad"))
 	is.True(found)
 
 	a.OnCompleted(now.Add(time.Second), parts("bad"))
 	now = now.Add(2 * time.Second)
-	c.OnPeerReports(now, a.Reports(now))
+	c.OnPeerReports(now, a.Reports(now, true))
 	_, found = c.Find(now, parts("bad"))
 	is.True(!found)
-	c.OnPeerReports(now, b.Reports(now))
+	c.OnPeerReports(now, b.Reports(now, true))
 	_, found = c.Find(now, parts("bad"))
 	is.True(!found)
 }
 
+// Guards against evidence in every heartbeat for as long as it is remembered.
+func TestOldEvidenceIsRepeatedOnlyInFullReports(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	now := crash(d, 10*second, 3, "bad")
+	is.Equal(len(d.Reports(now, false)), 1)
+	now = now.Add(recentEvidence + time.Millisecond)
+	is.Equal(len(d.Reports(now, false)), 0)
+	is.Equal(len(d.Reports(now, true)), 1)
+	d.OnCompleted(now, parts("bad")) // peers must learn of it
+	is.True(d.Reports(now, false)["bad"].Completed)
+}
+
 // Guards against state and heartbeats that grow with the number of parts.
 func TestStateIsBounded(t *testing.T) {
 	is := is.New(t)
@@ -120,7 +133,7 @@
 	}
 	is.True(len(d.completed) <= maxCompleted)
 	is.True(len(d.suspects) <= maxSuspects)
-	reports := d.Reports(second)
+	reports := d.Reports(second, true)
 	is.Equal(len(reports), maxReports)
 	for _, report := range reports {
 		is.True(len(report.Crashes) <= maxCrashes)
@@ -143,7 +156,7 @@
 				d.OnCrash(now, names, process(rapid.IntRange(0, 20).Draw(t, "process")))
 			case 2:
 				peer := rapid.SampledFrom(detectors).Draw(t, "peer")
-				d.OnPeerReports(now, peer.Reports(now))
+				d.OnPeerReports(now, peer.Reports(now, true))
 			case 3:
 				d.OnCompleted(now, names)
 				if part, found := d.Find(now, names); found {
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -43,6 +43,10 @@
 // dropped. The next one is newer.
 const peerMessageTTL = 300 * time.Millisecond
 
+// fullPoisonReports is the mean number of rounds of heartbeats of which one repeats all
+// evidence on parts of prompts, for Instances that have just started.
+const fullPoisonReports = 8
+
 func (h *hosted) sendHeartbeats(now core.Instant, to []fleet.Member) {
 	revision, _ := h.catalog.Revision()
 	heartbeat := &HostedHeartbeat{
@@ -53,7 +57,7 @@
 		Quotas:          h.quota.Reports(now),
 		Loads:           h.dispatch.Loads(),
 		Crashes:         h.ownCrashes(now),
-		Poison:          h.poison.Reports(now),
+		Poison:          h.poison.Reports(now, h.Router.params.Rand.IntN(fullPoisonReports) == 0),
 	}
 	for _, member := range to {
 		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: heartbeat}, NotAfter: now.Add(peerMessageTTL)})
