poison: an instance that has just started counts the crashes before its start

Cause: the instants of an Instance count from its start, and 0 stood for no completed run, so crashes that peers reported from before the start were dropped as older than a completed run. A restarted Instance would have sent requests with a known part until three more engines had crashed. Change: a flag says whether a run has completed. Test: TestInstanceThatStartsLearnsOfEarlierCrashes, fails before ('not true: found').

--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -214,8 +214,8 @@
 	d.relay(attemptCtx, active, e, response)
 }
 
-// readResponseBody reads and closes a buffered response. Large ones wait for each other, so that
-// Upstreams which send bytes without end do not fill the memory of the Instance.
+// readResponseBody reads and closes a buffered response. Large ones wait for each other,
+// so that Upstreams which send bytes without end do not fill the memory of the Instance.
 func (d *Daemon) readResponseBody(ctx context.Context, response *UpstreamResponse) ([]byte, error) {
 	defer response.Close()
 	body, err := io.ReadAll(io.LimitReader(response, smallResponseBytes))
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -78,7 +79,9 @@
 type suspect struct {
 	crashes map[Process]core.Instant // since the last completed run
 	common  []core.PromptPart        // of the runs that crashed, sorted
-	// completedAt is the instant of the last completed run of any Instance, 0 for none.
+	// completed is set when completedAt is the instant of the last completed run of any
+	// Instance. Instants before the start of this process are negative.
+	completed   bool
 	completedAt core.Instant
 	updatedAt   core.Instant
 }
@@ -115,7 +118,10 @@
 
 // clear removes the crashes up to a completed run.
 func (s *suspect) clear(completedAt core.Instant) {
-	s.completedAt = max(s.completedAt, completedAt)
+	if s.completed {
+		completedAt = max(s.completedAt, completedAt)
+	}
+	s.completed, s.completedAt = true, completedAt
 	if len(s.crashes) > 0 {
 		s.updatedAt = max(s.updatedAt, completedAt)
 	}
@@ -123,17 +129,18 @@
 }
 
 func (d *Detector) addCrash(now core.Instant, part core.PromptPart, common []core.PromptPart, process Process, at core.Instant) {
-	if at <= d.completed[part] || now.Sub(at) > crashMemory {
+	if now.Sub(at) > crashMemory {
 		return
 	}
 	s := d.suspects[part]
 	if s == nil {
-		s = &suspect{crashes: map[Process]core.Instant{}, completedAt: d.completed[part]}
-		d.suspects[part] = s
+		s = &suspect{crashes: map[Process]core.Instant{}, updatedAt: at}
+		s.completedAt, s.completed = d.completed[part]
 	}
-	if at <= s.completedAt {
+	if s.completed && at <= s.completedAt {
 		return
 	}
+	d.suspects[part] = s
 	if len(s.crashes) == 0 {
 		s.common = common
 	}
@@ -176,7 +183,7 @@
 func (d *Detector) Reports(now core.Instant, all bool) map[core.PromptPart]Report {
 	for part, s := range d.suspects {
 		maps.DeleteFunc(s.crashes, func(_ Process, at core.Instant) bool { return now.Sub(at) > crashMemory })
-		if len(s.crashes) == 0 && now.Sub(s.completedAt) > clearedMemory {
+		if len(s.crashes) == 0 && (!s.completed || now.Sub(s.completedAt) > clearedMemory) {
 			delete(d.suspects, part)
 		}
 	}
@@ -245,10 +252,10 @@
 // isPoison reports whether enough processes have crashed since the last completed run.
 func (s *suspect) isPoison(now core.Instant) bool {
 	limit := crashLimit
-	if s.completedAt > 0 && now.Sub(s.completedAt) <= completionMemory {
+	if s.completed && now.Sub(s.completedAt) <= completionMemory {
 		limit = provenCrashLimit
 	}
-	count, first, last := 0, core.Never, core.Instant(0)
+	count, first, last := 0, core.Never, core.Instant(math.MinInt64)
 	for _, at := range s.crashes {
 		if now.Sub(at) <= crashMemory {
 			count++
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -106,6 +106,21 @@
 	is.True(!found)
 }
 
+// Guards against an Instance that has just started and takes the crashes before its start
+// for unknown ones: its instants count from the start.
+func TestInstanceThatStartsLearnsOfEarlierCrashes(t *testing.T) {
+	is := is.New(t)
+	old, started := New(), New()
+	now := crash(old, 300*second, 3, "bad")
+	started.OnPeerReports(second, old.Reports(now.Add(time.Minute), true))
+	_, found := started.Find(second, parts("bad"))
+	is.True(found)
+	old.OnCompleted(now.Add(time.Minute), parts("bad"))
+	started.OnPeerReports(2*second, old.Reports(now.Add(61*time.Second), true))
+	_, found = started.Find(2*second, parts("bad"))
+	is.True(!found)
+}
+
 // Guards against evidence in every heartbeat for as long as it is remembered.
 func TestOldEvidenceIsRepeatedOnlyInFullReports(t *testing.T) {
 	is := is.New(t)
