--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -170,10 +170,10 @@
 	return min(maxWatchPeriod, max(minWatchPeriod, time.Duration(liveInstances)*watchInterval))
 }
 
-// watchWait returns the wait of a watch that begins at elapsed, so that it ends at a fixed
-// phase of the period. The phase is a fraction that each Instance draws at random. A change
-// makes all watches of a fleet begin together; due to the phases they still end at
-// different times.
+// watchWait returns the wait of a watch that begins when the process has run for elapsed,
+// so that it ends at a fixed phase of the period. The phase is a fraction that each
+// Instance draws at random. A change makes all watches of a fleet begin together; due to
+// the phases they still end at different times.
 func watchWait(elapsed, period time.Duration, phase float64) time.Duration {
 	wait := period - (elapsed+time.Duration(phase*float64(period)))%period
 	if wait < minWatchWait {
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -128,6 +128,9 @@
 	maps.DeleteFunc(s.crashes, func(_ Process, at core.Instant) bool { return at <= s.completedAt })
 }
 
+// addCrash adds a crash to the evidence on one part. common are the parts of the run, or
+// those that all runs which a peer reports had in common. Of two reports of one crash the
+// earlier instant is right, as transit only adds to it.
 func (d *Detector) addCrash(now core.Instant, part core.PromptPart, common []core.PromptPart, process Process, at core.Instant) {
 	if now.Sub(at) > crashMemory {
 		return
@@ -165,6 +168,7 @@
 	delete(d.suspects, oldest(updates))
 }
 
+// oldest returns the key with the earliest instant.
 func oldest[K comparable](instants map[K]core.Instant) K {
 	var key K
 	first := core.Never
@@ -177,9 +181,9 @@
 }
 
 // Reports returns the evidence for the peers, nil without any: all of it, or only what has
-// changed within recentEvidence. Crashes include those that
-// peers have reported; completed runs are only those of this Instance, so that their age
-// does not lose the time of each relay.
+// changed within recentEvidence. Crashes include those that peers have reported. Completed
+// runs are only those of this Instance: each relay would make them look younger by the
+// transit time, and a part would be cleared again and again.
 func (d *Detector) Reports(now core.Instant, all bool) map[core.PromptPart]Report {
 	for part, s := range d.suspects {
 		maps.DeleteFunc(s.crashes, func(_ Process, at core.Instant) bool { return now.Sub(at) > crashMemory })
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -56,8 +56,8 @@
 // engine still counts as one at the begin of the run.
 const firstEventMargin = 100 * time.Millisecond
 
-// recordPromptCrash blames the parts of a prompt for the crash of an engine that had just
-// begun to generate on it. Other streams of that engine are broken off later.
+// recordPromptCrash blames the parts of a prompt for the crash of an engine that was about
+// to generate on it or had just begun. Streams in progress at that engine are not blamed.
 func (h *hosted) recordPromptCrash(now core.Instant, rs *requestState) {
 	hr := rs.hosted
 	if hr.firstEventAt != 0 && now.Sub(hr.firstEventAt) > firstEventMargin {
