hosted: the test of endless responses gives them time to wait for each other

Cause, from its log: two large responses are read at a time, 40 took more than 5 s under the race detector there (6.15 s), and the route's timeout in the test was 5 s, so the last ones ended at their time limit, as they should. The memory bound held (69 MB). Change: the route's timeout is a minute; status and bound are checked as before. Passed twice under the race detector beside six busy loops (6.5 s, 6.0 s).

--- a/pkg/hosted/daemon_test.go
+++ b/pkg/hosted/daemon_test.go
@@ -312,7 +312,9 @@
 		}
 	}))
 	defer service.Close()
-	settings, _, _ := startDaemon(t, newFakeStore(plainRouting(1), catalog.Upstream{
+	routing := plainRouting(1)
+	routing.Routes[0].Timeout = time.Minute // large responses wait for each other
+	settings, _, _ := startDaemon(t, newFakeStore(routing, catalog.Upstream{
 		ID: "s1", Service: "s", Addr: strings.TrimPrefix(service.URL, "http://"), DataCentre: "a", Slots: requests,
 	}))
 	send := func(id int, path string) (status int, length int64) {
