limit: log the limits that Upstreams announce

Cause: an Upstream may announce in each answer how many requests a second it takes from all Instances together.

The router records each change as 'limit: announced'. No decision depends on it yet.

--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -121,8 +121,23 @@
 	ErrRejected = errors.New("the Upstream did not execute the request")
 )
 
+// RateLimit is what an Upstream announces in an answer about the requests that it takes
+// from all Instances together.
+type RateLimit struct {
+	// Announced is set when the answer states a limit.
+	Announced         bool
+	RequestsPerSecond float64
+}
+
+// AnswerObserver is called for each answer of an Upstream, concurrently. err is set when
+// the answer states a limit that cannot be read.
+type AnswerObserver func(up core.UpstreamID, limit RateLimit, err error)
+
 // UpstreamClient sends requests to Upstreams. It is used concurrently.
 type UpstreamClient interface {
+	// ObserveAnswers sets the observer of the answers, refusals included. It is called
+	// once, before the first request.
+	ObserveAnswers(observer AnswerObserver)
 	// AcquireHold acquires a hold on a decode engine for a number of tokens. The hold
 	// expires after term. Errors: ErrFull, ErrAddressReassigned.
 	AcquireHold(ctx context.Context, up core.UpstreamID, addr string, tokens int, term time.Duration) (hold string, err error)
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -128,6 +128,7 @@
 		FetchHandler: d.servePeer,
 		Log:          telemetry.ComponentLogger(log, "peer"),
 	}, d.handlePeerMessages)
+	adapter.Upstreams.ObserveAnswers(d.onUpstreamAnswer)
 	member := fleet.Member{
 		Ref: ref, DataCentre: settings.DataCentre, Region: settings.Region,
 		CallerAddr: settings.CallerAddr, PeerAddr: settings.PeerAddr,
--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -35,6 +35,15 @@
 	relayBufferSize = 8 << 10
 )
 
+// onUpstreamAnswer reports the limit that an Upstream announces, or that it announces none.
+func (d *Daemon) onUpstreamAnswer(up core.UpstreamID, limit RateLimit, err error) {
+	if err != nil {
+		d.logFailure("announced limit ignored", "", up, err)
+		return
+	}
+	d.post(router.UpstreamAnswered{Upstream: up, Limited: limit.Announced, RequestsPerSecond: limit.RequestsPerSecond})
+}
+
 func (d *Daemon) acquireHold(ctx context.Context, e router.AcquireHold) {
 	holdCtx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -78,6 +78,7 @@
 	deadlines         schedule.Queue[core.Instant, core.RequestID]
 	crashes           map[core.Fingerprint]*crashRecord
 	fetches           map[StateKind]*stateFetch
+	announced         map[core.UpstreamID]float64 // requests per second of the limited Upstreams
 	services          map[core.ServiceName]*config.Service
 	accountViews      map[core.AccountID]*config.ClientAccount
 	nextMemberListAt  core.Instant
@@ -127,6 +128,7 @@
 
 		crashes:      map[core.Fingerprint]*crashRecord{},
 		fetches:      map[StateKind]*stateFetch{},
+		announced:    map[core.UpstreamID]float64{},
 		services:     map[core.ServiceName]*config.Service{},
 		accountViews: map[core.AccountID]*config.ClientAccount{},
 		stopAt:       core.Never,
@@ -161,6 +163,8 @@
 		h.onResponseCompleted(now, e)
 	case AttemptFailed:
 		h.onAttemptFailed(now, e)
+	case UpstreamAnswered:
+		h.onUpstreamAnswered(now, e)
 	case CallerAddressesRequested:
 		h.onCallerAddressesRequested(e)
 	case RoutingReceived:
@@ -286,6 +290,21 @@
 	h.applyDispatch(now, h.dispatch.SetUpstreams(now, list))
 }
 
+// onUpstreamAnswered records each change of the limit that an Upstream announces.
+func (h *hosted) onUpstreamAnswered(now core.Instant, e UpstreamAnswered) {
+	rate, limited := h.announced[e.Upstream]
+	if e.Limited == limited && e.RequestsPerSecond == rate {
+		return
+	}
+	detail := "none"
+	delete(h.announced, e.Upstream)
+	if e.Limited {
+		h.announced[e.Upstream] = e.RequestsPerSecond
+		detail = strconv.FormatFloat(e.RequestsPerSecond, 'f', -1, 64)
+	}
+	h.recordUpstreamEvent(now, "limit", "announced", e.Upstream, "requests_per_second="+detail)
+}
+
 func (h *hosted) onCallerAddressesRequested(e CallerAddressesRequested) {
 	h.emit(CallerAddresses{
 		QueryID:   e.QueryID,
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -34,6 +34,14 @@
 	Hold string
 }
 
+// UpstreamAnswered reports an answer of an Upstream. Limited is set when the answer
+// announces how many requests per second the Upstream takes from all Instances together.
+type UpstreamAnswered struct {
+	Upstream          core.UpstreamID
+	Limited           bool
+	RequestsPerSecond float64
+}
+
 // RoutingReceived is a configuration from the store or, if From is set, from a peer.
 type RoutingReceived struct {
 	Routing  *config.Routing
@@ -85,6 +93,7 @@
 }
 
 func (HoldResult) event()               {}
+func (UpstreamAnswered) event()         {}
 func (RoutingReceived) event()          {}
 func (UpstreamsListed) event()          {}
 func (UpstreamsChanged) event()         {}
--- a/pkg/router/record.go
+++ b/pkg/router/record.go
@@ -36,6 +36,10 @@
 	r.emit(Record{Event: timeline.Event{Component: component, Kind: kind, Detail: detail}})
 }
 
+func (r *Router) recordUpstreamEvent(_ core.Instant, component, kind string, up core.UpstreamID, detail string) {
+	r.emit(Record{Event: timeline.Event{Component: component, Kind: kind, Upstream: up, Detail: detail}})
+}
+
 // observe emits the observation of a finished request for the metrics.
 func (r *Router) observe(rs *requestState, code core.Code, tokens int) {
 	o := Observation{
