--- a/pkg/lab/hostedsim/callers.go
+++ b/pkg/lab/hostedsim/callers.go
@@ -35,6 +35,7 @@
 	firstEventAt  core.Instant // 0 before the first event
 	lastEventAt   core.Instant
 	pauseExceeded bool
+	sentAt        core.Instant
 }
 
 // scheduleLoad schedules the arrivals of both kinds of request.
@@ -120,6 +121,10 @@
 		return
 	}
 	a.instance = near[w.rng.IntN(len(near))]
+	if w.x.SingleEntry {
+		a.instance = all[0]
+	}
+	a.sentAt = w.now
 	w.requests[a.id] = a
 	key := keyOf(j.account)
 	request := router.Request{
@@ -155,7 +160,9 @@
 	a.lastEventAt = w.now
 	a.relayedEvents++
 	if first {
+		limit := w.limits[c.up]
 		w.after(w.transit(dc, c.owner.member.DataCentre), func() {
+			w.deliverAnswer(c.owner, c.up, limit)
 			w.step(c.owner, router.FirstToken{Request: a.id, Attempt: c.attempt})
 		})
 	}
@@ -185,6 +192,9 @@
 		return
 	}
 	delete(w.requests, id)
+	if refusal.Ran == core.NotRun {
+		w.result.RefusalDelays = append(w.result.RefusalDelays, w.now.Sub(a.sentAt))
+	}
 	if refusal.Ran == core.NotRun && a.executions > 0 {
 		w.result.addViolation("%s: refused as not run after %d runs", id, a.executions)
 	}
--- a/pkg/lab/hostedsim/experiment.go
+++ b/pkg/lab/hostedsim/experiment.go
@@ -30,7 +30,9 @@
 	Streams  Load              `json:"streams"`
 	Calls    Load              `json:"calls"`
 	Accounts []AccountSettings `json:"accounts"`
-	Faults   []Fault           `json:"faults"`
+	// SingleEntry makes all callers use the first live Instance.
+	SingleEntry bool    `json:"single_entry"`
+	Faults      []Fault `json:"faults"`
 }
 
 // EngineSettings describe each model engine.
@@ -95,6 +97,14 @@
 	FaultInstanceKill FaultKind = "instance_kill"
 	// FaultRegionCut partitions the regions: all messages between them are lost.
 	FaultRegionCut FaultKind = "region_cut"
+	// FaultPlainLimit makes Count plain Upstreams announce that they take Factor requests
+	// per second from all Instances together, FaultEngineLimit Count engines.
+	FaultPlainLimit  FaultKind = "plain_limit"
+	FaultEngineLimit FaultKind = "engine_limit"
+	// FaultInstancePause stops Count Instances, which continue when the fault ends.
+	FaultInstancePause FaultKind = "instance_pause"
+	// FaultPeerCut drops the messages between Count Instances and all others.
+	FaultPeerCut FaultKind = "peer_cut"
 )
 
 // Fault is one injected fault. A Count of 0 means 1.
@@ -210,11 +220,11 @@
 	}
 	for i, fault := range x.Faults {
 		switch fault.Kind {
-		case FaultBurst, FaultEngineSlow:
+		case FaultBurst, FaultEngineSlow, FaultPlainLimit, FaultEngineLimit:
 			if fault.Factor <= 0 {
 				add("faults[%d].x: %v must be above 0", i, fault.Factor)
 			}
-		case FaultEngineCrash, FaultInstanceKill, FaultRegionCut:
+		case FaultEngineCrash, FaultInstanceKill, FaultInstancePause, FaultPeerCut, FaultRegionCut:
 		default:
 			add("faults[%d].kind: %q is not a kind of fault", i, fault.Kind)
 		}
--- a/pkg/lab/hostedsim/result.go
+++ b/pkg/lab/hostedsim/result.go
@@ -69,6 +69,13 @@
 	Accounts map[core.AccountID]*Counts
 	// PeakQuotaUse is the peak use of an account's allowance in a window, as a share of it.
 	PeakQuotaUse float64
+	// PeakLimitUse is the largest number of requests in a window at an Upstream that
+	// announces a limit, as a share of what it may get.
+	PeakLimitUse float64
+	// Arrivals are the instants at which each Upstream got a request of any kind.
+	Arrivals map[core.UpstreamID][]core.Instant
+	// RefusalDelays are the times from sending a request to its refusal as not run.
+	RefusalDelays []time.Duration
 	// PromptTokens counts prefilled tokens, WastedPrefillTokens those without a response.
 	PromptTokens        int64
 	WastedPrefillTokens int64
@@ -89,7 +96,7 @@
 }
 
 func newResult(x Experiment) *Result {
-	r := &Result{x: x, Accounts: map[core.AccountID]*Counts{}, usage: map[core.AccountID][]usage{}}
+	r := &Result{x: x, Accounts: map[core.AccountID]*Counts{}, Arrivals: map[core.UpstreamID][]core.Instant{}, usage: map[core.AccountID][]usage{}}
 	r.Windows = make([]Counts, int(seconds(x.Seconds)/windowLength)+1)
 	for _, account := range x.Accounts {
 		r.Accounts[account.Name] = &Counts{}
@@ -187,8 +194,8 @@
 		wasted = 100 * float64(r.WastedPrefillTokens) / float64(r.PromptTokens)
 	}
 	instances := r.x.Instances * len(r.x.DataCentres)
-	_, err := fmt.Fprintf(out, "worst account %s %.1f %%; quota used at most %.0f %% of a window; prefill wasted %.1f %% of %d tokens; preempted %d; messages %.0f a second and instance; seed %d\n",
-		worst, 100*share, 100*r.PeakQuotaUse, wasted, r.PromptTokens, r.Preemptions, float64(r.Messages)/(r.x.Seconds+warmUp.Seconds())/float64(instances), r.x.Seed)
+	_, err := fmt.Fprintf(out, "worst account %s %.1f %%; quota used at most %.0f %% of a window, announced limits %.0f %%; prefill wasted %.1f %% of %d tokens; preempted %d; messages %.0f a second and instance; seed %d\n",
+		worst, 100*share, 100*r.PeakQuotaUse, 100*r.PeakLimitUse, wasted, r.PromptTokens, r.Preemptions, float64(r.Messages)/(r.x.Seconds+warmUp.Seconds())/float64(instances), r.x.Seed)
 	for _, line := range r.Violations {
 		fmt.Fprintln(out, "BROKEN", line)
 	}
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -61,7 +61,8 @@
 	plain        map[core.UpstreamID]*plainUpstream
 	revision     uint64
 	partitioned  bool
-	loadFactor   map[core.AccountID]float64 // load multiplier of each account
+	limits       map[core.UpstreamID]*announcedLimit // of the Upstreams that announce one
+	loadFactor   map[core.AccountID]float64          // load multiplier of each account
 	requests     map[core.RequestID]*callerRequest
 	requestCount int
 	result       *Result
@@ -71,7 +72,12 @@
 	member fleet.Member
 	router *router.Router
 	alive  bool
-	wakeAt core.Instant
+	// pausedUntil is the end of a pause, before which no event is handled. woken is set from
+	// the pause to the first event after it.
+	pausedUntil core.Instant
+	woken       bool
+	isolated    bool // from its peers
+	wakeAt      core.Instant
 	// calls holds the calls in progress.
 	calls map[core.AttemptID]*call
 }
@@ -112,6 +118,7 @@
 	w := &Simulation{
 		x: x, rng: rand.New(rand.NewPCG(x.Seed, 9)), now: core.Instant(time.Hour), revision: 1,
 		byID: map[core.InstanceID]*instance{}, engines: map[core.UpstreamID]*engine{}, plain: map[core.UpstreamID]*plainUpstream{},
+		limits:     map[core.UpstreamID]*announcedLimit{},
 		loadFactor: map[core.AccountID]float64{}, requests: map[core.RequestID]*callerRequest{}, result: newResult(x),
 	}
 	w.start = w.now.Add(warmUp)
@@ -241,6 +248,19 @@
 	if !inst.alive {
 		return
 	}
+	if w.now < inst.pausedUntil {
+		ref := inst.member.Ref
+		w.events.Add(inst.pausedUntil, func() {
+			if inst.member.Ref == ref {
+				w.step(inst, event)
+			}
+		})
+		return
+	}
+	if inst.woken {
+		inst.woken = false
+		w.step(inst, router.ProcessPaused{})
+	}
 	for _, effect := range inst.router.Step(w.now, event) {
 		w.applyEffect(inst, effect)
 	}
@@ -260,9 +280,15 @@
 	case router.AcquireHold:
 		w.acquireHold(inst, e)
 	case router.ReleaseHold:
-		w.sendToEngine(inst, e.Upstream, func(to *engine) { to.releaseHold(e.Hold) })
+		w.sendToEngine(inst, e.Upstream, func(to *engine) {
+			w.recordArrival(e.Upstream, inst)
+			to.releaseHold(e.Hold)
+		})
 	case router.ReleaseKV:
-		w.sendToEngine(inst, e.Upstream, func(to *engine) { delete(to.caches, e.KV) })
+		w.sendToEngine(inst, e.Upstream, func(to *engine) {
+			w.recordArrival(e.Upstream, inst)
+			delete(to.caches, e.KV)
+		})
 	case router.StartPrefill:
 		w.startPrefill(inst, e)
 	case router.StartDecode:
@@ -281,7 +307,7 @@
 		w.onCompletion(e.Request)
 	case router.SendPeerMessage:
 		w.result.Messages++
-		if to := w.byID[e.To]; to != nil && w.reachable(inst.member.DataCentre, to.member.DataCentre) {
+		if to := w.byID[e.To]; to != nil && !inst.isolated && !to.isolated && w.reachable(inst.member.DataCentre, to.member.DataCentre) {
 			from := inst.member.Ref
 			w.after(w.transit(inst.member.DataCentre, to.member.DataCentre), func() {
 				w.step(to, router.PeerMessageReceived{From: from, Message: e.Message})
@@ -335,6 +361,7 @@
 		case !isUp():
 			w.failCall(c, attempts.FailConnect, false, false)
 		default:
+			w.recordArrival(up, inst)
 			arrive(c)
 		}
 	})
@@ -346,14 +373,24 @@
 		return
 	}
 	c.ended = true
+	limit := w.limits[c.up]
 	w.after(w.transit(dc, c.owner.member.DataCentre), func() {
 		if c.owner.calls[c.attempt] == c {
 			delete(c.owner.calls, c.attempt)
+			if isAnswer(event) {
+				w.deliverAnswer(c.owner, c.up, limit)
+			}
 			w.step(c.owner, event)
 		}
 	})
 }
 
+// isAnswer reports whether the final event of a call comes from an answer of the Upstream.
+func isAnswer(event router.Event) bool {
+	failed, ok := event.(router.AttemptFailed)
+	return !ok || failed.Failure.ConfirmedNotRun
+}
+
 func (w *Simulation) failCall(c *call, kind attempts.FailureKind, sent, rejected bool) {
 	w.endCall(c, c.owner.member.DataCentre, router.AttemptFailed{Request: c.caller.id, Attempt: c.attempt, Failure: attempts.Failure{
 		Kind: kind, Upstream: c.up, MaybeSent: sent, ConfirmedNotRun: rejected,
@@ -405,6 +442,23 @@
 		for _, id := range choose(w.rng, ids, f.Count) {
 			w.killInstance(w.byID[id], length)
 		}
+	case FaultInstancePause:
+		for _, id := range choose(w.rng, slices.Sorted(maps.Keys(w.byID)), f.Count) {
+			w.byID[id].pausedUntil, w.byID[id].woken = w.now.Add(length), true
+		}
+	case FaultPeerCut:
+		for _, id := range choose(w.rng, slices.Sorted(maps.Keys(w.byID)), f.Count) {
+			w.byID[id].isolated = true
+			w.after(length, func() { w.byID[id].isolated = false })
+		}
+	case FaultPlainLimit:
+		for _, id := range choose(w.rng, slices.Sorted(maps.Keys(w.plain)), f.Count) {
+			w.announceLimit(id, f.Factor, length)
+		}
+	case FaultEngineLimit:
+		for _, id := range choose(w.rng, slices.Sorted(maps.Keys(w.engines)), f.Count) {
+			w.announceLimit(id, f.Factor, length)
+		}
 	case FaultRegionCut:
 		w.partitioned = true
 		w.after(length, func() { w.partitioned = false })
@@ -438,5 +492,6 @@
 		w.onDisconnect(a)
 	}
 	inst.member.Ref.Incarnation++
+	inst.pausedUntil, inst.woken = 0, false
 	w.after(length, func() { w.startInstance(inst) })
 }
--- a/pkg/lab/hostedsim/upstreams.go
+++ b/pkg/lab/hostedsim/upstreams.go
@@ -75,7 +75,10 @@
 	}
 	transit := w.transit(inst.member.DataCentre, e.dc)
 	w.after(transit, func() {
+		limit := w.limits[q.Upstream]
+		answered := e.up
 		if e.up {
+			w.recordArrival(q.Upstream, inst)
 			reply.Outcome = router.HoldFull
 			if e.fits(q.Tokens) {
 				e.lastID++
@@ -83,7 +86,12 @@
 				e.holds[reply.Hold] = hold{tokens: q.Tokens, expiresAt: w.now.Add(q.Term)}
 			}
 		}
-		w.after(transit, func() { w.step(inst, reply) })
+		w.after(transit, func() {
+			if answered {
+				w.deliverAnswer(inst, q.Upstream, limit)
+			}
+			w.step(inst, reply)
+		})
 	})
 }
 
