throttle: the fleet keeps the request rates that Upstreams announce

Cause: nothing read the announcement; an Upstream was chosen by distance, load and failures alone. Class of fault: a limit over the whole fleet that no module owned. Ruled out by the logs of the incident: retries (7 of 174 calls to the two Upstreams had run=2), and a limit obeyed by each Instance alone (the rates did not fall when the announcement began).

Change: pkg/throttle owns the announcements and one bucket for each limited Upstream that the Instances follow by reports, with pkg/quota, which is generic over its names now. dispatch asks it before each hold (which counts with its run or release), prefill and plain request, and takes the next best Upstream instead; where all usable ones are at their rate, the request is refused at once and as not run. Releases of KV caches are charged. The newest announcement wins, by the age that reports carry. A silent peer keeps an even share; a pause empties the buckets, those of quotas too. An Upstream that takes less than 0.25 requests a second is asked at that rate, since only an answer ends a limit.

Constants: the bucket holds 3 report lags (0.75 s) of the rate.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -62,7 +62,7 @@
 		return nil
 	}
 	size := d.engines[j.Service]
-	best := d.best(j, func(up *upstream) (float64, bool) {
+	best := d.best(now, j, requestsOfHold, func(up *upstream) (float64, bool) {
 		tokens := up.own.Tokens + up.peer.Tokens + j.MemoryTokens
 		requests := up.own.Requests + up.peer.Requests + 1
 		fits := tokens <= size.MemoryTokens && requests <= size.Slots && now >= up.fullUntil
@@ -78,7 +78,7 @@
 // choosePrefill returns the prefill engine that is expected to finish first, or nil
 // when none is usable.
 func (d *Dispatcher) choosePrefill(now core.Instant, j *job) *upstream {
-	return d.best(j, func(up *upstream) (float64, bool) {
+	return d.best(now, j, requestsOfCall, func(up *upstream) (float64, bool) {
 		if up.Stage != catalog.StagePrefill || !up.usable(now) {
 			return 0, false
 		}
@@ -121,7 +121,7 @@
 // penalties, or nil when none has capacity. The failure rate is among the penalties, so
 // that an Upstream that accepts requests and fails them loses its traffic.
 func (d *Dispatcher) choosePlain(now core.Instant, j *job) *upstream {
-	return d.best(j, func(up *upstream) (float64, bool) {
+	return d.best(now, j, requestsOfCall, func(up *upstream) (float64, bool) {
 		requests := up.own.Requests + up.peer.Requests + 1
 		slots := max(1, up.Slots)
 		if !up.usable(now) || requests > maxPlainRequestsPerSlot*slots {
@@ -131,14 +131,47 @@
 	})
 }
 
-// best returns the Upstream of the job's service with the lowest score; ties are broken
-// at random. Upstreams in AvoidUpstreams are used only when no other is usable. The score
-// function reports false for an Upstream that can't be used.
-func (d *Dispatcher) best(j *job, score func(*upstream) (float64, bool)) *upstream {
+// best returns the Upstream of the job's service with the lowest score that may be sent a
+// number of requests now. The score function reports false for an Upstream that can't be
+// used.
+func (d *Dispatcher) best(now core.Instant, j *job, requests int, score func(*upstream) (float64, bool)) *upstream {
+	var atLimit []*upstream
+	for {
+		up := d.lowest(j, atLimit, score)
+		if up == nil {
+			return nil
+		}
+		allowed, wait := d.params.Limiter.Allow(now, up.ID, requests)
+		if allowed {
+			return up
+		}
+		atLimit = append(atLimit, up)
+		if j.limitWait == 0 || wait < j.limitWait {
+			j.limitWait = max(wait, time.Millisecond)
+		}
+	}
+}
+
+// anyUnlimited reports whether a usable Upstream of the job announces no rate. A place there
+// may become free at any time.
+func (d *Dispatcher) anyUnlimited(now core.Instant, j *job) bool {
+	return slices.ContainsFunc(d.byService[j.Service], func(up *upstream) bool {
+		rightStage := !j.IsModelRequest || up.Stage == catalog.StageDecode
+		return rightStage && up.usable(now) && !d.params.Limiter.Limited(up.ID)
+	})
+}
+
+// lowest returns the Upstream of the job's service with the lowest score, without those
+// that are excluded; ties are broken at random. Upstreams in AvoidUpstreams are used only
+// when no other is usable, and none is excluded.
+func (d *Dispatcher) lowest(j *job, excluded []*upstream, score func(*upstream) (float64, bool)) *upstream {
 	var best, avoided *upstream
 	lowest := 0.0
 	ties := 0
 	for _, up := range d.byService[j.Service] {
+		if slices.Contains(excluded, up) {
+			continue
+		}
 		value, ok := score(up)
 		if !ok {
 			continue
@@ -157,7 +190,7 @@
 			}
 		}
 	}
-	if best == nil {
+	if best == nil && len(excluded) == 0 {
 		return avoided
 	}
 	return best
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -88,6 +88,34 @@
 func (Call) output()    {}
 func (Refused) output() {}
 
+// Limiter keeps to the request rates that Upstreams announce.
+type Limiter interface {
+	// Limited reports whether an Upstream announces a rate.
+	Limited(id core.UpstreamID) bool
+	// Allow reports whether a number of requests may be sent now, and counts them if so.
+	// Otherwise it returns the time after which they may be.
+	Allow(now core.Instant, id core.UpstreamID, requests int) (bool, time.Duration)
+	// Return gives back requests that were allowed and not sent.
+	Return(now core.Instant, id core.UpstreamID, requests int)
+}
+
+// unlimited is the Limiter of Upstreams that announce no rate.
+type unlimited struct{}
+
+func (unlimited) Limited(core.UpstreamID) bool { return false }
+func (unlimited) Allow(core.Instant, core.UpstreamID, int) (bool, time.Duration) {
+	return true, 0
+}
+func (unlimited) Return(core.Instant, core.UpstreamID, int) {}
+
+const (
+	// requestsOfHold is the number of requests to a decode engine that gets a hold: that for
+	// the hold, and the run or the release of the hold.
+	requestsOfHold = 2
+	// requestsOfCall is the number of requests of a prefill or of a plain request.
+	requestsOfCall = 1
+)
+
 // Params are the settings of a Dispatcher. Zero values select defaults.
 type Params struct {
 	// Rand is the source of randomness. It is required.
@@ -96,6 +124,8 @@
 	// DataCentre.
 	DataCentre core.DataCentreName
 	Regions    map[core.DataCentreName]core.RegionName
+	// Limiter keeps to the request rates that Upstreams announce, nil if they announce none.
+	Limiter Limiter
 	// QueueRetryInterval is the time after which the placement of waiting jobs is
 	// attempted again.
 	QueueRetryInterval time.Duration
@@ -130,6 +160,9 @@
 	setDefault(&p.PrefillTokensPerSecond, defaultPrefillTokensPerSecond)
 	setDefault(&p.FirstEventDelay, defaultFirstEventDelay)
 	setDefault(&p.RetryAfter, defaultRetryAfter)
+	if p.Limiter == nil {
+		p.Limiter = unlimited{}
+	}
 	return p
 }
 
@@ -164,6 +197,9 @@
 	decode    *upstream // MemoryTokens are held there
 	prefill   *upstream // PromptTokens count as its load
 	plain     *upstream
+	// limitWait is the time until an Upstream may be sent the job, if all usable ones are at the
+	// rate that they announce.
+	limitWait time.Duration
 	refusedBy []core.UpstreamID // engines that refused a hold, cleared when no other engine can be chosen
 }
 
@@ -282,6 +318,7 @@
 	}
 	j.decode.fullUntil = now.Add(d.params.FullBackoff)
 	j.refusedBy = append(j.refusedBy, j.decode.ID)
+	d.params.Limiter.Return(now, j.decode.ID, requestsOfHold-1)
 	d.releaseDecode(j)
 	d.enqueue(j)
 	return d.placeQueue(now)
@@ -401,6 +438,15 @@
 }
 
 func (d *Dispatcher) place(now core.Instant, j *job) Output {
+	j.limitWait = 0
+	output := d.placeAtBest(now, j)
+	if output == nil && j.limitWait > 0 && d.anyUnlimited(now, j) {
+		j.limitWait = 0
+	}
+	return output
+}
+
+func (d *Dispatcher) placeAtBest(now core.Instant, j *job) Output {
 	if j.IsModelRequest {
 		up := d.chooseDecode(now, j)
 		if up == nil {
@@ -434,6 +480,7 @@
 	if j.IsRetry {
 		latestStart, start = j.Deadline, now
 	}
+	start = max(start, now.Add(time.Duration(ahead+1)*j.limitWait))
 	if start < min(latestStart, j.Deadline) {
 		return nil
 	}
@@ -441,8 +488,11 @@
 	if len(d.byService[j.Service]) == 0 {
 		code, message = core.CodeNoUpstream, "no Upstream of the service is registered"
 	}
+	if j.limitWait > 0 {
+		message = "all Upstreams of the service get as many requests as they have announced to take"
+	}
 	refusal := core.NewRefusal(code, message)
-	refusal.RetryAfter = d.retryAfter()
+	refusal.RetryAfter = max(d.retryAfter(), j.limitWait)
 	return refusal
 }
 
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -74,6 +74,74 @@
 	is.Equal(third.ID, core.RequestID("a"))
 }
 
+// fixedLimiter allows each Upstream in it a number of requests.
+type fixedLimiter struct {
+	left map[core.UpstreamID]int
+	wait time.Duration
+}
+
+func (l fixedLimiter) Limited(id core.UpstreamID) bool {
+	_, limited := l.left[id]
+	return limited
+}
+
+func (l fixedLimiter) Allow(_ core.Instant, id core.UpstreamID, requests int) (bool, time.Duration) {
+	if l.Limited(id) && l.left[id] < requests {
+		return false, l.wait
+	}
+	l.Return(0, id, -requests)
+	return true, 0
+}
+
+func (l fixedLimiter) Return(_ core.Instant, id core.UpstreamID, requests int) {
+	if l.Limited(id) {
+		l.left[id] += requests
+	}
+}
+
+// Guards against a request that waits for an Upstream at its announced rate although
+// another one has room, and against one that waits although none can take it in time.
+func TestUpstreamAtItsAnnouncedRateIsSkipped(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(0, 0)
+	limits := fixedLimiter{left: map[core.UpstreamID]int{"near": 1}, wait: time.Second}
+	d.params.Limiter = limits
+	list := []catalog.Upstream{
+		{ID: "near", Service: "plain", DataCentre: local, Slots: 6}, {ID: "far", Service: "plain", DataCentre: remote, Slots: 6},
+	}
+	d.SetUpstreams(0, list)
+	call := func(id core.RequestID) Output {
+		return d.Submit(0, Job{ID: id, Service: "plain", LatencyDeadline: core.Instant(300 * time.Millisecond), Deadline: core.Instant(time.Second)})[0]
+	}
+	is.Equal(call("1"), Call{ID: "1", Upstream: "near"})
+	is.Equal(call("2"), Call{ID: "2", Upstream: "far"})
+	limits.left["far"] = 0
+	refused, ok := call("3").(Refused)
+	is.True(ok)
+	is.Equal(refused.Refusal.Ran, core.NotRun)
+	is.True(refused.Refusal.RetryAfter >= limits.wait)
+	is.Equal(d.QueueLength(), 0)
+}
+
+// Guards against an announced rate that counts a hold and not the run after it, and against
+// a refused hold that uses up the request of its run.
+func TestHoldAndRunCountAgainstTheAnnouncedRate(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(1, 1)
+	limits := fixedLimiter{left: map[core.UpstreamID]int{"d0": 5, "p0": 1}, wait: time.Second}
+	d.params.Limiter = limits
+	holdOf(t, d.Submit(0, modelJob("a", 0)))
+	is.Equal(limits.left["d0"], 3)
+	_, _, found := d.OnHoldGranted(0, "a")
+	is.True(found)
+	is.Equal(limits.left["p0"], 0)
+	d.Submit(0, modelJob("b", 0))
+	d.OnHoldRefused(0, "b") // the hold itself was sent
+	is.Equal(limits.left["d0"], 2)
+	_, _, found = d.OnHoldGranted(0, "b")
+	is.True(!found) // the prefill engine is at its rate
+}
+
 // Guards against requests to an Upstream that is leaving or was replaced.
 func TestLeavingUpstreamGetsNoWork(t *testing.T) {
 	is := is.New(t)
--- a/pkg/lab/hostedsim/hostedsim_test.go
+++ b/pkg/lab/hostedsim/hostedsim_test.go
@@ -160,7 +160,10 @@
 		x.PrefillEngines = rapid.IntRange(0, 2).Draw(t, "prefill")
 		x.Accounts[0].Rate = rapid.Int64Range(40_000, 400_000).Draw(t, "rate")
 		x.Accounts[0].Burst = x.Accounts[0].Rate
-		kinds := []FaultKind{FaultBurst, FaultEngineCrash, FaultEngineSlow, FaultInstanceKill, FaultRegionCut}
+		kinds := []FaultKind{
+			FaultBurst, FaultEngineCrash, FaultEngineSlow, FaultInstanceKill, FaultInstancePause, FaultPeerCut, FaultRegionCut,
+			FaultPlainLimit, FaultEngineLimit,
+		}
 		for range rapid.IntRange(0, 6).Draw(t, "faults") {
 			x.Faults = append(x.Faults, Fault{
 				Kind:            rapid.SampledFrom(kinds).Draw(t, "kind"),
--- a/pkg/lab/hostedsim/limits.go
+++ b/pkg/lab/hostedsim/limits.go
@@ -48,7 +48,7 @@
 }
 
 // recordArrival counts a request of any kind at an Upstream. Those of Instances that were
-// told the limit are checked.
+// told the limit are checked, unless the Instance has just continued after a pause.
 func (w *Simulation) recordArrival(id core.UpstreamID, inst *instance) {
 	w.result.Arrivals[id] = append(w.result.Arrivals[id], w.now)
 	limit := w.limits[id]
@@ -56,7 +56,8 @@
 		return
 	}
 	told, known := limit.told[inst.member.Ref]
-	if !known || w.now.Sub(told) < limitNotice {
+	paused := inst.pausedUntil > 0 && w.now.Sub(inst.pausedUntil) < limitContact
+	if !known || w.now.Sub(told) < limitNotice || paused {
 		return
 	}
 	limit.arrivals = append(limit.arrivals, w.now)
--- a/pkg/lab/hostedsim/limits_test.go
+++ b/pkg/lab/hostedsim/limits_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"slices"
+	"sort"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"pgregory.net/rapid"
 )
 
 // limitedSeconds is the time for which the Upstreams of these tests announce a limit, from
@@ -22,14 +22,13 @@
 // arrivalsBetween counts the requests at all Upstreams whose name has a prefix, from one second of
 // the load to another.
 func (r *Result) arrivalsBetween(prefix string, from, to float64) int {
-	start := core.Instant(time.Hour).Add(warmUp)
 	total := 0
 	for id, list := range r.Arrivals {
 		if len(id) < len(prefix) || string(id[:len(prefix)]) != prefix {
 			continue
 		}
-		first, _ := slices.BinarySearch(list, start.Add(seconds(from)))
-		after, _ := slices.BinarySearch(list, start.Add(seconds(to)))
+		first, _ := slices.BinarySearch(list, r.start.Add(seconds(from)))
+		after, _ := slices.BinarySearch(list, r.start.Add(seconds(to)))
 		total += after - first
 	}
 	return total
@@ -119,3 +118,71 @@
 		}
 	}
 }
+
+// Guards against a limit that is exceeded when demand begins at all Instances of a large
+// fleet within the time in which they hear of each other.
+func TestAnnouncedLimitHoldsWhenDemandBeginsEverywhere(t *testing.T) {
+	const perSecond = 3
+	for seed := range uint64(3) {
+		r := runExperiment(t, func(x *Experiment) {
+			x.Seed, x.Seconds = seed, 10
+			x.Instances, x.PlainUpstreams, x.Streams.PerSecond = 21, 1, 0
+			x.Calls.PerSecond = 8
+			x.Accounts[0].Rate, x.Accounts[1].Rate = 0, 0
+			x.Faults = []Fault{
+				{Kind: FaultPlainLimit, DurationSeconds: 60, Count: 4, Factor: perSecond},
+				{Kind: FaultBurst, StartSeconds: 7, DurationSeconds: 2, Factor: 100},
+			}
+		})
+		for id, list := range r.Arrivals { // also of Instances that were not told by the Upstream
+			list = list[sort.Search(len(list), func(i int) bool { return list[i] >= r.start.Add(limitContact) }):]
+			for i, first := range list {
+				after, _ := slices.BinarySearch(list, first.Add(limitWindow))
+				if allowed := limitFactor*perSecond*limitWindow.Seconds() + limitSlack; float64(after-i) > allowed {
+					t.Errorf("%s got %d requests in %s, allowed are %.0f", id, after-i, limitWindow, allowed)
+					break
+				}
+			}
+		}
+	}
+}
+
+// Guards against limits that are exceeded in a fleet of some size, at some load and limit,
+// under a mix of faults.
+func TestAnnouncedLimitsOfDrawnSites(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := Small()
+		x.Seed = rapid.Uint64().Draw(t, "seed")
+		x.Seconds = 14
+		x.Instances = rapid.IntRange(1, 8).Draw(t, "instances")
+		x.PlainUpstreams = rapid.IntRange(1, 3).Draw(t, "plain")
+		x.Streams.PerSecond = rapid.Float64Range(0, 12).Draw(t, "streams")
+		x.Calls.PerSecond = rapid.Float64Range(1, 150).Draw(t, "calls")
+		x.Calls.SafeToRetry = rapid.Bool().Draw(t, "idempotent")
+		x.SingleEntry = rapid.Bool().Draw(t, "single")
+		x.Accounts[0].Rate, x.Accounts[1].Rate = 0, 0
+		for _, kind := range []FaultKind{FaultPlainLimit, FaultEngineLimit} {
+			x.Faults = append(x.Faults, Fault{
+				Kind: kind, StartSeconds: rapid.Float64Range(0, 4).Draw(t, "limited at"), DurationSeconds: 12,
+				Count: rapid.IntRange(1, 16).Draw(t, "limited"), Factor: rapid.Float64Range(0.05, 40).Draw(t, "per second"),
+			})
+		}
+		kinds := []FaultKind{FaultBurst, FaultEngineCrash, FaultInstanceKill, FaultInstancePause, FaultPeerCut, FaultRegionCut}
+		for range rapid.IntRange(0, 4).Draw(t, "faults") {
+			x.Faults = append(x.Faults, Fault{
+				Kind:            rapid.SampledFrom(kinds).Draw(t, "kind"),
+				StartSeconds:    rapid.Float64Range(0, 12).Draw(t, "at"),
+				DurationSeconds: rapid.Float64Range(0.1, 8).Draw(t, "for"),
+				Count:           rapid.IntRange(1, 40).Draw(t, "count"),
+				Factor:          rapid.Float64Range(0.5, 9).Draw(t, "x"),
+			})
+		}
+		r, err := Run(x)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, violation := range r.Violations {
+			t.Error(violation)
+		}
+	})
+}
--- a/pkg/lab/hostedsim/result.go
+++ b/pkg/lab/hostedsim/result.go
@@ -87,6 +87,7 @@
 	Violations []string
 
 	x     Experiment
+	start core.Instant // of the load
 	usage map[core.AccountID][]usage
 }
 
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -122,6 +122,7 @@
 		loadFactor: map[core.AccountID]float64{}, requests: map[core.RequestID]*callerRequest{}, result: newResult(x),
 	}
 	w.start = w.now.Add(warmUp)
+	w.result.start = w.start
 	w.routing = config.NewRouting(w.configuration())
 	for _, dc := range slices.Sorted(maps.Keys(x.DataCentres)) {
 		for i := range x.DecodeEngines {
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -1,4 +1,4 @@
-// Package quota shares the token allowance of each ClientAccount between all
+// Package quota shares token allowances, such as that of each ClientAccount, between all
 // Instances. Each Instance keeps one token bucket per account for the whole fleet: it is
 // refilled at the account's rate and drained by the Instance's own admissions and by those
 // that peers report. A request is admitted while the level is above zero, whatever its
@@ -42,12 +42,13 @@
 	Level int64
 }
 
-// Quota holds the token buckets of one Instance. It is not safe for concurrent use.
-type Quota struct {
+// Quota holds the token buckets of one Instance. K names the accounts. It is not safe for
+// concurrent use.
+type Quota[K ~string] struct {
 	self        core.InstanceRef
 	rand        *rand.Rand
-	accounts    map[core.AccountID]*account
-	peers       map[core.InstanceID]*peer
+	accounts    map[K]*account
+	peers       map[core.InstanceID]*peer[K]
 	silentPeers int
 }
 
@@ -67,22 +68,22 @@
 	recentSmallDemand float64
 }
 
-type peer struct {
+type peer[K ~string] struct {
 	ref     core.InstanceRef
 	silent  bool
-	reports map[core.AccountID]Report // the latest of each account
+	reports map[K]Report // the latest of each account
 	// reserved counts the tokens that were reserved while the peer was silent.
-	reserved map[core.AccountID]float64
+	reserved map[K]float64
 }
 
 // New returns the Quota of an Instance without accounts and peers.
-func New(self core.InstanceRef, r *rand.Rand) *Quota {
-	return &Quota{self: self, rand: r, accounts: map[core.AccountID]*account{}, peers: map[core.InstanceID]*peer{}}
+func New[K ~string](self core.InstanceRef, r *rand.Rand) *Quota[K] {
+	return &Quota[K]{self: self, rand: r, accounts: map[K]*account{}, peers: map[core.InstanceID]*peer[K]{}}
 }
 
 // SetLimit sets the limit of an account. The bucket of a new account is empty, because
 // peers may have used the burst already.
-func (q *Quota) SetLimit(now core.Instant, id core.AccountID, limit Limit) {
+func (q *Quota[K]) SetLimit(now core.Instant, id K, limit Limit) {
 	a := q.accounts[id]
 	if a == nil {
 		a = &account{updatedAt: now}
@@ -94,14 +95,36 @@
 }
 
 // Retain removes the accounts for which keep returns false.
-func (q *Quota) Retain(keep func(core.AccountID) bool) {
+func (q *Quota[K]) Retain(keep func(K) bool) {
 	for id := range q.accounts {
 		if !keep(id) {
 			delete(q.accounts, id)
+			for _, p := range q.peers {
+				delete(p.reports, id)
+				delete(p.reserved, id)
+			}
 		}
 	}
 }
 
+// Limit returns the limit of an account, the zero value if it has none.
+func (q *Quota[K]) Limit(id K) Limit {
+	if a := q.accounts[id]; a != nil {
+		return a.limit
+	}
+	return Limit{}
+}
+
+// Clear removes the limit of an account. Its counters remain, so that reports continue from
+// them if it gets a limit again, with an empty bucket.
+func (q *Quota[K]) Clear(now core.Instant, id K) {
+	if a := q.accounts[id]; a != nil {
+		q.refill(now, id, a)
+		a.limit = Limit{}
+		a.level = 0
+	}
+}
+
 const (
 	// smallRequestFraction is the fraction of the burst up to which a request is small. It
 	// separates requests of 200 tokens from streams of 10,000 at a burst of 160,000.
@@ -123,7 +146,7 @@
 // Admit takes the tokens of a request from an account's bucket and reports whether the
 // request is admitted. For a refused request it returns the time after which a retry may
 // be admitted. Accounts that are unknown or have no limit admit every request.
-func (q *Quota) Admit(now core.Instant, id core.AccountID, tokens int64) (bool, time.Duration) {
+func (q *Quota[K]) Admit(now core.Instant, id K, tokens int64) (bool, time.Duration) {
 	a := q.accounts[id]
 	if a == nil || a.limit.Rate == 0 {
 		return true, 0
@@ -136,17 +159,67 @@
 		demand = a.recentSmallDemand
 	}
 	a.recordDemand(tokens, small)
+	expected := demand * (reportLag.Seconds() / demandTimeConstant.Seconds())
+	return q.admit(a, tokens, available, expected, reportLag)
+}
+
+// Uniform are the settings of AdmitUniform.
+type Uniform struct {
+	// ReportLag is the time until all peers know of an admission.
+	ReportLag time.Duration
+	// MinDemand is the demand in tokens that may arise at all Instances within ReportLag
+	// although it has not been reported.
+	MinDemand float64
+}
+
+// AdmitUniform is Admit for accounts whose requests are all alike, so that none is small.
+func (q *Quota[K]) AdmitUniform(now core.Instant, id K, tokens int64, u Uniform) (bool, time.Duration) {
+	a := q.accounts[id]
+	if a == nil || a.limit.Rate == 0 {
+		return true, 0
+	}
+	q.refill(now, id, a)
+	expected := max(u.MinDemand, a.recentDemand*(u.ReportLag.Seconds()/demandTimeConstant.Seconds()))
+	a.recordDemand(tokens, false)
+	return q.admit(a, tokens, a.level, expected, u.ReportLag)
+}
+
+// admit takes tokens from a bucket if some are available. Where more are expected to be
+// asked for than are available, before Instances hear of each other, it does so with the
+// probability that spends them once.
+func (q *Quota[K]) admit(a *account, tokens int64, available, expected float64, lag time.Duration) (bool, time.Duration) {
 	if available <= 0 {
 		return false, time.Duration(-available / float64(a.limit.Rate) * float64(time.Second))
 	}
-	if expected := demand * (reportLag.Seconds() / demandTimeConstant.Seconds()); q.rand.Float64()*expected > available {
-		return false, reportLag
+	if q.rand.Float64()*expected > available {
+		return false, lag
 	}
 	a.level -= float64(tokens)
 	a.admitted += tokens
 	return true, 0
 }
 
+// Charge takes tokens from an account's bucket for a request that is not refused.
+func (q *Quota[K]) Charge(now core.Instant, id K, tokens int64) {
+	a := q.accounts[id]
+	if a == nil || a.limit.Rate == 0 {
+		return
+	}
+	q.refill(now, id, a)
+	a.recordDemand(tokens, false)
+	a.level -= float64(tokens)
+	a.admitted += tokens
+}
+
+// OnPaused empties the buckets after a time in which this process did not run: peers have
+// used what they were refilled with, and their reports of it have not been processed.
+func (q *Quota[K]) OnPaused(now core.Instant) {
+	for id, a := range q.accounts {
+		q.refill(now, id, a)
+		a.level = min(a.level, 0)
+	}
+}
+
 func (a *account) recordDemand(tokens int64, small bool) {
 	a.requested += tokens
 	a.recentDemand += float64(tokens)
@@ -157,7 +230,7 @@
 }
 
 // Refund returns the tokens of an admitted request that did not run.
-func (q *Quota) Refund(now core.Instant, id core.AccountID, tokens int64) {
+func (q *Quota[K]) Refund(now core.Instant, id K, tokens int64) {
 	a := q.accounts[id]
 	if a == nil || a.limit.Rate == 0 {
 		return
@@ -168,7 +241,7 @@
 }
 
 // Level returns the level of an account's bucket, for logs.
-func (q *Quota) Level(now core.Instant, id core.AccountID) int64 {
+func (q *Quota[K]) Level(now core.Instant, id K) int64 {
 	a := q.accounts[id]
 	if a == nil {
 		return 0
@@ -186,7 +259,7 @@
 // changed. Reports of a previous incarnation are ignored. For the first report of a peer
 // that started earlier, a new Instance adopts the level instead of charging everything
 // that the peer has admitted since its start.
-func (q *Quota) OnPeerReports(now core.Instant, ref core.InstanceRef, reports map[core.AccountID]Report) {
+func (q *Quota[K]) OnPeerReports(now core.Instant, ref core.InstanceRef, reports map[K]Report) {
 	p := q.peers[ref.ID]
 	if p != nil && ref.Incarnation < p.ref.Incarnation {
 		return
@@ -194,7 +267,7 @@
 	first := p == nil || p.ref != ref
 	if first {
 		q.OnPeerTerminated(now, ref.ID)
-		p = &peer{ref: ref, reports: map[core.AccountID]Report{}}
+		p = &peer[K]{ref: ref, reports: map[K]Report{}}
 		q.peers[ref.ID] = p
 	}
 	for id, report := range reports {
@@ -213,7 +286,7 @@
 
 // charge subtracts from the level what a peer has admitted since its last report, and adds
 // back what was reserved for it.
-func (q *Quota) charge(a *account, p *peer, id core.AccountID, report Report, first bool) {
+func (q *Quota[K]) charge(a *account, p *peer[K], id K, report Report, first bool) {
 	used := report.Admitted - p.reports[id].Admitted
 	if !first {
 		a.recentDemand += float64(report.Asked - p.reports[id].Asked)
@@ -232,18 +305,18 @@
 // OnPeerSilent handles a peer whose heartbeats have stopped: since is the instant of the
 // last one, or the instant at which the peer was listed when there has been none. The
 // peer's share of the rate since then is reserved as well.
-func (q *Quota) OnPeerSilent(now, since core.Instant, id core.InstanceID) {
+func (q *Quota[K]) OnPeerSilent(now, since core.Instant, id core.InstanceID) {
 	q.refillAll(now)
 	p := q.peers[id]
 	if p == nil {
-		p = &peer{ref: core.InstanceRef{ID: id}, reports: map[core.AccountID]Report{}}
+		p = &peer[K]{ref: core.InstanceRef{ID: id}, reports: map[K]Report{}}
 		q.peers[id] = p
 	}
 	if p.silent {
 		return
 	}
 	p.silent = true
-	p.reserved = map[core.AccountID]float64{}
+	p.reserved = map[K]float64{}
 	live := float64(len(q.peers) + 1 - q.silentPeers)
 	silentShare := now.Sub(since).Seconds() / float64(len(q.peers)+1)
 	for id, a := range q.accounts {
@@ -254,7 +327,7 @@
 }
 
 // OnPeerTerminated removes a peer that is known to have terminated.
-func (q *Quota) OnPeerTerminated(now core.Instant, id core.InstanceID) {
+func (q *Quota[K]) OnPeerTerminated(now core.Instant, id core.InstanceID) {
 	p := q.peers[id]
 	if p == nil {
 		return
@@ -267,8 +340,8 @@
 }
 
 // Reports returns the reports on all accounts with a limit, for the peers.
-func (q *Quota) Reports(now core.Instant) map[core.AccountID]Report {
-	reports := make(map[core.AccountID]Report, len(q.accounts))
+func (q *Quota[K]) Reports(now core.Instant) map[K]Report {
+	reports := make(map[K]Report, len(q.accounts))
 	for id, a := range q.accounts {
 		if a.limit.Rate > 0 {
 			q.refill(now, id, a)
@@ -285,8 +358,8 @@
 
 // TakeUrgentReports returns the reports on accounts that are used near their limit and of
 // which this Instance has admitted requests since the last call.
-func (q *Quota) TakeUrgentReports(now core.Instant) map[core.AccountID]Report {
-	reports := map[core.AccountID]Report{}
+func (q *Quota[K]) TakeUrgentReports(now core.Instant) map[K]Report {
+	reports := map[K]Report{}
 	for id, a := range q.accounts {
 		if q.needsUrgentReport(now, id, a) {
 			a.reportedAdmitted = a.admitted
@@ -297,7 +370,7 @@
 }
 
 // HasUrgentReports reports whether TakeUrgentReports would return any.
-func (q *Quota) HasUrgentReports(now core.Instant) bool {
+func (q *Quota[K]) HasUrgentReports(now core.Instant) bool {
 	for id, a := range q.accounts {
 		if q.needsUrgentReport(now, id, a) {
 			return true
@@ -306,7 +379,7 @@
 	return false
 }
 
-func (q *Quota) needsUrgentReport(now core.Instant, id core.AccountID, a *account) bool {
+func (q *Quota[K]) needsUrgentReport(now core.Instant, id K, a *account) bool {
 	if a.limit.Rate == 0 || a.admitted == a.reportedAdmitted {
 		return false
 	}
@@ -318,7 +391,7 @@
 	return Report{Admitted: a.admitted, Asked: a.requested, AskedSmall: a.requestedSmall, Level: int64(a.level)}
 }
 
-func (q *Quota) refillAll(now core.Instant) {
+func (q *Quota[K]) refillAll(now core.Instant) {
 	for id, a := range q.accounts {
 		q.refill(now, id, a)
 	}
@@ -326,7 +399,7 @@
 
 // refill advances an account to now: it adds the tokens of the elapsed time, less the
 // shares that are reserved for silent peers, and lets the demand decay.
-func (q *Quota) refill(now core.Instant, id core.AccountID, a *account) {
+func (q *Quota[K]) refill(now core.Instant, id K, a *account) {
 	elapsed := now.Sub(a.updatedAt)
 	if elapsed <= 0 {
 		return
@@ -349,7 +422,7 @@
 }
 
 // usableBurst returns the share of the burst that the live Instances may use.
-func (q *Quota) usableBurst(a *account) float64 {
+func (q *Quota[K]) usableBurst(a *account) float64 {
 	known := float64(len(q.peers) + 1)
 	return float64(a.limit.Burst) * (known - float64(q.silentPeers)) / known
 }
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -25,7 +25,7 @@
 // peers have admitted since their start, and refuses all requests for minutes.
 func TestFirstReportOfAnOlderPeerIsNotCharged(t *testing.T) {
 	is := is.New(t)
-	q := New(ref("self", 2), newRand())
+	q := New[core.AccountID](ref("self", 2), newRand())
 	q.SetLimit(at(0), customer, Limit{Rate: 1000, Burst: 1000})
 	q.OnPeerReports(at(time.Second), ref("old", 1), map[core.AccountID]Report{customer: {Admitted: 5_000_000, Level: 900}})
 	admitted, _ := q.Admit(at(3*time.Second), customer, 500)
@@ -36,7 +36,7 @@
 // an even share of the rate.
 func TestSilentPeerKeepsItsShare(t *testing.T) {
 	is := is.New(t)
-	q := New(ref("self", 2), newRand())
+	q := New[core.AccountID](ref("self", 2), newRand())
 	q.SetLimit(at(0), customer, Limit{Rate: 1000, Burst: 1000})
 	q.OnPeerReports(at(0), ref("p", 1), map[core.AccountID]Report{customer: {Level: 1000}})
 	q.OnPeerSilent(at(0), at(0), "p")
@@ -49,7 +49,7 @@
 // report and the detection of its silence.
 func TestSilenceCountsFromTheLastReport(t *testing.T) {
 	is := is.New(t)
-	q := New(ref("self", 2), newRand())
+	q := New[core.AccountID](ref("self", 2), newRand())
 	q.SetLimit(at(0), customer, Limit{Rate: 1000, Burst: 1000})
 	lastReport, detected := at(time.Second), at(1600*time.Millisecond)
 	q.OnPeerReports(lastReport, ref("p", 1), map[core.AccountID]Report{customer: {Level: 1000}})
@@ -63,7 +63,7 @@
 // account is near its limit, and against urgent reports that are sent twice.
 func TestUrgentReports(t *testing.T) {
 	is := is.New(t)
-	q := New(ref("self", 2), newRand())
+	q := New[core.AccountID](ref("self", 2), newRand())
 	q.SetLimit(at(0), customer, Limit{Rate: 1000, Burst: 1000})
 	now := at(time.Second)
 	q.Admit(now, customer, 100)
@@ -77,7 +77,7 @@
 // taken the level below zero, and against an unlimited flood of them.
 func TestSmallRequestsPassADebt(t *testing.T) {
 	is := is.New(t)
-	q := New(ref("self", 2), newRand())
+	q := New[core.AccountID](ref("self", 2), newRand())
 	q.SetLimit(at(0), customer, Limit{Rate: 100_000, Burst: 100_000})
 	now := at(time.Second)
 	q.Admit(now, customer, 120_000)
@@ -105,7 +105,7 @@
 	f := &fleet{limit: limit, partitioned: make([]bool, members)}
 	for i := range members {
 		f.refs = append(f.refs, ref(string(rune('a'+i)), core.Incarnation(i)))
-		f.instances = append(f.instances, New(f.refs[i], newRand()))
+		f.instances = append(f.instances, New[core.AccountID](f.refs[i], newRand()))
 		f.instances[i].SetLimit(at(0), customer, limit)
 	}
 	for now := at(0); now < at(30*time.Second); now = now.Add(150 * time.Millisecond) {
@@ -127,7 +127,7 @@
 // demand is within the rate.
 func TestDemandAboveTheLevelIsThinned(t *testing.T) {
 	is := is.New(t)
-	q := New(ref("self", 2), newRand())
+	q := New[core.AccountID](ref("self", 2), newRand())
 	q.SetLimit(at(0), customer, Limit{Rate: 100_000, Burst: 100_000})
 	q.OnPeerReports(at(0), ref("p", 3), map[core.AccountID]Report{customer: {}})
 	now, requested := at(time.Second), int64(0)
@@ -158,7 +158,7 @@
 // fleet simulates Instances that admit as much as they can and report to each other.
 type fleet struct {
 	limit       Limit
-	instances   []*Quota
+	instances   []*Quota[core.AccountID]
 	refs        []core.InstanceRef
 	partitioned []bool
 	admitted    []admission
@@ -217,7 +217,7 @@
 		f := &fleet{limit: limit, partitioned: make([]bool, n)}
 		for i := range n {
 			f.refs = append(f.refs, ref(string(rune('a'+i)), core.Incarnation(i)))
-			f.instances = append(f.instances, New(f.refs[i], newRand()))
+			f.instances = append(f.instances, New[core.AccountID](f.refs[i], newRand()))
 			f.instances[i].SetLimit(at(0), customer, limit)
 		}
 		incarnation := core.Incarnation(n)
@@ -234,7 +234,7 @@
 				i := rapid.IntRange(0, n-1).Draw(t, "restart")
 				incarnation++
 				f.refs[i].Incarnation = incarnation
-				f.instances[i] = New(f.refs[i], newRand())
+				f.instances[i] = New[core.AccountID](f.refs[i], newRand())
 				f.instances[i].SetLimit(now, customer, limit)
 			}
 			for range perStep {
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -15,6 +15,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
 	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
 	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
+	"github.com/rhubarbsill/rhubarbsill/pkg/throttle"
 )
 
 // HostedParams are the settings of a Router on a platform that registers the
@@ -68,9 +69,10 @@
 	routing  *config.Routing
 	catalog  *catalog.Catalog
 	dispatch *dispatch.Dispatcher
-	quota    *quota.Quota
+	quota    *quota.Quota[core.AccountID]
 	retry    *retry.Budget
 	poison   *poison.Detector
+	limits   *throttle.Limiter
 	fleet    *fleet.Fleet
 
 	configRevision    uint64
@@ -78,11 +80,10 @@
 	deadlines         schedule.Queue[core.Instant, core.RequestID]
 	crashes           map[core.Fingerprint]*crashRecord
 	fetches           map[StateKind]*stateFetch
-	announced         map[core.UpstreamID]float64 // requests per second of the limited Upstreams
 	services          map[core.ServiceName]*config.Service
 	accountViews      map[core.AccountID]*config.ClientAccount
 	nextMemberListAt  core.Instant
-	nextQuotaUpdateAt core.Instant
+	nextUsageUpdateAt core.Instant
 	stopAt            core.Instant
 }
 
@@ -116,19 +117,21 @@
 func newHosted(r *Router, p HostedParams) *hosted {
 	p.Dispatch.Rand = r.params.Rand
 	p.Dispatch.DataCentre = p.Member.DataCentre
+	limits := throttle.New(p.Member.Ref, r.params.Rand)
+	p.Dispatch.Limiter = limits
 	return &hosted{
 		Router:   r,
 		params:   p,
 		catalog:  catalog.New(),
 		dispatch: dispatch.New(p.Dispatch),
-		quota:    quota.New(p.Member.Ref, r.params.Rand),
+		quota:    quota.New[core.AccountID](p.Member.Ref, r.params.Rand),
 		retry:    retry.New(p.Retry),
 		poison:   poison.New(),
+		limits:   limits,
 		fleet:    fleet.New(p.Member, p.Fleet),
 
 		crashes:      map[core.Fingerprint]*crashRecord{},
 		fetches:      map[StateKind]*stateFetch{},
-		announced:    map[core.UpstreamID]float64{},
 		services:     map[core.ServiceName]*config.Service{},
 		accountViews: map[core.AccountID]*config.ClientAccount{},
 		stopAt:       core.Never,
@@ -192,6 +195,8 @@
 		}
 	case ProcessPaused:
 		h.recordEvent(now, "server", "paused", "")
+		h.quota.OnPaused(now)
+		h.limits.OnPaused(now)
 	case ShutdownRequested:
 		h.shutdown(now)
 	}
@@ -216,11 +221,13 @@
 	changes := h.fleet.Tick(now)
 	for _, peer := range changes.Silent {
 		h.quota.OnPeerSilent(now, peer.Since, peer.ID)
+		h.limits.OnPeerSilent(now, peer.Since, peer.ID)
 		h.dispatch.SetPeerLoads(peer.ID, nil)
 		h.recordEvent(now, "fleet", "peer silent", string(peer.ID)+" since="+now.Sub(peer.Since).String())
 	}
 	for _, id := range changes.Removed {
 		h.quota.OnPeerTerminated(now, id)
+		h.limits.OnPeerTerminated(now, id)
 		h.dispatch.SetPeerLoads(id, nil)
 		h.recordEvent(now, "fleet", "peer forgotten", string(id))
 	}
@@ -229,7 +236,7 @@
 	if len(due) > 0 {
 		h.sendHeartbeats(now, due)
 	}
-	h.sendQuotaUpdates(now, due)
+	h.sendUsageUpdates(now, due)
 }
 
 // onRoutingReceived activates a configuration if it is newer than the active one.
@@ -284,25 +291,27 @@
 func (h *hosted) applyUpstreams(now core.Instant, why string, from core.InstanceID) {
 	revision, _ := h.catalog.Revision()
 	list := h.catalog.Upstreams()
+	h.limits.Retain(now, func(id core.UpstreamID) bool { _, found := h.catalog.Get(id); return found })
 	h.recordEvent(now, "catalog", "upstreams "+why, "count="+strconv.Itoa(len(list))+
 		" revision="+strconv.FormatUint(revision, 10)+" from="+string(from))
 	h.emit(UpstreamsUpdated{Revision: revision, Upstreams: list})
 	h.applyDispatch(now, h.dispatch.SetUpstreams(now, list))
 }
 
-// onUpstreamAnswered records each change of the limit that an Upstream announces.
+// onUpstreamAnswered processes what an answer announces about the rate of its Upstream.
 func (h *hosted) onUpstreamAnswered(now core.Instant, e UpstreamAnswered) {
-	rate, limited := h.announced[e.Upstream]
-	if e.Limited == limited && e.RequestsPerSecond == rate {
-		return
+	announcement := throttle.Announcement{Limited: e.Limited, RequestsPerSecond: e.RequestsPerSecond}
+	if h.limits.Observe(now, e.Upstream, announcement) {
+		h.recordAnnouncement(now, e.Upstream, "")
 	}
-	detail := "none"
-	delete(h.announced, e.Upstream)
-	if e.Limited {
-		h.announced[e.Upstream] = e.RequestsPerSecond
-		detail = strconv.FormatFloat(e.RequestsPerSecond, 'f', -1, 64)
+}
+
+func (h *hosted) recordAnnouncement(now core.Instant, up core.UpstreamID, from core.InstanceID) {
+	rate := "none"
+	if a := h.limits.Announcement(up); a.Limited {
+		rate = strconv.FormatFloat(a.RequestsPerSecond, 'f', -1, 64)
 	}
-	h.recordUpstreamEvent(now, "limit", "announced", e.Upstream, "requests_per_second="+detail)
+	h.recordUpstreamEvent(now, "limit", "announced", up, "requests_per_second="+rate+" from="+string(from))
 }
 
 func (h *hosted) onCallerAddressesRequested(e CallerAddressesRequested) {
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -106,7 +106,7 @@
 	part, found := h.poison.Find(now, rs.request.SharedParts)
 	if found {
 		h.record(now, "request", "poison", rs, "part="+string(part))
-		h.releaseKV(rs)
+		h.releaseKV(now, rs)
 		h.refuseHosted(now, rs, poisonRefusal())
 	}
 	return found
@@ -333,7 +333,7 @@
 func (h *hosted) onPrefillDone(now core.Instant, e PrefillDone) {
 	rs := h.requestWithAttempt(e.Request, e.Attempt)
 	if rs == nil {
-		h.emit(ReleaseKV{Upstream: e.Upstream, Addr: e.Addr, KV: e.KV})
+		h.emitReleaseKV(now, ReleaseKV{Upstream: e.Upstream, Addr: e.Addr, KV: e.KV})
 		return
 	}
 	h.dispatch.OnPrefillDone(rs.request.ID)
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -10,6 +10,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
 	"github.com/rhubarbsill/rhubarbsill/pkg/poison"
 	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
+	"github.com/rhubarbsill/rhubarbsill/pkg/throttle"
 )
 
 // HostedHeartbeat is the message that a hosted Instance sends to each peer at
@@ -28,6 +29,8 @@
 	// Crashes counts, per request fingerprint, the Upstreams that crashed recently
 	// while they ran such a request for the sender.
 	Crashes map[core.Fingerprint]int
+	// Limits holds what Upstreams announce about their rate, and what the sender uses of it.
+	Limits map[core.UpstreamID]throttle.Report
 	// Poison holds the evidence on parts of prompts that may crash Upstreams.
 	Poison map[core.PromptPart]poison.Report
 }
@@ -37,6 +40,9 @@
 type QuotaUpdate struct {
 	// Quotas holds what the sender has admitted for the accounts near their limit.
 	Quotas map[core.AccountID]quota.Report
+	// Limits holds what the sender uses of the Upstreams near the rate that they announce,
+	// and new announcements.
+	Limits map[core.UpstreamID]throttle.Report
 }
 
 // peerMessageTTL is the time after which an unsent heartbeat or quota update is
@@ -57,6 +63,7 @@
 		Quotas:          h.quota.Reports(now),
 		Loads:           h.dispatch.Loads(),
 		Crashes:         h.ownCrashes(now),
+		Limits:          h.limits.Reports(now),
 		Poison:          h.poison.Reports(now, h.Router.params.Rand.IntN(fullPoisonReports) == 0),
 	}
 	for _, member := range to {
@@ -68,19 +75,20 @@
 // the heartbeat interval of a small fleet.
 const quotaUpdateInterval = 150 * time.Millisecond
 
-// sendQuotaUpdates sends the reports of accounts near their limit to the live peers
-// that get no heartbeat in this tick.
-func (h *hosted) sendQuotaUpdates(now core.Instant, heartbeatReceivers []fleet.Member) {
-	if now < h.nextQuotaUpdateAt || !h.quota.HasUrgentReports(now) || !h.fleet.AllowQuotaUpdate(now) {
+// sendUsageUpdates sends the reports of accounts and of Upstreams near their limit to the
+// live peers that get no heartbeat in this tick.
+func (h *hosted) sendUsageUpdates(now core.Instant, heartbeatReceivers []fleet.Member) {
+	urgent := h.quota.HasUrgentReports(now) || h.limits.HasUrgentReports(now)
+	if now < h.nextUsageUpdateAt || !urgent || !h.fleet.AllowQuotaUpdate(now) {
 		return
 	}
-	h.nextQuotaUpdateAt = now.Add(quotaUpdateInterval)
-	reports := h.quota.TakeUrgentReports(now)
+	h.nextUsageUpdateAt = now.Add(quotaUpdateInterval)
+	update := &QuotaUpdate{Quotas: h.quota.TakeUrgentReports(now), Limits: h.limits.TakeUrgentReports(now)}
 	for _, member := range h.fleet.LivePeers() {
 		if slices.Contains(heartbeatReceivers, member) {
 			continue
 		}
-		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Quota: &QuotaUpdate{Quotas: reports}}, NotAfter: now.Add(peerMessageTTL)})
+		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Quota: update}, NotAfter: now.Add(peerMessageTTL)})
 	}
 }
 
@@ -89,6 +97,13 @@
 func (h *hosted) onQuotaUpdate(now core.Instant, from core.InstanceRef, update *QuotaUpdate) {
 	if h.fleet.IsLive(from) {
 		h.quota.OnPeerReports(now, from, update.Quotas)
+		h.onPeerLimits(now, from, update.Limits)
+	}
+}
+
+func (h *hosted) onPeerLimits(now core.Instant, from core.InstanceRef, reports map[core.UpstreamID]throttle.Report) {
+	for _, id := range h.limits.OnPeerReports(now, from, reports) {
+		h.recordAnnouncement(now, id, from.ID)
 	}
 }
 
@@ -101,6 +116,8 @@
 		h.recordEvent(now, "fleet", "peer found", from.String())
 	}
 	h.retry.SetInstances(h.fleet.KnownCount())
+	h.limits.SetInstances(now, h.fleet.KnownCount())
+	h.onPeerLimits(now, heartbeat.Member.Ref, heartbeat.Limits)
 	h.quota.OnPeerReports(now, heartbeat.Member.Ref, heartbeat.Quotas)
 	h.dispatch.SetPeerLoads(from.ID, loadsOf(heartbeat))
 	for fingerprint, n := range heartbeat.Crashes {
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -104,7 +104,7 @@
 		h.refuseHosted(now, rs, &core.Refusal{Code: core.CodeUpstreamFailed, Ran: core.MayHaveRun, Message: "the Upstream failed while it ran the request"})
 		return
 	}
-	h.releaseKV(rs)
+	h.releaseKV(now, rs)
 	hr.holdID = ""
 	if !failure.ConfirmedNotRun || failure.Kind != attempts.FailKVGone {
 		rs.avoidUpstreams = append(rs.avoidUpstreams, failure.Upstream)
@@ -143,10 +143,15 @@
 }
 
 // releaseKV releases a KV cache that no decode engine has fetched.
-func (h *hosted) releaseKV(rs *requestState) {
+func (h *hosted) releaseKV(now core.Instant, rs *requestState) {
 	if rs.kv == "" {
 		return
 	}
-	h.emit(ReleaseKV{Upstream: rs.hosted.prefillEngine.ID, Addr: rs.hosted.prefillEngine.Addr, KV: rs.kv})
+	h.emitReleaseKV(now, ReleaseKV{Upstream: rs.hosted.prefillEngine.ID, Addr: rs.hosted.prefillEngine.Addr, KV: rs.kv})
 	rs.kv = ""
 }
+
+func (h *hosted) emitReleaseKV(now core.Instant, release ReleaseKV) {
+	h.limits.Charge(now, release.Upstream, 1)
+	h.emit(release)
+}
