catalog: peers are not offered Upstreams that are only kept for a grace period

Entries that are removed within 2 s of that stay usable there, as they may only have lapsed. The engine's entry was removed at 25.95. Class of fault: a local belief passed on as a statement of the store. Ruled out: pkg/throttle (the code is older), and a hold or prefill that was placed before the engine left (placed 29.94).

Change: the list for peers holds what the store lists; each Instance has its own grace.

Test: TestHostedPeersAreNotOfferedRemovedUpstreams, failed before.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -191,6 +191,15 @@
 	return all
 }
 
+// Registered returns the entries that the store lists, sorted by ID: Upstreams without those
+// that are kept for a grace period.
+func (c *Catalog) Registered() []Upstream {
+	return slices.DeleteFunc(c.Upstreams(), func(up Upstream) bool {
+		_, removed := c.removeAt[up.ID]
+		return removed
+	})
+}
+
 // Get returns the entry of an Upstream, and whether there is one.
 func (c *Catalog) Get(id core.UpstreamID) (Upstream, bool) {
 	up, found := c.entries[id]
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -294,7 +294,7 @@
 	h.limits.Retain(now, func(id core.UpstreamID) bool { _, found := h.catalog.Get(id); return found })
 	h.recordEvent(now, "catalog", "upstreams "+why, "count="+strconv.Itoa(len(list))+
 		" revision="+strconv.FormatUint(revision, 10)+" from="+string(from))
-	h.emit(UpstreamsUpdated{Revision: revision, Upstreams: list})
+	h.emit(UpstreamsUpdated{Revision: revision, Upstreams: h.catalog.Registered()})
 	h.applyDispatch(now, h.dispatch.SetUpstreams(now, list))
 }
 
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -150,7 +150,7 @@
 // RoutingActivated reports that a configuration has become active.
 type RoutingActivated struct{ Routing *config.Routing }
 
-// UpstreamsUpdated contains the Upstreams that are in use.
+// UpstreamsUpdated contains the Upstreams that the store lists at a revision, for peers.
 type UpstreamsUpdated struct {
 	Revision  uint64
 	Upstreams []catalog.Upstream
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -440,6 +441,26 @@
 	t.Fatal("no fetch within 2 s")
 }
 
+// Guards against an Upstream that has gone and gets requests again: an Instance that keeps
+// its entry for a while after an outage of the store offers it to peers that have removed it.
+func TestHostedPeersAreNotOfferedRemovedUpstreams(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	r.step(StoreCallFailed{})
+	r.step(UpstreamsChanged{Revision: 11, Changes: []catalog.Change{{ID: "s1"}}})
+	offered := wantEffect[UpstreamsUpdated](r).Upstreams
+	is.True(!slices.ContainsFunc(offered, func(up catalog.Upstream) bool { return up.ID == "s1" }))
+	is.Equal(len(offered), 4)
+	_, found := r.router.hosted.catalog.Get("s1")
+	is.True(found) // it stays usable here
+
+	peer := newHostedHarness(t) // one that has had no outage
+	peer.step(UpstreamsChanged{Revision: 11, Changes: []catalog.Change{{ID: "s1"}}})
+	peer.step(UpstreamsListed{Revision: 12, Upstreams: offered, From: "other"})
+	_, found = peer.router.hosted.catalog.Get("s1")
+	is.True(!found)
+}
+
 // Guards against address responses that contain a leaving Instance, and against a
 // graceful shutdown that interrupts active requests.
 func TestHostedShutdown(t *testing.T) {
