router: a hosted Instance that stops answers every request it has accepted

What operators of a similar system saw: during a planned stop under load, requests that had just been accepted were cut off without an answer.

Cause: a leaving Instance accepted requests on open connections until 0.5 s before the end of its grace period, and then closed all connections. A request that came in that last half second, or while the process was already drained, had no final response. Ruled out: the handlers of complete responses (TestStopLetsAnswersFinish), and requests that were never read.

Change: no request is accepted in the last quarter of the grace period, no stream in the last half; they are refused as not run, and another Instance can take them at once. At the end every active request gets its final response before the process drains, and whatever comes later is refused. A stream of these engines takes 1.5 to 3.5 s and a plain request up to its 1.5 s limit, of a grace period of 8 s.

--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -153,7 +153,7 @@
 type fakeCallers struct{}
 
 func (fakeCallers) Decode(r *http.Request) (CallerRequest, *core.Refusal) {
-	return CallerRequest{ID: core.RequestID(r.Header.Get("X-Id")), Key: r.Header.Get("X-Key"), ForwardHeader: http.Header{}}, nil
+	return CallerRequest{ID: core.RequestID(r.Header.Get("X-Id")), Key: r.Header.Get("X-Key"), ForwardHeader: http.Header{"X-Id": r.Header.Values("X-Id")}}, nil
 }
 
 func (fakeCallers) DecodeAddresses(*http.Request) (AddressQuery, *core.Refusal) {
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -144,7 +144,11 @@
 	if !waiting {
 		end = core.Never
 	}
-	return core.Earliest(end, h.nextMemberListAt, h.addressesExpireAt, h.stopAt, h.catalog.NextWake(), h.dispatch.NextWake(), h.fleet.NextWake())
+	stopAt := h.stopAt
+	if h.drained {
+		stopAt = core.Never
+	}
+	return core.Earliest(end, h.nextMemberListAt, h.addressesExpireAt, stopAt, h.catalog.NextWake(), h.dispatch.NextWake(), h.fleet.NextWake())
 }
 
 // step handles the events of a hosted Instance.
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -65,6 +65,13 @@
 		h.record(now, "request", "refused", rs, h.refusalDetail(refusal, "host="+q.Host+" path="+q.Path))
 		return
 	}
+	if now >= h.acceptUntil(rs.hosted.route) {
+		refusal := refusalWithRetryAfter(core.CodeLeaving, "the instance stops and could not complete the request", leavingRetryAfter)
+		h.emit(Refuse{Request: q.ID, Refusal: refusal})
+		h.observe(rs, refusal.Code, 0)
+		h.record(now, "request", "refused", rs, h.refusalDetail(refusal, "stage=leaving"))
+		return
+	}
 	if c := h.crashes[q.Fingerprint]; c != nil && c.count() >= crashLimit && now < c.expiresAt {
 		refusal := core.NewRefusal(core.CodeNoCapacity, "the request has ended the Upstreams that ran it")
 		h.emit(Refuse{Request: q.ID, Refusal: refusal})
@@ -551,8 +558,44 @@
 	h.refuseHosted(now, rs, core.NewRefusal(core.CodeTargetUnreachable, "the request reached its time limit before it ran"))
 }
 
+const (
+	// A leaving Instance accepts no request in the last quarter of its grace period, and no
+	// stream in the last half, since it could not complete them.
+	finalPlainFraction  = 0.25
+	finalStreamFraction = 0.5
+	// leavingRetryAfter is the Retry-After of a leaving Instance. Another one can serve the
+	// request immediately.
+	leavingRetryAfter = 100 * time.Millisecond
+)
+
+// acceptUntil returns the instant until which requests of a route are accepted, core.Never
+// unless this Instance is leaving.
+func (h *hosted) acceptUntil(route *config.HostRoute) core.Instant {
+	if !h.leaving {
+		return core.Never
+	}
+	fraction := finalPlainFraction
+	if route.Streaming {
+		fraction = finalStreamFraction
+	}
+	return h.stopAt.Add(-time.Duration(fraction * float64(h.params.GracePeriod)))
+}
+
+// endRequests gives every request that is still active at the end of the grace period its
+// final response.
+func (h *hosted) endRequests(now core.Instant) {
+	for _, id := range slices.Sorted(maps.Keys(h.requests)) {
+		rs := h.requests[id]
+		if rs == nil {
+			continue
+		}
+		h.cancelAttempt(rs)
+		h.refuseHosted(now, rs, refusalWithRetryAfter(core.CodeLeaving, "the instance stops", leavingRetryAfter))
+	}
+}
+
 // checkDrained ends a graceful shutdown when no request is active and the address
-// responses have expired, or at stopAt in any case.
+// responses have expired, or at stopAt in any case. From then on no request is accepted.
 func (h *hosted) checkDrained(now core.Instant) {
 	if h.drained || !h.leaving {
 		return
@@ -562,9 +605,12 @@
 		h.addressesExpireAt = core.Never
 		h.addressesExpired = true
 	}
+	if now >= h.stopAt {
+		h.endRequests(now)
+	}
 	if idle || h.addressesExpired && len(h.requests) == 0 || now >= h.stopAt {
 		h.drained = true
-		h.stopAt = core.Never
+		h.stopAt = now
 		h.emit(Drained{})
 	}
 }
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -504,6 +504,35 @@
 	}
 }
 
+// Guards against requests that a leaving Instance accepts and cuts off at the end of its
+// grace period of 8 s, and against a final response that is not given.
+func TestHostedLeavingInstanceAcceptsOnlyWhatItCanComplete(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	r.sendRequest("0", "/call/x")
+	r.step(ShutdownRequested{})
+	r.advance(3 * time.Second)
+	r.startStream("1", "/once/x")
+	r.advance(1500 * time.Millisecond)
+	r.sendRequest("2", "/once/x")
+	is.Equal(wantEffect[Refuse](r).Refusal.Ran, core.NotRun) // a stream takes seconds
+	r.sendRequest("3", "/call/x")
+	wantEffect[StartCall](r)
+	r.advance(1500 * time.Millisecond)
+	r.sendRequest("4", "/call/x")
+	is.Equal(wantEffect[Refuse](r).Refusal.Code, core.CodeLeaving)
+
+	ended := map[core.RequestID]core.ExecutionStatus{}
+	for _, effect := range r.advance(2 * time.Second) {
+		if e, ok := effect.(Refuse); ok {
+			ended[e.Request] = e.Refusal.Ran
+		}
+	}
+	is.Equal(ended, map[core.RequestID]core.ExecutionStatus{"0": core.MayHaveRun, "1": core.MayHaveRun, "3": core.MayHaveRun})
+	r.sendRequest("5", "/call/x") // on a connection that is still open
+	is.Equal(wantEffect[Refuse](r).Refusal.Code, core.CodeLeaving)
+}
+
 // Guards against requests of one kind that crash one engine after the other, although no
 // two of them are alike, and against the refusal of sound ones that share other parts.
 func TestHostedPartOfAPromptThatCrashesEngines(t *testing.T) {
