hosted: slow streams are kept, and bytes that complete no event are no progress

What operators of similar systems saw: slow but sound streams were cut, and stalled ones that sent a byte now and then never ended. Both could happen here, within the route's time limit.

Cause: the daemon ended an attempt after 1 s without a byte (a plain one after the latency target) because it might be retried, and the router found only then that the retry budget was used up: the caller got 502 or a cut stream. And every byte counted as progress, so a stream that sent a byte now and then kept its engine and its caller until the time limit.

Change: the daemon reports an attempt without progress (AttemptStalled) and goes on; the router retries it elsewhere if it may, and otherwise leaves it alone. Of a stream of events, only a complete event is progress. The time after which a silent stream ends follows the patience of its callers (4 latency targets or 8 intervals between events, at least 5 s), also for routes with longer targets than today's. A response that becomes complete while its retry is decided ends the request; the retry is not sent.

TestHostedEventTimeouts checks the two timeouts by their new names, with the same values.

Tests, before: TestStreamThatSendsOnlyBytesIsStalled 6.1 s in place of 3, TestSlowStreamIsKeptWithoutARetryBudget and TestLateResponseIsKeptWithoutARetryBudget 502; all pass now.

--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -178,7 +178,8 @@
 	}
 	attemptCtx, cancel := active.startAttempt(ctx, e.Attempt)
 	defer cancel()
-	req.HeaderTimeout = e.ResponseTimeout
+	stall := d.watchForStall(active.id, e.Attempt, e.StallTimeout)
+	defer stall.stop()
 	response := d.sendRequest(attemptCtx, active, e.Attempt, req)
 	if response == nil {
 		return
@@ -195,6 +196,7 @@
 		return
 	}
 	active.response.sendBuffered(buffered)
+	active.completed = true
 	d.post(router.ResponseCompleted{Request: active.id, Attempt: e.Attempt, Status: buffered.status})
 }
 
@@ -208,6 +210,8 @@
 	req.Hold, req.KVSource, req.KV = e.Hold, e.SourceURL, e.KV
 	req.LastEventID = active.template.LastEventID
 	req.HeaderTimeout = e.EventTimeout
+	stall := d.watchForStall(active.id, e.Attempt, e.StallTimeout)
+	defer stall.stop()
 	response := d.sendRequest(attemptCtx, active, e.Attempt, req)
 	if response == nil {
 		return
@@ -220,7 +224,39 @@
 	if !active.response.started {
 		active.response.start(response.Status, response.Header, -1)
 	}
-	d.relay(attemptCtx, active, e, response)
+	d.relay(attemptCtx, active, e, response, stall)
+}
+
+// stallWatch reports an attempt that makes no progress. nil watches nothing.
+type stallWatch struct {
+	timer   *time.Timer
+	timeout time.Duration
+}
+
+// watchForStall reports an attempt each time that it has made no progress for timeout, never
+// if that is 0.
+func (d *Daemon) watchForStall(id core.RequestID, attempt core.AttemptID, timeout time.Duration) *stallWatch {
+	if timeout <= 0 {
+		return nil
+	}
+	w := &stallWatch{timeout: timeout}
+	w.timer = time.AfterFunc(timeout, func() {
+		d.post(router.AttemptStalled{Request: id, Attempt: attempt})
+		w.timer.Reset(timeout)
+	})
+	return w
+}
+
+func (w *stallWatch) progress() {
+	if w != nil {
+		w.timer.Reset(w.timeout)
+	}
+}
+
+func (w *stallWatch) stop() {
+	if w != nil {
+		w.timer.Stop()
+	}
 }
 
 // readResponseBody reads and closes a buffered response. Large ones wait for each other,
@@ -258,8 +294,9 @@
 const eventStreamType = "text/event-stream"
 
 // relay passes a stream on to the caller. A stream that may be resumed at another
-// Upstream is passed on in complete events only.
-func (d *Daemon) relay(ctx context.Context, active *activeRequest, e router.StartDecode, response *UpstreamResponse) {
+// Upstream is passed on in complete events only. Of a stream of events, only a complete
+// event is progress.
+func (d *Daemon) relay(ctx context.Context, active *activeRequest, e router.StartDecode, response *UpstreamResponse, stall *stallWatch) {
 	var events eventSplitter
 	var boundary eventBoundary
 	isEventStream := strings.HasPrefix(response.Header.Get("Content-Type"), eventStreamType)
@@ -267,10 +304,11 @@
 	first := true
 	var last time.Time
 	var longestPause time.Duration
+	response.SetReadDeadline(time.Now().Add(e.EventTimeout))
 	for {
-		response.SetReadDeadline(time.Now().Add(e.EventTimeout))
 		n, err := response.Read(buffer)
 		part := buffer[:n]
+		progress := n > 0
 		if e.Resumable {
 			var failure error
 			part, failure = events.add(part, func(event []byte) {
@@ -281,8 +319,13 @@
 			if failure != nil {
 				err = failure
 			}
+			progress = len(part) > 0
 		} else if isEventStream {
-			boundary.add(part)
+			progress = boundary.add(part)
+		}
+		if progress {
+			stall.progress()
+			response.SetReadDeadline(time.Now().Add(e.EventTimeout))
 		}
 		if len(part) > 0 {
 			arrived := time.Now()
@@ -299,6 +342,7 @@
 			}
 		}
 		if err == io.EOF && events.empty() && !boundary.inEvent {
+			active.completed = true
 			d.post(router.ResponseCompleted{Request: active.id, Attempt: e.Attempt, Status: response.Status, LongestPause: longestPause})
 			return
 		}
--- a/pkg/hosted/events.go
+++ b/pkg/hosted/events.go
@@ -56,8 +56,10 @@
 	lineEnds int // at the end of the stream so far
 }
 
-// add appends part to the stream.
-func (b *eventBoundary) add(part []byte) {
+// add appends part to the stream. It reports whether that completes an event.
+func (b *eventBoundary) add(part []byte) bool {
+	end, _ := nextEventEnd(part)
+	wasInEvent := b.inEvent
 	text := bytes.TrimRight(part, "\r\n")
 	if len(text) > 0 {
 		b.inEvent, b.lineEnds = true, 0
@@ -66,4 +68,5 @@
 	if b.lineEnds >= 2 {
 		b.inEvent = false
 	}
+	return end >= 0 || wasInEvent && !b.inEvent
 }
--- a/pkg/hosted/requests.go
+++ b/pkg/hosted/requests.go
@@ -21,6 +21,8 @@
 	// failureResponse is the last error response of an Upstream, which is passed on if
 	// no attempt succeeds.
 	failureResponse *bufferedResponse
+	// completed is set once the caller has been sent a complete response.
+	completed bool
 
 	mu      sync.Mutex
 	attempt core.AttemptID
--- a/pkg/hosted/serve.go
+++ b/pkg/hosted/serve.go
@@ -125,6 +125,13 @@
 // executeForRequest executes an effect on the goroutine of its request. It reports
 // true when the request has ended.
 func (d *Daemon) executeForRequest(ctx context.Context, active *activeRequest, effect router.Effect) bool {
+	if active.completed {
+		switch effect.(type) {
+		case router.StartPrefill, router.StartDecode, router.StartCall:
+			return false // decided before the router knew that the response is complete
+		}
+		return true
+	}
 	switch e := effect.(type) {
 	case router.StartPrefill:
 		d.prefill(ctx, active, e)
--- a/pkg/router/effect.go
+++ b/pkg/router/effect.go
@@ -76,6 +76,9 @@
 	Account core.AccountID
 	// Resumable is set when the stream may be continued at another Upstream.
 	Resumable bool
+	// StallTimeout is the time without a complete event after which AttemptStalled is
+	// reported, 0 for never.
+	StallTimeout time.Duration
 	// EventTimeout is the longest time to the first event and between two events.
 	// An engine that exceeds it is treated as not responding.
 	EventTimeout time.Duration
@@ -96,9 +99,9 @@
 	Account core.AccountID
 	// Idempotent is set when the request may be retried after a failure.
 	Idempotent bool
-	// ResponseTimeout is the time within which the Upstream must respond, 0 to
-	// wait until the Deadline.
-	ResponseTimeout time.Duration
+	// StallTimeout is the time without a response after which AttemptStalled is reported, 0
+	// for never.
+	StallTimeout time.Duration
 }
 
 // StartResume continues to read the stream of an attempt that another Instance
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -172,6 +172,8 @@
 		h.onAttemptFailed(now, e)
 	case UpstreamAnswered:
 		h.onUpstreamAnswered(now, e)
+	case AttemptStalled:
+		h.onAttemptStalled(now, e)
 	case CallerAddressesRequested:
 		h.onCallerAddressesRequested(e)
 	case RoutingReceived:
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -42,6 +42,13 @@
 	RequestsPerSecond float64
 }
 
+// AttemptStalled reports that an attempt has made no progress for its StallTimeout. The
+// attempt goes on unless it is cancelled.
+type AttemptStalled struct {
+	Request core.RequestID
+	Attempt core.AttemptID
+}
+
 // RoutingReceived is a configuration from the store or, if From is set, from a peer.
 type RoutingReceived struct {
 	Routing  *config.Routing
@@ -94,6 +101,7 @@
 
 func (HoldResult) event()               {}
 func (UpstreamAnswered) event()         {}
+func (AttemptStalled) event()           {}
 func (RoutingReceived) event()          {}
 func (UpstreamsListed) event()          {}
 func (UpstreamsChanged) event()         {}
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -359,22 +359,39 @@
 	// the expectation uses load reports of peers, which arrive late.
 	prefillTimeoutFactor = 4
 	minPrefillTimeout    = 700 * time.Millisecond
-	// resumableEventTimeout is the event timeout of a stream that can be retried at
-	// another engine. A busy engine takes 60 ms for an event, and callers disconnect
-	// after about 2.4 s.
-	resumableEventTimeout = time.Second
-	// defaultEventTimeout is the event timeout of a stream that can't be retried at
-	// another engine. Callers disconnect sooner.
-	defaultEventTimeout = 5 * time.Second
+	// streamStallTimeout is the time without an event after which a stream is continued at
+	// another engine. A busy engine takes 60 ms for an event, and callers disconnect after
+	// about 2.4 s.
+	streamStallTimeout = time.Second
+	// minEventTimeout is the shortest time without an event after which a stream ends.
+	minEventTimeout = 5 * time.Second
+	// stallIntervals is the number of intervals between events, as long as the route allows
+	// them, after which a stream is continued at another engine.
+	stallIntervals = 3
+	// Callers disconnect when no event has arrived for these multiples of the route's latency
+	// target or of the interval that it allows between events.
+	callerPatienceTargets   = 4
+	callerPatienceIntervals = 8
 )
 
-// eventTimeout returns the longest time between two events of a stream: a short one
-// while the stream may be retried at another engine.
-func (h *hosted) eventTimeout(rs *requestState) time.Duration {
-	if rs.hosted.route.Resumable && rs.hosted.executions < rs.hosted.route.MaxUpstreams {
-		return resumableEventTimeout
+// stallTimeout returns the time without progress after which an attempt is retried at
+// another Upstream if the retry budget allows it, 0 if the request may not be retried.
+func (h *hosted) stallTimeout(rs *requestState) time.Duration {
+	route := rs.hosted.route
+	switch {
+	case !route.Idempotent() || rs.hosted.executions >= route.MaxUpstreams:
+		return 0
+	case route.Streaming:
+		return max(streamStallTimeout, stallIntervals*route.EventIntervalTarget)
 	}
-	return defaultEventTimeout
+	return route.LatencyTarget
+}
+
+// eventTimeout returns the time without an event after which a stream ends, because its
+// caller has disconnected by then.
+func (h *hosted) eventTimeout(rs *requestState) time.Duration {
+	route := rs.hosted.route
+	return max(minEventTimeout, callerPatienceTargets*route.LatencyTarget, callerPatienceIntervals*route.EventIntervalTarget)
 }
 
 // requestWithAttempt returns the request if attempt is its current attempt, else nil.
@@ -405,7 +422,7 @@
 		Request: rs.request.ID, Attempt: h.nextAttempt(rs), Upstream: hr.upstream.ID, URL: hr.upstream.Addr,
 		SourceURL: source, KV: rs.kv, Hold: hr.holdID, At: now, NotAfter: hr.deadline, Deadline: hr.deadline,
 		Priority: h.effectivePriority(rs), Account: rs.accountID(), Resumable: hr.route.Resumable,
-		EventTimeout: h.eventTimeout(rs),
+		EventTimeout: h.eventTimeout(rs), StallTimeout: h.stallTimeout(rs),
 	})
 	h.recordWithUpstream(now, "dispatch", "decode", rs, hr.upstream.ID, fmt.Sprintf("kv=%t hold=%t run=%d", rs.kv != "", hr.holdID != "", hr.executions))
 }
@@ -421,21 +438,11 @@
 	h.emit(StartCall{
 		Request: o.ID, Attempt: h.nextAttempt(rs), Upstream: o.Upstream, URL: rs.hosted.upstream.Addr,
 		NotAfter: rs.hosted.deadline, Deadline: rs.hosted.deadline, Priority: h.effectivePriority(rs), Account: rs.accountID(),
-		Idempotent: rs.hosted.route.Idempotent(), ResponseTimeout: h.responseTimeout(rs),
+		Idempotent: rs.hosted.route.Idempotent(), StallTimeout: h.stallTimeout(rs),
 	})
 	h.recordWithUpstream(now, "dispatch", "call", rs, o.Upstream, fmt.Sprintf("run=%d waited=%s", rs.hosted.executions, now.Sub(rs.arrivedAt)))
 }
 
-// responseTimeout returns the time after which a plain request is retried at another
-// Upstream: the latency target if the request is idempotent and an attempt is left,
-// else 0 for no timeout.
-func (h *hosted) responseTimeout(rs *requestState) time.Duration {
-	if rs.hosted.route.Idempotent() && rs.hosted.executions < rs.hosted.route.MaxUpstreams {
-		return rs.hosted.route.LatencyTarget
-	}
-	return 0
-}
-
 func (h *hosted) onFirstToken(now core.Instant, e FirstToken) {
 	rs := h.requestWithAttempt(e.Request, e.Attempt)
 	if rs == nil {
@@ -450,11 +457,15 @@
 }
 
 func (h *hosted) onResponseCompleted(now core.Instant, e ResponseCompleted) {
-	rs := h.requestWithAttempt(e.Request, e.Attempt)
+	rs := h.requests[e.Request]
 	if rs == nil {
 		return
 	}
-	h.dispatch.RecordOutcome(rs.hosted.upstream.ID, e.Status < 500)
+	if rs.attempt == e.Attempt {
+		h.dispatch.RecordOutcome(rs.hosted.upstream.ID, e.Status < 500)
+	} else { // the response was complete when its attempt was cancelled as stalled
+		h.cancelAttempt(rs)
+	}
 	if e.Status < 300 {
 		h.poison.OnCompleted(now, rs.request.SharedParts)
 	}
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -104,8 +104,34 @@
 		h.refuseHosted(now, rs, &core.Refusal{Code: core.CodeUpstreamFailed, Ran: core.MayHaveRun, Message: "the Upstream failed while it ran the request"})
 		return
 	}
+	h.retryElsewhere(now, rs, failure)
+}
+
+// onAttemptStalled retries a request whose Upstream makes no progress. If the request can't
+// be retried, the attempt goes on: the Upstream may only be slow.
+func (h *hosted) onAttemptStalled(now core.Instant, e AttemptStalled) {
+	rs := h.requestWithAttempt(e.Request, e.Attempt)
+	if rs == nil || rs.hosted.stage != stageRun {
+		return
+	}
+	failure := attempts.Failure{Kind: attempts.FailStalled, Upstream: rs.hosted.upstream.ID, MaybeSent: true}
+	retried := h.allowRetry(now, rs, failure)
+	h.recordWithUpstream(now, "dispatch", "stalled", rs, failure.Upstream, fmt.Sprintf("retried=%t began=%t runs=%d",
+		retried, rs.hosted.firstEventAt != 0, rs.hosted.executions))
+	if !retried {
+		return
+	}
+	h.cancelAttempt(rs)
+	h.recordFailure(now, rs, failure)
+	h.emit(Observe{Observation: Observation{Service: rs.service.Name, Hosted: &HostedOutcome{Failure: failure.Kind}}})
+	rs.hosted.deliveries++
+	h.retryElsewhere(now, rs, failure)
+}
+
+// retryElsewhere submits a request again after an attempt that has ended.
+func (h *hosted) retryElsewhere(now core.Instant, rs *requestState, failure attempts.Failure) {
 	h.releaseKV(now, rs)
-	hr.holdID = ""
+	rs.hosted.holdID = ""
 	if !failure.ConfirmedNotRun || failure.Kind != attempts.FailKVGone {
 		rs.avoidUpstreams = append(rs.avoidUpstreams, failure.Upstream)
 	}
