hosted: decisions expire when the process is paused before they are carried out

What operators of similar systems saw: a process that had been paused for some seconds acted on a permission that had run out meanwhile. It could happen here: a request was sent whenever its goroutine went on, up to the caller's deadline, with the account, the Upstream and the allowance of the decision; a hold that was granted before a pause got a prefill after its end. The clock stood still while the machine was suspended, so deadlines were later than the caller's by that time, and a step of the time of day by 2 s looked like a pause.

A hold is used only within its term.

Ruled out: the existing check of the deadline alone (it was the caller's), and comparing the time of day (it is set).

--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -84,9 +84,10 @@
 	Upstream core.UpstreamID
 	Addr     string
 	Account  core.AccountID
-	// Deadline is when the Upstream is to stop. The adapter sends it the time that is
-	// left when the request is written, and sends no request after the deadline.
-	Deadline time.Time
+	// TimeLeft returns the time after which the Upstream is to stop, 0 or less when the
+	// request must no longer be sent. The adapter calls it when the request is written, and
+	// sends the Upstream the result.
+	TimeLeft func() time.Duration
 	// Hold, KVSource and KV are set for a decode.
 	Hold     string
 	KVSource string
--- /dev/null
+++ b/pkg/hosted/clock.go
@@ -0,0 +1,18 @@
+package hosted
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// bootTime returns the time since the machine was booted. Unlike the monotonic clock that
+// package time uses, it goes on while the machine is suspended, and unlike the time of day it
+// is never set.
+func bootTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // every supported kernel has the clock
+	}
+	return time.Duration(t.Nano())
+}
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -36,7 +36,7 @@
 	// a pause of the process is detected.
 	maxLoopWait = 500 * time.Millisecond
 	// pauseThreshold is the time between two iterations of the event loop from which
-	// the process counts as paused.
+	// the process counts as paused, whether it was stopped or its machine suspended.
 	pauseThreshold = 2 * time.Second
 	// timelineSize is the number of recorded events that an Instance keeps: a few
 	// minutes at 20 requests per second.
@@ -63,6 +63,8 @@
 	adapter  Adapter
 	log      *zap.Logger
 	start    time.Time
+	bootTime func() time.Duration
+	startAt  time.Duration // boot time at the start
 	router   *router.Router
 	events   chan router.Event
 	requests *activeRequests
@@ -112,6 +114,8 @@
 		adapter:   adapter,
 		log:       log,
 		start:     time.Now(),
+		bootTime:  bootTime,
+		startAt:   bootTime(),
 		events:    make(chan router.Event, eventQueueSize),
 		requests:  newActiveRequests(),
 		metrics:   metrics,
@@ -165,7 +169,8 @@
 	return binary.LittleEndian.Uint64(b[:])
 }
 
-func (d *Daemon) now() core.Instant { return core.Instant(time.Since(d.start)) }
+// now returns the time since the start, with the time for which the machine was suspended.
+func (d *Daemon) now() core.Instant { return core.Instant(d.bootTime() - d.startAt) }
 
 // Run serves until ctx ends, then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -286,7 +291,7 @@
 	defer close(d.loopEnded)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	last := time.Now()
+	last := d.now()
 	for {
 		var event router.Event
 		select {
@@ -296,8 +301,8 @@
 		case <-timer.C:
 			event = router.Tick{}
 		}
-		now := time.Now()
-		if pause := max(now.Sub(last), now.Round(0).Sub(last.Round(0))); pause > pauseThreshold {
+		now := d.now()
+		if now.Sub(last) > pauseThreshold {
 			d.step(ctx, router.ProcessPaused{})
 		}
 		last = now
--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -84,19 +84,34 @@
 		zap.String("request", string(id)), zap.String("upstream", string(up)), zap.Error(err))
 }
 
-// upstreamRequest returns the request to send to one Upstream. It reports false when
-// the deadline has passed.
-func (d *Daemon) upstreamRequest(active *activeRequest, up core.UpstreamID, addr string, account core.AccountID, deadline core.Instant) (UpstreamRequest, bool) {
+// upstreamRequest returns the request to send to one Upstream, which is not sent from
+// notAfter on.
+func (d *Daemon) upstreamRequest(active *activeRequest, up core.UpstreamID, addr string, account core.AccountID, notAfter, deadline core.Instant) UpstreamRequest {
 	req := active.template
 	req.Upstream, req.Addr, req.Account = up, addr, account
-	req.Deadline = d.start.Add(time.Duration(deadline))
-	return req, time.Now().Before(req.Deadline)
+	req.TimeLeft = func() time.Duration {
+		now := d.now()
+		if now >= notAfter {
+			return 0
+		}
+		return deadline.Sub(now)
+	}
+	return req
+}
+
+// reportExpired fails an attempt that must no longer be sent. It reports whether it did.
+func (d *Daemon) reportExpired(active *activeRequest, attempt core.AttemptID, req UpstreamRequest) bool {
+	if req.TimeLeft() > 0 {
+		return false
+	}
+	d.post(router.AttemptFailed{Request: active.id, Attempt: attempt, Failure: attempts.Failure{Kind: attempts.FailExpired, Upstream: req.Upstream}})
+	return true
 }
 
 func (d *Daemon) prefill(ctx context.Context, active *activeRequest, e router.StartPrefill) {
-	req, ok := d.upstreamRequest(active, e.Upstream, e.URL, e.Account, e.Deadline)
-	if !ok {
-		return // the router ends the request at its deadline
+	req := d.upstreamRequest(active, e.Upstream, e.URL, e.Account, e.NotAfter, e.Deadline)
+	if d.reportExpired(active, e.Attempt, req) {
+		return
 	}
 	attemptCtx, cancel := active.startAttempt(ctx, e.Attempt)
 	defer cancel()
@@ -135,6 +150,8 @@
 		return attempts.FailConnect
 	case upstream.Stalled:
 		return attempts.FailStalled
+	case upstream.Expired:
+		return attempts.FailExpired
 	case upstream.Crashed, upstream.Canceled:
 		return attempts.FailCrashed
 	}
@@ -172,9 +189,9 @@
 var errUnsigned = &upstream.Error{Kind: upstream.Crashed, Sent: true, Err: errors.New("the response is not signed by the upstream")}
 
 func (d *Daemon) callPlain(ctx context.Context, active *activeRequest, e router.StartCall) {
-	req, ok := d.upstreamRequest(active, e.Upstream, e.URL, e.Account, e.Deadline)
-	if !ok {
-		return // the router ends the request at its deadline
+	req := d.upstreamRequest(active, e.Upstream, e.URL, e.Account, e.NotAfter, e.Deadline)
+	if d.reportExpired(active, e.Attempt, req) {
+		return
 	}
 	attemptCtx, cancel := active.startAttempt(ctx, e.Attempt)
 	defer cancel()
@@ -201,9 +218,9 @@
 }
 
 func (d *Daemon) decode(ctx context.Context, active *activeRequest, e router.StartDecode) {
-	req, ok := d.upstreamRequest(active, e.Upstream, e.URL, e.Account, e.Deadline)
-	if !ok {
-		return // the router ends the request at its deadline
+	req := d.upstreamRequest(active, e.Upstream, e.URL, e.Account, e.NotAfter, e.Deadline)
+	if d.reportExpired(active, e.Attempt, req) {
+		return
 	}
 	attemptCtx, cancel := active.startAttempt(ctx, e.Attempt)
 	defer cancel()
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -21,6 +21,8 @@
 	HoldUnreachable HoldOutcome = "unreachable"
 	// HoldAddressReassigned means that another Upstream now has the address.
 	HoldAddressReassigned HoldOutcome = "elsewhere"
+	// HoldExpired means that the result arrived after the end of the hold.
+	HoldExpired HoldOutcome = "expired"
 )
 
 // HoldResult reports the outcome of an AcquireHold.
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -38,6 +38,8 @@
 	// count towards the route's MaxUpstreams.
 	skipPrefill    bool
 	prefillEndedAt core.Instant
+	// holdExpiresAt is the instant at which the hold ends unless it is used.
+	holdExpiresAt core.Instant
 	// firstEventAt is the instant of the first event of the current attempt, 0 before.
 	firstEventAt core.Instant
 	// deliveries counts the attempts that may have reached an Upstream, executions
@@ -267,6 +269,16 @@
 	}
 }
 
+// decisionTTL is the time within which an attempt must be sent. It is longer than the
+// connection to an Upstream takes. What a process sends later, because it was paused, goes by
+// keys, limits and Upstreams that may have changed.
+const decisionTTL = time.Second
+
+// sendBefore returns the instant from which an attempt that starts now must not be sent.
+func (rs *requestState) sendBefore(now core.Instant) core.Instant {
+	return min(rs.hosted.deadline, now.Add(decisionTTL))
+}
+
 func (h *hosted) nextAttempt(rs *requestState) core.AttemptID {
 	h.attemptSeq++
 	rs.attempt = core.AttemptID{Owner: h.self.Ref, Seq: h.attemptSeq}
@@ -284,6 +296,7 @@
 	if term == 0 || term > maxHoldDuration {
 		term = maxHoldDuration
 	}
+	rs.hosted.holdExpiresAt = now.Add(term)
 	h.emit(AcquireHold{
 		Request: o.ID, Attempt: h.nextAttempt(rs), Upstream: o.Upstream, Addr: rs.hosted.upstream.Addr, Tokens: o.Tokens, Term: term,
 	})
@@ -301,9 +314,12 @@
 	}
 	switch e.Outcome {
 	case HoldGranted:
-		rs.hosted.holdID = e.Hold
-		h.startPrefill(now, rs)
-		return
+		if now < rs.hosted.holdExpiresAt {
+			rs.hosted.holdID = e.Hold
+			h.startPrefill(now, rs)
+			return
+		}
+		e.Outcome = HoldExpired
 	case HoldUnreachable, HoldAddressReassigned:
 		h.dispatch.MarkUnreachable(now, e.Upstream)
 	}
@@ -331,7 +347,7 @@
 	rs.hosted.stage = stagePrefill
 	h.emit(StartPrefill{
 		Request: rs.request.ID, Attempt: h.nextAttempt(rs), Upstream: id, URL: rs.hosted.prefillEngine.Addr,
-		At: now, NotAfter: rs.hosted.deadline, Deadline: rs.hosted.deadline, Priority: h.effectivePriority(rs), Account: rs.accountID(),
+		At: now, NotAfter: rs.sendBefore(now), Deadline: rs.hosted.deadline, Priority: h.effectivePriority(rs), Account: rs.accountID(),
 		ResponseTimeout: min(max(minPrefillTimeout, prefillTimeoutFactor*expected), maxHoldDuration),
 	})
 	h.recordWithUpstream(now, "dispatch", "prefill", rs, id, fmt.Sprintf("decode=%s place=%d waited=%s", rs.hosted.upstream.ID, rs.holdTokens(), now.Sub(rs.arrivedAt)))
@@ -420,7 +436,7 @@
 	}
 	h.emit(StartDecode{
 		Request: rs.request.ID, Attempt: h.nextAttempt(rs), Upstream: hr.upstream.ID, URL: hr.upstream.Addr,
-		SourceURL: source, KV: rs.kv, Hold: hr.holdID, At: now, NotAfter: hr.deadline, Deadline: hr.deadline,
+		SourceURL: source, KV: rs.kv, Hold: hr.holdID, At: now, NotAfter: rs.sendBefore(now), Deadline: hr.deadline,
 		Priority: h.effectivePriority(rs), Account: rs.accountID(), Resumable: hr.route.Resumable,
 		EventTimeout: h.eventTimeout(rs), StallTimeout: h.stallTimeout(rs),
 	})
@@ -437,7 +453,7 @@
 	rs.hosted.upstream, _ = h.catalog.Get(o.Upstream)
 	h.emit(StartCall{
 		Request: o.ID, Attempt: h.nextAttempt(rs), Upstream: o.Upstream, URL: rs.hosted.upstream.Addr,
-		NotAfter: rs.hosted.deadline, Deadline: rs.hosted.deadline, Priority: h.effectivePriority(rs), Account: rs.accountID(),
+		NotAfter: rs.sendBefore(now), Deadline: rs.hosted.deadline, Priority: h.effectivePriority(rs), Account: rs.accountID(),
 		Idempotent: rs.hosted.route.Idempotent(), StallTimeout: h.stallTimeout(rs),
 	})
 	h.recordWithUpstream(now, "dispatch", "call", rs, o.Upstream, fmt.Sprintf("run=%d waited=%s", rs.hosted.executions, now.Sub(rs.arrivedAt)))
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -94,6 +94,8 @@
 	}
 	if failure.MaybeSent {
 		hr.deliveries++
+	} else {
+		h.limits.Return(now, failure.Upstream, 1)
 	}
 	hr.hasUpstreamFailure = hr.hasUpstreamFailure || failure.Kind == attempts.FailProtocolError
 	if !h.allowRetry(now, rs, failure) {
@@ -132,7 +134,8 @@
 func (h *hosted) retryElsewhere(now core.Instant, rs *requestState, failure attempts.Failure) {
 	h.releaseKV(now, rs)
 	rs.hosted.holdID = ""
-	if !failure.ConfirmedNotRun || failure.Kind != attempts.FailKVGone {
+	upstreamFailed := failure.Kind != attempts.FailExpired && failure.Kind != attempts.FailKVGone
+	if upstreamFailed || failure.Kind == attempts.FailKVGone && !failure.ConfirmedNotRun {
 		rs.avoidUpstreams = append(rs.avoidUpstreams, failure.Upstream)
 	}
 	h.emit(Observe{Observation: Observation{Service: rs.service.Name, Hosted: &HostedOutcome{Retried: true}}})
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -337,6 +337,30 @@
 	wantNoEffect[Cancel](r)
 }
 
+// Guards against a decision that is carried out after a pause of the process: a request sent
+// late, or a prefill for a hold that has expired.
+func TestHostedDecisionsExpire(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	r.sendRequest("1", "/call/x")
+	call := wantEffect[StartCall](r)
+	is.True(call.NotAfter <= r.now.Add(time.Second))
+	r.failAttempt("1", call.Attempt, attempts.Failure{Kind: attempts.FailExpired, Upstream: call.Upstream})
+	again := wantEffect[StartCall](r)
+	is.True(again.NotAfter > r.now)
+
+	r.sendRequest("2", "/once/x")
+	hold := wantEffect[AcquireHold](r)
+	r.now = r.now.Add(hold.Term + 100*time.Millisecond) // paused
+	r.grantHold(hold)
+	wantNoEffect[StartPrefill](r)
+	r.grantHold(wantEffect[AcquireHold](r))
+	prefill := wantEffect[StartPrefill](r)
+	is.True(prefill.NotAfter <= r.now.Add(time.Second))
+	r.completePrefill(prefill)
+	is.True(wantEffect[StartDecode](r).NotAfter <= r.now.Add(time.Second))
+}
+
 // Guards against a stream that fails because its prefill failed or its KV cache was
 // lost: the decode engine computes the prefill itself.
 func TestHostedStreamSurvivesALostPrefill(t *testing.T) {
--- a/pkg/upstream/errors.go
+++ b/pkg/upstream/errors.go
@@ -24,6 +24,8 @@
 	ProtocolError Kind = "status"
 	// Canceled means that the caller's context or the Upstream ended the call.
 	Canceled Kind = "canceled"
+	// Expired means that the request was not sent, because it was too late.
+	Expired Kind = "expired"
 	// KVGone means that the prefill engine no longer keeps the KV cache.
 	KVGone Kind = "kv_gone"
 )
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -269,7 +269,7 @@
 	if q.BeforeWrite != nil && !q.BeforeWrite(q.Header) {
 		stop()
 		conn.Close()
-		return nil, &Error{Kind: ConnectFailed, URL: conn.addr, Err: errDeadlinePassed}
+		return nil, &Error{Kind: Expired, URL: conn.addr, Err: errDeadlinePassed}
 	}
 	conn.write(q)
 	for range maxMismatchedResponses {
