router: keys and Upstreams are confirmed by the store after a pause of the process

Cause: a process that had been stopped or suspended for seconds went on with the configuration and the list of Upstreams from before: a key that was withdrawn meanwhile started requests until the watch of the store, which may be dead by then, or a peer brought the change (0.4 s and more). Class of fault: a permission of unbounded age.

Change: after a pause both are read again at once, and requests that arrive wait for reads that began after the pause, at most 1 s; an Instance that can't reach the store then serves by what it knew, as in an outage. Requests that waited for an Upstream before the pause are not held back; they are refused when the new configuration no longer has their key.

Ruled out: refusing requests until then, which would cost callers that are inside their rights, and trusting peers alone, whose news may be as old.

Test: TestHostedStateIsConfirmedAfterAPause; without the wait the first request starts a call.

--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -372,6 +372,8 @@
 		d.routing.Store(e.Routing)
 	case router.UpstreamsUpdated:
 		d.upstreams.Store(&upstreamList{Revision: e.Revision, Upstreams: e.Upstreams})
+	case router.RefreshState:
+		d.watches.endAll()
 	case router.ShutdownStarted:
 		d.leaving.Store(true)
 	case router.Drained:
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -130,6 +130,7 @@
 	for ctx.Err() == nil {
 		health.waitForReadInterval(ctx)
 		readCtx, cancel := context.WithTimeout(ctx, health.timeout())
+		readAt := d.now()
 		object, revision, err := d.adapter.Store.ReadRouting(readCtx)
 		cancel()
 		if err != nil {
@@ -137,7 +138,7 @@
 			continue
 		}
 		health.recordSuccess()
-		d.storeRouting(object, "")
+		d.storeRouting(object, "", readAt)
 		d.watchRouting(ctx, health, revision, phase)
 	}
 }
@@ -158,7 +159,7 @@
 		health.recordSuccess()
 		after = max(after, at)
 		if object != nil {
-			d.storeRouting(*object, "")
+			d.storeRouting(*object, "", 0)
 			sleep(ctx, changeBatchDelay)
 		}
 	}
@@ -226,12 +227,12 @@
 	}
 }
 
-func (d *Daemon) storeRouting(object RoutingObject, from core.InstanceID) {
+func (d *Daemon) storeRouting(object RoutingObject, from core.InstanceID, readAt core.Instant) {
 	current := d.rawConfig.Load()
 	if current == nil || object.Revision > current.Revision {
 		d.rawConfig.Store(&object)
 	}
-	d.post(router.RoutingReceived{Routing: object.Routing, Revision: object.Revision, From: from})
+	d.post(router.RoutingReceived{Routing: object.Routing, Revision: object.Revision, From: from, ReadAt: readAt})
 }
 
 // syncUpstreams reads the registered Upstreams, then watches them for changes. phase is
@@ -241,6 +242,7 @@
 	for ctx.Err() == nil {
 		health.waitForReadInterval(ctx)
 		readCtx, cancel := context.WithTimeout(ctx, health.timeout())
+		readAt := d.now()
 		list, skipped, revision, err := d.adapter.Store.ListUpstreams(readCtx)
 		cancel()
 		if err != nil {
@@ -249,7 +251,7 @@
 		}
 		health.recordSuccess()
 		d.logSkipped(skipped)
-		d.post(router.UpstreamsListed{Revision: revision, Upstreams: list})
+		d.post(router.UpstreamsListed{Revision: revision, Upstreams: list, ReadAt: readAt})
 		d.watchUpstreams(ctx, health, revision, phase)
 	}
 }
@@ -382,7 +384,7 @@
 		if err != nil {
 			return err
 		}
-		d.storeRouting(RoutingObject{Routing: routing, Revision: got.Revision, Raw: got.Raw}, e.From)
+		d.storeRouting(RoutingObject{Routing: routing, Revision: got.Revision, Raw: got.Raw}, e.From, 0)
 	case router.StateUpstreams:
 		var got upstreamList
 		if err := json.Unmarshal(body, &got); err != nil {
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -322,6 +322,12 @@
 			}
 			w.step(inst, router.MembersListed{Members: members})
 		})
+	case router.RefreshState:
+		readAt := w.now
+		w.after(2*w.transit(inst.member.DataCentre, inst.member.DataCentre)+storeDelay, func() {
+			w.step(inst, router.RoutingReceived{Routing: w.routing, Revision: 1, ReadAt: readAt})
+			w.step(inst, router.UpstreamsListed{Revision: w.revision, Upstreams: w.registeredUpstreams(), ReadAt: readAt})
+		})
 	case router.FetchState:
 		w.after(storeDelay, func() { w.step(inst, router.StateFetchEnded{Kind: e.Kind}) })
 	case router.Observe:
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -75,6 +75,7 @@
 	limits   *throttle.Limiter
 	fleet    *fleet.Fleet
 
+	pending           pendingConfirmation
 	configRevision    uint64
 	attemptSeq        uint64
 	deadlines         schedule.Queue[core.Instant, core.RequestID]
@@ -135,6 +136,7 @@
 		services:     map[core.ServiceName]*config.Service{},
 		accountViews: map[core.AccountID]*config.ClientAccount{},
 		stopAt:       core.Never,
+		pending:      pendingConfirmation{since: core.Never},
 	}
 }
 
@@ -148,7 +150,7 @@
 	if h.drained {
 		stopAt = core.Never
 	}
-	return core.Earliest(end, h.nextMemberListAt, h.addressesExpireAt, stopAt, h.catalog.NextWake(), h.dispatch.NextWake(), h.fleet.NextWake())
+	return core.Earliest(end, h.confirmationEnds(), h.nextMemberListAt, h.addressesExpireAt, stopAt, h.catalog.NextWake(), h.dispatch.NextWake(), h.fleet.NextWake())
 }
 
 // step handles the events of a hosted Instance.
@@ -178,10 +180,12 @@
 		h.onCallerAddressesRequested(e)
 	case RoutingReceived:
 		h.onRoutingReceived(now, e)
+		h.onStateRead(now, e.ReadAt, &h.pending.routing)
 	case UpstreamsListed:
 		if h.catalog.Replace(now, e.Revision, e.Upstreams) {
 			h.applyUpstreams(now, "listed", e.From)
 		}
+		h.onStateRead(now, e.ReadAt, &h.pending.upstreams)
 	case UpstreamsChanged:
 		if h.catalog.Apply(now, e.Revision, e.Changes) {
 			h.applyUpstreams(now, "watched", "")
@@ -200,9 +204,7 @@
 			h.onQuotaUpdate(now, e.From, e.Message.Quota)
 		}
 	case ProcessPaused:
-		h.recordEvent(now, "server", "paused", "")
-		h.quota.OnPaused(now)
-		h.limits.OnPaused(now)
+		h.onPaused(now)
 	case ShutdownRequested:
 		h.shutdown(now)
 	}
@@ -216,6 +218,9 @@
 		}
 		h.onDeadline(now, id)
 	}
+	if now >= h.confirmationEnds() {
+		h.endConfirmation(now)
+	}
 	if h.catalog.Tick(now) {
 		h.applyUpstreams(now, "grace ended", "")
 	}
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -56,6 +56,8 @@
 	Routing  *config.Routing
 	Revision uint64
 	From     core.InstanceID
+	// ReadAt is the instant before the read of the store, 0 for a peer or a watch.
+	ReadAt core.Instant
 }
 
 // UpstreamsListed is the complete list of registered Upstreams at a revision, from
@@ -64,6 +66,8 @@
 	Revision  uint64
 	Upstreams []catalog.Upstream
 	From      core.InstanceID
+	// ReadAt is the instant before the read of the store, 0 for a peer.
+	ReadAt core.Instant
 }
 
 // UpstreamsChanged contains the changes of the list up to a revision.
@@ -160,6 +164,9 @@
 // RoutingActivated reports that a configuration has become active.
 type RoutingActivated struct{ Routing *config.Routing }
 
+// RefreshState requests a new read of the configuration and of the Upstreams.
+type RefreshState struct{}
+
 // UpstreamsUpdated contains the Upstreams that the store lists at a revision, for peers.
 type UpstreamsUpdated struct {
 	Revision  uint64
@@ -179,6 +186,7 @@
 func (FetchState) effect()       {}
 func (RoutingActivated) effect() {}
 func (UpstreamsUpdated) effect() {}
+func (RefreshState) effect()     {}
 func (ShutdownStarted) effect()  {}
 
 // HostedOutcome is what the metrics of a hosted Instance count.
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -54,6 +54,9 @@
 
 // onRequestArrived authorizes and charges a request and submits it for dispatch.
 func (h *hosted) onRequestArrived(now core.Instant, q Request) {
+	if h.awaitConfirmation(now, q) {
+		return
+	}
 	if _, exists := h.requests[q.ID]; exists {
 		h.emit(Refuse{Request: q.ID, Refusal: core.NewRefusal(core.CodeNoCapacity, "a request with this id is in progress")})
 		return
@@ -516,6 +519,7 @@
 func (h *hosted) onCallerDisconnected(now core.Instant, id core.RequestID) {
 	rs := h.requests[id]
 	if rs == nil {
+		h.abandonPending(id)
 		return
 	}
 	h.record(now, "request", "caller_gone", rs, "stage="+string(rs.hosted.stage))
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -25,6 +25,7 @@
 	router      *Router
 	now         core.Instant
 	lastEffects []Effect
+	upstreams   []catalog.Upstream
 }
 
 var hostedKey = config.DigestKey("key")
@@ -63,13 +64,14 @@
 		},
 	})
 	r.step(RoutingReceived{Routing: hostedRouting(1), Revision: 10})
-	r.step(UpstreamsListed{Revision: 10, Upstreams: []catalog.Upstream{
+	r.upstreams = []catalog.Upstream{
 		{ID: "p1", Service: "llm", Addr: "p1:1", DataCentre: "a", Stage: catalog.StagePrefill, Slots: 8},
 		{ID: "d1", Service: "llm", Addr: "d1:1", DataCentre: "a", Stage: catalog.StageDecode, Slots: 8},
 		{ID: "d2", Service: "llm", Addr: "d2:1", DataCentre: "a", Stage: catalog.StageDecode, Slots: 8},
 		{ID: "s1", Service: "plain", Addr: "s1:1", DataCentre: "a", Slots: 8},
 		{ID: "s2", Service: "plain", Addr: "s2:1", DataCentre: "a", Slots: 8},
-	}})
+	}
+	r.step(UpstreamsListed{Revision: 10, Upstreams: r.upstreams})
 	return r
 }
 
@@ -361,6 +363,40 @@
 	is.True(wantEffect[StartDecode](r).NotAfter <= r.now.Add(time.Second))
 }
 
+// Guards against a key that was withdrawn, or an Upstream that has left, while the process
+// was paused: requests wait until the store has confirmed both.
+func TestHostedStateIsConfirmedAfterAPause(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	without := *hostedRouting(2)
+	without.Accounts = []config.HostedAccount{{ID: "acct", Keys: []config.KeyDigest{config.DigestKey("other")}}}
+	before := r.now
+	r.now = r.now.Add(5 * time.Second)
+	r.step(ProcessPaused{})
+	wantEffect[RefreshState](r)
+	r.sendRequest("1", "/call/x")
+	wantNoEffect[StartCall](r)
+	r.step(RoutingReceived{Routing: hostedRouting(1), Revision: 10, ReadAt: before}) // an answer to a read before the pause
+	r.step(UpstreamsListed{Revision: 10, Upstreams: r.upstreams, ReadAt: r.now})
+	wantNoEffect[StartCall](r)
+	r.step(RoutingReceived{Routing: config.NewRouting(without), Revision: 11, ReadAt: r.now})
+	is.Equal(wantEffect[Refuse](r).Refusal.Code, core.CodeUnknownKey)
+
+	r = newHostedHarness(t)
+	r.step(ProcessPaused{})
+	r.sendRequest("1", "/call/x")
+	r.sendRequest("2", "/call/x")
+	r.step(CallerDisconnected{Request: "1"})
+	wantEffect[RequestAbandoned](r)
+	started := 0
+	for _, effect := range r.advance(1500 * time.Millisecond) { // the store is away
+		if _, ok := effect.(StartCall); ok {
+			started++
+		}
+	}
+	is.Equal(started, 1)
+}
+
 // Guards against a stream that fails because its prefill failed or its KV cache was
 // lost: the decode engine computes the prefill itself.
 func TestHostedStreamSurvivesALostPrefill(t *testing.T) {
