hosted: a response that breaks off looks incomplete to callers of HTTP/1.0 too

What an operator of a similar system saw: an answer that broke off halfway reached the caller as a complete success. Here a caller of HTTP/1.1 sees chunks without their end, but one of HTTP/1.0 takes the end of the connection for that of the response, and the connection was closed in the ordinary way.

Ruled out: the other side (an engine's answer with a length, chunks, or a stream that ends inside an event is broken off, each with a test), and a reset for all callers, which can discard events that a caller of HTTP/1.1 has not read yet and could resume from.

Change: the connection of a caller of HTTP/1.0 is reset when its response breaks off.

--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -241,7 +241,7 @@
 func (d *Daemon) server(addr string, handler http.Handler) *http.Server {
 	return &http.Server{
 		Addr: addr, Handler: handler, MaxHeaderBytes: maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: withConn,
 	}
 }
 
--- a/pkg/hosted/response.go
+++ b/pkg/hosted/response.go
@@ -1,9 +1,11 @@
 package hosted
 
 import (
+	"context"
 	"encoding/json"
 	"maps"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -24,6 +26,9 @@
 	idHeader  string
 	isLeaving func() bool
 	started   bool
+	// conn is reset when a response breaks off whose end is that of the connection, nil
+	// where the end is marked.
+	conn *net.TCPConn
 	// complete is set once a buffered response was written.
 	complete bool
 }
@@ -46,11 +51,11 @@
 		return
 	}
 	if rw.started {
-		panic(http.ErrAbortHandler)
+		rw.abort()
 	}
 	body, err := json.Marshal(refusal.Body(rw.id))
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		rw.abort()
 	}
 	header := http.Header{"Content-Type": {"application/json"}}
 	if rw.idHeader != "" && rw.id != "" {
@@ -63,10 +68,34 @@
 	rw.write(refusal.Code.Status(), header, append(body, '\n'))
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// withConn returns the context of the requests of a connection.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// forRequest sets what depends on the protocol of the caller.
+func (rw *responseWriter) forRequest(r *http.Request) *responseWriter {
+	if !r.ProtoAtLeast(1, 1) {
+		rw.conn, _ = r.Context().Value(connKey{}).(*net.TCPConn)
+	}
+	return rw
+}
+
+// abort ends the handler without a complete response.
+func (rw *responseWriter) abort() {
+	if rw.conn != nil {
+		_ = rw.conn.SetLinger(0) // closes with a reset; fails only on a closed connection
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // sendBuffered passes on a complete response of an Upstream.
 func (rw *responseWriter) sendBuffered(buffered *bufferedResponse) {
 	if rw.started || buffered == nil {
-		panic(http.ErrAbortHandler)
+		rw.abort()
 	}
 	rw.write(buffered.status, buffered.header, buffered.body)
 }
--- a/pkg/hosted/serve.go
+++ b/pkg/hosted/serve.go
@@ -31,7 +31,7 @@
 
 // serveCaller handles a caller's request.
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
-	rw := newResponseWriter(w, d.adapter.Callers.RequestIDHeader(), d.leaving.Load)
+	rw := newResponseWriter(w, d.adapter.Callers.RequestIDHeader(), d.leaving.Load).forRequest(r)
 	inbound, refusal := d.adapter.Callers.Decode(r)
 	rw.id = inbound.ID
 	if refusal == nil {
@@ -86,7 +86,7 @@
 			disconnected = nil
 			d.post(router.CallerDisconnected{Request: active.id})
 		case <-d.loopEnded:
-			panic(http.ErrAbortHandler)
+			rw.abort()
 		}
 	}
 }
@@ -148,7 +148,7 @@
 	case router.Complete:
 		return true
 	case router.RequestAbandoned:
-		panic(http.ErrAbortHandler)
+		active.response.abort()
 	}
 	return false
 }
