fleet: a share of shared allowances is reserved for a peer after three missed heartbeats

Cause: until a peer counted as silent, 0.9 s after its last heartbeat, each Instance spent the allowance as if it were alone. That timeout was chosen for callers, who should not be sent elsewhere because of a few late heartbeats; for an allowance caution costs little, since the reserved share returns with the next report.

Change: a peer is unheard after three missed heartbeats (0.45 s in a small fleet), and its share of quotas and announced limits is reserved then.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -90,6 +90,7 @@
 	lastHeartbeat core.Instant
 	listedAt      core.Instant
 	silent        bool
+	unheard       bool
 	// contacted is set once a heartbeat has been sent to the peer; lastInterval is the
 	// number of the interval of the last one.
 	contacted    bool
@@ -161,6 +162,7 @@
 	p.member = m
 	p.state = s
 	p.lastHeartbeat = now
+	p.unheard = false
 	if p.silent {
 		p.silent = false
 		p.contacted = false // it may have received nothing in the meantime either
@@ -170,7 +172,10 @@
 
 // Changes lists the peers whose liveness has changed in a Tick.
 type Changes struct {
-	Silent  []SilentPeer
+	Silent []SilentPeer
+	// Unheard holds the peers that have missed a few heartbeats. They count as live for
+	// callers, but what they use of shared allowances is not known.
+	Unheard []SilentPeer
 	Removed []core.InstanceID
 }
 
@@ -190,14 +195,19 @@
 		return changes
 	}
 	f.nextCheck = now.Add(f.params.MinHeartbeatInterval)
-	localTimeout, remoteTimeout := f.silenceTimeout(f.localInterval()), f.silenceTimeout(f.remoteInterval())
+	localInterval, remoteInterval := f.localInterval(), f.remoteInterval()
 	silentDataCentres := f.silentDataCentres(now)
 	for _, id := range slices.Sorted(maps.Keys(f.peers)) {
 		p := f.peers[id]
 		last := max(p.lastHeartbeat, p.listedAt)
-		timeout := remoteTimeout
+		interval := remoteInterval
 		if p.member.DataCentre == f.self.DataCentre {
-			timeout = localTimeout
+			interval = localInterval
+		}
+		timeout := f.silenceTimeout(interval)
+		if !p.unheard && now.Sub(last) > maxMissedHeartbeats*interval {
+			p.unheard = true
+			changes.Unheard = append(changes.Unheard, SilentPeer{ID: id, Since: last})
 		}
 		switch {
 		case now.Sub(last) > max(f.params.RemovalTimeout, 2*timeout), p.state.Leaving && p.silent:
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -116,3 +116,29 @@
 	}
 	is.Equal(silent, remote)
 }
+
+// Guards against shared allowances that are spent twice in the time until a peer counts as
+// silent, and against callers that are sent elsewhere because of a few late heartbeats.
+func TestPeerIsUnheardBeforeItIsSilent(t *testing.T) {
+	is := is.New(t)
+	f := New(Member{Ref: core.InstanceRef{ID: "self"}, DataCentre: "a"}, Params{})
+	peer := Member{Ref: core.InstanceRef{ID: "peer", Incarnation: 1}, DataCentre: "a", CallerAddr: "peer:1"}
+	start := core.Instant(time.Second)
+	f.OnHeartbeat(start, peer, State{Serving: true})
+	var unheard, silent time.Duration
+	for d := time.Duration(0); d < 2*time.Second; d += 50 * time.Millisecond {
+		changes := f.Tick(start.Add(d))
+		if len(changes.Unheard) > 0 {
+			is.Equal(unheard, time.Duration(0)) // reported once
+			unheard = d
+			is.Equal(len(f.Addresses("", "a", 8)), 1)
+		}
+		if len(changes.Silent) > 0 {
+			silent = d
+		}
+	}
+	is.True(unheard > 400*time.Millisecond && unheard <= 700*time.Millisecond)
+	is.True(silent > 900*time.Millisecond)
+	f.OnHeartbeat(start.Add(3*time.Second), peer, State{Serving: true})
+	is.Equal(len(f.Tick(start.Add(3100*time.Millisecond)).Unheard), 0)
+}
--- a/pkg/lab/hostedsim/hostedsim_test.go
+++ b/pkg/lab/hostedsim/hostedsim_test.go
@@ -184,3 +184,18 @@
 		}
 	})
 }
+
+// Guards against a quota that is exceeded while Instances hear nothing of each other for
+// longer than it takes to notice: each of them then has only its share.
+func TestQuotaHoldsWhileInstancesLoseTheirPeers(t *testing.T) {
+	for seed := range uint64(8) {
+		runExperiment(t, func(x *Experiment) {
+			x.Seed, x.Seconds = seed, 10
+			x.Streams.PerSecond, x.PrefillEngines = 60, 0
+			x.Accounts[0].Rate, x.Accounts[0].Burst = 40_000, 40_000
+			x.Faults = []Fault{
+				{Kind: FaultPeerCut, DurationSeconds: 1.5, Count: 8}, {Kind: FaultBurst, DurationSeconds: 8, Factor: 6},
+			}
+		})
+	}
+}
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -230,6 +230,10 @@
 		h.emit(ListMembers{})
 	}
 	changes := h.fleet.Tick(now)
+	for _, peer := range changes.Unheard {
+		h.quota.OnPeerSilent(now, peer.Since, peer.ID)
+		h.limits.OnPeerSilent(now, peer.Since, peer.ID)
+	}
 	for _, peer := range changes.Silent {
 		h.quota.OnPeerSilent(now, peer.Since, peer.ID)
 		h.limits.OnPeerSilent(now, peer.Since, peer.ID)
