dispatch: a retry may return to the Upstream that failed when the others are at their rate

Cause: with the only other Upstream at the rate that it announces, a retried request was tried there every 20 ms until its deadline, although the Upstream that had failed it has room; one that can't be used for another reason was passed over in that case before too.

Test: TestRetryReturnsToTheFailedUpstreamWhenOthersAreAtTheirRate, no output before.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -163,7 +163,7 @@
 
 // lowest returns the Upstream of the job's service with the lowest score, without those
 // that are excluded; ties are broken at random. Upstreams in AvoidUpstreams are used only
-// when no other is usable, and none is excluded.
+// when no other is usable.
 func (d *Dispatcher) lowest(j *job, excluded []*upstream, score func(*upstream) (float64, bool)) *upstream {
 	var best, avoided *upstream
 	lowest := 0.0
@@ -190,7 +190,7 @@
 			}
 		}
 	}
-	if best == nil && len(excluded) == 0 {
+	if best == nil {
 		return avoided
 	}
 	return best
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -123,6 +123,19 @@
 	is.Equal(d.QueueLength(), 0)
 }
 
+// Guards against a retry that waits for an Upstream at its announced rate although the one
+// that failed it has room.
+func TestRetryReturnsToTheFailedUpstreamWhenOthersAreAtTheirRate(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(0, 0)
+	d.params.Limiter = fixedLimiter{left: map[core.UpstreamID]int{"limited": 0}, wait: time.Second}
+	d.SetUpstreams(0, []catalog.Upstream{
+		{ID: "failed", Service: "plain", DataCentre: local, Slots: 6}, {ID: "limited", Service: "plain", DataCentre: local, Slots: 6},
+	})
+	job := Job{ID: "1", Service: "plain", IsRetry: true, AvoidUpstreams: []core.UpstreamID{"failed"}, LatencyDeadline: core.Never, Deadline: core.Never}
+	is.Equal(d.Submit(0, job), []Output{Call{ID: "1", Upstream: "failed"}})
+}
+
 // Guards against an announced rate that counts a hold and not the run after it, and against
 // a refused hold that uses up the request of its run.
 func TestHoldAndRunCountAgainstTheAnnouncedRate(t *testing.T) {
