--- a/pkg/throttle/throttle.go
+++ b/pkg/throttle/throttle.go
@@ -45,6 +45,9 @@
 	// maxBurst bounds the requests that may be sent at once, as a time at the limit: an
 	// Upstream notices an excess over a window of about four seconds.
 	maxBurst = 1250 * time.Millisecond
+	// burstLags is the burst as a multiple of the report lag, at the limit. The level of the
+	// bucket varies by about a lag while requests are admitted by chance.
+	burstLags = 3
 	// tolerance is the number of requests above a second at its limit that an Upstream may
 	// get when demand begins at all Instances before they have heard of each other.
 	tolerance = 4
@@ -131,7 +134,7 @@
 		return
 	}
 	rate := max(a.RequestsPerSecond, minRequestsPerSecond)
-	burst := max(1, rate*min(maxBurst, 3*l.reportLag()).Seconds())
+	burst := max(1, rate*min(maxBurst, burstLags*l.reportLag()).Seconds())
 	l.budget.SetLimit(now, id, quota.Limit{Rate: int64(rate * tokensPerRequest), Burst: int64(burst * tokensPerRequest)})
 }
 
