--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -244,38 +244,6 @@
 	d.relay(attemptCtx, active, e, response, stall)
 }
 
-// stallWatch reports an attempt that makes no progress. nil watches nothing.
-type stallWatch struct {
-	timer   *time.Timer
-	timeout time.Duration
-}
-
-// watchForStall reports an attempt each time that it has made no progress for timeout, never
-// if that is 0.
-func (d *Daemon) watchForStall(id core.RequestID, attempt core.AttemptID, timeout time.Duration) *stallWatch {
-	if timeout <= 0 {
-		return nil
-	}
-	w := &stallWatch{timeout: timeout}
-	w.timer = time.AfterFunc(timeout, func() {
-		d.post(router.AttemptStalled{Request: id, Attempt: attempt})
-		w.timer.Reset(timeout)
-	})
-	return w
-}
-
-func (w *stallWatch) progress() {
-	if w != nil {
-		w.timer.Reset(w.timeout)
-	}
-}
-
-func (w *stallWatch) stop() {
-	if w != nil {
-		w.timer.Stop()
-	}
-}
-
 // readResponseBody reads and closes a buffered response. Large ones wait for each other,
 // so that Upstreams which send bytes without end do not fill the memory of the Instance.
 func (d *Daemon) readResponseBody(ctx context.Context, response *UpstreamResponse) ([]byte, error) {
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -36,8 +36,6 @@
 	// addressTTLFactor is the time for which some callers use an address response,
 	// in multiples of its TTL.
 	addressTTLFactor = 3
-	// stopMargin is the part of the grace period reserved for the exit.
-	stopMargin = 500 * time.Millisecond
 	// deadlineSlack is the time after its deadline at which a request is ended. The
 	// Upstream knows the same deadline and may respond just before it.
 	deadlineSlack = 120 * time.Millisecond
@@ -84,7 +82,7 @@
 	services          map[core.ServiceName]*config.Service
 	accountViews      map[core.AccountID]*config.ClientAccount
 	nextMemberListAt  core.Instant
-	nextUsageUpdateAt core.Instant
+	nextQuotaUpdateAt core.Instant
 	stopAt            core.Instant
 }
 
@@ -251,7 +249,7 @@
 	if len(due) > 0 {
 		h.sendHeartbeats(now, due)
 	}
-	h.sendUsageUpdates(now, due)
+	h.sendQuotaUpdates(now, due)
 }
 
 // onRoutingReceived activates a configuration if it is newer than the active one.
@@ -337,25 +335,6 @@
 	})
 }
 
-// shutdown begins a graceful shutdown. Peers are notified immediately, so that no
-// new address response contains this Instance. It keeps serving until the responses
-// that contain it have expired and no request is active, at the latest until
-// stopMargin before the end of the grace period.
-func (h *hosted) shutdown(now core.Instant) {
-	if h.leaving {
-		return
-	}
-	h.leaving = true
-	state := h.fleet.State()
-	state.Leaving = true
-	h.fleet.SetState(state)
-	h.sendHeartbeats(now, h.fleet.Peers())
-	h.addressesExpireAt = now.Add(addressTTLFactor*h.params.AddressTTL + stopMargin)
-	h.stopAt = now.Add(h.params.GracePeriod - stopMargin)
-	h.recordEvent(now, "server", "stop asked", "grace="+h.params.GracePeriod.String())
-	h.emit(ShutdownStarted{})
-}
-
 // HostedMember returns the entry of this Instance in the member list. It does not
 // change, so it may be called from any goroutine.
 func (r *Router) HostedMember() fleet.Member { return r.hosted.params.Member }
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -75,14 +75,14 @@
 // the heartbeat interval of a small fleet.
 const quotaUpdateInterval = 150 * time.Millisecond
 
-// sendUsageUpdates sends the reports of accounts and of Upstreams near their limit to the
+// sendQuotaUpdates sends the reports of accounts and of Upstreams near their limit to the
 // live peers that get no heartbeat in this tick.
-func (h *hosted) sendUsageUpdates(now core.Instant, heartbeatReceivers []fleet.Member) {
+func (h *hosted) sendQuotaUpdates(now core.Instant, heartbeatReceivers []fleet.Member) {
 	urgent := h.quota.HasUrgentReports(now) || h.limits.HasUrgentReports(now)
-	if now < h.nextUsageUpdateAt || !urgent || !h.fleet.AllowQuotaUpdate(now) {
+	if now < h.nextQuotaUpdateAt || !urgent || !h.fleet.AllowQuotaUpdate(now) {
 		return
 	}
-	h.nextUsageUpdateAt = now.Add(quotaUpdateInterval)
+	h.nextQuotaUpdateAt = now.Add(quotaUpdateInterval)
 	update := &QuotaUpdate{Quotas: h.quota.TakeUrgentReports(now), Limits: h.limits.TakeUrgentReports(now)}
 	for _, member := range h.fleet.LivePeers() {
 		if slices.Contains(heartbeatReceivers, member) {
--- /dev/null
+++ b/pkg/router/hosted_stop_test.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+)
+
+// Guards against requests that a leaving Instance accepts and cuts off at the end of its
+// grace period of 8 s, and against a final response that is not given.
+func TestHostedLeavingInstanceAcceptsOnlyWhatItCanComplete(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	r.sendRequest("0", "/call/x")
+	r.step(ShutdownRequested{})
+	r.advance(3 * time.Second)
+	r.startStream("1", "/once/x")
+	r.advance(1500 * time.Millisecond)
+	r.sendRequest("2", "/once/x")
+	is.Equal(wantEffect[Refuse](r).Refusal.Ran, core.NotRun) // a stream takes seconds
+	r.sendRequest("3", "/call/x")
+	wantEffect[StartCall](r)
+	r.advance(1500 * time.Millisecond)
+	r.sendRequest("4", "/call/x")
+	is.Equal(wantEffect[Refuse](r).Refusal.Code, core.CodeLeaving)
+
+	ended := map[core.RequestID]core.ExecutionStatus{}
+	for _, effect := range r.advance(2 * time.Second) {
+		if e, ok := effect.(Refuse); ok {
+			ended[e.Request] = e.Refusal.Ran
+		}
+	}
+	wantNoEffect[StartCall](r)
+	is.Equal(ended, map[core.RequestID]core.ExecutionStatus{"0": core.MayHaveRun, "1": core.MayHaveRun, "3": core.MayHaveRun})
+	r.sendRequest("5", "/call/x") // on a connection that is still open
+	is.Equal(wantEffect[Refuse](r).Refusal.Code, core.CodeLeaving)
+}
+
+// Guards against address responses that contain a leaving Instance, and against a
+// graceful shutdown that interrupts active requests.
+func TestHostedShutdown(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	peer := fleet.Member{Ref: core.InstanceRef{ID: "peer", Incarnation: 1}, CallerAddr: "peer:2", DataCentre: "a", Region: "r"}
+	r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, State: fleet.State{Serving: true}}}})
+	r.sendRequest("1", "/call/x")
+	attempt := wantEffect[StartCall](r).Attempt
+	r.step(ShutdownRequested{})
+	wantEffect[ShutdownStarted](r)
+	is.True(wantEffect[SendPeerMessage](r).Message.Hosted.State.Leaving) // sent immediately
+	r.step(CallerAddressesRequested{QueryID: 1, Region: "r", DataCentre: "a", Limit: 8})
+	is.Equal(wantEffect[CallerAddresses](r).Addresses, []string{"peer:2"})
+	r.advance(4 * time.Second)
+	wantNoEffect[Drained](r) // a request runs
+	r.step(ResponseCompleted{Request: "1", Attempt: attempt, Status: 200})
+	wantEffect[Drained](r)
+
+	r = newHostedHarness(t)
+	r.sendRequest("1", "/call/x")
+	r.step(ShutdownRequested{})
+	r.advance(8 * time.Second)
+	wantEffect[Drained](r) // before the end of the grace period, even if a request is active
+}
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -313,90 +313,6 @@
 	is.True(wantEffect[StartPrefill](r).ResponseTimeout < 2*time.Second) // the hold is still valid then
 }
 
-// Guards against a stalled request that is not retried, and against a second response to
-// one that completes while it is retried.
-func TestHostedStalledAttempt(t *testing.T) {
-	is := is.New(t)
-	r := newHostedHarness(t)
-	r.sendRequest("1", "/read/x")
-	first := wantEffect[StartCall](r)
-	is.Equal(first.StallTimeout, 900*time.Millisecond)
-	r.step(AttemptStalled{Request: "1", Attempt: first.Attempt})
-	is.Equal(wantEffect[Cancel](r).Attempt, first.Attempt)
-	second := wantEffect[StartCall](r)
-	is.True(second.Upstream != first.Upstream)
-	r.step(ResponseCompleted{Request: "1", Attempt: first.Attempt, Status: 200})
-	wantEffect[Complete](r)
-	is.Equal(wantEffect[Cancel](r).Attempt, second.Attempt)
-	r.step(ResponseCompleted{Request: "1", Attempt: second.Attempt, Status: 200})
-	wantNoEffect[Complete](r)
-
-	r.sendRequest("2", "/call/x")
-	once := wantEffect[StartCall](r)
-	is.Equal(once.StallTimeout, time.Duration(0))
-	r.step(AttemptStalled{Request: "2", Attempt: once.Attempt})
-	wantNoEffect[StartCall](r)
-	wantNoEffect[Cancel](r)
-}
-
-// Guards against a decision that is carried out after a pause of the process: a request sent
-// late, or a prefill for a hold that has expired.
-func TestHostedDecisionsExpire(t *testing.T) {
-	is := is.New(t)
-	r := newHostedHarness(t)
-	r.sendRequest("1", "/call/x")
-	call := wantEffect[StartCall](r)
-	is.True(call.NotAfter <= r.now.Add(time.Second))
-	r.failAttempt("1", call.Attempt, attempts.Failure{Kind: attempts.FailExpired, Upstream: call.Upstream})
-	again := wantEffect[StartCall](r)
-	is.True(again.NotAfter > r.now)
-
-	r.sendRequest("2", "/once/x")
-	hold := wantEffect[AcquireHold](r)
-	r.now = r.now.Add(hold.Term + 100*time.Millisecond) // paused
-	r.grantHold(hold)
-	wantNoEffect[StartPrefill](r)
-	r.grantHold(wantEffect[AcquireHold](r))
-	prefill := wantEffect[StartPrefill](r)
-	is.True(prefill.NotAfter <= r.now.Add(time.Second))
-	r.completePrefill(prefill)
-	is.True(wantEffect[StartDecode](r).NotAfter <= r.now.Add(time.Second))
-}
-
-// Guards against a key that was withdrawn, or an Upstream that has left, while the process
-// was paused: requests wait until the store has confirmed both.
-func TestHostedStateIsConfirmedAfterAPause(t *testing.T) {
-	is := is.New(t)
-	r := newHostedHarness(t)
-	without := *hostedRouting(2)
-	without.Accounts = []config.HostedAccount{{ID: "acct", Keys: []config.KeyDigest{config.DigestKey("other")}}}
-	before := r.now
-	r.now = r.now.Add(5 * time.Second)
-	r.step(ProcessPaused{})
-	wantEffect[RefreshState](r)
-	r.sendRequest("1", "/call/x")
-	wantNoEffect[StartCall](r)
-	r.step(RoutingReceived{Routing: hostedRouting(1), Revision: 10, ReadAt: before}) // an answer to a read before the pause
-	r.step(UpstreamsListed{Revision: 10, Upstreams: r.upstreams, ReadAt: r.now})
-	wantNoEffect[StartCall](r)
-	r.step(RoutingReceived{Routing: config.NewRouting(without), Revision: 11, ReadAt: r.now})
-	is.Equal(wantEffect[Refuse](r).Refusal.Code, core.CodeUnknownKey)
-
-	r = newHostedHarness(t)
-	r.step(ProcessPaused{})
-	r.sendRequest("1", "/call/x")
-	r.sendRequest("2", "/call/x")
-	r.step(CallerDisconnected{Request: "1"})
-	wantEffect[RequestAbandoned](r)
-	started := 0
-	for _, effect := range r.advance(1500 * time.Millisecond) { // the store is away
-		if _, ok := effect.(StartCall); ok {
-			started++
-		}
-	}
-	is.Equal(started, 1)
-}
-
 // Guards against a stream that fails because its prefill failed or its KV cache was
 // lost: the decode engine computes the prefill itself.
 func TestHostedStreamSurvivesALostPrefill(t *testing.T) {
@@ -552,32 +468,6 @@
 	is.True(!found)
 }
 
-// Guards against address responses that contain a leaving Instance, and against a
-// graceful shutdown that interrupts active requests.
-func TestHostedShutdown(t *testing.T) {
-	is := is.New(t)
-	r := newHostedHarness(t)
-	peer := fleet.Member{Ref: core.InstanceRef{ID: "peer", Incarnation: 1}, CallerAddr: "peer:2", DataCentre: "a", Region: "r"}
-	r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, State: fleet.State{Serving: true}}}})
-	r.sendRequest("1", "/call/x")
-	attempt := wantEffect[StartCall](r).Attempt
-	r.step(ShutdownRequested{})
-	wantEffect[ShutdownStarted](r)
-	is.True(wantEffect[SendPeerMessage](r).Message.Hosted.State.Leaving) // sent immediately
-	r.step(CallerAddressesRequested{QueryID: 1, Region: "r", DataCentre: "a", Limit: 8})
-	is.Equal(wantEffect[CallerAddresses](r).Addresses, []string{"peer:2"})
-	r.advance(4 * time.Second)
-	wantNoEffect[Drained](r) // a request runs
-	r.step(ResponseCompleted{Request: "1", Attempt: attempt, Status: 200})
-	wantEffect[Drained](r)
-
-	r = newHostedHarness(t)
-	r.sendRequest("1", "/call/x")
-	r.step(ShutdownRequested{})
-	r.advance(8 * time.Second)
-	wantEffect[Drained](r) // before the end of the grace period, even if a request is active
-}
-
 // crashEngines sends requests with one part in common, no two of them alike, until n
 // engine processes have crashed.
 func (r *hostedHarness) crashEngines(n int, parts ...core.PromptPart) {
@@ -595,35 +485,6 @@
 	}
 }
 
-// Guards against requests that a leaving Instance accepts and cuts off at the end of its
-// grace period of 8 s, and against a final response that is not given.
-func TestHostedLeavingInstanceAcceptsOnlyWhatItCanComplete(t *testing.T) {
-	is := is.New(t)
-	r := newHostedHarness(t)
-	r.sendRequest("0", "/call/x")
-	r.step(ShutdownRequested{})
-	r.advance(3 * time.Second)
-	r.startStream("1", "/once/x")
-	r.advance(1500 * time.Millisecond)
-	r.sendRequest("2", "/once/x")
-	is.Equal(wantEffect[Refuse](r).Refusal.Ran, core.NotRun) // a stream takes seconds
-	r.sendRequest("3", "/call/x")
-	wantEffect[StartCall](r)
-	r.advance(1500 * time.Millisecond)
-	r.sendRequest("4", "/call/x")
-	is.Equal(wantEffect[Refuse](r).Refusal.Code, core.CodeLeaving)
-
-	ended := map[core.RequestID]core.ExecutionStatus{}
-	for _, effect := range r.advance(2 * time.Second) {
-		if e, ok := effect.(Refuse); ok {
-			ended[e.Request] = e.Refusal.Ran
-		}
-	}
-	is.Equal(ended, map[core.RequestID]core.ExecutionStatus{"0": core.MayHaveRun, "1": core.MayHaveRun, "3": core.MayHaveRun})
-	r.sendRequest("5", "/call/x") // on a connection that is still open
-	is.Equal(wantEffect[Refuse](r).Refusal.Code, core.CodeLeaving)
-}
-
 // Guards against requests of one kind that crash one engine after the other, although no
 // two of them are alike, and against the refusal of sound ones that share other parts.
 func TestHostedPartOfAPromptThatCrashesEngines(t *testing.T) {
