quota: peers' use from before an account had a limit here is not charged

Cause: found while reading. An Instance that learns of a limit late, after a partition, was charged for all that its peers had sent since their start of it: with two peers at 5 requests a second for 60 s it sent nothing for about a minute. The same would hold for an account that is new in the configuration, for the seconds in which Instances take it up.

Change: a report charges at most what the limit allows since the account has it here.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -54,7 +54,8 @@
 
 type account struct {
 	limit     Limit
-	level     float64 // tokens of the fleet's bucket
+	limitedAt core.Instant // when the account got a limit
+	level     float64      // tokens of the fleet's bucket
 	updatedAt core.Instant
 	admitted  int64 // tokens since the start of this Instance
 	// requested counts the tokens of all requests since then, requestedSmall those of small
@@ -90,6 +91,9 @@
 		q.accounts[id] = a
 	}
 	q.refill(now, id, a)
+	if a.limit.Rate == 0 {
+		a.limitedAt = now
+	}
 	a.limit = limit
 	a.level = min(a.level, float64(limit.Burst))
 }
@@ -295,6 +299,9 @@
 	if first {
 		used = min(used, a.limit.Rate*maxFirstChargeTime/int64(time.Second))
 	}
+	// What a peer admitted before the account had a limit here is not charged.
+	sinceLimit := a.updatedAt.Sub(a.limitedAt).Seconds()*float64(a.limit.Rate) + float64(a.limit.Burst)
+	used = min(used, int64(sinceLimit))
 	if first && p.ref.Incarnation < q.self.Incarnation {
 		used = 0
 		a.level = min(a.level, float64(report.Level))
--- a/pkg/throttle/throttle_test.go
+++ b/pkg/throttle/throttle_test.go
@@ -95,6 +95,24 @@
 	is.True(!allowed)
 }
 
+// Guards against an Instance that learns of a limit late, after a partition, and pays for
+// everything that its peers have sent before.
+func TestInstanceThatLearnsLateIsNotChargedForThePast(t *testing.T) {
+	is := is.New(t)
+	late := newLimiter("late")
+	peers := map[string]*Limiter{"b": newLimiter("b"), "c": newLimiter("c")}
+	for name, peer := range peers {
+		late.OnPeerReports(at(0), ref(name), nil)
+		peer.Observe(at(0), up, Announcement{Limited: true, RequestsPerSecond: 5})
+		is.True(sentIn(peer, 0, 60*time.Second) > 250)
+	}
+	for name, peer := range peers {
+		late.OnPeerReports(at(60*time.Second), ref(name), peer.Reports(at(60*time.Second)))
+	}
+	is.True(late.Limited(up))
+	is.True(sentIn(late, 60*time.Second, 66*time.Second) >= 15) // half of 30
+}
+
 // Guards against requests that are not counted because they can't be refused.
 func TestChargedRequestsCount(t *testing.T) {
 	is := is.New(t)
