server: an order is not sent after its term, when its holder was suspended or paused

What operators of similar systems saw: around a hand-over between two processes, both acted for a moment, and orders went out twice. Hosted Instances give no orders. On the own wire it could happen: the holder of a lease compared the end of its term by Go's monotonic clock, which stands still while a machine is suspended, before the event loop had noticed the suspension; and it compared once, before the connection to the engine, so a pause after that sent the order late, beside those of the next holder.

Ruled out by tests that exist: a term that ends while the order is on its way (TestOrderEndsWithinTerm), a candidate that takes over early (TestCandidateWaitsLongerThanTerm), a pause that the loop has noticed (TestPauseDropsTheLease), a shutdown (TestShutdownHandsTheLeaseOver).

Change: both daemons read CLOCK_BOOTTIME (pkg/boottime), so a step of the time of day is no stall any more either, and the permission is compared again right before the body is written; an engine does not execute a request without its body.

What remains: the microseconds between the comparison and the write.

--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/rhubarbsill/rhubarbsill/pkg/boottime"
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
@@ -114,8 +115,8 @@
 		adapter:   adapter,
 		log:       log,
 		start:     time.Now(),
-		bootTime:  bootTime,
-		startAt:   bootTime(),
+		bootTime:  boottime.Now,
+		startAt:   boottime.Now(),
 		events:    make(chan router.Event, eventQueueSize),
 		requests:  newActiveRequests(),
 		metrics:   metrics,
--- a/pkg/server/clock.go
+++ b/pkg/server/clock.go
@@ -3,15 +3,20 @@
 import (
 	"time"
 
+	"github.com/rhubarbsill/rhubarbsill/pkg/boottime"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
 
-// clock reads the monotonic clock as the time since the start of the process.
-type clock struct{ start time.Time }
+// clock reads the time since the start of the process, with the time for which the machine
+// was suspended.
+type clock struct {
+	bootTime func() time.Duration
+	start    time.Duration
+}
 
-func newClock() clock { return clock{start: time.Now()} }
+func newClock() clock { return clock{bootTime: boottime.Now, start: boottime.Now()} }
 
-func (c clock) now() core.Instant { return core.Instant(time.Since(c.start)) }
+func (c clock) now() core.Instant { return core.Instant(c.bootTime() - c.start) }
 
 // until returns the duration from now to t, at most an hour. It is negative when t
 // has passed.
@@ -19,22 +24,16 @@
 	return min(t.Sub(c.now()), time.Hour)
 }
 
-// stallDetector detects that the process did not run for a while. It reads both
-// clocks, since the monotonic clock may stop while the machine is suspended.
+// stallDetector detects that the process did not run for a while, because it was stopped or
+// its machine suspended.
 type stallDetector struct {
 	maxStall  time.Duration
-	lastCheck time.Time // with a wall clock and a monotonic reading
-}
-
-func newStallDetector(maxStall time.Duration) stallDetector {
-	return stallDetector{maxStall: maxStall, lastCheck: time.Now()}
+	lastCheck core.Instant
 }
 
-// check reports whether more than maxStall has passed on either clock since the
-// last check.
-func (d *stallDetector) check(now time.Time) bool {
-	monotonic := now.Sub(d.lastCheck)
-	wall := now.Round(0).Sub(d.lastCheck.Round(0))
+// check reports whether more than maxStall has passed since the last check.
+func (d *stallDetector) check(now core.Instant) bool {
+	stalled := now.Sub(d.lastCheck) > d.maxStall
 	d.lastCheck = now
-	return monotonic > d.maxStall || wall > d.maxStall
+	return stalled
 }
--- a/pkg/server/orders.go
+++ b/pkg/server/orders.go
@@ -22,7 +22,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.TimeLimit)
 	defer cancel()
+	ctx = upstream.WithPermission(ctx, func() bool { return s.clock.now() < e.NotAfter })
 	err := s.upstreams.Load().Order(ctx, e.URL, upstream.OrderRequest{State: toWireState(e.DesiredState), Fence: e.Fence})
+	if errors.Is(err, upstream.ErrNotPermitted) {
+		s.post(router.EffectExpired{Effect: e})
+		return
+	}
 	if err != nil {
 		telemetry.ComponentLogger(s.log, "orders").Warn("order failed", zap.String("upstream", string(e.Upstream)), zap.Error(err))
 	}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -262,7 +262,7 @@
 	defer close(s.loopDone)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	stalls := newStallDetector(maxStall)
+	stalls := stallDetector{maxStall: maxStall, lastCheck: s.clock.now()}
 	for {
 		var event router.Event
 		select {
@@ -272,7 +272,7 @@
 		case <-timer.C:
 			event = router.Tick{}
 		}
-		if stalls.check(time.Now()) {
+		if stalls.check(s.clock.now()) {
 			s.handleStall(ctx)
 		}
 		s.handleEvent(ctx, event)
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -150,15 +150,41 @@
 // body, it retries a request with an Idempotency-Key header on its own, even after
 // bytes were sent.
 type singleUseBody struct {
-	reader   io.Reader
-	progress func()
+	reader    io.Reader
+	progress  func()
+	permitted func() bool
 }
 
+// Read is called right before net/http writes the body. Without it, the Upstream has an
+// incomplete request, which it does not execute.
 func (b *singleUseBody) Read(p []byte) (int, error) {
+	if !b.permitted() {
+		return 0, ErrNotPermitted
+	}
 	b.progress()
 	return b.reader.Read(p)
 }
 
+// ErrNotPermitted means that the body of a request was not sent because its permission had
+// ended.
+var ErrNotPermitted = errors.New("the permission to send the request has ended")
+
+type permissionKey struct{}
+
+// WithPermission returns a context whose request is not completed when permitted returns false
+// right before its body is written: connecting may take long, and the process may be paused
+// meanwhile. It has no effect on a request without a body.
+func WithPermission(ctx context.Context, permitted func() bool) context.Context {
+	return context.WithValue(ctx, permissionKey{}, permitted)
+}
+
+func permissionOf(ctx context.Context) func() bool {
+	if permitted, ok := ctx.Value(permissionKey{}).(func() bool); ok {
+		return permitted
+	}
+	return func() bool { return true }
+}
+
 func (b *singleUseBody) Close() error { return nil }
 
 // start sends a request and waits for the header of the response. When an idle
@@ -190,7 +216,7 @@
 		GotConn:        cl.gotConn,
 		Got1xxResponse: func(int, textproto.MIMEHeader) error { cl.progress(); return nil },
 	})
-	var content io.Reader = &singleUseBody{reader: bytes.NewReader(body), progress: cl.progress}
+	var content io.Reader = &singleUseBody{reader: bytes.NewReader(body), progress: cl.progress, permitted: permissionOf(ctx)}
 	if body == nil {
 		content = http.NoBody
 	}
