platform: only an answer that would state a limit ends it

Cause: found while reading. Every answer without the header ended a limit, also a refusal and the answer to a request for a hold or a release. Whether engines name their limit there is not said; if they do not, each hold would have ended the limit of an engine until its next run.

Change: such answers are reported only when they state a limit. The models of hostedsim do the same.

--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -136,8 +136,9 @@
 
 // UpstreamClient sends requests to Upstreams. It is used concurrently.
 type UpstreamClient interface {
-	// ObserveAnswers sets the observer of the answers, refusals included. It is called
-	// once, before the first request.
+	// ObserveAnswers sets the observer of the answers. Those that may lack an announcement
+	// although there is a limit are reported only with one. It is called once, before the
+	// first request.
 	ObserveAnswers(observer AnswerObserver)
 	// AcquireHold acquires a hold on a decode engine for a number of tokens. The hold
 	// expires after term. Errors: ErrFull, ErrAddressReassigned.
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -384,7 +384,7 @@
 	w.after(w.transit(dc, c.owner.member.DataCentre), func() {
 		if c.owner.calls[c.attempt] == c {
 			delete(c.owner.calls, c.attempt)
-			if isAnswer(event) {
+			if isAnswer(event) || limit != nil && isRefusal(event) {
 				w.deliverAnswer(c.owner, c.up, limit)
 			}
 			w.step(c.owner, event)
@@ -392,10 +392,17 @@
 	})
 }
 
-// isAnswer reports whether the final event of a call comes from an answer of the Upstream.
+// isAnswer reports whether the final event of a call comes from an answer that would state a
+// limit.
 func isAnswer(event router.Event) bool {
+	_, failed := event.(router.AttemptFailed)
+	return !failed
+}
+
+// isRefusal reports whether the final event of a call is a refusal by the Upstream.
+func isRefusal(event router.Event) bool {
 	failed, ok := event.(router.AttemptFailed)
-	return !ok || failed.Failure.ConfirmedNotRun
+	return ok && failed.Failure.ConfirmedNotRun
 }
 
 func (w *Simulation) failCall(c *call, kind attempts.FailureKind, sent, rejected bool) {
--- a/pkg/lab/hostedsim/upstreams.go
+++ b/pkg/lab/hostedsim/upstreams.go
@@ -87,7 +87,7 @@
 			}
 		}
 		w.after(transit, func() {
-			if answered {
+			if answered && limit != nil { // no answer to a hold shows the end of a limit
 				w.deliverAnswer(inst, q.Upstream, limit)
 			}
 			w.step(inst, reply)
