poison: the first crash of a part is kept, so that many crashes in quick succession count

Cause, from a trace on a scratch copy: crashes count only when the first and the last are 1 s apart, and of a part's crashes the eight latest were kept. At 83 Instances twenty engines crashed within two seconds; the eight latest lay within 0.72 to 0.97 s, so no Instance refused the part. Class of fault: a bounded memory that drops the very entry that a decision needs. Ruled out: evidence that a completed run clears (none of the part in the trace), evidence that is dropped for other parts (95 parts of 256), and reports that do not arrive (all eight crashes were known).

Change: the first crash is kept and the second oldest dropped.

Test: TestManyCrashesInQuickSuccession, failed before.

--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -31,7 +31,7 @@
 	// that still is poison costs crashLimit engines again.
 	crashMemory = 10 * time.Minute
 	// maxCrashes, maxSuspects and maxCompleted bound the state. The oldest entries are
-	// dropped.
+	// dropped, but for the first crash of a part.
 	maxCrashes   = 8
 	maxSuspects  = 256
 	maxCompleted = 4096
@@ -153,13 +153,22 @@
 		s.updatedAt = max(s.updatedAt, at)
 	}
 	if len(s.crashes) > maxCrashes {
-		delete(s.crashes, oldest(s.crashes))
+		s.forgetCrash()
 	}
 	if len(d.suspects) > maxSuspects {
 		d.dropOldestSuspect()
 	}
 }
 
+// forgetCrash removes the oldest crash but the first. The first one shows for how long
+// processes have been crashing.
+func (s *suspect) forgetCrash() {
+	first := oldest(s.crashes)
+	rest := maps.Clone(s.crashes)
+	delete(rest, first)
+	delete(s.crashes, oldest(rest))
+}
+
 func (d *Detector) dropOldestSuspect() {
 	updates := make(map[core.PromptPart]core.Instant, len(d.suspects))
 	for part, s := range d.suspects {
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -181,3 +181,18 @@
 		}
 	})
 }
+
+// Guards against a part that is not refused because engines crash in quick succession in a
+// large fleet: the crashes that are remembered then lie close together.
+func TestManyCrashesInQuickSuccession(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	start := core.Instant(time.Minute)
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * 80 * time.Millisecond)
+		d.OnCrash(now, []core.PromptPart{"bad"}, Process{ID: core.UpstreamID(fmt.Sprint(i))})
+		_, found := d.Find(now, []core.PromptPart{"bad"})
+		is.Equal(found, now.Sub(start) >= minCrashSpread)
+	}
+	is.True(len(d.suspects["bad"].crashes) <= maxCrashes)
+}
