--- a/pkg/hosted/pause_test.go
+++ b/pkg/hosted/pause_test.go
@@ -25,7 +25,8 @@
 	addr := strings.TrimPrefix(server.URL, "http://")
 	d := newDaemon(t, newFakeStore(plainRouting(1)), zap.NewNop())
 	now := d.now()
-	active := &activeRequest{id: "1", template: UpstreamRequest{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}}
+	response := newResponseWriter(httptest.NewRecorder(), "", func() bool { return false })
+	active := &activeRequest{id: "1", response: response, template: UpstreamRequest{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}}
 	for _, effect := range []router.Effect{
 		router.StartCall{Upstream: "u", URL: addr, NotAfter: now, Deadline: now.Add(time.Minute)},
 		router.StartDecode{Upstream: "u", URL: addr, NotAfter: now, Deadline: now.Add(time.Minute)},
