hosted: the log says when only the end of a connection marked the end of a response

The logs could not tell a stream that was taken for complete at the end of the engine's connection from one whose end was marked by chunks or a length, nor a stream that ended inside an event from a header that did: both read EOF. 'request: complete' has until_close=true for the first, and the failure of the third says that the stream ends inside an event. No decision depends on either.

--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -214,7 +214,7 @@
 	}
 	active.response.sendBuffered(buffered)
 	active.completed = true
-	d.post(router.ResponseCompleted{Request: active.id, Attempt: e.Attempt, Status: buffered.status})
+	d.post(router.ResponseCompleted{Request: active.id, Attempt: e.Attempt, Status: buffered.status, UntilClose: response.UntilClose})
 }
 
 func (d *Daemon) decode(ctx context.Context, active *activeRequest, e router.StartDecode) {
@@ -276,6 +276,8 @@
 	d.post(router.AttemptFailed{Request: active.id, Attempt: e.Attempt, Failure: attempts.Failure{Kind: attempts.FailProtocolError, Upstream: e.Upstream, MaybeSent: true}})
 }
 
+var errEndsInsideEvent = errors.New("the stream ends inside an event")
+
 const eventStreamType = "text/event-stream"
 
 // relay passes a stream on to the caller. A stream that may be resumed at another
@@ -328,10 +330,15 @@
 		}
 		if err == io.EOF && events.empty() && !boundary.inEvent {
 			active.completed = true
-			d.post(router.ResponseCompleted{Request: active.id, Attempt: e.Attempt, Status: response.Status, LongestPause: longestPause})
+			d.post(router.ResponseCompleted{
+				Request: active.id, Attempt: e.Attempt, Status: response.Status, LongestPause: longestPause, UntilClose: response.UntilClose,
+			})
 			return
 		}
 		if err != nil {
+			if err == io.EOF {
+				err = errEndsInsideEvent
+			}
 			kind := upstream.Crashed
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				kind = upstream.Stalled
--- a/pkg/router/event.go
+++ b/pkg/router/event.go
@@ -135,6 +135,9 @@
 	// LongestPause is the longest time between two parts of a streamed response,
 	// 0 for others.
 	LongestPause time.Duration
+	// UntilClose is set when only the end of the Upstream's connection marked the end of
+	// the body.
+	UntilClose bool
 }
 
 // AttemptFailed reports that an attempt ended without a complete response.
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -494,6 +494,9 @@
 	if rs.firstTokenAt != 0 {
 		detail += " first_event=" + rs.firstTokenAt.Sub(rs.arrivedAt).String() + " longest_pause=" + e.LongestPause.String()
 	}
+	if e.UntilClose {
+		detail += " until_close=true"
+	}
 	h.recordWithUpstream(now, "request", "complete", rs, rs.hosted.upstream.ID, detail)
 	h.emit(Observe{Observation: Observation{
 		Account: rs.accountID(), Service: rs.service.Name, FirstToken: rs.firstTokenAt.Sub(rs.arrivedAt),
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -83,8 +83,11 @@
 
 // Response is the response to a Request. It must be closed, which ReadAll does.
 type Response struct {
-	Status          int
-	Header          http.Header
+	Status int
+	Header http.Header
+	// UntilClose is set when the body has neither a length nor chunks and ends with the
+	// connection.
+	UntilClose      bool
 	conn            *exchangeConn
 	body            io.ReadCloser
 	complete        bool
@@ -287,9 +290,13 @@
 			continue
 		}
 		_ = conn.SetReadDeadline(time.Time{})
-		conn.reusable = !response.Close && response.ProtoAtLeast(1, 1) && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
+		untilClose := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+		conn.reusable = !response.Close && response.ProtoAtLeast(1, 1) && !untilClose
 		conn.idleDeadline = time.Now().Add(min(p.opts.IdleTimeout, idleTimeFromHeader(response.Header)))
-		return &Response{Status: response.StatusCode, Header: response.Header, conn: conn, body: response.Body, stopCancelWatch: stop}, nil
+		return &Response{
+			Status: response.StatusCode, Header: response.Header, UntilClose: untilClose,
+			conn: conn, body: response.Body, stopCancelWatch: stop,
+		}, nil
 	}
 	return fail(Crashed, errMismatchedResponse)
 }
