hosted: a port of a test is not drawn twice

Cause: freeAddr closes the port that it returns, and draws from 10,000 ports, so two draws of one process may return the same port before a daemon listens on it. Ruled out: outgoing connections, whose ports lie above 32768 here. The draw now leaves out the ports that it has returned.

--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -179,7 +180,16 @@
 func (e *fakeEngines) ReleaseKV(context.Context, core.UpstreamID, string, string) error   { return nil }
 func (e *fakeEngines) Prefill(context.Context, UpstreamRequest) (string, error)           { return "kv", nil }
 func (e *fakeEngines) CloseIdleConnections()                                              { e.pool.CloseExpired() }
-func (e *fakeEngines) EventID([]byte) string                                              { return "" }
+
+// EventID returns the value of the id line.
+func (e *fakeEngines) EventID(event []byte) string {
+	for line := range strings.Lines(string(event)) {
+		if id, found := strings.CutPrefix(line, "id: "); found {
+			return strings.TrimSpace(id)
+		}
+	}
+	return ""
+}
 
 func (e *fakeEngines) Run(ctx context.Context, req UpstreamRequest) (*UpstreamResponse, error) {
 	response, err := e.pool.Do(ctx, req.Addr, upstream.Request{Method: req.Method, Target: req.Target, Host: req.Host, Header: req.Header, Body: req.Body, HeaderTimeout: req.HeaderTimeout})
@@ -250,10 +260,18 @@
 	lastTestPort  = 29_999
 )
 
+// usedTestPorts holds the ports that freeAddr has returned. A daemon may not listen on its port
+// yet when the next one is drawn.
+var usedTestPorts sync.Map
+
 func freeAddr(t *testing.T) string {
 	t.Helper()
 	for range 100 {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstTestPort+rand.IntN(lastTestPort-firstTestPort))
+		port := firstTestPort + rand.IntN(lastTestPort-firstTestPort)
+		if _, used := usedTestPorts.LoadOrStore(port, true); used {
+			continue
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
 		if l, err := net.Listen("tcp", addr); err == nil {
 			defer l.Close()
 			return addr
