--- /dev/null
+++ b/pkg/upstream/reset_test.go
@@ -0,0 +1,39 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a reset of the connection that is read as the end of a body without a length,
+// because the writer of a long request was told of the reset first.
+func TestResetIsNotTheEndOfABodyWithoutALength(t *testing.T) {
+	is := is.New(t)
+	addr, _ := rawServer(t, func(conn net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf of ")
+			time.Sleep(10 * time.Millisecond)
+		}
+		_ = conn.(*net.TCPConn).SetLinger(0) // the caller closes with a reset
+	})
+	pool := NewPool(PoolOptions{})
+	body := bytes.Repeat([]byte("x"), 16<<20) // more than the buffers of a connection hold
+	complete := 0
+	for range 50 {
+		response, err := pool.Do(t.Context(), addr, Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: body})
+		if err != nil {
+			continue
+		}
+		if _, err := response.ReadAll(1 << 20); err == nil {
+			complete++
+		}
+	}
+	is.Equal(complete, 0)
+}
