hosted: every stream must end with a complete event, whatever its type

What callers saw: a 200 with the engine's signature and a short body that was framed as complete (ORDER), after the engine had crashed.

Cause: the check that a stream ends with a complete event ran only when the engine's Content-Type began with text/event-stream in lower case, and took a stream without any event for a complete one. A body that has neither a length nor chunks ends with its connection, so a crash of such a stream without that header, or right after the header, is a regular end of the body.

Ruled out: the framing towards the caller, which is right in all cases that the check finds.

Change: a route that streams responds with events, so the check runs for every stream. One scanner finds the events for both kinds of streams, also when reads split an empty line, and counts them without comments: a stream without an event is broken off, unless it resumes after an event and its end is marked by a length or chunks. For that the adapter decodes the id after which a caller resumes. The header goes out with the first part of the stream, so that an engine that breaks off before it gives the caller a failure in place of half a success.

A stream without a length or chunks that breaks off between two events can't be told from a complete one; the users' protocol has no mark of a last event.

--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -44,6 +44,9 @@
 	ExpectedOutput int
 	// SharedParts are the parts of the prompt that other requests may contain too.
 	SharedParts []core.PromptPart
+	// LastEventID is the id of the last event that the caller has received of a stream that it
+	// resumes, empty for none.
+	LastEventID string
 	// ForwardHeader holds the headers to pass on.
 	ForwardHeader http.Header
 }
--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -5,8 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,8 +29,6 @@
 	// same time. Of larger ones maxLargeResponses are.
 	smallResponseBytes = 256 << 10
 	maxLargeResponses  = 2
-	// relayBufferSize is the size of one read of a stream.
-	relayBufferSize = 8 << 10
 )
 
 // onUpstreamAnswer reports the limit that an Upstream announces, or that it announces none.
@@ -238,9 +234,6 @@
 		d.handleErrorResponse(attemptCtx, active, e, response)
 		return
 	}
-	if !active.response.started {
-		active.response.start(response.Status, response.Header, -1)
-	}
 	d.relay(attemptCtx, active, e, response, stall)
 }
 
@@ -275,76 +268,3 @@
 	}
 	d.post(router.AttemptFailed{Request: active.id, Attempt: e.Attempt, Failure: attempts.Failure{Kind: attempts.FailProtocolError, Upstream: e.Upstream, MaybeSent: true}})
 }
-
-var errEndsInsideEvent = errors.New("the stream ends inside an event")
-
-const eventStreamType = "text/event-stream"
-
-// relay passes a stream on to the caller. A stream that may be resumed at another
-// Upstream is passed on in complete events only. Of a stream of events, only a complete
-// event is progress.
-func (d *Daemon) relay(ctx context.Context, active *activeRequest, e router.StartDecode, response *UpstreamResponse, stall *stallWatch) {
-	var events eventSplitter
-	var boundary eventBoundary
-	isEventStream := strings.HasPrefix(response.Header.Get("Content-Type"), eventStreamType)
-	buffer := make([]byte, relayBufferSize)
-	first := true
-	var last time.Time
-	var longestPause time.Duration
-	response.SetReadDeadline(time.Now().Add(e.EventTimeout))
-	for {
-		n, err := response.Read(buffer)
-		part := buffer[:n]
-		progress := n > 0
-		if e.Resumable {
-			var failure error
-			part, failure = events.add(part, func(event []byte) {
-				if id := d.adapter.Upstreams.EventID(event); id != "" {
-					active.template.LastEventID = id
-				}
-			})
-			if failure != nil {
-				err = failure
-			}
-			progress = len(part) > 0
-		} else if isEventStream {
-			progress = boundary.add(part)
-		}
-		if progress {
-			stall.progress()
-			response.SetReadDeadline(time.Now().Add(e.EventTimeout))
-		}
-		if len(part) > 0 {
-			arrived := time.Now()
-			if first {
-				first = false
-				d.post(router.FirstToken{Request: active.id, Attempt: e.Attempt})
-			} else {
-				longestPause = max(longestPause, arrived.Sub(last))
-			}
-			last = arrived
-			if failure := active.response.sendPart(part); failure != nil {
-				d.post(router.CallerDisconnected{Request: active.id})
-				return
-			}
-		}
-		if err == io.EOF && events.empty() && !boundary.inEvent {
-			active.completed = true
-			d.post(router.ResponseCompleted{
-				Request: active.id, Attempt: e.Attempt, Status: response.Status, LongestPause: longestPause, UntilClose: response.UntilClose,
-			})
-			return
-		}
-		if err != nil {
-			if err == io.EOF {
-				err = errEndsInsideEvent
-			}
-			kind := upstream.Crashed
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				kind = upstream.Stalled
-			}
-			d.attemptFailed(ctx, active, e.Attempt, e.Upstream, &upstream.Error{Kind: kind, Sent: true, URL: e.URL, Err: err})
-			return
-		}
-	}
-}
--- a/pkg/hosted/response.go
+++ b/pkg/hosted/response.go
@@ -121,6 +121,13 @@
 	rw.w.WriteHeader(status)
 }
 
+// startStream writes the header of a stream, unless a response has started.
+func (rw *responseWriter) startStream(response *UpstreamResponse) {
+	if !rw.started {
+		rw.start(response.Status, response.Header, -1)
+	}
+}
+
 // sendPart writes and flushes a part of a stream.
 func (rw *responseWriter) sendPart(part []byte) error {
 	rw.setDeadline()
--- a/pkg/hosted/serve.go
+++ b/pkg/hosted/serve.go
@@ -68,6 +68,7 @@
 	active := &activeRequest{id: inbound.ID, effects: make(chan router.Effect, effectQueueSize), response: rw}
 	active.template = UpstreamRequest{
 		ID: inbound.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: inbound.ForwardHeader, Body: body,
+		LastEventID: inbound.LastEventID,
 	}
 	if !d.requests.add(active) {
 		rw.refuse(core.NewRefusal(core.CodeNoCapacity, "a request with this id is in progress"))
--- a/pkg/hosted/stall_test.go
+++ b/pkg/hosted/stall_test.go
@@ -66,7 +66,7 @@
 	t.Helper()
 	var runs atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Content-Type", eventStreamType)
+		w.Header().Set("Content-Type", "text/event-stream")
 		serve(runs.Add(1), func(text string) {
 			_, _ = io.WriteString(w, text)
 			w.(http.Flusher).Flush()
