hosted: a stream is continued only with later events of another engine

An error response and its header could not get there (statuses from 300 on were read apart), but 5 of 13 second responses could: 204 and other successes without a body ended the stream, and a body that is no event, a second header behind the first, and events that the caller has already were passed on.

Cause: what follows the header of any success was taken for the rest of the stream.

Change: only status 200 begins or continues a stream; each event of a stream that is resumed must have an id, comments left out, and ids that are numbers must increase. A stream that has begun with events without ids is not sent to another engine, which would repeat it from the start.

--- a/pkg/hosted/broken_off_test.go
+++ b/pkg/hosted/broken_off_test.go
@@ -213,16 +213,28 @@
 	}
 }
 
+// Guards against a stream that another engine repeats from the start, because its events have
+// no ids to resume it after.
+func TestStreamWithoutIDsIsNotContinued(t *testing.T) {
+	is := is.New(t)
+	const response = "HTTP/1.1 200 OK\r\n\r\ndata: a\n\n"
+	addr := scriptedEngine(t, map[string][]string{"x": {response + "da", response}})
+	view := callRaw(t, startEngines(t, true, addr, addr), "HTTP/1.1", "x")
+	is.Equal(view, callerView{status: http.StatusOK, body: "data: a\n\n"})
+}
+
 // Guards against a stream that is broken off although another engine has continued it.
 func TestBrokenOffStreamIsContinued(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 	addr := scriptedEngine(t, map[string][]string{
 		"inside-an-event":      {head + "\r\nid: 1\ndata: a\n\nid: 2\nda", head + "\r\nid: 2\ndata: b\n\n"},
+		"comments":             {head + "\r\nid: 1\ndata: a\n\nid: 2\nda", head + "\r\n: wait\n\nid: 2\ndata: b\n\n"},
 		"after-the-last-event": {head + "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: abc\n\r\n1\r\n\n\r\n", head + "Content-Length: 0\r\n\r\n"},
 	})
 	settings := startEngines(t, true, addr, addr)
 	for path, body := range map[string]string{
 		"inside-an-event":      "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+		"comments":             "id: 1\ndata: a\n\n: wait\n\nid: 2\ndata: b\n\n",
 		"after-the-last-event": "id: 1\ndata: abc\n\n",
 	} {
 		t.Run(path, func(t *testing.T) {
--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -218,6 +218,10 @@
 	if d.reportExpired(active, e.Attempt, req) {
 		return
 	}
+	if active.response.started && active.template.LastEventID == "" {
+		d.attemptFailed(ctx, active, e.Attempt, e.Upstream, &upstream.Error{Kind: upstream.Expired, URL: e.URL, Err: errNotResumable})
+		return
+	}
 	attemptCtx, cancel := active.startAttempt(ctx, e.Attempt)
 	defer cancel()
 	req.Hold, req.KVSource, req.KV = e.Hold, e.SourceURL, e.KV
@@ -230,7 +234,7 @@
 		return
 	}
 	defer response.Close()
-	if response.Status >= 300 {
+	if response.Status != http.StatusOK {
 		d.handleErrorResponse(attemptCtx, active, e, response)
 		return
 	}
@@ -255,7 +259,7 @@
 	return append(body, rest...), err
 }
 
-// handleErrorResponse handles the response of an engine that did not start a stream.
+// handleErrorResponse handles the response of an engine that is not the begin of a stream.
 // The response is kept for the caller unless part of a stream was already sent.
 func (d *Daemon) handleErrorResponse(ctx context.Context, active *activeRequest, e router.StartDecode, response *UpstreamResponse) {
 	body, err := d.readResponseBody(ctx, response)
--- a/pkg/hosted/relay.go
+++ b/pkg/hosted/relay.go
@@ -1,10 +1,12 @@
 package hosted
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
@@ -31,10 +33,7 @@
 		if e.Resumable {
 			var failure error
 			part, failure = events.add(part, func(event []byte) error {
-				if id := d.adapter.Upstreams.EventID(event); id != "" {
-					active.template.LastEventID = id
-				}
-				return nil
+				return active.acceptEvent(d.adapter.Upstreams.EventID(event), resumed && !isComment(event))
 			})
 			if failure != nil {
 				err = failure
@@ -83,3 +82,44 @@
 		}
 	}
 }
+
+var (
+	errEventWithoutID = errors.New("an event of a resumed stream has no id")
+	errEventRepeated  = errors.New("an event of a resumed stream is not newer than the one before")
+	errNotResumable   = errors.New("the stream can't be resumed, because its events have no ids")
+)
+
+// acceptEvent checks the id of an event that would be passed on, "" for none, and records it.
+func (r *activeRequest) acceptEvent(id string, idRequired bool) error {
+	switch {
+	case id == "" && idRequired:
+		return errEventWithoutID
+	case id == "":
+		return nil
+	case !isNewerEvent(id, r.template.LastEventID):
+		return errEventRepeated
+	}
+	r.template.LastEventID = id
+	return nil
+}
+
+// isNewerEvent reports whether an event with an id may follow one with the id last. Ids that
+// are numbers increase.
+func isNewerEvent(id, last string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != last
+	}
+	return number > lastNumber
+}
+
+// isComment reports whether all lines of an event are comments.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
