upstream: a reset is not the end of a body without a length

Cause: the kernel reports a reset of a connection once. While a long request is still written, it is the writer that is told, and the reader then reads a regular end. A body with neither a length nor chunks was complete there. Ruled out: requests up to 8 KiB, which are written before the response is read.

Change: the end of such a body counts only if the request was written completely. The result of a write that has just ended may come a little later than the end of the response, so the reader waits for it for up to 100 ms; without that TestEndOfABodyWithoutALengthAfterALongRequest fails. An Upstream that answers before it has read a request, without a length, and closes, now counts as one that broke off.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -366,10 +366,42 @@
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if err == io.EOF {
-		r.complete = true
+	if err != io.EOF {
+		return n, err
+	}
+	if r.UntilClose && !r.conn.awaitRequestWritten() {
+		// The kernel reports a reset once: to the writer, if it still writes, and the reader
+		// then reads the end of the connection.
+		return n, io.ErrUnexpectedEOF
+	}
+	r.complete = true
+	return n, io.EOF
+}
+
+// writeResultTimeout bounds the wait for the result of a write that has ended or is about to.
+const writeResultTimeout = 100 * time.Millisecond
+
+// isRequestWritten reports whether the request was written completely, as far as is known now.
+func (c *exchangeConn) isRequestWritten() bool {
+	select {
+	case err := <-c.writeResult:
+		c.writeResult <- err
+		return err == nil
+	default:
+		return false
 	}
-	return n, err
+}
+
+// awaitRequestWritten is isRequestWritten after at most writeResultTimeout.
+func (c *exchangeConn) awaitRequestWritten() bool {
+	timer := time.NewTimer(writeResultTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-c.writeResult:
+		c.writeResult <- err
+	case <-timer.C:
+	}
+	return c.isRequestWritten()
 }
 
 // SetReadDeadline bounds the following reads of the body.
@@ -379,13 +411,7 @@
 // and the body read completely.
 func (r *Response) Close() {
 	notCanceled := r.stopCancelWatch()
-	sent := false
-	select {
-	case err := <-r.conn.writeResult:
-		sent = err == nil
-	default:
-	}
-	if !notCanceled || !r.complete || !sent || !r.conn.reusable {
+	if !notCanceled || !r.complete || !r.conn.reusable || !r.conn.isRequestWritten() {
 		r.conn.Close()
 		return
 	}
