upstream: the client of the own wire does not take a reset for the end of a body either

Streams of the own wire are safe: they end with a token that is marked as the last one.

Change: readAll accepts the end of such a body only if net/http has reported the request as written.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -142,8 +142,10 @@
 	sends           sendTracker
 	// connected is set once the request has a connection.
 	connected atomic.Bool
-	transport *http.Transport
-	response  *http.Response
+	// writeResult holds the result of writing the request.
+	writeResult chan error
+	transport   *http.Transport
+	response    *http.Response
 }
 
 // singleUseBody hides the type of a body from net/http. If net/http can rewind the
@@ -209,12 +211,13 @@
 // engine protocol may be retried in that way.
 func (c *Client) startOnce(ctx context.Context, method string, u *url.URL, header http.Header, body []byte, progressTimeout time.Duration) (*call, *Error) {
 	safeURL := url.URL{Scheme: u.Scheme, Host: u.Host, Path: u.Path}
-	cl := &call{client: c, url: safeURL.String(), progressTimeout: progressTimeout, transport: c.transport(u.Host)}
+	cl := &call{client: c, url: safeURL.String(), progressTimeout: progressTimeout, transport: c.transport(u.Host), writeResult: make(chan error, 1)}
 	cl.ctx, cl.cancel = context.WithCancelCause(ctx)
 	cl.watchdog = time.AfterFunc(progressTimeout, cl.expire)
 	traceCtx := httptrace.WithClientTrace(cl.ctx, &httptrace.ClientTrace{
 		GotConn:        cl.gotConn,
 		Got1xxResponse: func(int, textproto.MIMEHeader) error { cl.progress(); return nil },
+		WroteRequest:   cl.wroteRequest,
 	})
 	var content io.Reader = &singleUseBody{reader: bytes.NewReader(body), progress: cl.progress, permitted: permissionOf(ctx)}
 	if body == nil {
@@ -248,6 +251,29 @@
 	cl.progress()
 }
 
+// wroteRequest records the result of writing the request. net/http calls it again when it
+// repeats a request on another connection; the first result does not matter then.
+func (cl *call) wroteRequest(info httptrace.WroteRequestInfo) {
+	select {
+	case <-cl.writeResult:
+	default:
+	}
+	cl.writeResult <- info.Err
+}
+
+// awaitRequestWritten reports whether the request was written completely. It waits for at most
+// writeResultTimeout until that is known.
+func (cl *call) awaitRequestWritten() bool {
+	timer := time.NewTimer(writeResultTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-cl.writeResult:
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // expire ends a call without progress. A call that is still waiting for a connection
 // is not a sign of an unresponsive Upstream: all connections may be in use.
 func (cl *call) expire() {
@@ -318,6 +344,10 @@
 	if err != nil {
 		return nil, cl.classifyError(err)
 	}
+	untilClose := cl.response.ContentLength < 0 && len(cl.response.TransferEncoding) == 0
+	if untilClose && !cl.awaitRequestWritten() {
+		return nil, cl.classifyError(io.ErrUnexpectedEOF) // see Response.Read
+	}
 	if int64(len(body)) > limit {
 		return nil, &Error{Kind: ProtocolError, Sent: true, URL: cl.url, HTTPStatus: cl.response.StatusCode, Err: fmt.Errorf("response is larger than %d bytes", limit)}
 	}
