hosted: a stream to a caller of HTTP/1.0 is reset unless it is complete

A caller of HTTP/1.0 knows no chunks, so the end of its connection is that of a stream.

Cause: the connection was reset only by the code that breaks off a response. When the process is killed, the kernel closes its connections in the ordinary way: complete for such a caller.

Change: the connection is set to close with a reset when the stream begins, and back to an ordinary close when the stream is complete. Ruled out: a reset for callers of HTTP/1.1, who see that the last chunk is missing and could lose events that they have not read.

--- a/pkg/hosted/relay.go
+++ b/pkg/hosted/relay.go
@@ -65,6 +65,7 @@
 			err = events.checkEnd(resumed && !response.UntilClose)
 			if err == nil {
 				active.response.startStream(response)
+				active.response.endStream()
 				active.completed = true
 				d.post(router.ResponseCompleted{
 					Request: active.id, Attempt: e.Attempt, Status: response.Status, LongestPause: longestPause, UntilClose: response.UntilClose,
--- a/pkg/hosted/response.go
+++ b/pkg/hosted/response.go
@@ -26,8 +26,8 @@
 	idHeader  string
 	isLeaving func() bool
 	started   bool
-	// conn is reset when a response breaks off whose end is that of the connection, nil
-	// where the end is marked.
+	// conn is set for a caller to whom the end of the connection is that of a stream. It is
+	// closed with a reset unless the stream is complete, also when the process ends.
 	conn *net.TCPConn
 	// complete is set once a buffered response was written.
 	complete bool
@@ -85,11 +85,19 @@
 }
 
 // abort ends the handler without a complete response.
-func (rw *responseWriter) abort() {
-	if rw.conn != nil {
-		_ = rw.conn.SetLinger(0) // closes with a reset; fails only on a closed connection
+func (rw *responseWriter) abort() { panic(http.ErrAbortHandler) }
+
+// setResetOnClose sets whether the connection of a caller without chunks is closed with a
+// reset.
+func (rw *responseWriter) setResetOnClose(reset bool) {
+	if rw.conn == nil {
+		return
 	}
-	panic(http.ErrAbortHandler)
+	linger := -1
+	if reset {
+		linger = 0
+	}
+	_ = rw.conn.SetLinger(linger) // fails only on a closed connection
 }
 
 // sendBuffered passes on a complete response of an Upstream.
@@ -124,10 +132,14 @@
 // startStream writes the header of a stream, unless a response has started.
 func (rw *responseWriter) startStream(response *UpstreamResponse) {
 	if !rw.started {
+		rw.setResetOnClose(true)
 		rw.start(response.Status, response.Header, -1)
 	}
 }
 
+// endStream marks a stream as complete. All of its parts have been written.
+func (rw *responseWriter) endStream() { rw.setResetOnClose(false) }
+
 // sendPart writes and flushes a part of a stream.
 func (rw *responseWriter) sendPart(part []byte) error {
 	rw.setDeadline()
