--- /dev/null
+++ b/pkg/dispatch/bench_test.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// BenchmarkDecision measures the placement of one request among 1,300 Upstreams, which is the
+// size that docs/CAPACITY.md is about, and its end.
+func BenchmarkDecision(b *testing.B) {
+	for _, kind := range []string{"model", "plain"} {
+		b.Run(kind, func(b *testing.B) {
+			d := New(Params{Rand: rand.New(rand.NewPCG(1, 1)), DataCentre: "dc-0"})
+			var list []catalog.Upstream
+			for i := range 1300 {
+				up := catalog.Upstream{ID: core.UpstreamID(fmt.Sprintf("u-%04d", i)), Service: "s", DataCentre: core.DataCentreName(fmt.Sprintf("dc-%d", i%5)), Slots: 6}
+				if kind == "model" {
+					up.Stage = catalog.StageDecode
+					if i%4 == 0 {
+						up.Stage = catalog.StagePrefill
+					}
+				}
+				list = append(list, up)
+			}
+			now := core.Instant(time.Hour)
+			d.SetEngineCapacity(map[core.ServiceName]EngineCapacity{"s": {Slots: 64, MemoryTokens: 76_562}})
+			d.SetUpstreams(now, list)
+			job := Job{ID: "r", Service: "s", IsModelRequest: kind == "model", MemoryTokens: 5000, PromptTokens: 5000,
+				ArrivalTime: now, LatencyDeadline: now.Add(time.Second), Deadline: now.Add(10 * time.Second)}
+			for b.Loop() {
+				d.Submit(now, job)
+				d.OnHoldGranted(now, job.ID)
+				d.Release(now, job.ID)
+			}
+		})
+	}
+}
