--- a/pkg/lab/hostedsim/callers.go
+++ b/pkg/lab/hostedsim/callers.go
@@ -160,9 +160,9 @@
 	a.lastEventAt = w.now
 	a.relayedEvents++
 	if first {
-		limit := w.limits[c.up]
+		stated := w.answerOf(c.up)
 		w.after(w.transit(dc, c.owner.member.DataCentre), func() {
-			w.deliverAnswer(c.owner, c.up, c.sentAt, limit)
+			w.deliverAnswer(c.owner, c.up, c.sentAt, stated, true)
 			w.step(c.owner, router.FirstToken{Request: a.id, Attempt: c.attempt})
 		})
 	}
--- a/pkg/lab/hostedsim/experiment.go
+++ b/pkg/lab/hostedsim/experiment.go
@@ -101,6 +101,12 @@
 	// per second from all Instances together, FaultEngineLimit Count engines.
 	FaultPlainLimit  FaultKind = "plain_limit"
 	FaultEngineLimit FaultKind = "engine_limit"
+	// FaultUpstreamLeaves makes Count Upstreams announce that they leave while the store lists
+	// them as ready. They start anew when the fault ends.
+	FaultUpstreamLeaves FaultKind = "upstream_leaves"
+	// FaultTurnAway makes Count Upstreams turn all requests away and ask each Instance to stay
+	// away for Factor seconds.
+	FaultTurnAway FaultKind = "turn_away"
 	// FaultInstancePause stops Count Instances, which continue when the fault ends.
 	FaultInstancePause FaultKind = "instance_pause"
 	// FaultPeerCut drops the messages between Count Instances and all others.
@@ -220,11 +226,11 @@
 	}
 	for i, fault := range x.Faults {
 		switch fault.Kind {
-		case FaultBurst, FaultEngineSlow, FaultPlainLimit, FaultEngineLimit:
+		case FaultBurst, FaultEngineSlow, FaultPlainLimit, FaultEngineLimit, FaultTurnAway:
 			if fault.Factor <= 0 {
 				add("faults[%d].x: %v must be above 0", i, fault.Factor)
 			}
-		case FaultEngineCrash, FaultInstanceKill, FaultInstancePause, FaultPeerCut, FaultRegionCut:
+		case FaultEngineCrash, FaultUpstreamLeaves, FaultInstanceKill, FaultInstancePause, FaultPeerCut, FaultRegionCut:
 		default:
 			add("faults[%d].kind: %q is not a kind of fault", i, fault.Kind)
 		}
--- a/pkg/lab/hostedsim/limits.go
+++ b/pkg/lab/hostedsim/limits.go
@@ -3,10 +3,7 @@
 import (
 	"time"
 
-	"github.com/rhubarbsill/rhubarbsill/pkg/announce"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
-	"github.com/rhubarbsill/rhubarbsill/pkg/router"
-	"github.com/rhubarbsill/rhubarbsill/pkg/throttle"
 )
 
 const (
@@ -49,10 +46,18 @@
 	})
 }
 
-// recordArrival counts a request of any kind at an Upstream. Those of Instances that were
-// told the limit are checked, unless the Instance has just continued after a pause.
-func (w *Simulation) recordArrival(id core.UpstreamID, inst *instance) {
+// recordArrival counts a request of any kind at an Upstream and checks it against what the
+// Upstream has announced. sentAt is the instant at which the caller sent its request, 0 for the
+// release of a hold or of a KV cache.
+func (w *Simulation) recordArrival(id core.UpstreamID, inst *instance, sentAt core.Instant) {
 	w.result.Arrivals[id] = append(w.result.Arrivals[id], w.now)
+	w.checkAnnouncements(id, inst, sentAt)
+	w.checkLimit(id, inst)
+}
+
+// checkLimit checks a request of an Instance that was told the limit of an Upstream, unless the
+// Instance has just continued after a pause.
+func (w *Simulation) checkLimit(id core.UpstreamID, inst *instance) {
 	limit := w.limits[id]
 	if limit == nil {
 		return
@@ -77,18 +82,3 @@
 	limit.peak = max(limit.peak, use)
 	w.result.PeakLimitUse = max(w.result.PeakLimitUse, use)
 }
-
-// deliverAnswer reports to an Instance what an answer that has just arrived announces.
-func (w *Simulation) deliverAnswer(inst *instance, id core.UpstreamID, sentAt core.Instant, limit *announcedLimit) {
-	answer := router.UpstreamAnswered{
-		Source:       announce.Source{Upstream: id, Addr: string(id), SentAt: sentAt},
-		Announcement: announce.Announcement{StatesRate: true},
-	}
-	if limit != nil {
-		answer.Announcement.Rate = throttle.Announcement{Limited: true, RequestsPerSecond: limit.perSecond}
-		if _, known := limit.told[inst.member.Ref]; !known && inst.alive {
-			limit.told[inst.member.Ref] = w.now
-		}
-	}
-	w.step(inst, answer)
-}
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -62,7 +62,9 @@
 	revision     uint64
 	partitioned  bool
 	limits       map[core.UpstreamID]*announcedLimit // of the Upstreams that announce one
-	loadFactor   map[core.AccountID]float64          // load multiplier of each account
+	leaving      map[core.UpstreamID]*leaving
+	turningAway  map[core.UpstreamID]*turningAway
+	loadFactor   map[core.AccountID]float64 // load multiplier of each account
 	requests     map[core.RequestID]*callerRequest
 	requestCount int
 	result       *Result
@@ -119,7 +121,7 @@
 	w := &Simulation{
 		x: x, rng: rand.New(rand.NewPCG(x.Seed, 9)), now: core.Instant(time.Hour), revision: 1,
 		byID: map[core.InstanceID]*instance{}, engines: map[core.UpstreamID]*engine{}, plain: map[core.UpstreamID]*plainUpstream{},
-		limits:     map[core.UpstreamID]*announcedLimit{},
+		limits: map[core.UpstreamID]*announcedLimit{}, leaving: map[core.UpstreamID]*leaving{}, turningAway: map[core.UpstreamID]*turningAway{},
 		loadFactor: map[core.AccountID]float64{}, requests: map[core.RequestID]*callerRequest{}, result: newResult(x),
 	}
 	w.start = w.now.Add(warmUp)
@@ -134,7 +136,7 @@
 		}
 		for i := range x.PlainUpstreams {
 			id := core.UpstreamID(fmt.Sprintf("plain-%s-%d", dc, i))
-			w.plain[id] = &plainUpstream{sim: w, id: id, dc: dc}
+			w.plain[id] = &plainUpstream{sim: w, id: id, dc: dc, generation: 1}
 		}
 		for i := range x.Instances {
 			ref := core.InstanceRef{ID: core.InstanceID(fmt.Sprintf("%s-%03d", dc, i)), Incarnation: 1}
@@ -228,7 +230,7 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(w.plain)) {
-		list = append(list, catalog.Upstream{ID: id, Service: plainService, Addr: string(id), DataCentre: w.plain[id].dc, Slots: w.x.Plain.Slots})
+		list = append(list, catalog.Upstream{ID: id, Service: plainService, Addr: string(id), DataCentre: w.plain[id].dc, Slots: w.x.Plain.Slots, Born: w.plain[id].generation})
 	}
 	return list
 }
@@ -283,12 +285,12 @@
 		w.acquireHold(inst, e)
 	case router.ReleaseHold:
 		w.sendToEngine(inst, e.Upstream, func(to *engine) {
-			w.recordArrival(e.Upstream, inst)
+			w.recordArrival(e.Upstream, inst, 0)
 			to.releaseHold(e.Hold)
 		})
 	case router.ReleaseKV:
 		w.sendToEngine(inst, e.Upstream, func(to *engine) {
-			w.recordArrival(e.Upstream, inst)
+			w.recordArrival(e.Upstream, inst, 0)
 			delete(to.caches, e.KV)
 		})
 	case router.StartPrefill:
@@ -369,7 +371,11 @@
 		case !isUp():
 			w.failCall(c, attempts.FailConnect, false, false)
 		default:
-			w.recordArrival(up, inst)
+			w.recordArrival(up, inst, request.sentAt)
+			if w.turnsAway(up) {
+				w.failCall(c, attempts.FailFull, true, true)
+				return
+			}
 			arrive(c)
 		}
 	})
@@ -381,12 +387,15 @@
 		return
 	}
 	c.ended = true
-	limit := w.limits[c.up]
+	stated := w.answerOf(c.up)
+	if isRefusal(event) {
+		stated = w.refusalTo(c.up, c.owner)
+	}
 	w.after(w.transit(dc, c.owner.member.DataCentre), func() {
 		if c.owner.calls[c.attempt] == c {
 			delete(c.owner.calls, c.attempt)
-			if isAnswer(event) || limit != nil && isRefusal(event) {
-				w.deliverAnswer(c.owner, c.up, c.sentAt, limit)
+			if isAnswer(event) || isRefusal(event) {
+				w.deliverAnswer(c.owner, c.up, c.sentAt, stated, isAnswer(event))
 			}
 			w.step(c.owner, event)
 		}
@@ -474,12 +483,33 @@
 		for _, id := range choose(w.rng, slices.Sorted(maps.Keys(w.engines)), f.Count) {
 			w.announceLimit(id, f.Factor, length)
 		}
+	case FaultUpstreamLeaves:
+		for _, id := range choose(w.rng, w.upstreamIDs(), f.Count) {
+			w.announceLeaving(id, length)
+		}
+	case FaultTurnAway:
+		for _, id := range choose(w.rng, w.upstreamIDs(), f.Count) {
+			w.turnAway(id, seconds(f.Factor), length)
+		}
 	case FaultRegionCut:
 		w.partitioned = true
 		w.after(length, func() { w.partitioned = false })
 	}
 }
 
+// upstreamIDs returns all Upstreams, sorted.
+func (w *Simulation) upstreamIDs() []core.UpstreamID {
+	return append(slices.Sorted(maps.Keys(w.engines)), slices.Sorted(maps.Keys(w.plain))...)
+}
+
+// callerSentAt returns the instant at which the caller sent a request, now if it has ended.
+func (w *Simulation) callerSentAt(id core.RequestID) core.Instant {
+	if request := w.requests[id]; request != nil {
+		return request.sentAt
+	}
+	return w.now
+}
+
 // choose draws up to n elements of the list, one when n is 0. It shuffles the list.
 func choose[T any](rng *rand.Rand, list []T, n int) []T {
 	rng.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
--- a/pkg/lab/hostedsim/upstreams.go
+++ b/pkg/lab/hostedsim/upstreams.go
@@ -76,20 +76,24 @@
 	transit := w.transit(inst.member.DataCentre, e.dc)
 	sentAt := w.now
 	w.after(transit, func() {
-		limit := w.limits[q.Upstream]
 		answered := e.up
+		var stated answer
 		if e.up {
-			w.recordArrival(q.Upstream, inst)
+			w.recordArrival(q.Upstream, inst, w.callerSentAt(q.Request))
+			stated = w.answerOf(q.Upstream)
 			reply.Outcome = router.HoldFull
-			if e.fits(q.Tokens) {
+			switch {
+			case w.turnsAway(q.Upstream):
+				stated = w.refusalTo(q.Upstream, inst)
+			case e.fits(q.Tokens):
 				e.lastID++
 				reply.Outcome, reply.Hold = router.HoldGranted, fmt.Sprintf("%s/%d", e.id, e.lastID)
 				e.holds[reply.Hold] = hold{tokens: q.Tokens, expiresAt: w.now.Add(q.Term)}
 			}
 		}
 		w.after(transit, func() {
-			if answered && limit != nil { // no answer to a hold shows the end of a limit
-				w.deliverAnswer(inst, q.Upstream, sentAt, limit)
+			if answered {
+				w.deliverAnswer(inst, q.Upstream, sentAt, stated, false) // no answer to a hold shows the end of a limit
 			}
 			w.step(inst, reply)
 		})
@@ -226,6 +230,7 @@
 func (e *engine) crash() {
 	e.up = false
 	e.generation++
+	e.sim.endLifetime(e.id)
 	for _, s := range append(e.streams, e.preempted...) {
 		e.sim.failCall(s.call, attempts.FailCrashed, true, false)
 	}
@@ -253,6 +258,8 @@
 	dc      core.DataCentreName
 	running int
 	queue   []func()
+	// generation counts the starts.
+	generation int64
 }
 
 func (w *Simulation) startCall(inst *instance, q router.StartCall) {
