--- a/pkg/router/hosted_announce.go
+++ b/pkg/router/hosted_announce.go
@@ -13,7 +13,7 @@
 // onUpstreamAnswered processes what an answer states about its Upstream.
 func (h *hosted) onUpstreamAnswered(now core.Instant, e UpstreamAnswered) {
 	for _, event := range h.announcements.Observe(now, e.Source, e.Announcement) {
-		h.recordUpstreamEvent(now, "announce", string(event.Kind), e.Source.Upstream, event.Detail)
+		h.recordAnnouncement(now, e.Source.Upstream, event)
 		h.emit(Observe{Observation: Observation{Hosted: &HostedOutcome{Announced: event.Kind}}})
 		if event.Kind == announce.EventLeaving || event.Kind == announce.EventStayAway {
 			h.applyDispatch(now, h.dispatch.OnAnnouncement(now, e.Source.Upstream))
@@ -21,10 +21,19 @@
 	}
 }
 
+// recordAnnouncement logs a change of what is known of an Upstream.
+func (h *hosted) recordAnnouncement(now core.Instant, up core.UpstreamID, event announce.Event) {
+	component := "announce"
+	if event.Kind == announce.EventRate {
+		component = "limit"
+	}
+	h.recordUpstreamEvent(now, component, string(event.Kind), up, event.Detail)
+}
+
 // onPeerAnnouncements processes what a peer has heard of Upstreams.
 func (h *hosted) onPeerAnnouncements(now core.Instant, from core.InstanceID, leaving map[core.UpstreamID]announce.Process) {
 	for _, id := range h.announcements.OnPeerLeavingReports(now, leaving) {
-		h.recordUpstreamEvent(now, "announce", string(announce.EventLeaving), id, "from="+string(from))
+		h.recordAnnouncement(now, id, announce.Event{Kind: announce.EventLeaving, Detail: "from=" + string(from)})
 		h.applyDispatch(now, h.dispatch.OnAnnouncement(now, id))
 	}
 }
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -107,7 +107,7 @@
 
 func (h *hosted) onPeerLimits(now core.Instant, from core.InstanceRef, reports map[core.UpstreamID]throttle.Report) {
 	for _, id := range h.announcements.Rates.OnPeerReports(now, from, reports) {
-		h.recordUpstreamEvent(now, "announce", string(announce.EventRate), id, h.announcements.RateDetail(id, from.ID))
+		h.recordAnnouncement(now, id, announce.Event{Kind: announce.EventRate, Detail: h.announcements.RateDetail(id, from.ID)})
 	}
 }
 
