--- a/pkg/hosted/events.go
+++ b/pkg/hosted/events.go
@@ -84,8 +84,8 @@
 }
 
 // add appends part to the stream and returns the events that it completes, as they were
-// received. It calls onEvent with each of them and stops at the first error: the event that
-// caused it and what follows are not returned. It fails when an event has more than
+// received. It calls onEvent with each of them but comments and stops at the first error: the
+// event that caused it and what follows are not returned. It fails when an event has more than
 // maxEventBytes.
 func (s *eventSplitter) add(part []byte, onEvent func(event []byte) error) ([]byte, error) {
 	scanned := len(s.incomplete)
@@ -93,12 +93,16 @@
 	end := 0
 	var failure error
 	for failure == nil {
+		eventsBefore := s.events
 		n := s.next(s.incomplete[scanned:])
 		if n < 0 {
 			break
 		}
 		scanned += n
-		if failure = onEvent(s.incomplete[end:scanned]); failure == nil {
+		if s.events > eventsBefore {
+			failure = onEvent(s.incomplete[end:scanned])
+		}
+		if failure == nil {
 			end = scanned
 		}
 	}
--- a/pkg/hosted/events_test.go
+++ b/pkg/hosted/events_test.go
@@ -42,7 +42,7 @@
 				passed = append(passed, complete...)
 			}
 			is.Equal(string(passed), stream)
-			is.Equal(events, []string{": comment", "id: 1\r\ndata: a", "id: 2\ndata: b\ndata: c"})
+			is.Equal(events, []string{"id: 1\r\ndata: a", "id: 2\ndata: b\ndata: c"})
 			is.Equal(s.events, 2)
 			is.NoErr(s.checkEnd(false))
 		}
--- a/pkg/hosted/relay.go
+++ b/pkg/hosted/relay.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -16,74 +15,107 @@
 // relayBufferSize is the size of one read of a stream.
 const relayBufferSize = 8 << 10
 
+// streamRelay passes the stream of one attempt on to the caller.
+type streamRelay struct {
+	daemon   *Daemon
+	active   *activeRequest
+	start    router.StartDecode
+	response *UpstreamResponse
+	stall    *stallWatch
+
+	events eventSplitter
+	// resumed is set when the caller has events of the stream already.
+	resumed      bool
+	lastPartAt   time.Time
+	longestPause time.Duration
+}
+
 // relay passes a stream on to the caller. A stream that may be resumed at another Upstream is
 // passed on in complete events only. Only a complete event is progress, and only the end of an
 // event can be the end of the stream.
 func (d *Daemon) relay(ctx context.Context, active *activeRequest, e router.StartDecode, response *UpstreamResponse, stall *stallWatch) {
-	var events eventSplitter
-	resumed := active.template.LastEventID != ""
+	s := &streamRelay{daemon: d, active: active, start: e, response: response, stall: stall, resumed: active.template.LastEventID != ""}
+	s.progress()
 	buffer := make([]byte, relayBufferSize)
-	var last time.Time
-	var longestPause time.Duration
-	response.SetReadDeadline(time.Now().Add(e.EventTimeout))
 	for {
 		n, err := response.Read(buffer)
-		part := buffer[:n]
-		var progress bool
-		if e.Resumable {
-			var failure error
-			part, failure = events.add(part, func(event []byte) error {
-				return active.acceptEvent(d.adapter.Upstreams.EventID(event), resumed && !isComment(event))
-			})
-			if failure != nil {
-				err = failure
-			}
-			progress = len(part) > 0
-		} else {
-			progress = events.scan(part)
+		part, failure := s.split(buffer[:n])
+		if failure != nil {
+			err = failure
 		}
-		if progress {
-			stall.progress()
-			response.SetReadDeadline(time.Now().Add(e.EventTimeout))
-		}
-		if len(part) > 0 {
-			arrived := time.Now()
-			if last.IsZero() {
-				d.post(router.FirstToken{Request: active.id, Attempt: e.Attempt})
-			} else {
-				longestPause = max(longestPause, arrived.Sub(last))
-			}
-			last = arrived
-			active.response.startStream(response)
-			if failure := active.response.sendPart(part); failure != nil {
-				d.post(router.CallerDisconnected{Request: active.id})
-				return
-			}
+		if len(part) > 0 && s.pass(part) != nil {
+			d.post(router.CallerDisconnected{Request: active.id})
+			return
 		}
 		if err == io.EOF {
 			// An engine has nothing to add to a stream that is resumed after its last event.
-			err = events.checkEnd(resumed && !response.UntilClose)
+			err = s.events.checkEnd(s.resumed && !response.UntilClose)
 			if err == nil {
-				active.response.startStream(response)
-				active.response.endStream()
-				active.completed = true
-				d.post(router.ResponseCompleted{
-					Request: active.id, Attempt: e.Attempt, Status: response.Status, LongestPause: longestPause, UntilClose: response.UntilClose,
-				})
+				s.complete()
 				return
 			}
 		}
 		if err != nil {
-			kind := upstream.Crashed
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				kind = upstream.Stalled
-			}
-			d.attemptFailed(ctx, active, e.Attempt, e.Upstream, &upstream.Error{Kind: kind, Sent: true, URL: e.URL, Err: err})
+			s.fail(ctx, err)
 			return
 		}
 	}
 }
 
+// split returns what can be passed on after a part of the stream was read.
+func (s *streamRelay) split(part []byte) ([]byte, error) {
+	if !s.start.Resumable {
+		if s.events.scan(part) {
+			s.progress()
+		}
+		return part, nil
+	}
+	complete, err := s.events.add(part, func(event []byte) error {
+		return s.active.acceptEvent(s.daemon.adapter.Upstreams.EventID(event), s.resumed)
+	})
+	if len(complete) > 0 {
+		s.progress()
+	}
+	return complete, err
+}
+
+func (s *streamRelay) progress() {
+	s.stall.progress()
+	s.response.SetReadDeadline(time.Now().Add(s.start.EventTimeout))
+}
+
+// pass writes a part to the caller, whose response it starts if necessary.
+func (s *streamRelay) pass(part []byte) error {
+	now := time.Now()
+	if s.lastPartAt.IsZero() {
+		s.daemon.post(router.FirstToken{Request: s.active.id, Attempt: s.start.Attempt})
+	} else {
+		s.longestPause = max(s.longestPause, now.Sub(s.lastPartAt))
+	}
+	s.lastPartAt = now
+	s.active.response.startStream(s.response)
+	return s.active.response.sendPart(part)
+}
+
+func (s *streamRelay) complete() {
+	s.active.response.startStream(s.response)
+	s.active.response.endStream()
+	s.active.completed = true
+	s.daemon.post(router.ResponseCompleted{
+		Request: s.active.id, Attempt: s.start.Attempt, Status: s.response.Status,
+		LongestPause: s.longestPause, UntilClose: s.response.UntilClose,
+	})
+}
+
+func (s *streamRelay) fail(ctx context.Context, err error) {
+	kind := upstream.Crashed
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		kind = upstream.Stalled
+	}
+	failure := &upstream.Error{Kind: kind, Sent: true, URL: s.start.URL, Err: err}
+	s.daemon.attemptFailed(ctx, s.active, s.start.Attempt, s.start.Upstream, failure)
+}
+
 var (
 	errEventWithoutID = errors.New("an event of a resumed stream has no id")
 	errEventRepeated  = errors.New("an event of a resumed stream is not newer than the one before")
@@ -114,13 +146,3 @@
 	}
 	return number > lastNumber
 }
-
-// isComment reports whether all lines of an event are comments.
-func isComment(event []byte) bool {
-	for line := range bytes.Lines(event) {
-		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
-			return false
-		}
-	}
-	return true
-}
