--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -317,3 +317,77 @@
 	is.Equal(got.refused, 0)
 	is.Equal(got.late, 0)
 }
+
+// availability is what each Upstream in it announces.
+type availability map[core.UpstreamID]announce.Availability
+
+func (a availability) Availability(id core.UpstreamID) announce.Availability { return a[id] }
+func (availability) Limited(core.Instant, core.UpstreamID) bool              { return false }
+func (availability) Return(core.Instant, core.UpstreamID, int)               {}
+func (availability) Allow(core.Instant, core.UpstreamID, int) (bool, time.Duration) {
+	return true, 0
+}
+
+// Guards against a job that is sent to an Upstream that leaves or wants no requests, that is
+// refused although one returns in time or may become free, and that waits for one that does not.
+func TestJobGoesByWhatUpstreamsAnnounce(t *testing.T) {
+	now := core.Instant(time.Hour)
+	in := func(d time.Duration) announce.Availability { return announce.Availability{AwayUntil: now.Add(d)} }
+	leaving := announce.Availability{Leaving: true}
+	for name, test := range map[string]struct {
+		announced availability
+		down      bool // "b" can't be reached
+		want      string
+	}{
+		"other is free":                {availability{"a": leaving}, false, "b"},
+		"other wants requests":         {availability{"a": in(time.Minute)}, false, "b"},
+		"both leave":                   {availability{"a": leaving, "b": leaving}, false, "waits"},
+		"both away for long":           {availability{"a": in(time.Minute), "b": in(time.Hour)}, false, "refused"},
+		"one returns in time":          {availability{"a": in(time.Minute), "b": in(200 * time.Millisecond)}, false, "waits"},
+		"one leaves, one away long":    {availability{"a": leaving, "b": in(time.Minute)}, false, "refused"},
+		"one away, one may come back":  {availability{"a": in(time.Minute)}, true, "waits"},
+		"one leaves, one away shortly": {availability{"a": leaving, "b": in(200 * time.Millisecond)}, false, "waits"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := New(Params{Rand: rand.New(rand.NewPCG(1, 1)), Announcements: test.announced})
+			d.SetUpstreams(now, []catalog.Upstream{{ID: "a", Service: "s", Slots: 4}, {ID: "b", Service: "s", Slots: 4}})
+			if test.down {
+				d.MarkUnreachable(now, "b")
+			}
+			got := "waits"
+			for _, output := range d.Submit(now, Job{ID: "j", Service: "s", ArrivalTime: now, LatencyDeadline: now.Add(time.Second), Deadline: now.Add(3 * time.Second)}) {
+				switch o := output.(type) {
+				case Call:
+					got = string(o.Upstream)
+				case Refused:
+					got = "refused"
+					is.True(o.Refusal.RetryAfter >= time.Minute && o.Refusal.RetryAfter <= 90*time.Second)
+				}
+			}
+			is.Equal(got, test.want)
+		})
+	}
+}
+
+// Guards against a job that stays in the queue when its Upstream returns or another one leaves.
+func TestWaitingJobsGoByNewAnnouncements(t *testing.T) {
+	is := is.New(t)
+	now := core.Instant(time.Hour)
+	announced := availability{"a": {AwayUntil: now.Add(200 * time.Millisecond)}}
+	d := New(Params{Rand: rand.New(rand.NewPCG(1, 1)), Announcements: announced})
+	d.SetUpstreams(now, []catalog.Upstream{{ID: "a", Service: "s", Slots: 4}})
+	job := Job{ID: "j", Service: "s", ArrivalTime: now, LatencyDeadline: now.Add(time.Second), Deadline: now.Add(3 * time.Second)}
+	is.Equal(len(d.Submit(now, job)), 0)
+	is.Equal(d.Tick(now.Add(220*time.Millisecond)), []Output{Call{ID: "j", Upstream: "a"}})
+
+	job.ID = "k"
+	announced["a"] = announce.Availability{AwayUntil: now.Add(500 * time.Millisecond)}
+	is.Equal(len(d.OnAnnouncement(now, "a")), 0)
+	is.Equal(len(d.Submit(now, job)), 0)
+	announced["a"] = announce.Availability{AwayUntil: now.Add(time.Minute)}
+	outputs := d.OnAnnouncement(now, "a")
+	is.Equal(len(outputs), 1)
+	_, refused := outputs[0].(Refused)
+	is.True(refused)
+}
