--- a/pkg/hosted/broken_off_test.go
+++ b/pkg/hosted/broken_off_test.go
@@ -159,23 +159,30 @@
 // Guards against a response that looks complete although its engine stopped in the middle of
 // its header or body.
 func TestResponseThatEndsEarlyLooksIncomplete(t *testing.T) {
-	const response = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 18\r\n\r\nid: 1\ndata: abcd\n\n"
-	responses := map[string][]string{}
-	for n := range len(response) + 1 {
-		responses[strconv.Itoa(n)] = []string{response[:n]}
-	}
-	addr := scriptedEngine(t, responses)
-	plain, _, _ := startDaemon(t, newFakeStore(plainRouting(1), catalog.Upstream{ID: "s1", Service: "s", Addr: addr, DataCentre: "a"}))
-	for name, settings := range map[string]Settings{"stream": startEngines(t, false, addr), "plain": plain} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			for n := range len(response) {
-				view := callRaw(t, settings, "HTTP/1.1", strconv.Itoa(n))
-				is.True(view.status != http.StatusOK || !view.complete)
+	const body = "id: 1\ndata: abcd\n\n"
+	for framing, response := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 18\r\n\r\n" + body,
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n12\r\n" + body + "\r\n0\r\n\r\n",
+	} {
+		responses := map[string][]string{}
+		for n := range len(response) + 1 {
+			responses[strconv.Itoa(n)] = []string{response[:n]}
+		}
+		addr := scriptedEngine(t, responses)
+		plain, _, _ := startDaemon(t, newFakeStore(plainRouting(1), catalog.Upstream{ID: "s1", Service: "s", Addr: addr, DataCentre: "a"}))
+		for kind, settings := range map[string]Settings{"stream": startEngines(t, false, addr), "plain": plain} {
+			for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+				t.Run(framing+"/"+kind+"/"+protocol, func(t *testing.T) {
+					is := is.New(t)
+					for n := range len(response) {
+						view := callRaw(t, settings, protocol, strconv.Itoa(n))
+						is.True(view.status != http.StatusOK || !view.complete)
+					}
+					view := callRaw(t, settings, protocol, strconv.Itoa(len(response)))
+					is.Equal(view, callerView{status: http.StatusOK, body: body, complete: true})
+				})
 			}
-			view := callRaw(t, settings, "HTTP/1.1", strconv.Itoa(len(response)))
-			is.Equal(view, callerView{status: http.StatusOK, body: "id: 1\ndata: abcd\n\n", complete: true})
-		})
+		}
 	}
 }
 
