announce: a refusal does not sort the whole catalog to say which Upstreams are unavailable

The log line of each refusal listed all Upstreams, sorted, to find the few that leave or want no requests; an overload refuses most. The registry keeps those few apart, also for the reports to peers. No other change.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -87,6 +87,8 @@
 
 	rand      *rand.Rand
 	upstreams map[core.UpstreamID]*lifetime
+	// unavailable holds the Upstreams that leave or have wanted no requests lately.
+	unavailable map[core.UpstreamID]*lifetime
 }
 
 // lifetime is one process of an Upstream.
@@ -108,7 +110,10 @@
 
 // New returns a Registry without Upstreams.
 func New(self core.InstanceRef, r *rand.Rand) *Registry {
-	return &Registry{Rates: throttle.New(self, r), rand: r, upstreams: map[core.UpstreamID]*lifetime{}}
+	return &Registry{
+		Rates: throttle.New(self, r), rand: r,
+		upstreams: map[core.UpstreamID]*lifetime{}, unavailable: map[core.UpstreamID]*lifetime{},
+	}
 }
 
 // SetUpstreams replaces the registered Upstreams. One that is still the same process keeps what
@@ -122,6 +127,7 @@
 		if known == nil || anew || !known.SameProcess(up) {
 			known = &lifetime{since: now}
 			r.upstreams[up.ID] = known
+			delete(r.unavailable, up.ID)
 		}
 		known.Upstream, known.missingSince = up, 0
 	}
@@ -132,6 +138,7 @@
 			up.missingSince = now
 		case now.Sub(up.missingSince) > missingTTL:
 			delete(r.upstreams, id)
+			delete(r.unavailable, id)
 		}
 	}
 	r.Rates.Retain(now, func(id core.UpstreamID) bool { return registered[id] })
@@ -174,7 +181,7 @@
 		events = append(events, Event{EventRate, r.RateDetail(up.ID, "")})
 	}
 	if a.Leaving && up.leavingSince == 0 {
-		up.leavingSince = now
+		r.setLeaving(now, up)
 		events = append(events, Event{EventLeaving, "from="})
 	}
 	if a.StayAway > 0 && r.turnAway(now, up, min(a.StayAway, MaxStayAway)) {
@@ -183,6 +190,11 @@
 	return events
 }
 
+func (r *Registry) setLeaving(now core.Instant, up *lifetime) {
+	up.leavingSince = now
+	r.unavailable[up.ID] = up
+}
+
 // turnAway records a time to stay away. It reports whether that is later than the one known.
 func (r *Registry) turnAway(now core.Instant, up *lifetime, stayAway time.Duration) bool {
 	if now >= up.awayUntil {
@@ -194,6 +206,7 @@
 	spread := min(maxReturnSpread.Seconds(), returnSpread*stayAway.Seconds())
 	up.awayUntil = now.Add(stayAway + time.Duration(r.rand.Float64()*spread*float64(time.Second)))
 	up.nextReturnAt = up.awayUntil
+	r.unavailable[up.ID] = up
 	return true
 }
 
@@ -272,7 +285,7 @@
 // which the store says so.
 func (r *Registry) LeavingReports(now core.Instant) map[core.UpstreamID]Process {
 	var leaving []core.UpstreamID
-	for id, up := range r.upstreams {
+	for id, up := range r.unavailable {
 		if up.leavingSince != 0 && !up.Leaving && now.Sub(up.leavingSince) <= leavingNotice {
 			leaving = append(leaving, id)
 		}
@@ -300,7 +313,7 @@
 		if up == nil || up.leavingSince != 0 || up.Addr != process.Addr || up.Born != process.Born {
 			continue
 		}
-		up.leavingSince = now
+		r.setLeaving(now, up)
 		news = append(news, id)
 	}
 	slices.Sort(news)
@@ -320,3 +333,19 @@
 	}
 	return ""
 }
+
+// DescribeService describes up to limit Upstreams of a service that are not used.
+func (r *Registry) DescribeService(now core.Instant, service core.ServiceName, limit int) []string {
+	var found []string
+	for id, up := range r.unavailable {
+		if up.leavingSince == 0 && now >= up.awayUntil.Add(returnTime) {
+			delete(r.unavailable, id)
+			continue
+		}
+		if text := r.Describe(now, id); up.Service == service && text != "" {
+			found = append(found, text)
+		}
+	}
+	slices.Sort(found)
+	return found[:min(len(found), limit)]
+}
--- a/pkg/router/hosted_announce.go
+++ b/pkg/router/hosted_announce.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"slices"
 	"strings"
 	"time"
 
@@ -85,18 +84,9 @@
 // unavailable describes the Upstreams of a service that are not used because of what they state
 // about themselves, for the log.
 func (h *hosted) unavailable(now core.Instant, service core.ServiceName) string {
-	var found []string
-	for _, up := range h.catalog.Upstreams() {
-		if up.Service != service {
-			continue
-		}
-		if text := h.announcements.Describe(now, up.ID); text != "" {
-			found = append(found, text)
-		}
-	}
+	found := h.announcements.DescribeService(now, service, maxDescribedUpstreams)
 	if len(found) == 0 {
 		return ""
 	}
-	slices.Sort(found)
-	return " unavailable=[" + strings.Join(found[:min(len(found), maxDescribedUpstreams)], "; ") + "]"
+	return " unavailable=[" + strings.Join(found, "; ") + "]"
 }
