--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -77,6 +77,8 @@
 	leavingNotice = 12 * time.Second
 	// maxLeavingReports bounds the Upstreams in one report. One takes about 40 bytes.
 	maxLeavingReports = 4
+	// maxLoggedValue bounds the text of a value in a log line, in characters.
+	maxLoggedValue = 80
 )
 
 // Registry holds the announcements that one Instance knows of. It is not safe for concurrent
@@ -148,6 +150,9 @@
 type Event struct {
 	Kind   EventKind
 	Detail string
+	// Repeated is set when an equal event of the same lifetime was returned before. It is
+	// counted and not logged.
+	Repeated bool
 }
 
 // EventKind is the kind of an Event.
@@ -169,23 +174,22 @@
 	}
 	var events []Event
 	for _, invalid := range a.Invalid {
-		if !up.invalid[invalid.Cause] {
-			if up.invalid == nil {
-				up.invalid = map[string]bool{}
-			}
-			up.invalid[invalid.Cause] = true
-			events = append(events, Event{EventInvalid, fmt.Sprintf("cause=%q value=%q", invalid.Cause, invalid.Value)})
+		detail := fmt.Sprintf("cause=%q value=%.*q", invalid.Cause, maxLoggedValue, invalid.Value)
+		events = append(events, Event{Kind: EventInvalid, Detail: detail, Repeated: up.invalid[invalid.Cause]})
+		if up.invalid == nil {
+			up.invalid = map[string]bool{}
 		}
+		up.invalid[invalid.Cause] = true
 	}
 	if a.StatesRate && r.Rates.Observe(now, up.ID, a.Rate) {
-		events = append(events, Event{EventRate, r.RateDetail(up.ID, "")})
+		events = append(events, Event{Kind: EventRate, Detail: r.RateDetail(up.ID, "")})
 	}
 	if a.Leaving && up.leavingSince == 0 {
 		r.setLeaving(now, up)
-		events = append(events, Event{EventLeaving, "from="})
+		events = append(events, Event{Kind: EventLeaving, Detail: "from="})
 	}
 	if a.StayAway > 0 && r.turnAway(now, up, min(a.StayAway, MaxStayAway)) {
-		events = append(events, Event{EventStayAway, fmt.Sprintf("for=%s until=%s", a.StayAway, up.awayUntil.Sub(now))})
+		events = append(events, Event{Kind: EventStayAway, Detail: fmt.Sprintf("for=%s until=%s", a.StayAway, up.awayUntil.Sub(now))})
 	}
 	return events
 }
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -153,18 +154,33 @@
 	}
 }
 
-// Guards against log lines without end about the same bad value.
+// Guards against log lines without end about the same bad value, and against bad values that are
+// not counted.
 func TestInvalidAnnouncementIsReportedOncePerLifetime(t *testing.T) {
 	is := is.New(t)
 	r := newRegistry(upstream)
-	bad := Announcement{Invalid: []Invalid{{Cause: "one", Value: "x"}, {Cause: "two", Value: "y"}}}
-	is.Equal(len(r.Observe(start, source("u:1", start), bad)), 2)
-	bad.Invalid[0].Value = "z"
-	is.Equal(len(r.Observe(start, source("u:1", start), bad)), 0)
+	observe := func(value string) (all, logged int) {
+		bad := Announcement{Invalid: []Invalid{{Cause: "one", Value: value}, {Cause: "two", Value: strings.Repeat("y", 1000)}}}
+		for _, event := range r.Observe(start, source("u:1", start), bad) {
+			all++
+			if !event.Repeated {
+				logged++
+			}
+			is.True(len(event.Detail) < 200)
+		}
+		return all, logged
+	}
+	check := func(value string, wantLogged int) {
+		all, logged := observe(value)
+		is.Equal(all, 2)
+		is.Equal(logged, wantLogged)
+	}
+	check("x", 2)
+	check("z", 0)
 	next := upstream
 	next.Born = 2
 	r.SetUpstreams(start, []catalog.Upstream{next})
-	is.Equal(len(r.Observe(start, source("u:1", start), bad)), 2)
+	check("x", 2)
 }
 
 // Guards against peers that use an Upstream because they have not heard from it that it leaves,
@@ -197,7 +213,7 @@
 	is := is.New(t)
 	r := newRegistry(upstream)
 	limit := Announcement{StatesRate: true, Rate: throttle.Announcement{Limited: true, RequestsPerSecond: 1}}
-	is.Equal(r.Observe(start, source("u:1", start), limit), []Event{{EventRate, "requests_per_second=1 from="}})
+	is.Equal(r.Observe(start, source("u:1", start), limit), []Event{{Kind: EventRate, Detail: "requests_per_second=1 from="}})
 	is.True(r.Limited(start, "u"))
 	for range 10 {
 		r.Allow(start, "u", 1)
--- a/pkg/router/hosted_announce.go
+++ b/pkg/router/hosted_announce.go
@@ -12,7 +12,9 @@
 // onUpstreamAnswered processes what an answer states about its Upstream.
 func (h *hosted) onUpstreamAnswered(now core.Instant, e UpstreamAnswered) {
 	for _, event := range h.announcements.Observe(now, e.Source, e.Announcement) {
-		h.recordAnnouncement(now, e.Source.Upstream, event)
+		if !event.Repeated {
+			h.recordAnnouncement(now, e.Source.Upstream, event)
+		}
 		h.emit(Observe{Observation: Observation{Hosted: &HostedOutcome{Announced: event.Kind}}})
 		if event.Kind == announce.EventLeaving || event.Kind == announce.EventStayAway {
 			h.applyDispatch(now, h.dispatch.OnAnnouncement(now, e.Source.Upstream))
