--- a/pkg/hosted/broken_off_test.go
+++ b/pkg/hosted/broken_off_test.go
@@ -69,36 +69,17 @@
 // last one again and again, and closes each connection.
 func scriptedEngine(t *testing.T, responses map[string][]string) (addr string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
 	var mu sync.Mutex
-	next := func(path string) (response string) {
+	return serveRaw(t, func(r *http.Request) string {
 		mu.Lock()
 		defer mu.Unlock()
+		path := strings.TrimPrefix(r.URL.Path, "/p/")
 		remaining := responses[path]
 		if len(remaining) > 1 {
 			responses[path] = remaining[1:]
 		}
 		return remaining[0]
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, next(strings.TrimPrefix(r.URL.Path, "/p/")))
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // framings returns the ways to send a body whose end is where the engine stopped.
--- a/pkg/hosted/daemon_test.go
+++ b/pkg/hosted/daemon_test.go
@@ -232,8 +232,9 @@
 	return nil
 }
 
-// rawEngine serves one fixed response on each connection and closes it.
-func rawEngine(t *testing.T, response string) (addr string) {
+// serveRaw answers the first request on each connection with the bytes that respond returns, and
+// closes the connection.
+func serveRaw(t *testing.T, respond func(r *http.Request) string) (addr string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -248,8 +249,8 @@
 			}
 			go func() {
 				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, response)
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, respond(r))
 				}
 			}()
 		}
@@ -257,6 +258,12 @@
 	return listener.Addr().String()
 }
 
+// rawEngine serves one fixed response on each connection and closes it.
+func rawEngine(t *testing.T, response string) (addr string) {
+	t.Helper()
+	return serveRaw(t, func(*http.Request) string { return response })
+}
+
 // Guards against a stream that looks complete although its engine broke it off: without
 // a length or chunks, only the end of the last event tells.
 func TestStreamThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
--- a/pkg/router/hosted_announce.go
+++ b/pkg/router/hosted_announce.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/announce"
-	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
 
@@ -39,41 +38,6 @@
 	}
 }
 
-// replaceDecode places a request on another decode engine if the one that has granted its hold
-// wants no requests any more. It reports whether it did, or has ended the request.
-func (h *hosted) replaceDecode(now core.Instant, rs *requestState) bool {
-	up := rs.hosted.upstream.ID
-	if h.announcements.MayUsePromise(now, up) {
-		return false
-	}
-	h.recordWithUpstream(now, "dispatch", "hold given up", rs, up, h.announcements.Describe(now, up))
-	rs.hosted.stage = stageRun
-	failure := attempts.Failure{Kind: attempts.FailFull, Upstream: up, ConfirmedNotRun: true}
-	if !h.allowRetry(now, rs, failure) {
-		refusal := refusalWithRetryAfter(core.CodeNoCapacity, "the Upstream wants no requests for a time", h.retryAfter(now, rs))
-		h.refuseHosted(now, rs, refusal)
-		return true
-	}
-	h.retryElsewhere(now, rs, failure)
-	return true
-}
-
-// emitReleaseHold releases a hold, unless its engine wants no requests: the hold expires soon.
-func (h *hosted) emitReleaseHold(now core.Instant, release ReleaseHold) {
-	if h.announcements.MayUsePromise(now, release.Upstream) {
-		h.emit(release)
-	}
-}
-
-// releaseUnusedHold releases the hold of a request whose decode was not sent.
-func (h *hosted) releaseUnusedHold(now core.Instant, rs *requestState) {
-	hr := rs.hosted
-	if hr.holdID != "" {
-		h.emitReleaseHold(now, ReleaseHold{Upstream: hr.upstream.ID, Addr: hr.upstream.Addr, Hold: hr.holdID})
-		hr.holdID = ""
-	}
-}
-
 // retryAfter returns the Retry-After of a request that the Upstreams have refused.
 func (h *hosted) retryAfter(now core.Instant, rs *requestState) time.Duration {
 	service := rs.hosted.service
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -214,19 +214,6 @@
 	return refusalWithRetryAfter(core.CodeOverRate, "the account is over its rate", max(wait, time.Second))
 }
 
-// holdOutputFactor scales the caller's estimate of the output tokens for a hold. Half
-// of the responses are longer than the estimate.
-const holdOutputFactor = 1.6
-
-// holdTokens returns the memory to hold for a request, in tokens.
-func (rs *requestState) holdTokens() int {
-	output := rs.request.MaxOutputTokens
-	if expected := rs.request.ExpectedOutput; expected > 0 {
-		output = min(output, int(float64(expected)*holdOutputFactor))
-	}
-	return rs.request.PromptTokens + output
-}
-
 func (h *hosted) submit(now core.Instant, rs *requestState) {
 	hr := rs.hosted
 	hr.stage = stageWaiting
@@ -288,54 +275,6 @@
 	return rs.attempt
 }
 
-func (h *hosted) acquireHold(now core.Instant, o dispatch.Hold) {
-	rs := h.requests[o.ID]
-	if rs == nil || h.refusePoison(now, rs) {
-		return
-	}
-	rs.hosted.stage = stageHold
-	rs.hosted.upstream, _ = h.catalog.Get(o.Upstream)
-	term := rs.hosted.service.Engine.MaxHoldDuration
-	if term == 0 || term > maxHoldDuration {
-		term = maxHoldDuration
-	}
-	rs.hosted.holdExpiresAt = now.Add(term)
-	h.emit(AcquireHold{
-		Request: o.ID, Attempt: h.nextAttempt(rs), Upstream: o.Upstream, Addr: rs.hosted.upstream.Addr, Tokens: o.Tokens, Term: term,
-	})
-}
-
-// onHoldResult continues with the prefill, or returns the request to dispatch if the
-// engine did not grant the hold.
-func (h *hosted) onHoldResult(now core.Instant, e HoldResult) {
-	rs := h.requests[e.Request]
-	if rs == nil || rs.attempt != e.Attempt || rs.hosted.stage != stageHold {
-		if e.Outcome == HoldGranted {
-			h.emitReleaseHold(now, ReleaseHold{Upstream: e.Upstream, Addr: e.Addr, Hold: e.Hold})
-		}
-		return
-	}
-	switch e.Outcome {
-	case HoldGranted:
-		if h.dispatch.IsReplaceable(now, e.Upstream) {
-			h.emitReleaseHold(now, ReleaseHold{Upstream: e.Upstream, Addr: e.Addr, Hold: e.Hold})
-			e.Outcome = HoldLeaving
-			break
-		}
-		if now < rs.hosted.holdExpiresAt {
-			rs.hosted.holdID = e.Hold
-			h.startPrefill(now, rs)
-			return
-		}
-		e.Outcome = HoldExpired
-	case HoldUnreachable, HoldAddressReassigned:
-		h.dispatch.MarkUnreachable(now, e.Upstream)
-	}
-	h.recordWithUpstream(now, "dispatch", "no place", rs, e.Upstream, string(e.Outcome))
-	rs.hosted.stage = stageWaiting
-	h.applyDispatch(now, h.dispatch.OnHoldRefused(now, e.Request))
-}
-
 // startPrefill sends the prompt to a prefill engine. If there is none, or skipPrefill
 // is set, the decode engine computes the prefill itself.
 func (h *hosted) startPrefill(now core.Instant, rs *requestState) {
--- /dev/null
+++ b/pkg/router/hosted_hold.go
@@ -0,0 +1,103 @@
+package router
+
+import (
+	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
+)
+
+// holdOutputFactor scales the caller's estimate of the output tokens for a hold. Half
+// of the responses are longer than the estimate.
+const holdOutputFactor = 1.6
+
+// holdTokens returns the memory to hold for a request, in tokens.
+func (rs *requestState) holdTokens() int {
+	output := rs.request.MaxOutputTokens
+	if expected := rs.request.ExpectedOutput; expected > 0 {
+		output = min(output, int(float64(expected)*holdOutputFactor))
+	}
+	return rs.request.PromptTokens + output
+}
+
+func (h *hosted) acquireHold(now core.Instant, o dispatch.Hold) {
+	rs := h.requests[o.ID]
+	if rs == nil || h.refusePoison(now, rs) {
+		return
+	}
+	rs.hosted.stage = stageHold
+	rs.hosted.upstream, _ = h.catalog.Get(o.Upstream)
+	term := rs.hosted.service.Engine.MaxHoldDuration
+	if term == 0 || term > maxHoldDuration {
+		term = maxHoldDuration
+	}
+	rs.hosted.holdExpiresAt = now.Add(term)
+	h.emit(AcquireHold{
+		Request: o.ID, Attempt: h.nextAttempt(rs), Upstream: o.Upstream, Addr: rs.hosted.upstream.Addr, Tokens: o.Tokens, Term: term,
+	})
+}
+
+// onHoldResult continues with the prefill, or returns the request to dispatch if the
+// engine did not grant the hold.
+func (h *hosted) onHoldResult(now core.Instant, e HoldResult) {
+	rs := h.requests[e.Request]
+	if rs == nil || rs.attempt != e.Attempt || rs.hosted.stage != stageHold {
+		if e.Outcome == HoldGranted {
+			h.emitReleaseHold(now, ReleaseHold{Upstream: e.Upstream, Addr: e.Addr, Hold: e.Hold})
+		}
+		return
+	}
+	switch e.Outcome {
+	case HoldGranted:
+		if h.dispatch.IsReplaceable(now, e.Upstream) {
+			h.emitReleaseHold(now, ReleaseHold{Upstream: e.Upstream, Addr: e.Addr, Hold: e.Hold})
+			e.Outcome = HoldLeaving
+			break
+		}
+		if now < rs.hosted.holdExpiresAt {
+			rs.hosted.holdID = e.Hold
+			h.startPrefill(now, rs)
+			return
+		}
+		e.Outcome = HoldExpired
+	case HoldUnreachable, HoldAddressReassigned:
+		h.dispatch.MarkUnreachable(now, e.Upstream)
+	}
+	h.recordWithUpstream(now, "dispatch", "no place", rs, e.Upstream, string(e.Outcome))
+	rs.hosted.stage = stageWaiting
+	h.applyDispatch(now, h.dispatch.OnHoldRefused(now, e.Request))
+}
+
+// replaceDecode places a request on another decode engine if the one that has granted its hold
+// wants no requests any more. It reports whether it did, or has ended the request.
+func (h *hosted) replaceDecode(now core.Instant, rs *requestState) bool {
+	up := rs.hosted.upstream.ID
+	if h.announcements.MayUsePromise(now, up) {
+		return false
+	}
+	h.recordWithUpstream(now, "dispatch", "hold given up", rs, up, h.announcements.Describe(now, up))
+	rs.hosted.stage = stageRun
+	failure := attempts.Failure{Kind: attempts.FailFull, Upstream: up, ConfirmedNotRun: true}
+	if !h.allowRetry(now, rs, failure) {
+		refusal := refusalWithRetryAfter(core.CodeNoCapacity, "the Upstream wants no requests for a time", h.retryAfter(now, rs))
+		h.refuseHosted(now, rs, refusal)
+		return true
+	}
+	h.retryElsewhere(now, rs, failure)
+	return true
+}
+
+// emitReleaseHold releases a hold, unless its engine wants no requests: the hold expires soon.
+func (h *hosted) emitReleaseHold(now core.Instant, release ReleaseHold) {
+	if h.announcements.MayUsePromise(now, release.Upstream) {
+		h.emit(release)
+	}
+}
+
+// releaseUnusedHold releases the hold of a request whose decode was not sent.
+func (h *hosted) releaseUnusedHold(now core.Instant, rs *requestState) {
+	hr := rs.hosted
+	if hr.holdID != "" {
+		h.emitReleaseHold(now, ReleaseHold{Upstream: hr.upstream.ID, Addr: hr.upstream.Addr, Hold: hr.holdID})
+		hr.holdID = ""
+	}
+}
