announce: names of the field: backoff, jitter, ramp-up, reservation

What the code called a time to stay away is a backoff that an Upstream asks for; the log keeps 'stays away until', which the issue names. No change of behaviour. The fault of hostedsim is upstream_backoff.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -1,10 +1,10 @@
 // Package announce keeps what Upstreams announce about themselves in their answers: the rate
-// that they take from the fleet, that they leave, and a time for which they want no requests
-// from this Instance. It is the one place that says whether an Upstream may be used as far as
+// that they take from the fleet, that they leave, and a backoff, which is a time for which they want
+// no requests from this Instance. It is the one place that says whether an Upstream may be used as far as
 // the Upstream itself is concerned. It is pure: every call passes the current instant.
 //
 // An announcement belongs to one lifetime of an Upstream. Leaving holds for the rest of the
-// lifetime, a time to stay away until its end, and a rate until an answer that would state one
+// lifetime, a backoff until its end, and a rate until an answer that would state one
 // and does not; package throttle keeps the rates.
 package announce
 
@@ -27,9 +27,9 @@
 	Rate       throttle.Announcement
 	// Leaving is set when the Upstream leaves.
 	Leaving bool
-	// StayAway is the time for which the Upstream wants no requests from this Instance, 0 for
+	// Backoff is the time for which the Upstream wants no requests from this Instance, 0 for
 	// none.
-	StayAway time.Duration
+	Backoff time.Duration
 	// Invalid lists the statements that could not be read.
 	Invalid []Invalid
 }
@@ -44,7 +44,7 @@
 
 // IsEmpty reports whether the answer states nothing.
 func (a Announcement) IsEmpty() bool {
-	return !a.StatesRate && !a.Leaving && a.StayAway == 0 && len(a.Invalid) == 0
+	return !a.StatesRate && !a.Leaving && a.Backoff == 0 && len(a.Invalid) == 0
 }
 
 // Source is the Upstream of an answer.
@@ -56,20 +56,20 @@
 }
 
 const (
-	// MaxStayAway bounds the time to stay away. A longer one counts as this.
-	MaxStayAway = 10 * time.Minute
-	// commitmentTime is the time after an answer for which an Upstream that wants no requests
-	// still gets those that it has promised a place. Requests that were sent before the answer
+	// MaxBackoff bounds a backoff. A longer one counts as this.
+	MaxBackoff = 10 * time.Minute
+	// reservationGrace is the time after an answer for which an Upstream that wants no requests
+	// still gets those for which it has reserved a place. Requests that were sent before the answer
 	// arrive until then too.
-	commitmentTime = 250 * time.Millisecond
-	// Instances return to an Upstream at random within returnSpread times the time for which
-	// they stayed away, at most maxReturnSpread.
-	returnSpread    = 0.1
-	maxReturnSpread = 500 * time.Millisecond
-	// ReturnInterval is the time between two requests to an Upstream in the returnTime after the
-	// end of a time to stay away.
-	ReturnInterval = 50 * time.Millisecond
-	returnTime     = 500 * time.Millisecond
+	reservationGrace = 250 * time.Millisecond
+	// Each Instance lengthens a backoff at random by up to backoffJitter times, at most by
+	// maxBackoffJitter.
+	backoffJitter    = 0.1
+	maxBackoffJitter = 500 * time.Millisecond
+	// RampUpInterval is the time between two requests to an Upstream in the rampUpTime after its
+	// backoff.
+	RampUpInterval = 50 * time.Millisecond
+	rampUpTime     = 500 * time.Millisecond
 	// missingTTL is the time for which an Upstream that is not registered is remembered.
 	missingTTL = time.Minute
 	// leavingNotice is the time for which peers are told that an Upstream leaves. In the largest
@@ -101,11 +101,11 @@
 
 	leavingSince core.Instant // 0 unless it has announced that it leaves
 
-	// It wants no requests from turnedAwayAt to awayUntil.
-	turnedAwayAt core.Instant
-	awayUntil    core.Instant
-	// nextReturnAt is the instant of the next request in the returnTime after awayUntil.
-	nextReturnAt core.Instant
+	// It wants no requests from rejectedAt to backoffUntil.
+	rejectedAt   core.Instant
+	backoffUntil core.Instant
+	// nextRampUpAt is the instant of the next request in the rampUpTime after backoffUntil.
+	nextRampUpAt core.Instant
 
 	invalid map[string]bool // causes that have been reported
 }
@@ -160,10 +160,10 @@
 
 // The kinds of events.
 const (
-	EventRate     EventKind = "announced"
-	EventLeaving  EventKind = "leaving"
-	EventStayAway EventKind = "stay away"
-	EventInvalid  EventKind = "invalid announcement"
+	EventRate    EventKind = "announced"
+	EventLeaving EventKind = "leaving"
+	EventBackoff EventKind = "stay away"
+	EventInvalid EventKind = "invalid announcement"
 )
 
 // Observe processes what an answer announces. One of another lifetime announces nothing.
@@ -188,8 +188,8 @@
 		r.setLeaving(now, up)
 		events = append(events, Event{Kind: EventLeaving, Detail: "from="})
 	}
-	if a.StayAway > 0 && r.turnAway(now, up, min(a.StayAway, MaxStayAway)) {
-		events = append(events, Event{Kind: EventStayAway, Detail: fmt.Sprintf("for=%s until=%s", a.StayAway, up.awayUntil.Sub(now))})
+	if a.Backoff > 0 && r.startBackoff(now, up, min(a.Backoff, MaxBackoff)) {
+		events = append(events, Event{Kind: EventBackoff, Detail: fmt.Sprintf("for=%s until=%s", a.Backoff, up.backoffUntil.Sub(now))})
 	}
 	return events
 }
@@ -199,17 +199,17 @@
 	r.unavailable[up.ID] = up
 }
 
-// turnAway records a time to stay away. It reports whether that is later than the one known.
-func (r *Registry) turnAway(now core.Instant, up *lifetime, stayAway time.Duration) bool {
-	if now >= up.awayUntil {
-		up.turnedAwayAt = now
+// startBackoff records a backoff. It reports whether it ends later than the one known.
+func (r *Registry) startBackoff(now core.Instant, up *lifetime, backoff time.Duration) bool {
+	if now >= up.backoffUntil {
+		up.rejectedAt = now
 	}
-	if now.Add(stayAway) <= up.awayUntil {
+	if now.Add(backoff) <= up.backoffUntil {
 		return false
 	}
-	spread := min(maxReturnSpread.Seconds(), returnSpread*stayAway.Seconds())
-	up.awayUntil = now.Add(stayAway + time.Duration(r.rand.Float64()*spread*float64(time.Second)))
-	up.nextReturnAt = up.awayUntil
+	spread := min(maxBackoffJitter.Seconds(), backoffJitter*backoff.Seconds())
+	up.backoffUntil = now.Add(backoff + time.Duration(r.rand.Float64()*spread*float64(time.Second)))
+	up.nextRampUpAt = up.backoffUntil
 	r.unavailable[up.ID] = up
 	return true
 }
@@ -227,8 +227,8 @@
 // Availability is what an Upstream announces of its use.
 type Availability struct {
 	Leaving bool
-	// AwayUntil is the instant before which the Upstream wants no requests.
-	AwayUntil core.Instant
+	// BackoffUntil is the instant before which the Upstream wants no requests.
+	BackoffUntil core.Instant
 }
 
 // Availability returns what an Upstream announces of its use.
@@ -237,39 +237,39 @@
 	if up == nil {
 		return Availability{}
 	}
-	return Availability{Leaving: up.leavingSince != 0, AwayUntil: up.awayUntil}
+	return Availability{Leaving: up.leavingSince != 0, BackoffUntil: up.backoffUntil}
 }
 
-// MayUsePromise reports whether an Upstream may get a request for which it has promised a place,
+// MayUseReservation reports whether an Upstream may get a request for which it has reserved a place,
 // or one that gives a place back.
-func (r *Registry) MayUsePromise(now core.Instant, id core.UpstreamID) bool {
+func (r *Registry) MayUseReservation(now core.Instant, id core.UpstreamID) bool {
 	up := r.upstreams[id]
-	return up == nil || now >= up.awayUntil || now < up.turnedAwayAt.Add(commitmentTime)
+	return up == nil || now >= up.backoffUntil || now < up.rejectedAt.Add(reservationGrace)
 }
 
-// isReturning reports whether requests to an Upstream are spaced, because it wanted none until
+// isRampingUp reports whether requests to an Upstream are spaced, because it wanted none until
 // just now.
-func (up *lifetime) isReturning(now core.Instant) bool {
-	return up.awayUntil != 0 && now < up.awayUntil.Add(returnTime)
+func (up *lifetime) isRampingUp(now core.Instant) bool {
+	return up.backoffUntil != 0 && now < up.backoffUntil.Add(rampUpTime)
 }
 
 // Limited reports whether an Upstream takes requests at a limited rate.
 func (r *Registry) Limited(now core.Instant, id core.UpstreamID) bool {
 	up := r.upstreams[id]
-	return r.Rates.Limited(id) || up != nil && up.isReturning(now)
+	return r.Rates.Limited(id) || up != nil && up.isRampingUp(now)
 }
 
 // Allow reports whether a number of requests may be sent to an Upstream now, and counts them if
 // so. Otherwise it returns the time after which they may be.
 func (r *Registry) Allow(now core.Instant, id core.UpstreamID, requests int) (bool, time.Duration) {
 	up := r.upstreams[id]
-	returning := up != nil && up.isReturning(now)
-	if returning && now < up.nextReturnAt {
-		return false, up.nextReturnAt.Sub(now)
+	returning := up != nil && up.isRampingUp(now)
+	if returning && now < up.nextRampUpAt {
+		return false, up.nextRampUpAt.Sub(now)
 	}
 	allowed, wait := r.Rates.Allow(now, id, requests)
 	if allowed && returning {
-		up.nextReturnAt = now.Add(ReturnInterval)
+		up.nextRampUpAt = now.Add(RampUpInterval)
 	}
 	return allowed, wait
 }
@@ -332,8 +332,8 @@
 		return ""
 	case up.leavingSince != 0:
 		return fmt.Sprintf("%s leaving age=%s", id, now.Sub(up.leavingSince))
-	case now < up.awayUntil:
-		return fmt.Sprintf("%s stays away until=%s age=%s", id, up.awayUntil.Sub(now), now.Sub(up.turnedAwayAt))
+	case now < up.backoffUntil:
+		return fmt.Sprintf("%s stays away until=%s age=%s", id, up.backoffUntil.Sub(now), now.Sub(up.rejectedAt))
 	}
 	return ""
 }
@@ -342,7 +342,7 @@
 func (r *Registry) DescribeService(now core.Instant, service core.ServiceName, limit int) []string {
 	var found []string
 	for id, up := range r.unavailable {
-		if up.leavingSince == 0 && now >= up.awayUntil.Add(returnTime) {
+		if up.leavingSince == 0 && now >= up.backoffUntil.Add(rampUpTime) {
 			delete(r.unavailable, id)
 			continue
 		}
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -90,45 +90,45 @@
 	is.True(!r.Availability("u").Leaving)
 }
 
-// Guards against requests within any of several times to stay away, and against an Upstream that
+// Guards against requests within any of several backoffs, and against an Upstream that
 // is left alone for longer than the spread of the returns allows.
-func TestStayAwayLastsUntilTheLatestEnd(t *testing.T) {
+func TestBackoffLastsUntilTheLatestEnd(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := newRegistry(upstream)
 		now, latest, longest := start, start, time.Duration(0)
 		for range rapid.IntRange(1, 8).Draw(t, "answers") {
 			now = now.Add(time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "after")))
 			stay := time.Duration(rapid.Int64Range(1, int64(20*time.Second)).Draw(t, "stay"))
-			r.Observe(now, source("u:1", now), Announcement{StayAway: stay})
+			r.Observe(now, source("u:1", now), Announcement{Backoff: stay})
 			latest, longest = max(latest, now.Add(stay)), max(longest, stay)
-			until := r.Availability("u").AwayUntil
-			if until < latest || until > latest.Add(min(maxReturnSpread, longest/10)) {
+			until := r.Availability("u").BackoffUntil
+			if until < latest || until > latest.Add(min(maxBackoffJitter, longest/10)) {
 				t.Fatalf("away until %v, want %v", until.Sub(start), latest.Sub(start))
 			}
 		}
 	})
 }
 
-// Guards against a time to stay away without a bound.
-func TestStayAwayIsBounded(t *testing.T) {
+// Guards against a backoff without a bound.
+func TestBackoffIsBounded(t *testing.T) {
 	is := is.New(t)
 	r := newRegistry(upstream)
-	r.Observe(start, source("u:1", start), Announcement{StayAway: 1000 * time.Hour})
-	is.True(r.Availability("u").AwayUntil <= start.Add(MaxStayAway+maxReturnSpread))
+	r.Observe(start, source("u:1", start), Announcement{Backoff: 1000 * time.Hour})
+	is.True(r.Availability("u").BackoffUntil <= start.Add(MaxBackoff+maxBackoffJitter))
 }
 
-// Guards against promised places that are used long after the Upstream has turned requests away,
-// and against ones that are lost because they are used right away.
-func TestPromisesHoldForAShortTime(t *testing.T) {
+// Guards against reservations that are used long after the Upstream has asked for a backoff, and
+// against ones that are lost although they could be used immediately.
+func TestReservationsAreUsedForAShortTime(t *testing.T) {
 	is := is.New(t)
 	r := newRegistry(upstream)
-	is.True(r.MayUsePromise(start, "u"))
-	r.Observe(start, source("u:1", start), Announcement{StayAway: 2 * time.Second})
-	is.True(r.MayUsePromise(start.Add(commitmentTime-1), "u"))
-	is.True(!r.MayUsePromise(start.Add(commitmentTime), "u"))
-	r.Observe(start.Add(time.Second), source("u:1", start), Announcement{StayAway: 2 * time.Second})
-	is.True(!r.MayUsePromise(start.Add(time.Second), "u")) // a second answer renews no promise
-	is.True(r.MayUsePromise(start.Add(4*time.Second), "u"))
+	is.True(r.MayUseReservation(start, "u"))
+	r.Observe(start, source("u:1", start), Announcement{Backoff: 2 * time.Second})
+	is.True(r.MayUseReservation(start.Add(reservationGrace-1), "u"))
+	is.True(!r.MayUseReservation(start.Add(reservationGrace), "u"))
+	r.Observe(start.Add(time.Second), source("u:1", start), Announcement{Backoff: 2 * time.Second})
+	is.True(!r.MayUseReservation(start.Add(time.Second), "u")) // a second answer does not renew it
+	is.True(r.MayUseReservation(start.Add(4*time.Second), "u"))
 }
 
 // Guards against all waiting requests that arrive at an Upstream at the instant at which it takes
@@ -136,17 +136,17 @@
 func TestRequestsReturnOneAfterTheOther(t *testing.T) {
 	is := is.New(t)
 	r := newRegistry(upstream)
-	r.Observe(start, source("u:1", start), Announcement{StayAway: time.Second})
-	end := r.Availability("u").AwayUntil
+	r.Observe(start, source("u:1", start), Announcement{Backoff: time.Second})
+	end := r.Availability("u").BackoffUntil
 	sent := 0
-	for now := end; now < end.Add(returnTime); now = now.Add(time.Millisecond) {
+	for now := end; now < end.Add(rampUpTime); now = now.Add(time.Millisecond) {
 		is.True(r.Limited(now, "u"))
 		if allowed, _ := r.Allow(now, "u", 1); allowed {
 			sent++
 		}
 	}
-	is.Equal(sent, int(returnTime/ReturnInterval))
-	after := end.Add(returnTime)
+	is.Equal(sent, int(rampUpTime/RampUpInterval))
+	after := end.Add(rampUpTime)
 	is.True(!r.Limited(after, "u"))
 	for range 100 {
 		allowed, _ := r.Allow(after, "u", 1)
--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -55,7 +55,7 @@
 func (u *upstream) leaves() bool { return u.Leaving || u.announced.Leaving }
 
 func (u *upstream) usable(now core.Instant) bool {
-	return !u.leaves() && now >= u.unreachableUntil && now >= u.announced.AwayUntil
+	return !u.leaves() && now >= u.unreachableUntil && now >= u.announced.BackoffUntil
 }
 
 // runs reports whether the Upstream runs the requests of a service, unlike a prefill engine.
@@ -63,18 +63,18 @@
 	return !isModelRequest || u.Stage == catalog.StageDecode
 }
 
-// AwayWait returns the time until the first Upstream of a service returns if all that run its
+// BackoffWait returns the time until the first Upstream of a service returns if all that run its
 // requests and do not leave want none for a time, and 0 otherwise.
-func (d *Dispatcher) AwayWait(now core.Instant, service core.ServiceName, isModelRequest bool) time.Duration {
+func (d *Dispatcher) BackoffWait(now core.Instant, service core.ServiceName, isModelRequest bool) time.Duration {
 	first := core.Never
 	for _, up := range d.byService[service] {
 		if !up.runs(isModelRequest) || up.leaves() {
 			continue
 		}
-		if now >= up.announced.AwayUntil {
+		if now >= up.announced.BackoffUntil {
 			return 0
 		}
-		first = min(first, up.announced.AwayUntil)
+		first = min(first, up.announced.BackoffUntil)
 	}
 	if first == core.Never {
 		return 0
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -206,10 +206,10 @@
 	// limitWait is the time until an Upstream may be sent the job, if all usable ones are at the
 	// rate that they announce.
 	limitWait time.Duration
-	// awayWait is the time until an Upstream takes requests again, if all that could be sent the
+	// backoffWait is the time until an Upstream takes requests again, if all that could be sent the
 	// job want none.
-	awayWait  time.Duration
-	refusedBy []core.UpstreamID // engines that refused a hold, cleared when no other engine can be chosen
+	backoffWait time.Duration
+	refusedBy   []core.UpstreamID // engines that refused a hold, cleared when no other engine can be chosen
 }
 
 type upstream struct {
@@ -459,7 +459,7 @@
 }
 
 func (d *Dispatcher) place(now core.Instant, j *job) Output {
-	j.limitWait, j.awayWait = 0, 0
+	j.limitWait, j.backoffWait = 0, 0
 	output := d.placeAtBest(now, j)
 	if output != nil {
 		return output
@@ -467,7 +467,7 @@
 	if j.limitWait > 0 && d.anyUnlimited(now, j) {
 		j.limitWait = 0
 	}
-	j.awayWait = d.AwayWait(now, j.Service, j.IsModelRequest)
+	j.backoffWait = d.BackoffWait(now, j.Service, j.IsModelRequest)
 	return nil
 }
 
@@ -506,8 +506,8 @@
 		latestStart, start = j.Deadline, now
 	}
 	start = max(start, now.Add(time.Duration(ahead+1)*j.limitWait))
-	if j.awayWait > 0 {
-		start = max(start, now.Add(j.awayWait+time.Duration(ahead)*announce.ReturnInterval))
+	if j.backoffWait > 0 {
+		start = max(start, now.Add(j.backoffWait+time.Duration(ahead)*announce.RampUpInterval))
 	}
 	if start < min(latestStart, j.Deadline) {
 		return nil
@@ -521,9 +521,9 @@
 	}
 	refusal := core.NewRefusal(code, message)
 	refusal.RetryAfter = max(d.retryAfter(), j.limitWait)
-	if j.awayWait > 0 {
+	if j.backoffWait > 0 {
 		refusal.Message = "all Upstreams of the service have asked for no requests for a time"
-		refusal.RetryAfter = d.spread(j.awayWait)
+		refusal.RetryAfter = d.spread(j.backoffWait)
 	}
 	return refusal
 }
@@ -537,7 +537,7 @@
 // RetryAfter returns the time after which a refused caller of a service should return: usual,
 // or after the first Upstream does if all of them want no requests.
 func (d *Dispatcher) RetryAfter(now core.Instant, service core.ServiceName, isModelRequest bool, usual time.Duration) time.Duration {
-	if wait := d.AwayWait(now, service, isModelRequest); wait > 0 {
+	if wait := d.BackoffWait(now, service, isModelRequest); wait > 0 {
 		return d.spread(wait)
 	}
 	return usual
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -332,7 +332,7 @@
 // refused although one returns in time or may become free, and that waits for one that does not.
 func TestJobGoesByWhatUpstreamsAnnounce(t *testing.T) {
 	now := core.Instant(time.Hour)
-	in := func(d time.Duration) announce.Availability { return announce.Availability{AwayUntil: now.Add(d)} }
+	in := func(d time.Duration) announce.Availability { return announce.Availability{BackoffUntil: now.Add(d)} }
 	leaving := announce.Availability{Leaving: true}
 	for name, test := range map[string]struct {
 		announced availability
@@ -374,7 +374,7 @@
 func TestWaitingJobsGoByNewAnnouncements(t *testing.T) {
 	is := is.New(t)
 	now := core.Instant(time.Hour)
-	announced := availability{"a": {AwayUntil: now.Add(200 * time.Millisecond)}}
+	announced := availability{"a": {BackoffUntil: now.Add(200 * time.Millisecond)}}
 	d := New(Params{Rand: rand.New(rand.NewPCG(1, 1)), Announcements: announced})
 	d.SetUpstreams(now, []catalog.Upstream{{ID: "a", Service: "s", Slots: 4}})
 	job := Job{ID: "j", Service: "s", ArrivalTime: now, LatencyDeadline: now.Add(time.Second), Deadline: now.Add(3 * time.Second)}
@@ -382,10 +382,10 @@
 	is.Equal(d.Tick(now.Add(220*time.Millisecond)), []Output{Call{ID: "j", Upstream: "a"}})
 
 	job.ID = "k"
-	announced["a"] = announce.Availability{AwayUntil: now.Add(500 * time.Millisecond)}
+	announced["a"] = announce.Availability{BackoffUntil: now.Add(500 * time.Millisecond)}
 	is.Equal(len(d.OnAnnouncement(now, "a")), 0)
 	is.Equal(len(d.Submit(now, job)), 0)
-	announced["a"] = announce.Availability{AwayUntil: now.Add(time.Minute)}
+	announced["a"] = announce.Availability{BackoffUntil: now.Add(time.Minute)}
 	outputs := d.OnAnnouncement(now, "a")
 	is.Equal(len(outputs), 1)
 	_, refused := outputs[0].(Refused)
--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -256,7 +256,7 @@
 	return append(body, rest...), err
 }
 
-// handleErrorResponse handles the response of an engine that is not the begin of a stream.
+// handleErrorResponse handles the response of an engine that starts no stream.
 // The response is kept for the caller unless part of a stream was already sent.
 func (d *Daemon) handleErrorResponse(ctx context.Context, active *activeRequest, e router.StartDecode, response *UpstreamResponse) {
 	body, err := d.readResponseBody(ctx, response)
--- a/pkg/lab/hostedsim/announcements.go
+++ b/pkg/lab/hostedsim/announcements.go
@@ -14,10 +14,10 @@
 	// must get no requests that callers send to that Instance later, as the users' platform
 	// defines it.
 	leavingNotice = 3 * time.Second
-	// An Upstream that names a time to stay away may get awayTolerance requests from an Instance
-	// between awayNotice after its answer and the end of the time.
-	awayNotice    = 500 * time.Millisecond
-	awayTolerance = 2
+	// An Upstream that asks for a backoff may get backoffTolerance requests from an Instance
+	// between backoffNotice after its answer and the end of the time.
+	backoffNotice    = 500 * time.Millisecond
+	backoffTolerance = 2
 )
 
 // leaving is an Upstream that announces in its answers that it leaves.
@@ -26,24 +26,24 @@
 	told map[core.InstanceRef]core.Instant
 }
 
-// turningAway is an Upstream that turns all requests away and names a time to stay away.
-type turningAway struct {
-	stayAway time.Duration
-	windows  map[core.InstanceRef][]*awayWindow
+// backingOff is an Upstream that refuses all requests and asks for a backoff.
+type backingOff struct {
+	backoff time.Duration
+	windows map[core.InstanceRef][]*backoffWindow
 }
 
-// awayWindow is the time in which an Upstream wants no requests from an Instance because of one
+// backoffWindow is the time in which an Upstream wants no requests from an Instance because of one
 // answer.
-type awayWindow struct {
+type backoffWindow struct {
 	from, to core.Instant
 	arrivals int
 }
 
 // answer is what the Upstream announces in one answer.
 type answer struct {
-	limit    *announcedLimit
-	leaving  *leaving
-	stayAway time.Duration
+	limit   *announcedLimit
+	leaving *leaving
+	backoff time.Duration
 }
 
 // answerOf returns what an Upstream announces in an answer that it sends now.
@@ -51,21 +51,21 @@
 	return answer{limit: w.limits[id], leaving: w.leaving[id]}
 }
 
-// refusalTo returns the answer of an Upstream that turns a request of an Instance away now.
+// refusalTo returns the answer of an Upstream that refuses a request of an Instance now.
 func (w *Simulation) refusalTo(id core.UpstreamID, inst *instance) answer {
 	a := w.answerOf(id)
-	if turning := w.turningAway[id]; turning != nil && turning.stayAway > 0 {
-		a.stayAway = turning.stayAway
+	if turning := w.backingOff[id]; turning != nil && turning.backoff > 0 {
+		a.backoff = turning.backoff
 		ref := inst.member.Ref
-		turning.windows[ref] = append(turning.windows[ref], &awayWindow{from: w.now.Add(awayNotice), to: w.now.Add(turning.stayAway)})
+		turning.windows[ref] = append(turning.windows[ref], &backoffWindow{from: w.now.Add(backoffNotice), to: w.now.Add(turning.backoff)})
 	}
 	return a
 }
 
-// turnsAway reports whether an Upstream turns all requests away.
-func (w *Simulation) turnsAway(id core.UpstreamID) bool {
-	turning := w.turningAway[id]
-	return turning != nil && turning.stayAway > 0
+// rejects reports whether an Upstream refuses all requests.
+func (w *Simulation) rejects(id core.UpstreamID) bool {
+	turning := w.backingOff[id]
+	return turning != nil && turning.backoff > 0
 }
 
 // announceLeaving makes an Upstream announce that it leaves. It starts anew after a time.
@@ -90,14 +90,14 @@
 // endLifetime forgets what an Upstream has announced, since its process has ended.
 func (w *Simulation) endLifetime(id core.UpstreamID) {
 	delete(w.leaving, id)
-	delete(w.turningAway, id)
+	delete(w.backingOff, id)
 }
 
-// turnAway makes an Upstream turn all requests away for a time, and name a time to stay away.
-func (w *Simulation) turnAway(id core.UpstreamID, stayAway, duration time.Duration) {
-	turning := &turningAway{stayAway: stayAway, windows: map[core.InstanceRef][]*awayWindow{}}
-	w.turningAway[id] = turning
-	w.after(duration, func() { turning.stayAway = 0 }) // the windows last
+// startBackoff makes an Upstream refuse all requests for a time and ask for a backoff.
+func (w *Simulation) startBackoff(id core.UpstreamID, backoff, duration time.Duration) {
+	turning := &backingOff{backoff: backoff, windows: map[core.InstanceRef][]*backoffWindow{}}
+	w.backingOff[id] = turning
+	w.after(duration, func() { turning.backoff = 0 }) // the windows last
 }
 
 // checkAnnouncements checks a request of any kind that arrives at an Upstream. sentAt is the instant
@@ -108,16 +108,16 @@
 			w.result.addViolation("%s got a request from %s that was sent %s after it said that it leaves", id, inst.member.Ref, sentAt.Sub(told))
 		}
 	}
-	turning := w.turningAway[id]
+	turning := w.backingOff[id]
 	if turning == nil {
 		return
 	}
 	for _, window := range turning.windows[inst.member.Ref] {
-		paused := inst.pausedUntil > window.from.Add(-awayNotice)
+		paused := inst.pausedUntil > window.from.Add(-backoffNotice)
 		if w.now < window.from || w.now >= window.to || paused {
 			continue
 		}
-		if window.arrivals++; window.arrivals == awayTolerance+1 {
+		if window.arrivals++; window.arrivals == backoffTolerance+1 {
 			w.result.addViolation("%s got %d requests from %s while it wanted none", id, window.arrivals, inst.member.Ref)
 		}
 	}
@@ -125,7 +125,7 @@
 
 // deliverAnswer reports to an Instance what an answer that has just arrived announces.
 func (w *Simulation) deliverAnswer(inst *instance, id core.UpstreamID, sentAt core.Instant, a answer, statesRate bool) {
-	announcement := announce.Announcement{StatesRate: statesRate || a.limit != nil, StayAway: a.stayAway}
+	announcement := announce.Announcement{StatesRate: statesRate || a.limit != nil, Backoff: a.backoff}
 	if a.limit != nil {
 		announcement.Rate = throttle.Announcement{Limited: true, RequestsPerSecond: a.limit.perSecond}
 		w.noteTold(a.limit.told, inst)
--- a/pkg/lab/hostedsim/announcements_test.go
+++ b/pkg/lab/hostedsim/announcements_test.go
@@ -25,27 +25,27 @@
 
 // Guards against requests to Upstreams in the time for which they want none, and against callers
 // who suffer from that although other Upstreams have room.
-func TestUpstreamsThatTurnAwayAreLeftAlone(t *testing.T) {
+func TestUpstreamBackoffIsObeyed(t *testing.T) {
 	for seed := range uint64(3) {
 		is := is.New(t)
 		r := runExperiment(t, func(x *Experiment) {
 			x.Seed = seed
 			x.Accounts[0].Rate, x.Accounts[1].Rate = 0, 0
-			x.Faults = []Fault{{Kind: FaultTurnAway, StartSeconds: 4, DurationSeconds: 8, Count: 6, Factor: 2.5}}
+			x.Faults = []Fault{{Kind: FaultBackoff, StartSeconds: 4, DurationSeconds: 8, Count: 6, Factor: 2.5}}
 		})
 		is.True(r.Calls.Goodput() >= 0.97)
 		is.True(r.Streams.Goodput() >= 0.9)
 	}
 }
 
-// Guards against callers that wait while all Upstreams turn requests away for longer than they
-// have, and against Upstreams that stay unused afterwards.
-func TestRequestsAreRefusedAtOnceWhileAllUpstreamsTurnAway(t *testing.T) {
+// Guards against callers that wait while all Upstreams ask for a longer backoff than the callers
+// have time, and against Upstreams that stay unused afterwards.
+func TestRequestsAreRefusedAtOnceDuringTheBackoffOfAllUpstreams(t *testing.T) {
 	is := is.New(t)
 	r := runExperiment(t, func(x *Experiment) {
 		x.Calls.Retries, x.Streams.PerSecond, x.Seconds = 0, 0, 16
 		x.Accounts[0].Rate, x.Accounts[1].Rate = 0, 0
-		x.Faults = []Fault{{Kind: FaultTurnAway, StartSeconds: 4, DurationSeconds: 2, Count: 100, Factor: 3}}
+		x.Faults = []Fault{{Kind: FaultBackoff, StartSeconds: 4, DurationSeconds: 2, Count: 100, Factor: 3}}
 	})
 	is.True(len(r.RefusalDelays) > 0)
 	late := 0
@@ -74,7 +74,7 @@
 		x.SingleEntry = rapid.Bool().Draw(t, "single")
 		x.Accounts[0].Rate, x.Accounts[1].Rate = 0, 0
 		kinds := []FaultKind{
-			FaultUpstreamLeaves, FaultTurnAway, FaultUpstreamLeaves, FaultTurnAway,
+			FaultUpstreamLeaves, FaultBackoff, FaultUpstreamLeaves, FaultBackoff,
 			FaultBurst, FaultEngineCrash, FaultEngineSlow, FaultInstanceKill, FaultInstancePause, FaultPeerCut, FaultRegionCut, FaultPlainLimit, FaultEngineLimit,
 		}
 		for range rapid.IntRange(1, 7).Draw(t, "faults") {
--- a/pkg/lab/hostedsim/experiment.go
+++ b/pkg/lab/hostedsim/experiment.go
@@ -104,9 +104,9 @@
 	// FaultUpstreamLeaves makes Count Upstreams announce that they leave while the store lists
 	// them as ready. They start anew when the fault ends.
 	FaultUpstreamLeaves FaultKind = "upstream_leaves"
-	// FaultTurnAway makes Count Upstreams turn all requests away and ask each Instance to stay
-	// away for Factor seconds.
-	FaultTurnAway FaultKind = "turn_away"
+	// FaultBackoff makes Count Upstreams refuse all requests and ask each Instance for a backoff
+	// of Factor seconds.
+	FaultBackoff FaultKind = "upstream_backoff"
 	// FaultInstancePause stops Count Instances, which continue when the fault ends.
 	FaultInstancePause FaultKind = "instance_pause"
 	// FaultPeerCut drops the messages between Count Instances and all others.
@@ -226,7 +226,7 @@
 	}
 	for i, fault := range x.Faults {
 		switch fault.Kind {
-		case FaultBurst, FaultEngineSlow, FaultPlainLimit, FaultEngineLimit, FaultTurnAway:
+		case FaultBurst, FaultEngineSlow, FaultPlainLimit, FaultEngineLimit, FaultBackoff:
 			if fault.Factor <= 0 {
 				add("faults[%d].x: %v must be above 0", i, fault.Factor)
 			}
--- a/pkg/lab/hostedsim/hostedsim_test.go
+++ b/pkg/lab/hostedsim/hostedsim_test.go
@@ -162,7 +162,7 @@
 		x.Accounts[0].Burst = x.Accounts[0].Rate
 		kinds := []FaultKind{
 			FaultBurst, FaultEngineCrash, FaultEngineSlow, FaultInstanceKill, FaultInstancePause, FaultPeerCut, FaultRegionCut,
-			FaultPlainLimit, FaultEngineLimit, FaultUpstreamLeaves, FaultTurnAway,
+			FaultPlainLimit, FaultEngineLimit, FaultUpstreamLeaves, FaultBackoff,
 		}
 		for range rapid.IntRange(0, 6).Draw(t, "faults") {
 			x.Faults = append(x.Faults, Fault{
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -63,7 +63,7 @@
 	partitioned  bool
 	limits       map[core.UpstreamID]*announcedLimit // of the Upstreams that announce one
 	leaving      map[core.UpstreamID]*leaving
-	turningAway  map[core.UpstreamID]*turningAway
+	backingOff   map[core.UpstreamID]*backingOff
 	loadFactor   map[core.AccountID]float64 // load multiplier of each account
 	requests     map[core.RequestID]*callerRequest
 	requestCount int
@@ -121,7 +121,7 @@
 	w := &Simulation{
 		x: x, rng: rand.New(rand.NewPCG(x.Seed, 9)), now: core.Instant(time.Hour), revision: 1,
 		byID: map[core.InstanceID]*instance{}, engines: map[core.UpstreamID]*engine{}, plain: map[core.UpstreamID]*plainUpstream{},
-		limits: map[core.UpstreamID]*announcedLimit{}, leaving: map[core.UpstreamID]*leaving{}, turningAway: map[core.UpstreamID]*turningAway{},
+		limits: map[core.UpstreamID]*announcedLimit{}, leaving: map[core.UpstreamID]*leaving{}, backingOff: map[core.UpstreamID]*backingOff{},
 		loadFactor: map[core.AccountID]float64{}, requests: map[core.RequestID]*callerRequest{}, result: newResult(x),
 	}
 	w.start = w.now.Add(warmUp)
@@ -372,7 +372,7 @@
 			w.failCall(c, attempts.FailConnect, false, false)
 		default:
 			w.recordArrival(up, inst, request.sentAt)
-			if w.turnsAway(up) {
+			if w.rejects(up) {
 				w.failCall(c, attempts.FailFull, true, true)
 				return
 			}
@@ -487,9 +487,9 @@
 		for _, id := range choose(w.rng, w.upstreamIDs(), f.Count) {
 			w.announceLeaving(id, length)
 		}
-	case FaultTurnAway:
+	case FaultBackoff:
 		for _, id := range choose(w.rng, w.upstreamIDs(), f.Count) {
-			w.turnAway(id, seconds(f.Factor), length)
+			w.startBackoff(id, seconds(f.Factor), length)
 		}
 	case FaultRegionCut:
 		w.partitioned = true
--- a/pkg/lab/hostedsim/upstreams.go
+++ b/pkg/lab/hostedsim/upstreams.go
@@ -83,7 +83,7 @@
 			stated = w.answerOf(q.Upstream)
 			reply.Outcome = router.HoldFull
 			switch {
-			case w.turnsAway(q.Upstream):
+			case w.rejects(q.Upstream):
 				stated = w.refusalTo(q.Upstream, inst)
 			case e.fits(q.Tokens):
 				e.lastID++
--- a/pkg/router/hosted_announce.go
+++ b/pkg/router/hosted_announce.go
@@ -15,7 +15,7 @@
 			h.recordAnnouncement(now, e.Source.Upstream, event)
 		}
 		h.emit(Observe{Observation: Observation{Hosted: &HostedOutcome{Announced: event.Kind}}})
-		if event.Kind == announce.EventLeaving || event.Kind == announce.EventStayAway {
+		if event.Kind == announce.EventLeaving || event.Kind == announce.EventBackoff {
 			h.applyDispatch(now, h.dispatch.OnAnnouncement(now, e.Source.Upstream))
 		}
 	}
--- a/pkg/router/hosted_announce_test.go
+++ b/pkg/router/hosted_announce_test.go
@@ -48,7 +48,7 @@
 		hold := wantEffect[AcquireHold](r)
 		r.grantHold(hold)
 		prefill := wantEffect[StartPrefill](r)
-		r.announce(hold.Upstream, announce.Announcement{StayAway: 3 * time.Second})
+		r.announce(hold.Upstream, announce.Announcement{Backoff: 3 * time.Second})
 		r.advance(test.after)
 		r.completePrefill(prefill)
 		if test.used {
@@ -104,7 +104,7 @@
 	r.grantHold(hold)
 	prefill := wantEffect[StartPrefill](r)
 	for _, up := range []core.UpstreamID{hold.Upstream, prefill.Upstream} {
-		r.announce(up, announce.Announcement{StayAway: time.Second})
+		r.announce(up, announce.Announcement{Backoff: time.Second})
 	}
 	r.advance(300 * time.Millisecond)
 	is.Equal(len(effectsOf[ReleaseHold](r.step(CallerDisconnected{Request: "1"}))), 0)
@@ -121,7 +121,7 @@
 	r.sendRequest("1", "/call/x")
 	call := wantEffect[StartCall](r)
 	for _, up := range []core.UpstreamID{"s1", "s2"} {
-		r.announce(up, announce.Announcement{StayAway: 20 * time.Second})
+		r.announce(up, announce.Announcement{Backoff: 20 * time.Second})
 	}
 	r.failAttempt("1", call.Attempt, attempts.Failure{Kind: attempts.FailFull, Upstream: call.Upstream, MaybeSent: true, ConfirmedNotRun: true})
 	refusal := wantEffect[Refuse](r).Refusal
--- a/pkg/router/hosted_hold.go
+++ b/pkg/router/hosted_hold.go
@@ -71,7 +71,7 @@
 // wants no requests any more. It reports whether it did, or has ended the request.
 func (h *hosted) replaceDecode(now core.Instant, rs *requestState) bool {
 	up := rs.hosted.upstream.ID
-	if h.announcements.MayUsePromise(now, up) {
+	if h.announcements.MayUseReservation(now, up) {
 		return false
 	}
 	h.recordWithUpstream(now, "dispatch", "hold given up", rs, up, h.announcements.Describe(now, up))
@@ -88,7 +88,7 @@
 
 // emitReleaseHold releases a hold, unless its engine wants no requests: the hold expires soon.
 func (h *hosted) emitReleaseHold(now core.Instant, release ReleaseHold) {
-	if h.announcements.MayUsePromise(now, release.Upstream) {
+	if h.announcements.MayUseReservation(now, release.Upstream) {
 		h.emit(release)
 	}
 }
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -171,7 +171,7 @@
 	if _, found := h.poison.Find(now, rs.request.SharedParts); found {
 		return false
 	}
-	if wait := h.dispatch.AwayWait(now, hr.service.Name, hr.service.Engine != nil); wait > 0 && now.Add(wait) >= hr.deadline {
+	if wait := h.dispatch.BackoffWait(now, hr.service.Name, hr.service.Engine != nil); wait > 0 && now.Add(wait) >= hr.deadline {
 		return false
 	}
 	return h.retry.Allow(now, hr.service.Name)
@@ -187,7 +187,7 @@
 }
 
 func (h *hosted) emitReleaseKV(now core.Instant, release ReleaseKV) {
-	if !h.announcements.MayUsePromise(now, release.Upstream) {
+	if !h.announcements.MayUseReservation(now, release.Upstream) {
 		return // the KV cache expires soon
 	}
 	h.announcements.Rates.Charge(now, release.Upstream, 1)
