announce: the ramp-up after a backoff is no longer than the backoff

An engine that is full for moments and asks for backoffs of some milliseconds would get at most 20 requests a second from an Instance for half a second after each. The ramp-up now lasts as long as the backoff was, at most 0.5 s. Not seen; found while reading. TestRampUpIsNoLongerThanTheBackoff failed before.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -66,10 +66,10 @@
 	// maxBackoffJitter.
 	backoffJitter    = 0.1
 	maxBackoffJitter = 500 * time.Millisecond
-	// RampUpInterval is the time between two requests to an Upstream in the rampUpTime after its
-	// backoff.
+	// RampUpInterval is the time between two requests to an Upstream just after its backoff, for as
+	// long as the backoff was, at most maxRampUpTime.
 	RampUpInterval = 50 * time.Millisecond
-	rampUpTime     = 500 * time.Millisecond
+	maxRampUpTime  = 500 * time.Millisecond
 	// missingTTL is the time for which an Upstream that is not registered is remembered.
 	missingTTL = time.Minute
 	// leavingNotice is the time for which peers are told that an Upstream leaves. In the largest
@@ -104,7 +104,9 @@
 	// It wants no requests from rejectedAt to backoffUntil.
 	rejectedAt   core.Instant
 	backoffUntil core.Instant
-	// nextRampUpAt is the instant of the next request in the rampUpTime after backoffUntil.
+	// From backoffUntil to rampUpUntil its requests are spaced. The next one may be sent at
+	// nextRampUpAt.
+	rampUpUntil  core.Instant
 	nextRampUpAt core.Instant
 
 	invalid map[string]bool // causes that have been reported
@@ -210,6 +212,7 @@
 	spread := min(maxBackoffJitter.Seconds(), backoffJitter*backoff.Seconds())
 	up.backoffUntil = now.Add(backoff + time.Duration(r.rand.Float64()*spread*float64(time.Second)))
 	up.nextRampUpAt = up.backoffUntil
+	up.rampUpUntil = up.backoffUntil.Add(min(maxRampUpTime, backoff))
 	r.unavailable[up.ID] = up
 	return true
 }
@@ -250,7 +253,7 @@
 // isRampingUp reports whether requests to an Upstream are spaced, because it wanted none until
 // just now.
 func (up *lifetime) isRampingUp(now core.Instant) bool {
-	return up.backoffUntil != 0 && now < up.backoffUntil.Add(rampUpTime)
+	return now < up.rampUpUntil
 }
 
 // Limited reports whether an Upstream takes requests at a limited rate.
@@ -342,7 +345,7 @@
 func (r *Registry) DescribeService(now core.Instant, service core.ServiceName, limit int) []string {
 	var found []string
 	for id, up := range r.unavailable {
-		if up.leavingSince == 0 && now >= up.backoffUntil.Add(rampUpTime) {
+		if up.leavingSince == 0 && now >= up.rampUpUntil {
 			delete(r.unavailable, id)
 			continue
 		}
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -139,14 +139,14 @@
 	r.Observe(start, source("u:1", start), Announcement{Backoff: time.Second})
 	end := r.Availability("u").BackoffUntil
 	sent := 0
-	for now := end; now < end.Add(rampUpTime); now = now.Add(time.Millisecond) {
+	for now := end; now < end.Add(maxRampUpTime); now = now.Add(time.Millisecond) {
 		is.True(r.Limited(now, "u"))
 		if allowed, _ := r.Allow(now, "u", 1); allowed {
 			sent++
 		}
 	}
-	is.Equal(sent, int(rampUpTime/RampUpInterval))
-	after := end.Add(rampUpTime)
+	is.Equal(sent, int(maxRampUpTime/RampUpInterval))
+	after := end.Add(maxRampUpTime)
 	is.True(!r.Limited(after, "u"))
 	for range 100 {
 		allowed, _ := r.Allow(after, "u", 1)
@@ -154,6 +154,16 @@
 	}
 }
 
+// Guards against a ramp-up that outlasts the backoff of an Upstream that asks for short ones.
+func TestRampUpIsNoLongerThanTheBackoff(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(upstream)
+	r.Observe(start, source("u:1", start), Announcement{Backoff: 20 * time.Millisecond})
+	end := r.Availability("u").BackoffUntil
+	is.True(r.Limited(end, "u"))
+	is.True(!r.Limited(end.Add(20*time.Millisecond), "u"))
+}
+
 // Guards against log lines without end about the same bad value, and against bad values that are
 // not counted.
 func TestInvalidAnnouncementIsReportedOncePerLifetime(t *testing.T) {
