--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rhubarbsill/rhubarbsill/pkg/announce"
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
@@ -15,7 +16,8 @@
 func BenchmarkDecision(b *testing.B) {
 	for _, kind := range []string{"model", "plain"} {
 		b.Run(kind, func(b *testing.B) {
-			d := New(Params{Rand: rand.New(rand.NewPCG(1, 1)), DataCentre: "dc-0"})
+			announcements := announce.New(core.InstanceRef{ID: "a"}, rand.New(rand.NewPCG(1, 1)))
+			d := New(Params{Rand: rand.New(rand.NewPCG(1, 1)), DataCentre: "dc-0", Announcements: announcements})
 			var list []catalog.Upstream
 			for i := range 1300 {
 				up := catalog.Upstream{ID: core.UpstreamID(fmt.Sprintf("u-%04d", i)), Service: "s", DataCentre: core.DataCentreName(fmt.Sprintf("dc-%d", i%5)), Slots: 6}
@@ -29,6 +31,7 @@
 			}
 			now := core.Instant(time.Hour)
 			d.SetEngineCapacity(map[core.ServiceName]EngineCapacity{"s": {Slots: 64, MemoryTokens: 76_562}})
+			announcements.SetUpstreams(now, list)
 			d.SetUpstreams(now, list)
 			job := Job{ID: "r", Service: "s", IsModelRequest: kind == "model", MemoryTokens: 5000, PromptTokens: 5000,
 				ArrivalTime: now, LatencyDeadline: now.Add(time.Second), Deadline: now.Add(10 * time.Second)}
