dispatch: a new request is refused at once when all Upstreams of its service leave

What callers saw: while all Upstreams of a service say that they leave, a request waited until its latency target was missed and was refused then, up to 2.5 s in the test's route.

Cause: only backoffs of all Upstreams counted as knowledge that nothing will take a request. That all leave was treated like a full service, where a place may become free at any moment.

Ruled out: refusing retries too. Their callers may have a part of the response, which a refusal ends, while an Upstream that is registered later can continue it. Refusing when no Upstream is registered at all stays as it was: the entries of live Upstreams are restored within seconds after an outage of the store.

Change: a job that is not a retry is refused at once, as not run, when Upstreams are registered that run it and all of them leave, by their own announcement or by the store.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -82,6 +82,21 @@
 	return first.Sub(now)
 }
 
+// allLeave reports whether Upstreams are registered that run the job, and all of them leave.
+func (d *Dispatcher) allLeave(j *job) bool {
+	registered := false
+	for _, up := range d.byService[j.Service] {
+		if !up.runs(j.IsModelRequest) {
+			continue
+		}
+		if !up.leaves() {
+			return false
+		}
+		registered = true
+	}
+	return registered
+}
+
 // IsReplaceable reports whether an Upstream leaves while another one that runs the requests of
 // its service can be used.
 func (d *Dispatcher) IsReplaceable(now core.Instant, id core.UpstreamID) bool {
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -497,6 +497,11 @@
 // longer, and nil otherwise. Such a job is refused immediately, since waiting would gain
 // its caller nothing.
 func (d *Dispatcher) refusalIfTooLate(now core.Instant, j *job, ahead int) *core.Refusal {
+	if !j.IsRetry && d.allLeave(j) {
+		refusal := core.NewRefusal(core.CodeNoUpstream, "all Upstreams of the service leave")
+		refusal.RetryAfter = d.retryAfter()
+		return refusal
+	}
 	latestStart := j.LatencyDeadline.Add(-d.timeToFirstEvent(now, j))
 	start := now
 	if !j.hasWaited {
