dispatch: a request waits no longer for the ramp-up after a backoff than the ramp-up lasts

Cause: the wait was estimated as 50 ms for each request ahead, without end. The ramp-up after a backoff lasts 0.5 s at most, and requests are not spaced afterwards.

Change: announce.RampUpDelay bounds the estimate by the longest ramp-up.

Test: TestJobsWaitNoLongerThanTheRampUp failed before.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -66,9 +66,9 @@
 	// maxBackoffJitter.
 	backoffJitter    = 0.1
 	maxBackoffJitter = 500 * time.Millisecond
-	// RampUpInterval is the time between two requests to an Upstream just after its backoff, for as
+	// rampUpInterval is the time between two requests to an Upstream just after its backoff, for as
 	// long as the backoff was, at most maxRampUpTime.
-	RampUpInterval = 50 * time.Millisecond
+	rampUpInterval = 50 * time.Millisecond
 	maxRampUpTime  = 500 * time.Millisecond
 	// missingTTL is the time for which an Upstream that is not registered is remembered.
 	missingTTL = time.Minute
@@ -272,11 +272,17 @@
 	}
 	allowed, wait := r.Rates.Allow(now, id, requests)
 	if allowed && returning {
-		up.nextRampUpAt = now.Add(RampUpInterval)
+		up.nextRampUpAt = now.Add(rampUpInterval)
 	}
 	return allowed, wait
 }
 
+// RampUpDelay returns the longest time from the end of a backoff until a request is sent that has a
+// number of requests ahead of it.
+func RampUpDelay(ahead int) time.Duration {
+	return min(time.Duration(ahead)*rampUpInterval, maxRampUpTime)
+}
+
 // Return gives back requests that were allowed and not sent.
 func (r *Registry) Return(now core.Instant, id core.UpstreamID, requests int) {
 	r.Rates.Return(now, id, requests)
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -145,7 +145,7 @@
 			sent++
 		}
 	}
-	is.Equal(sent, int(maxRampUpTime/RampUpInterval))
+	is.Equal(sent, int(maxRampUpTime/rampUpInterval))
 	after := end.Add(maxRampUpTime)
 	is.True(!r.Limited(after, "u"))
 	for range 100 {
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -512,7 +512,7 @@
 	}
 	start = max(start, now.Add(time.Duration(ahead+1)*j.limitWait))
 	if j.backoffWait > 0 {
-		start = max(start, now.Add(j.backoffWait+time.Duration(ahead)*announce.RampUpInterval))
+		start = max(start, now.Add(j.backoffWait+announce.RampUpDelay(ahead)))
 	}
 	if start < min(latestStart, j.Deadline) {
 		return nil
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -398,3 +399,19 @@
 	_, refused := outputs[0].(Refused)
 	is.True(refused)
 }
+
+// Guards against jobs that are refused because they would have to wait for longer than the ramp-up
+// after a backoff lasts.
+func TestJobsWaitNoLongerThanTheRampUp(t *testing.T) {
+	is := is.New(t)
+	now := core.Instant(time.Hour)
+	announced := availability{"a": {BackoffUntil: now.Add(200 * time.Millisecond)}}
+	d := New(Params{Rand: rand.New(rand.NewPCG(1, 1)), Announcements: announced})
+	d.SetUpstreams(now, []catalog.Upstream{{ID: "a", Service: "s", Slots: 100}})
+	const jobs = 30
+	for i := range jobs {
+		job := Job{ID: core.RequestID(strconv.Itoa(i)), Service: "s", ArrivalTime: now, LatencyDeadline: now.Add(time.Second), Deadline: now.Add(3 * time.Second)}
+		is.Equal(len(d.Submit(now, job)), 0)
+	}
+	is.Equal(len(d.Tick(now.Add(220*time.Millisecond))), jobs)
+}
