upstream: an earlier refusal is not taken for the answer to a request on the own wire

A report of operators of similar systems: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran, or those ran at a second engine (REFUSED, TWICE).

Cause: net/http keeps connections, and nothing in a response of the own wire names its request. A copy that arrives after the next request was written is taken for the answer to it.

Ruled out: a copy that arrives while the connection is idle, which net/http notices; the users' platform, whose pool uses new connections.

Change: each host has two transports. Requests use one connection each, as on the users' platform; reads of an engine's state, which lag anyway, keep theirs. The retry on closed idle connections goes: for reads net/http does it itself. A stream no longer reads on after its last token, which only served to keep its connection. An id of the request in each response was weighed: plain services do not echo one.

Tests: TestClosedIdleConnectionsAreReplaced checks the same of reads, since requests no longer use idle connections. TestUnresponsiveConnectionsAreReplaced left its three idle connections with streams, which keep none now; it makes them with three reads and checks the number of connections besides. Without the close of idle connections it fails, as before.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -36,7 +36,8 @@
 	// PlainProgressTimeout replaces ProgressTimeout for calls to plain services, which send
 	// nothing while they work. Default 30 s.
 	PlainProgressTimeout time.Duration
-	// ConnsPerHost bounds the connections to one Upstream. Default 64.
+	// ConnsPerHost bounds the connections to one Upstream for requests, and also those for reads
+	// of its state. Default 64.
 	ConnsPerHost int
 	// MaxResponseBytes bounds the body of a response that isn't a stream, in bytes. Default
 	// 8 MiB.
@@ -68,23 +69,40 @@
 	opts Options
 
 	mu    sync.Mutex
-	hosts map[string]*http.Transport
+	hosts map[string]*hostTransports
+}
+
+// hostTransports are the transports of one host.
+type hostTransports struct {
+	// single uses each connection for one request: nothing in a response names its request, so on a
+	// used connection a second copy of an earlier response would be taken for it.
+	single *http.Transport
+	// kept reuses connections. It is for the reads of the engine protocol only, whose responses lag
+	// behind anyway.
+	kept *http.Transport
 }
 
 // New returns a client.
 func New(opts Options) *Client {
-	return &Client{opts: opts.withDefaults(), hosts: make(map[string]*http.Transport)}
+	return &Client{opts: opts.withDefaults(), hosts: make(map[string]*hostTransports)}
 }
 
-// transport returns the transport of a host. Each host has its own, so that the idle
+// transports returns the transports of a host. Each host has its own, so that the idle
 // connections to an unresponsive Upstream can be closed without those to others.
-func (c *Client) transport(host string) *http.Transport {
+func (c *Client) transports(host string) *hostTransports {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if t, ok := c.hosts[host]; ok {
 		return t
 	}
-	t := &http.Transport{
+	t := &hostTransports{single: c.newTransport(), kept: c.newTransport()}
+	t.single.DisableKeepAlives = true
+	c.hosts[host] = t
+	return t
+}
+
+func (c *Client) newTransport() *http.Transport {
+	return &http.Transport{
 		DialContext:            c.dial,
 		MaxConnsPerHost:        c.opts.ConnsPerHost,
 		MaxIdleConnsPerHost:    c.opts.ConnsPerHost,
@@ -93,8 +111,6 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 64 << 10,
 	}
-	c.hosts[host] = t
-	return t
 }
 
 func (c *Client) dial(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -106,7 +122,7 @@
 	return &trackedConn{Conn: conn, writeTimeout: c.opts.WriteTimeout}, nil
 }
 
-// RemoveUpstream removes the transport of an Upstream that has left and closes its
+// RemoveUpstream removes the transports of an Upstream that has left and closes its
 // idle connections. Requests in progress continue.
 func (c *Client) RemoveUpstream(baseURL string) {
 	u, err := url.Parse(baseURL)
@@ -118,7 +134,7 @@
 	delete(c.hosts, u.Host)
 	c.mu.Unlock()
 	if ok {
-		t.CloseIdleConnections()
+		t.kept.CloseIdleConnections()
 	}
 }
 
@@ -127,7 +143,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, t := range c.hosts {
-		t.CloseIdleConnections()
+		t.kept.CloseIdleConnections()
 	}
 }
 
@@ -144,7 +160,7 @@
 	connected atomic.Bool
 	// writeResult holds the result of writing the request.
 	writeResult chan error
-	transport   *http.Transport
+	transports  *hostTransports
 	response    *http.Response
 }
 
@@ -189,29 +205,12 @@
 
 func (b *singleUseBody) Close() error { return nil }
 
-// start sends a request and waits for the header of the response. When an idle
-// connection turns out to be closed and nothing was sent, it retries once on a new
-// one: net/http doesn't, because it can't rewind the body.
+// start sends a request and waits for the header of the response. A GET without a body is a read of
+// the engine protocol: it may use a kept connection, and net/http itself retries it when that
+// connection ends before the response.
 func (c *Client) start(ctx context.Context, method string, u *url.URL, header http.Header, body []byte, progressTimeout time.Duration) (*call, error) {
-	cl, failure := c.startOnce(ctx, method, u, header, body, progressTimeout)
-	if failure == nil {
-		return cl, nil
-	}
-	if failure.Kind == ConnectFailed && !failure.Sent && cl.sends.reused() {
-		cl.transport.CloseIdleConnections()
-		if cl, failure = c.startOnce(ctx, method, u, header, body, progressTimeout); failure == nil {
-			return cl, nil
-		}
-	}
-	return nil, failure
-}
-
-// startOnce sends a request once. With a nil body, net/http itself retries a GET when
-// a reused connection ends before the response. Only the read-only requests of the
-// engine protocol may be retried in that way.
-func (c *Client) startOnce(ctx context.Context, method string, u *url.URL, header http.Header, body []byte, progressTimeout time.Duration) (*call, *Error) {
 	safeURL := url.URL{Scheme: u.Scheme, Host: u.Host, Path: u.Path}
-	cl := &call{client: c, url: safeURL.String(), progressTimeout: progressTimeout, transport: c.transport(u.Host), writeResult: make(chan error, 1)}
+	cl := &call{client: c, url: safeURL.String(), progressTimeout: progressTimeout, transports: c.transports(u.Host), writeResult: make(chan error, 1)}
 	cl.ctx, cl.cancel = context.WithCancelCause(ctx)
 	cl.watchdog = time.AfterFunc(progressTimeout, cl.expire)
 	traceCtx := httptrace.WithClientTrace(cl.ctx, &httptrace.ClientTrace{
@@ -226,7 +225,7 @@
 	request, err := http.NewRequestWithContext(traceCtx, method, u.String(), content)
 	if err != nil {
 		cl.close()
-		return cl, &Error{Kind: Refused, URL: cl.url, Code: CodeMalformed, Err: err}
+		return nil, &Error{Kind: Refused, URL: cl.url, Code: CodeMalformed, Err: err}
 	}
 	request.ContentLength = int64(len(body))
 	request.Header = header
@@ -234,11 +233,15 @@
 	if c.opts.Credential != "" {
 		request.Header.Set("Authorization", "Bearer "+c.opts.Credential)
 	}
-	cl.response, err = cl.transport.RoundTrip(request)
+	transport := cl.transports.single
+	if body == nil && method == http.MethodGet {
+		transport = cl.transports.kept
+	}
+	cl.response, err = transport.RoundTrip(request)
 	if err != nil {
 		failure := cl.classifyError(err)
 		cl.close()
-		return cl, failure
+		return nil, failure
 	}
 	cl.progress()
 	return cl, nil
@@ -332,7 +335,7 @@
 	if failure.Kind == Stalled {
 		// The other idle connections to an unresponsive Upstream are likely to be
 		// unresponsive too.
-		cl.transport.CloseIdleConnections()
+		cl.transports.kept.CloseIdleConnections()
 	}
 	return failure
 }
@@ -511,7 +514,7 @@
 	if err != nil {
 		return PlainResponse{}, &Error{Kind: Refused, URL: baseURL, Code: CodeMalformed, Err: err}
 	}
-	// A body that isn't nil keeps net/http from retrying the request; see startOnce.
+	// A body that isn't nil keeps net/http from retrying the request; see start.
 	body := q.Body
 	if body == nil {
 		body = []byte{}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -66,7 +66,6 @@
 type connUse struct {
 	conn         *trackedConn
 	writesBefore uint64
-	reused       bool
 }
 
 func (s *sendTracker) gotConn(info httptrace.GotConnInfo) {
@@ -81,14 +80,7 @@
 		s.untracked = true
 		return
 	}
-	s.uses = append(s.uses, connUse{conn: tracked, writesBefore: tracked.writeCount(), reused: info.Reused})
-}
-
-// reused reports whether the request's last connection had served earlier requests.
-func (s *sendTracker) reused() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.uses) > 0 && s.uses[len(s.uses)-1].reused
+	s.uses = append(s.uses, connUse{conn: tracked, writesBefore: tracked.writeCount()})
 }
 
 // sent reports whether a byte of the request can have reached the Upstream. When it
--- a/pkg/upstream/conn_test.go
+++ b/pkg/upstream/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -54,29 +55,29 @@
 	is := is.New(t)
 	var arrived atomic.Int64
 	both := make(chan struct{})
-	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if arrived.Add(1) == 2 {
 			close(both)
 		}
 		<-both
+		_, _ = io.WriteString(w, "{}")
 	}))
 	defer s.Close()
 	c := New(Options{})
 	defer c.Close()
 	var mu sync.Mutex
 	var conns []*trackedConn
-	c.transport(s.Listener.Addr().String()).DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+	c.transports(s.Listener.Addr().String()).kept.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := c.dial(ctx, network, addr)
 		mu.Lock()
 		defer mu.Unlock()
 		conns = append(conns, conn.(*trackedConn))
 		return conn, err
 	}
-	q := PlainRequest{Method: http.MethodPost, Path: "/", Body: []byte("x")}
 	results := make(chan error, 2)
 	for range 2 {
 		go func() {
-			_, err := c.Call(t.Context(), s.URL, q)
+			_, err := c.Load(t.Context(), s.URL)
 			results <- err
 		}()
 	}
@@ -85,8 +86,62 @@
 	for _, conn := range conns {
 		conn.wroteSince(conn.writeCount()) // closes it for writing
 	}
-	_, err := c.Call(t.Context(), s.URL, q)
+	_, err := c.Load(t.Context(), s.URL)
 	is.NoErr(err)
 	is.Equal(arrived.Load(), int64(3))
 	is.Equal(len(conns), 3)
 }
+
+// Guards against a read that hangs on an unresponsive connection, and against the next read being
+// given another such connection.
+func TestUnresponsiveConnectionsAreReplaced(t *testing.T) {
+	is := is.New(t)
+	const conns = 3
+	var arrived atomic.Int64
+	var silent atomic.Bool
+	all, ended := make(chan struct{}), make(chan struct{})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Context().Value(connKey{}).(int64) <= conns && silent.Load() {
+			<-ended
+			return
+		}
+		if arrived.Add(1) == conns {
+			close(all)
+		}
+		<-all
+		_, _ = io.WriteString(w, "{}")
+	}))
+	var accepted atomic.Int64
+	s.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, accepted.Add(1))
+	}
+	s.Start()
+	defer s.Close()
+	defer close(ended)
+	const progressTimeout = 200 * time.Millisecond
+	c := New(Options{ProgressTimeout: progressTimeout})
+	defer c.Close()
+	results := make(chan error, conns)
+	for range conns {
+		go func() {
+			_, err := c.Load(t.Context(), s.URL)
+			results <- err
+		}()
+	}
+	for range conns {
+		is.NoErr(<-results)
+	}
+	silent.Store(true)
+
+	begin := time.Now()
+	_, err := c.Load(t.Context(), s.URL)
+	var failure *Error
+	is.True(errors.As(err, &failure) && failure.Kind == Stalled && failure.Sent)
+	is.True(time.Since(begin) < 5*progressTimeout)
+	_, err = c.Load(t.Context(), s.URL)
+	is.NoErr(err) // on a new connection
+	is.Equal(accepted.Load(), int64(conns+1))
+}
+
+// connKey is the key of the number of a connection in the context of its requests.
+type connKey struct{}
--- a/pkg/upstream/fault_test.go
+++ b/pkg/upstream/fault_test.go
@@ -118,34 +118,6 @@
 	is.Equal(begin+rest, complete)
 }
 
-// Guards against a request that hangs on an unresponsive connection, and against the
-// next request being given another such connection.
-func TestUnresponsiveConnectionsAreReplaced(t *testing.T) {
-	is := is.New(t)
-	ctx := testContext(t)
-	p := newEnginePair(t, engine.Options{PerOutputToken: 20 * time.Millisecond})
-	// Three concurrent streams leave three idle connections.
-	var streams []upstream.TokenStream
-	for _, attempt := range []string{"a", "b", "c"} {
-		s, err := p.start(ctx, attempt, "x", "", 0, 3)
-		is.NoErr(err)
-		streams = append(streams, s)
-	}
-	for _, s := range streams {
-		_, err := read(s, 3)
-		is.NoErr(err)
-		s.Close()
-	}
-	p.decode.SetFaults(engine.Faults{Silent: true})
-
-	begin := time.Now()
-	_, err := p.client.Load(ctx, p.decodeURL)
-	wantError(t, err, upstream.Stalled, true)
-	is.True(time.Since(begin) < 5*progressTimeout)
-	_, err = p.client.Load(ctx, p.decodeURL)
-	is.NoErr(err) // the second call has a new connection
-}
-
 // Guards against a stream that hangs because its engine becomes unresponsive midway.
 func TestUnresponsiveStreamIsStalled(t *testing.T) {
 	is := is.New(t)
--- a/pkg/upstream/reset_test.go
+++ b/pkg/upstream/reset_test.go
@@ -83,3 +83,22 @@
 	}
 	is.Equal(complete, 0)
 }
+
+// Guards against a response that a Client takes for complete although the Upstream stopped in the
+// middle of its header or body.
+func TestClientDoesNotTakeAPartForTheResponse(t *testing.T) {
+	is := is.New(t)
+	const response = "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 5\r\n\r\nwhole"
+	for n := range len(response) + 1 {
+		addr, _ := rawServer(t, func(conn net.Conn, r *bufio.Reader) {
+			if _, err := readRequest(r); err == nil {
+				_, _ = io.WriteString(conn, response[:n])
+			}
+		})
+		client := New(Options{})
+		got, err := client.Call(t.Context(), "http://"+addr, PlainRequest{Method: http.MethodPost, Path: "/", Body: []byte("x")})
+		client.Close()
+		is.Equal(err == nil, n == len(response))
+		is.Equal(string(got.Body) == "whole", n == len(response))
+	}
+}
--- a/pkg/upstream/stream.go
+++ b/pkg/upstream/stream.go
@@ -7,8 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync/atomic"
-	"time"
 )
 
 // TokenStream reads the tokens of one attempt. It is not safe for concurrent use,
@@ -27,23 +25,15 @@
 	events     *eventReader
 	generation uint64
 	nextIndex  int
-	done       atomic.Bool
+	done       bool
 	err        error
 }
 
 // Generation returns the generation of this consumer at the engine.
 func (s *stream) Generation() uint64 { return s.generation }
 
-// drainTimeout bounds the wait for the end of the body after the last token.
-const drainTimeout = 50 * time.Millisecond
-
-// Close disconnects from the engine. After the last token it reads the end of the
-// body, so that the connection can be reused.
+// Close disconnects from the engine.
 func (s *stream) Close() error {
-	if s.done.Load() && s.call.watchdog.Stop() {
-		s.call.watchdog.Reset(drainTimeout)
-		_, _ = io.CopyN(io.Discard, s.call.response.Body, 1)
-	}
 	s.call.close()
 	return nil
 }
@@ -57,7 +47,7 @@
 	token, err := s.read()
 	if err != nil {
 		s.err = err
-		if !s.done.Load() {
+		if !s.done {
 			s.call.close()
 		}
 		return Token{}, err
@@ -66,7 +56,7 @@
 }
 
 func (s *stream) read() (Token, error) {
-	if s.done.Load() {
+	if s.done {
 		return Token{}, io.EOF
 	}
 	ev, err := s.events.next()
@@ -84,7 +74,7 @@
 		return Token{}, s.malformedError(fmt.Errorf("token index %d, want %d", token.Index, s.nextIndex))
 	}
 	s.nextIndex++
-	s.done.Store(token.Done)
+	s.done = token.Done
 	return token, nil
 }
 
