--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -436,7 +436,7 @@
 			outputs = append(outputs, output)
 			continue
 		}
-		if refusal := d.refusalIfTooLate(now, j, ahead[j.Service]); refusal != nil {
+		if refusal := d.refusalIfUnservable(now, j, ahead[j.Service]); refusal != nil {
 			j.waiting = false
 			delete(d.jobs, j.ID)
 			outputs = append(outputs, Refused{ID: j.ID, Refusal: refusal})
@@ -492,16 +492,23 @@
 	return Call{ID: j.ID, Upstream: up.ID}
 }
 
-// refusalIfTooLate returns the refusal of a job that can no longer meet its latency
-// target, because the latest start has passed or the jobs ahead of it are expected to take
-// longer, and nil otherwise. Such a job is refused immediately, since waiting would gain
-// its caller nothing.
-func (d *Dispatcher) refusalIfTooLate(now core.Instant, j *job, ahead int) *core.Refusal {
+// refusalIfUnservable returns the refusal of a job that could not be placed and gains nothing by
+// waiting, nil for others. A retry waits although all Upstreams leave: its caller may have a part of
+// the response, and an Upstream that is registered later can continue it.
+func (d *Dispatcher) refusalIfUnservable(now core.Instant, j *job, ahead int) *core.Refusal {
 	if !j.IsRetry && d.allLeave(j) {
 		refusal := core.NewRefusal(core.CodeNoUpstream, "all Upstreams of the service leave")
 		refusal.RetryAfter = d.retryAfter()
 		return refusal
 	}
+	return d.refusalIfTooLate(now, j, ahead)
+}
+
+// refusalIfTooLate returns the refusal of a job that can no longer meet its latency
+// target, because the latest start has passed or the jobs ahead of it are expected to take
+// longer, and nil otherwise. Such a job is refused immediately, since waiting would gain
+// its caller nothing.
+func (d *Dispatcher) refusalIfTooLate(now core.Instant, j *job, ahead int) *core.Refusal {
 	latestStart := j.LatencyDeadline.Add(-d.timeToFirstEvent(now, j))
 	start := now
 	if !j.hasWaited {
