hostedsim, tests: the seven longest tests run beside each other

They are simulations in virtual time, each with its own state and seed; no bound depends on the processor.

Ruled out: fewer draws, which would check less. No check, seed or number of draws changes.

--- a/pkg/lab/hostedsim/announcements_test.go
+++ b/pkg/lab/hostedsim/announcements_test.go
@@ -60,6 +60,7 @@
 
 // Guards against requests that an Upstream did not want, under a mix of faults.
 func TestAnnouncementsOfDrawnSites(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		x := Small()
 		x.Seed = rapid.Uint64().Draw(t, "seed")
--- a/pkg/lab/hostedsim/hostedsim_test.go
+++ b/pkg/lab/hostedsim/hostedsim_test.go
@@ -148,6 +148,7 @@
 // is not safe to retry, is refused as not run although it ran, or never ends, and a quota
 // that is exceeded.
 func TestRulesUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		x := Small()
 		x.Seed = rapid.Uint64().Draw(t, "seed")
@@ -188,6 +189,7 @@
 // Guards against a quota that is exceeded while Instances hear nothing of each other for
 // longer than it takes to notice: each of them then has only its share.
 func TestQuotaHoldsWhileInstancesLoseTheirPeers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		runExperiment(t, func(x *Experiment) {
 			x.Seed, x.Seconds = seed, 10
--- a/pkg/lab/hostedsim/limits_test.go
+++ b/pkg/lab/hostedsim/limits_test.go
@@ -37,6 +37,7 @@
 // Guards against Upstreams that get more requests than they have announced to take while
 // others have room: those serve the rest.
 func TestAnnouncedLimitHolds(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ perDataCentre, calls int }{{2, 60}, {21, 250}} {
 		t.Run(fmt.Sprint(4*size.perDataCentre), func(t *testing.T) {
 			is := is.New(t)
@@ -103,6 +104,7 @@
 // Guards against limits that are exceeded while Instances are killed, paused, cut off from
 // their peers or from the other region.
 func TestAnnouncedLimitHoldsUnderFaults(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		for _, kind := range []FaultKind{FaultInstanceKill, FaultInstancePause, FaultPeerCut, FaultRegionCut, FaultBurst} {
 			runExperiment(t, func(x *Experiment) {
@@ -122,6 +124,7 @@
 // Guards against a limit that is exceeded when demand begins at all Instances of a large
 // fleet within the time in which they hear of each other.
 func TestAnnouncedLimitHoldsWhenDemandBeginsEverywhere(t *testing.T) {
+	t.Parallel()
 	const perSecond = 3
 	for seed := range uint64(3) {
 		r := runExperiment(t, func(x *Experiment) {
@@ -150,6 +153,7 @@
 // Guards against limits that are exceeded in a fleet of some size, at some load and limit,
 // under a mix of faults.
 func TestAnnouncedLimitsOfDrawnSites(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		x := Small()
 		x.Seed = rapid.Uint64().Draw(t, "seed")
