hosted: test of broken-off streams that their caller resumes

The tests of broken-off streams had none that a caller resumes, for which an empty stream may be complete. It may be only if its end is marked: a length or chunks, not the end of a connection.

--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -150,11 +150,15 @@
 	return s.members, nil
 }
 
-// fakeCallers decodes the identifier and the key of a request from fixed headers.
+// fakeCallers decodes the identifier and the key of a request, and the event after which it resumes
+// a stream, from fixed headers.
 type fakeCallers struct{}
 
 func (fakeCallers) Decode(r *http.Request) (CallerRequest, *core.Refusal) {
-	return CallerRequest{ID: core.RequestID(r.Header.Get("X-Id")), Key: r.Header.Get("X-Key"), ForwardHeader: http.Header{"X-Id": r.Header.Values("X-Id")}}, nil
+	return CallerRequest{
+		ID: core.RequestID(r.Header.Get("X-Id")), Key: r.Header.Get("X-Key"), LastEventID: r.Header.Get("Last-Event-Id"),
+		ForwardHeader: http.Header{"X-Id": r.Header.Values("X-Id")},
+	}, nil
 }
 
 func (fakeCallers) DecodeAddresses(*http.Request) (AddressQuery, *core.Refusal) {
--- a/pkg/hosted/broken_off_test.go
+++ b/pkg/hosted/broken_off_test.go
@@ -31,13 +31,19 @@
 // callRaw sends a request for a path with a protocol version and returns what a caller makes of
 // the response.
 func callRaw(t *testing.T, settings Settings, protocol, path string) callerView {
+	t.Helper()
+	return callRawWith(t, settings, protocol, path, "")
+}
+
+// callRawWith is callRaw with further lines of the request's header.
+func callRawWith(t *testing.T, settings Settings, protocol, path, header string) callerView {
 	t.Helper()
 	conn, err := net.Dial("tcp", settings.CallerAddr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	if _, err := fmt.Fprintf(conn, "POST /p/%s %s\r\nHost: h\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nhi", path, protocol); err != nil {
+	if _, err := fmt.Fprintf(conn, "POST /p/%s %s\r\nHost: h\r\nX-Id: 1\r\nContent-Length: 2\r\n%s\r\nhi", path, protocol, header); err != nil {
 		t.Fatal(err)
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -137,6 +143,43 @@
 	}
 }
 
+// Guards against a stream that its caller resumes and that looks complete although its engine broke
+// it off, or sent events that the caller has.
+func TestBrokenOffResumedStreamLooksIncomplete(t *testing.T) {
+	const framed = "length chunks" // an engine may have nothing to add, but the end of a connection doesn't say so
+	places := map[string]struct{ body, complete string }{
+		"after-an-event":          {"id: 2\ndata: b\n\n", framed + " until-close"},
+		"after-a-comment":         {": hello\n\n", framed},
+		"nothing":                 {"", framed},
+		"inside-the-first":        {"id: 2\nda", ""},
+		"inside-the-second":       {"id: 2\ndata: b\n\nid: 3\ndata: c", ""},
+		"before-the-empty-line":   {"id: 2\ndata: b\n\nid: 3\ndata: c\n", ""},
+		"in-the-empty-line":       {"id: 2\r\ndata: b\r\n\r", ""},
+		"event-that-caller-has":   {"id: 1\ndata: a\n\n", ""},
+		"event-without-an-id":     {"data: b\n\n", ""},
+		"second-event-without-id": {"id: 2\ndata: b\n\ndata: c\n\n", ""},
+	}
+	responses := map[string][]string{}
+	complete := map[string]bool{}
+	for place, test := range places {
+		for framing, response := range framings("text/event-stream", test.body) {
+			path := place + "/" + framing
+			responses[path], complete[path] = []string{response}, strings.Contains(test.complete, framing)
+		}
+	}
+	settings := startEngines(t, true, scriptedEngine(t, maps.Clone(responses)))
+	for path := range responses {
+		for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			t.Run(protocol+"/"+path, func(t *testing.T) {
+				is := is.New(t)
+				view := callRawWith(t, settings, protocol, path, "Last-Event-Id: 1\r\n")
+				is.Equal(view.complete && view.status == http.StatusOK, complete[path])
+				is.True(!strings.Contains(view.body, "id: 1\n"))
+			})
+		}
+	}
+}
+
 // Guards against a response that looks complete although its engine stopped in the middle of
 // its header or body.
 func TestResponseThatEndsEarlyLooksIncomplete(t *testing.T) {
