--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -127,8 +127,8 @@
 	for _, up := range list {
 		registered[up.ID] = true
 		known := r.upstreams[up.ID]
-		anew := known != nil && known.missingSince != 0 && up.Born == 0
-		if known == nil || anew || !known.SameProcess(up) {
+		restarted := known != nil && known.missingSince != 0 && up.Born == 0
+		if known == nil || restarted || !known.SameProcess(up) {
 			known = &lifetime{since: now}
 			r.upstreams[up.ID] = known
 			delete(r.unavailable, up.ID)
@@ -266,12 +266,12 @@
 // so. Otherwise it returns the time after which they may be.
 func (r *Registry) Allow(now core.Instant, id core.UpstreamID, requests int) (bool, time.Duration) {
 	up := r.upstreams[id]
-	returning := up != nil && up.isRampingUp(now)
-	if returning && now < up.nextRampUpAt {
+	rampingUp := up != nil && up.isRampingUp(now)
+	if rampingUp && now < up.nextRampUpAt {
 		return false, up.nextRampUpAt.Sub(now)
 	}
 	allowed, wait := r.Rates.Allow(now, id, requests)
-	if allowed && returning {
+	if allowed && rampingUp {
 		up.nextRampUpAt = now.Add(rampUpInterval)
 	}
 	return allowed, wait
--- a/pkg/lab/hostedsim/announcements_test.go
+++ b/pkg/lab/hostedsim/announcements_test.go
@@ -87,12 +87,6 @@
 				Factor:          rapid.Float64Range(0.3, 6).Draw(t, "x"),
 			})
 		}
-		r, err := Run(x)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, violation := range r.Violations {
-			t.Error(violation)
-		}
+		checkRules(t, x)
 	})
 }
--- a/pkg/lab/hostedsim/hostedsim_test.go
+++ b/pkg/lab/hostedsim/hostedsim_test.go
@@ -144,6 +144,17 @@
 	}
 }
 
+// checkRules runs an experiment and fails for each rule that it breaks.
+func checkRules(t *rapid.T, x Experiment) {
+	r, err := Run(x)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, violation := range r.Violations {
+		t.Error(violation)
+	}
+}
+
 // Guards against violations under a mix of faults: a request that runs twice although it
 // is not safe to retry, is refused as not run although it ran, or never ends, and a quota
 // that is exceeded.
@@ -176,13 +187,7 @@
 				Account: rapid.SampledFrom([]core.AccountID{"", "bakery"}).Draw(t, "account"),
 			})
 		}
-		r, err := Run(x)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, violation := range r.Violations {
-			t.Error(violation)
-		}
+		checkRules(t, x)
 	})
 }
 
--- a/pkg/lab/hostedsim/limits_test.go
+++ b/pkg/lab/hostedsim/limits_test.go
@@ -181,12 +181,6 @@
 				Factor:          rapid.Float64Range(0.5, 9).Draw(t, "x"),
 			})
 		}
-		r, err := Run(x)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, violation := range r.Violations {
-			t.Error(violation)
-		}
+		checkRules(t, x)
 	})
 }
