hostedsim: test of a quota that is exceeded when isolated Instances are killed, which fails

Found by a draw by hand: 1,500 experiments each of TestAnnouncementsOfDrawnSites, TestAnnouncedLimitsOfDrawnSites (no rule broken) and TestRulesUnderFaults, whose 1,486th broke the quota of an account: 598,854 tokens in a window, 506,000 are allowed.

Cause: all 8 Instances lose each other as the load begins, at ten times the rate of the account. Each of them spends its whole bucket before it notices, 1 to 2 s later: 290,000 tokens in 1.25 s at a rate of 40,000 a second. They would repay that, but are all killed at 1.76 s, and new Instances, which find none that is older, begin at zero instead of the debt.

Without the kill or without the cut nothing breaks.

Not mended here: what would bound the spending of an Instance that has heard nothing for less than a second would also refuse accounts whose demand arrives at one Instance, and needs its own measurement on the sites.

--- a/pkg/lab/hostedsim/hostedsim_test.go
+++ b/pkg/lab/hostedsim/hostedsim_test.go
@@ -206,3 +206,18 @@
 		})
 	}
 }
+
+// Guards against a quota that is exceeded because Instances that had no contact with each other, and
+// together used more than the allowance, forget that when all of them are killed.
+func TestQuotaHoldsWhenIsolatedInstancesAreKilled(t *testing.T) {
+	runExperiment(t, func(x *Experiment) {
+		x.Seed, x.Seconds = 0, 14
+		x.Streams.PerSecond, x.Calls.PerSecond = 60, 143.9
+		x.Accounts[0].Rate, x.Accounts[0].Burst = 40_000, 40_000
+		x.Faults = []Fault{
+			{Kind: FaultPeerCut, StartSeconds: 0, DurationSeconds: 1.3, Count: 8},
+			{Kind: FaultInstanceKill, StartSeconds: 1.756, DurationSeconds: 0.69, Count: 8},
+			{Kind: FaultBurst, StartSeconds: 0, DurationSeconds: 0.125, Factor: 2.8, Account: "bakery"},
+		}
+	})
+}
