--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -1,11 +1,11 @@
-// Package announce keeps what Upstreams announce about themselves in their answers: the rate
-// that they take from the fleet, that they leave, and a backoff, which is a time for which they want
-// no requests from this Instance. It is the one place that says whether an Upstream may be used as far as
-// the Upstream itself is concerned. It is pure: every call passes the current instant.
+// Package announce keeps what Upstreams announce about themselves in their answers: the rate that
+// they take from the fleet, that they leave, and a backoff, which is a time for which they want no
+// requests from this Instance. As far as the Upstream itself is concerned, it is the one place that
+// says whether an Upstream may be used. It is pure: every call passes the current instant.
 //
 // An announcement belongs to one lifetime of an Upstream. Leaving holds for the rest of the
-// lifetime, a backoff until its end, and a rate until an answer that would state one
-// and does not; package throttle keeps the rates.
+// lifetime, a backoff until its end, and a rate until an answer that would state one and does not;
+// package throttle keeps the rates.
 package announce
 
 import (
@@ -152,7 +152,7 @@
 type Event struct {
 	Kind   EventKind
 	Detail string
-	// Repeated is set when an equal event of the same lifetime was returned before. It is
+	// Repeated is set when an event for the same cause and lifetime was returned before. It is
 	// counted and not logged.
 	Repeated bool
 }
