router: a failed fetch from a peer no longer starts the delay anew

Cause: an Instance whose watch of the store is unresponsive fetches the configuration from a peer that is ahead, 0.4 s after the first report of it. When that fetch failed, the record of being behind was deleted, so the next heartbeat of a peer that is ahead started the delay again; a peer that is frozen costs the timeout of 1 s as well. In a fleet of 62, heartbeats from other data centres are 1.7 s apart.

Ruled out: that the report of a newer revision is lost (it was recorded); that a watch delivers it meanwhile (the watch is the part that has failed).

Change: the record holds all peers that reported a newer revision and have not been asked since. A failed fetch goes on with the next one at once, and a second peer is asked when the first has not answered within 300 ms, two at most at a time. A peer of the own data centre goes first, then of the own region: a configuration has up to a megabyte, and all of a region asked a random peer before. The log tells how long an Instance has been behind, and when a fetch ended.

300 ms is three round trips between regions and leaves 0.7 s of the timeout for a transfer that is slow.

--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -360,7 +360,7 @@
 
 // fetchState fetches a state from a peer and posts it, followed by a StateFetchEnded.
 func (d *Daemon) fetchState(ctx context.Context, e router.FetchState) {
-	defer d.post(router.StateFetchEnded{Kind: e.Kind})
+	defer d.post(router.StateFetchEnded{Kind: e.Kind, From: e.From})
 	fetchCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	body, err := d.peers.Fetch(fetchCtx, e.Addr, string(e.Kind), nil)
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -332,7 +332,7 @@
 			w.step(inst, router.UpstreamsListed{Revision: w.revision, Upstreams: w.registeredUpstreams(), ReadAt: readAt})
 		})
 	case router.FetchState:
-		w.after(storeDelay, func() { w.step(inst, router.StateFetchEnded{Kind: e.Kind}) })
+		w.after(storeDelay, func() { w.step(inst, router.StateFetchEnded{Kind: e.Kind, From: e.From}) })
 	case router.Observe:
 		w.result.WastedPrefillTokens += int64(e.Observation.WastedPrefillTokens)
 	}
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -42,9 +42,6 @@
 	// maxHoldDuration bounds the time for which an engine holds memory and a slot
 	// before the decode starts.
 	maxHoldDuration = 2 * time.Second
-	// stateFetchDelay is the time for which a peer must have a newer state before it
-	// is fetched. Usually the watch of the store delivers the change before that.
-	stateFetchDelay = 400 * time.Millisecond
 	// maxUndelivered bounds the attempts of one request that reach no Upstream.
 	maxUndelivered = 4
 	// crashLimit is the number of Upstream crashes from which on requests with that
@@ -103,17 +100,6 @@
 	return total
 }
 
-// stateFetch tracks a state of which a peer has a newer revision than this
-// Instance.
-type stateFetch struct {
-	// revision is the newer revision that was reported first, at behindSince.
-	revision    uint64
-	behindSince core.Instant
-	// peer reported a newer revision last.
-	peer    fleet.Member
-	running bool
-}
-
 func newHosted(r *Router, p HostedParams) *hosted {
 	p.Dispatch.Rand = r.params.Rand
 	p.Dispatch.DataCentre = p.Member.DataCentre
@@ -194,7 +180,7 @@
 	case MembersListed:
 		h.fleet.OnMemberList(now, e.Members)
 	case StateFetchEnded:
-		delete(h.fetches, e.Kind)
+		h.onStateFetchEnded(now, e)
 	case PeerMessageReceived:
 		if e.Message.Hosted != nil {
 			h.onHeartbeat(now, e.From, e.Message.Hosted)
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -94,7 +94,10 @@
 
 // StateFetchEnded reports that a FetchState succeeded or failed. The fetched state is
 // reported in a separate event.
-type StateFetchEnded struct{ Kind StateKind }
+type StateFetchEnded struct {
+	Kind StateKind
+	From core.InstanceID
+}
 
 // CallerAddressesRequested is a query for the Instances that a caller should use.
 type CallerAddressesRequested struct {
--- /dev/null
+++ b/pkg/router/hosted_fetch.go
@@ -0,0 +1,138 @@
+package router
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+)
+
+const (
+	// stateFetchDelay is the time for which a peer must have a newer state before it is
+	// fetched. Usually the watch of the store delivers the change before that.
+	stateFetchDelay = 400 * time.Millisecond
+	// stateFetchHedgeDelay is the time after which a second peer is asked, while the first
+	// one has not answered.
+	stateFetchHedgeDelay = 300 * time.Millisecond
+	// maxStateFetches bounds the concurrent fetches of one state. A configuration has up to
+	// a megabyte.
+	maxStateFetches = 2
+)
+
+// stateFetch tracks a state of which peers have a newer revision than this Instance.
+type stateFetch struct {
+	// revision is the newer revision that was reported first, at behindSince.
+	revision    uint64
+	behindSince core.Instant
+	// candidates have reported a newer revision and have not been asked since.
+	candidates map[core.InstanceID]fleet.Member
+	// running holds the peers that are being asked, the last one since askedAt.
+	running map[core.InstanceID]bool
+	askedAt core.Instant
+}
+
+// noteRevision records that a peer has a newer state than this Instance.
+func (h *hosted) noteRevision(now core.Instant, peer fleet.Member, kind StateKind, revision uint64) {
+	own := h.ownRevision(kind)
+	if revision <= own {
+		return
+	}
+	f := h.fetches[kind]
+	if f == nil {
+		f = &stateFetch{
+			revision: revision, behindSince: now,
+			candidates: map[core.InstanceID]fleet.Member{}, running: map[core.InstanceID]bool{},
+		}
+		h.fetches[kind] = f
+		h.recordEvent(now, "fleet", "behind on "+string(kind), "peer="+peer.Ref.String()+
+			" theirs="+strconv.FormatUint(revision, 10)+" own="+strconv.FormatUint(own, 10))
+	}
+	if !f.running[peer.Ref.ID] {
+		f.candidates[peer.Ref.ID] = peer
+	}
+}
+
+// fetchOverdueStates fetches the states of which this Instance has had an older revision
+// for stateFetchDelay: its watch of the store is unresponsive, or the store rejects only
+// its calls. Peers that are behind as well do not matter.
+func (h *hosted) fetchOverdueStates(now core.Instant) {
+	for _, kind := range []StateKind{StateConfig, StateUpstreams} {
+		f := h.fetches[kind]
+		if f == nil {
+			continue
+		}
+		if h.ownRevision(kind) >= f.revision {
+			delete(h.fetches, kind)
+			continue
+		}
+		if now.Sub(f.behindSince) >= stateFetchDelay {
+			h.fetchState(now, kind, f)
+		}
+	}
+}
+
+// fetchState asks the next candidate for a state, unless enough peers are being asked.
+func (h *hosted) fetchState(now core.Instant, kind StateKind, f *stateFetch) {
+	if len(f.running) >= maxStateFetches || len(f.running) > 0 && now.Sub(f.askedAt) < stateFetchHedgeDelay {
+		return
+	}
+	peer, found := h.nearestCandidate(f)
+	if !found {
+		return
+	}
+	delete(f.candidates, peer.Ref.ID)
+	f.running[peer.Ref.ID] = true
+	f.askedAt = now
+	h.recordEvent(now, "fleet", "fetch "+string(kind), "from="+peer.Ref.String()+" behind_for="+now.Sub(f.behindSince).String()+
+		" theirs="+strconv.FormatUint(f.revision, 10)+" own="+strconv.FormatUint(h.ownRevision(kind), 10))
+	h.emit(FetchState{Kind: kind, From: peer.Ref.ID, Addr: peer.PeerAddr})
+}
+
+// nearestCandidate returns a live candidate at random: one of the own DataCentre if there is
+// one, else of the own Region. A state is large, and links between Regions are slow.
+func (h *hosted) nearestCandidate(f *stateFetch) (fleet.Member, bool) {
+	self := h.fleet.Self()
+	var local, regional, remote []fleet.Member
+	for _, id := range slices.Sorted(maps.Keys(f.candidates)) {
+		peer := f.candidates[id]
+		switch {
+		case !h.fleet.IsLive(peer.Ref):
+			delete(f.candidates, id)
+		case peer.DataCentre == self.DataCentre:
+			local = append(local, peer)
+		case peer.Region == self.Region:
+			regional = append(regional, peer)
+		default:
+			remote = append(remote, peer)
+		}
+	}
+	for _, peers := range [][]fleet.Member{local, regional, remote} {
+		if len(peers) > 0 {
+			return peers[h.Router.params.Rand.IntN(len(peers))], true
+		}
+	}
+	return fleet.Member{}, false
+}
+
+// onStateFetchEnded asks another peer if the state is still older than what was reported.
+func (h *hosted) onStateFetchEnded(now core.Instant, e StateFetchEnded) {
+	f := h.fetches[e.Kind]
+	if f == nil || !f.running[e.From] {
+		return
+	}
+	delete(f.running, e.From)
+	h.recordEvent(now, "fleet", "fetch of "+string(e.Kind)+" ended", "from="+string(e.From)+
+		" own="+strconv.FormatUint(h.ownRevision(e.Kind), 10))
+	h.fetchOverdueStates(now)
+}
+
+// ownRevision returns the revision up to which this Instance has a state.
+func (h *hosted) ownRevision(kind StateKind) uint64 {
+	if kind == StateConfig {
+		return h.configRevision
+	}
+	return h.catalog.ConfirmedRevision()
+}
--- a/pkg/router/hosted_fleet_test.go
+++ b/pkg/router/hosted_fleet_test.go
@@ -28,13 +28,18 @@
 	routers []*Router
 	byID    map[core.InstanceID]int
 	// partitioned drops the messages between regions.
-	partitioned  bool
+	partitioned bool
+	// frozen holds the Instances that have stopped to process events.
+	frozen       map[int]bool
 	account      config.HostedAccount
 	quotaUpdates int // sent
 	requestsSent int
 	admittedAt   []core.Instant
 }
 
+// fetchTimeout is the time limit of a fetch in the daemon.
+const fetchTimeout = time.Second
+
 // requestTokens is the charge of each request.
 const requestTokens = 8000
 
@@ -42,6 +47,7 @@
 func newHostedFleet(seed uint64, n int, account config.HostedAccount) *hostedFleet {
 	f := &hostedFleet{
 		rng: rand.New(rand.NewPCG(seed, 4)), now: core.Instant(time.Second), byID: map[core.InstanceID]int{}, account: account,
+		frozen: map[int]bool{},
 	}
 	routing := hostedRouting(1)
 	routing.Accounts = []config.HostedAccount{account}
@@ -77,6 +83,9 @@
 }
 
 func (f *hostedFleet) step(i int, event Event) {
+	if f.frozen[i] {
+		return
+	}
 	for _, effect := range f.routers[i].Step(f.now, event) {
 		switch e := effect.(type) {
 		case SendPeerMessage:
@@ -101,15 +110,20 @@
 	}
 }
 
-// fetch delivers the configuration of a peer after two round trips between regions.
+// fetch delivers the configuration of a peer after two round trips between regions. A frozen
+// peer does not answer.
 func (f *hostedFleet) fetch(i int, e FetchState) {
 	if e.Kind != StateConfig {
 		return
 	}
+	if f.frozen[f.byID[e.From]] {
+		f.schedule(fetchTimeout, func() { f.step(i, StateFetchEnded{Kind: e.Kind, From: e.From}) })
+		return
+	}
 	f.schedule(120*time.Millisecond, func() {
 		peer := f.routers[f.byID[e.From]].hosted
 		f.step(i, RoutingReceived{Routing: peer.routing, Revision: peer.configRevision, From: e.From})
-		f.step(i, StateFetchEnded{Kind: e.Kind})
+		f.step(i, StateFetchEnded{Kind: e.Kind, From: e.From})
 	})
 }
 
@@ -235,3 +249,32 @@
 		is.Equal(behind, 0)
 	}
 }
+
+// Guards against a configuration that becomes active late because fetches from peers fail: half
+// of the fleet has read it, and most of that half is then frozen.
+func TestHostedFleetFollowsAlthoughPeersAreFrozen(t *testing.T) {
+	for _, test := range []struct {
+		instances int
+		maxSpread time.Duration // as above
+	}{{8, time.Second}, {62, 2 * time.Second}, {330, 3 * time.Second}} {
+		is := is.New(t)
+		f := newHostedFleet(1, test.instances, largeAccount())
+		f.runFor(time.Second)
+		for i := 0; i < test.instances; i += 2 {
+			f.step(i, RoutingReceived{Routing: hostedRouting(2), Revision: 20})
+		}
+		f.runFor(stateFetchDelay)
+		for i := 0; i < test.instances; i += 2 {
+			f.frozen[i] = i%8 != 0
+		}
+		f.runFor(test.maxSpread)
+		behind := 0
+		for i, r := range f.routers {
+			if !f.frozen[i] && r.hosted.activeVersion() != 2 {
+				behind++
+			}
+		}
+		t.Logf("%d of %d Instances are behind", behind, test.instances)
+		is.Equal(behind, 0)
+	}
+}
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/announce"
@@ -143,56 +142,6 @@
 	return heartbeat.Loads
 }
 
-// noteRevision records that a peer has a newer state than this Instance.
-func (h *hosted) noteRevision(now core.Instant, peer fleet.Member, kind StateKind, revision uint64) {
-	own := h.ownRevision(kind)
-	if revision <= own {
-		return
-	}
-	f := h.fetches[kind]
-	if f == nil {
-		f = &stateFetch{revision: revision, behindSince: now}
-		h.fetches[kind] = f
-		h.recordEvent(now, "fleet", "behind on "+string(kind), "peer="+peer.Ref.String()+
-			" theirs="+strconv.FormatUint(revision, 10)+" own="+strconv.FormatUint(own, 10))
-	}
-	if !f.running {
-		f.peer = peer
-	}
-}
-
-// fetchOverdueStates fetches the states of which this Instance has had an older revision
-// for stateFetchDelay: its watch of the store is unresponsive, or the store rejects only
-// its calls. Peers that are behind as well do not matter.
-func (h *hosted) fetchOverdueStates(now core.Instant) {
-	for _, kind := range []StateKind{StateConfig, StateUpstreams} {
-		f := h.fetches[kind]
-		if f == nil || f.running {
-			continue
-		}
-		own := h.ownRevision(kind)
-		if own >= f.revision {
-			delete(h.fetches, kind)
-			continue
-		}
-		if now.Sub(f.behindSince) < stateFetchDelay {
-			continue
-		}
-		f.running = true
-		h.recordEvent(now, "fleet", "fetch "+string(kind), "from="+f.peer.Ref.String()+
-			" theirs="+strconv.FormatUint(f.revision, 10)+" own="+strconv.FormatUint(own, 10))
-		h.emit(FetchState{Kind: kind, From: f.peer.Ref.ID, Addr: f.peer.PeerAddr})
-	}
-}
-
-// ownRevision returns the revision up to which this Instance has a state.
-func (h *hosted) ownRevision(kind StateKind) uint64 {
-	if kind == StateConfig {
-		return h.configRevision
-	}
-	return h.catalog.ConfirmedRevision()
-}
-
 // crashRecordOf returns the record of a fingerprint, created if necessary, with a new
 // expiry. It removes expired records.
 func (h *hosted) crashRecordOf(now core.Instant, fingerprint core.Fingerprint) *crashRecord {
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -418,7 +418,7 @@
 	is.Equal(wantEffect[FetchState](r), FetchState{Kind: StateConfig, From: "peer", Addr: "peer:1"})
 	r.step(heartbeat)
 	wantNoEffect[FetchState](r) // one at a time
-	r.step(StateFetchEnded{Kind: StateConfig})
+	r.step(StateFetchEnded{Kind: StateConfig, From: "peer"})
 	r.step(RoutingReceived{Routing: hostedRouting(9), Revision: 99, From: "peer"})
 	wantEffect[RoutingActivated](r)
 	r.step(heartbeat)
@@ -448,6 +448,65 @@
 	t.Fatal("no fetch within 2 s")
 }
 
+// Guards against a delay that begins anew with each failed fetch: the peer that was asked is
+// frozen, and others have the new state as well.
+func TestHostedFetchesFromAnotherPeerAfterAFailure(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	report := func(id core.InstanceID) {
+		peer := fleet.Member{Ref: core.InstanceRef{ID: id, Incarnation: 1}, PeerAddr: string(id) + ":1", DataCentre: "a", Region: "r"}
+		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigRevision: 99, CatalogRevision: 10}}})
+	}
+	report("one")
+	report("two")
+	r.advance(stateFetchDelay)
+	first := wantEffect[FetchState](r).From
+	r.step(StateFetchEnded{Kind: StateConfig, From: first})
+	second := wantEffect[FetchState](r).From
+	is.True(second != first)
+	r.step(StateFetchEnded{Kind: StateConfig, From: second})
+	wantNoEffect[FetchState](r) // neither has answered
+	report(first)
+	r.advance(200 * time.Millisecond)
+	is.Equal(wantEffect[FetchState](r).From, first) // it is back
+}
+
+// Guards against an Instance that waits for a frozen peer until the fetch times out, and
+// against one that asks all peers at once.
+func TestHostedFetchesFromASecondPeerWhileTheFirstIsSlow(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	for _, id := range []core.InstanceID{"one", "two", "three"} {
+		peer := fleet.Member{Ref: core.InstanceRef{ID: id, Incarnation: 1}, PeerAddr: string(id) + ":1", DataCentre: "a", Region: "r"}
+		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigRevision: 99, CatalogRevision: 10}}})
+	}
+	r.advance(stateFetchDelay)
+	fetches := 1
+	first := wantEffect[FetchState](r).From
+	for _, effect := range r.advance(2 * stateFetchHedgeDelay) {
+		if e, found := effect.(FetchState); found {
+			fetches++
+			is.True(e.From != first)
+		}
+	}
+	is.Equal(fetches, maxStateFetches)
+}
+
+// Guards against a large state that crosses a slow link although a near peer has it.
+func TestHostedFetchesFromANearPeer(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	for _, peer := range []fleet.Member{{DataCentre: "z", Region: "far"}, {DataCentre: "b", Region: "r"}, {DataCentre: "a", Region: "r"}} {
+		peer.Ref = core.InstanceRef{ID: core.InstanceID("in-" + peer.DataCentre), Incarnation: 1}
+		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigRevision: 99, CatalogRevision: 10}}})
+	}
+	r.advance(stateFetchDelay)
+	for _, from := range []core.InstanceID{"in-a", "in-b", "in-z"} {
+		is.Equal(wantEffect[FetchState](r).From, from)
+		r.step(StateFetchEnded{Kind: StateConfig, From: from})
+	}
+}
+
 // Guards against an Upstream that has gone and gets requests again: an Instance that keeps
 // its entry for a while after an outage of the store offers it to peers that have removed it.
 func TestHostedPeersAreNotOfferedRemovedUpstreams(t *testing.T) {
