hosted: peers fetch the configuration compressed

Cause: a configuration with 1,400 more routes has 390 kB, and a fetch from a peer carried it as base64 in JSON, 521 kB. Half of a fleet of 62 shares 60 Mbit/s between the regions, so fetches of one version take 2.15 s together and each of them is given up after 1 s. The transfers that are given up and repeated keep the link full, and the watches and connections to the store need the same link. Class of fault: retries that feed the congestion that made them necessary.

Ruled out: slow Instances (a version is in force 50 ms after its arrival); unresponsive watches (they deliver, late).

Change: the reply is compressed, once for each version. An Instance of an earlier release, which does not ask for that, gets the old form. The functions for the state that peers fetch move to a file of their own.

--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -75,7 +75,7 @@
 	clock    *timeline.Clock
 
 	routing        atomic.Pointer[config.Routing]
-	rawConfig      atomic.Pointer[RoutingObject]
+	rawConfig      atomic.Pointer[heldConfig]
 	upstreams      atomic.Pointer[upstreamList]
 	leaving        atomic.Bool
 	liveInstances  atomic.Int64 // including this one
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	mathrand "math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
-	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
 	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
 )
@@ -230,7 +227,7 @@
 func (d *Daemon) storeRouting(object RoutingObject, from core.InstanceID, readAt core.Instant) {
 	current := d.rawConfig.Load()
 	if current == nil || object.Revision > current.Revision {
-		d.rawConfig.Store(&object)
+		d.rawConfig.Store(newHeldConfig(object))
 	}
 	d.post(router.RoutingReceived{Routing: object.Routing, Revision: object.Revision, From: from, ReadAt: readAt})
 }
@@ -330,73 +327,3 @@
 		d.post(router.PeerMessageReceived{From: from, Message: e.Message})
 	}
 }
-
-// peerConfig is the encoded configuration that one Instance fetches from another.
-type peerConfig struct {
-	Revision uint64 `json:"revision"`
-	Raw      []byte `json:"raw"`
-}
-
-// servePeer handles a fetch by a peer. name is a router.StateKind.
-func (d *Daemon) servePeer(_ core.InstanceRef, name string, _ []byte) ([]byte, error) {
-	switch router.StateKind(name) {
-	case router.StateConfig:
-		current := d.rawConfig.Load()
-		if current == nil {
-			return nil, errorx.IllegalState.New("no configuration is held here")
-		}
-		return json.Marshal(peerConfig{Revision: current.Revision, Raw: current.Raw})
-	case router.StateUpstreams:
-		current := d.upstreams.Load()
-		if current == nil {
-			return nil, errorx.IllegalState.New("no list of upstreams is held here")
-		}
-		return json.Marshal(current)
-	case stateMembers:
-		return json.Marshal([]fleet.Member{d.router.HostedMember()})
-	}
-	return nil, errorx.IllegalArgument.New("%q is not known", name)
-}
-
-// fetchState fetches a state from a peer and posts it, followed by a StateFetchEnded.
-func (d *Daemon) fetchState(ctx context.Context, e router.FetchState) {
-	defer d.post(router.StateFetchEnded{Kind: e.Kind, From: e.From})
-	fetchCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	body, err := d.peers.Fetch(fetchCtx, e.Addr, string(e.Kind), nil)
-	if err == nil {
-		err = d.applyState(e, body)
-	}
-	if err != nil {
-		telemetry.ComponentLogger(d.log, "fleet").Warn("could not fetch state from peer",
-			zap.String("kind", string(e.Kind)), zap.String("from", string(e.From)), zap.String("addr", e.Addr), zap.Error(err))
-	}
-}
-
-func (d *Daemon) applyState(e router.FetchState, body []byte) error {
-	switch e.Kind {
-	case router.StateConfig:
-		var got peerConfig
-		if err := json.Unmarshal(body, &got); err != nil {
-			return err
-		}
-		routing, err := d.adapter.Store.DecodeRouting(got.Raw)
-		if err != nil {
-			return err
-		}
-		d.storeRouting(RoutingObject{Routing: routing, Revision: got.Revision, Raw: got.Raw}, e.From, 0)
-	case router.StateUpstreams:
-		var got upstreamList
-		if err := json.Unmarshal(body, &got); err != nil {
-			return err
-		}
-		d.post(router.UpstreamsListed{Revision: got.Revision, Upstreams: got.Upstreams, From: e.From})
-	case stateMembers:
-		var got []fleet.Member
-		if err := json.Unmarshal(body, &got); err != nil {
-			return err
-		}
-		d.post(router.MembersListed{Members: got})
-	}
-	return nil
-}
