--- a/pkg/lab/hostplatform/store.go
+++ b/pkg/lab/hostplatform/store.go
@@ -20,7 +20,8 @@
 	ErrNotFound = errors.New("object does not exist")
 	// ErrConflict means that the object exists already, or has another revision.
 	ErrConflict = errors.New("object has another revision")
-	// ErrHistoryDropped means that the history since the requested revision was dropped.
+	// ErrHistoryDropped means that the history since the requested revision was dropped, or that
+	// the store does not have that revision.
 	ErrHistoryDropped = errors.New("history since the revision was dropped")
 	// ErrRateLimited means that the call rate limit is exceeded.
 	ErrRateLimited = errors.New("call rate limit exceeded")
@@ -62,13 +63,19 @@
 	CallsPerSecond int
 }
 
+// Position is a state of a Store. Era rises each time the Store returns to an earlier state, from
+// which it assigns revisions again.
+type Position struct{ Era, Revision uint64 }
+
 // Store is an in-memory store. It is safe for concurrent use.
 type Store struct {
 	mu            sync.Mutex
+	era           uint64
 	revision      uint64
 	objects       map[string]map[string]Object
 	history       []Change
-	droppedUpTo   uint64 // changes up to this revision are not in the history
+	undo          []undoEntry // one for each revision after the first
+	droppedUpTo   uint64      // changes up to this revision are not in the history
 	faults        Faults
 	changed       chan struct{}
 	rateSecond    int64
@@ -76,12 +83,19 @@
 	calls         int
 }
 
+// undoEntry is what a change has replaced.
+type undoEntry struct {
+	kind, name string
+	existed    bool
+	previous   Object
+}
+
 // PageSize is the maximum number of objects in one page of a list.
 const PageSize = 50
 
 // NewStore returns an empty Store.
 func NewStore() *Store {
-	return &Store{revision: 1, objects: map[string]map[string]Object{}, changed: make(chan struct{})}
+	return &Store{era: 1, revision: 1, objects: map[string]map[string]Object{}, changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults.
@@ -102,6 +116,36 @@
 	s.notifyWatchers()
 }
 
+// Restore returns to the state before the last changes, and starts a new era. Waiting watches go
+// on; those that are after a revision which no longer exists end with ErrHistoryDropped.
+func (s *Store) Restore(changes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range min(changes, len(s.undo)) {
+		last := s.undo[len(s.undo)-1]
+		s.undo = s.undo[:len(s.undo)-1]
+		if last.existed {
+			s.objects[last.kind][last.name] = last.previous
+		} else {
+			delete(s.objects[last.kind], last.name)
+		}
+		s.revision--
+	}
+	s.history = slices.DeleteFunc(s.history, func(c Change) bool { return c.Object.Revision > s.revision })
+	s.droppedUpTo = min(s.droppedUpTo, s.revision)
+	s.era++
+	s.notifyWatchers()
+}
+
+// Position returns the current position.
+func (s *Store) Position() Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.position()
+}
+
+func (s *Store) position() Position { return Position{Era: s.era, Revision: s.revision} }
+
 // CallCount returns the number of calls so far.
 func (s *Store) CallCount() int {
 	s.mu.Lock()
@@ -160,15 +204,15 @@
 }
 
 // List returns one page of the objects of a kind whose names follow after, in order,
-// and the revision that they are from. A stale list lags as the faults say.
-func (s *Store) List(ctx context.Context, kind, after string, stale bool) (page []Object, more bool, at uint64, err error) {
+// and the position that they are from. A stale list lags as the faults say.
+func (s *Store) List(ctx context.Context, kind, after string, stale bool) (page []Object, more bool, at Position, err error) {
 	if err := s.beginCall(ctx); err != nil {
-		return nil, false, 0, err
+		return nil, false, Position{}, err
 	}
 	defer s.mu.Unlock()
-	objects, at := s.objects[kind], s.revision
+	objects, at := s.objects[kind], s.position()
 	if stale {
-		objects, at = s.pastObjects(kind, s.faults.StaleChanges)
+		objects, at.Revision = s.pastObjects(kind, s.faults.StaleChanges)
 	}
 	for _, object := range objects {
 		if object.Name > after {
@@ -200,21 +244,21 @@
 }
 
 // Watch waits up to wait for changes of a kind after a revision. It returns the changes,
-// none after a timeout, and the revision up to which they are complete.
-func (s *Store) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+// none after a timeout, and the position up to which they are complete.
+func (s *Store) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Change, Position, error) {
 	if err := s.beginCall(ctx); err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		if s.faults.Down {
 			s.mu.Unlock()
-			return nil, 0, ErrDown
+			return nil, Position{}, ErrDown
 		}
-		if after < s.droppedUpTo {
+		if after < s.droppedUpTo || after > s.revision {
 			s.mu.Unlock()
-			return nil, 0, ErrHistoryDropped
+			return nil, Position{}, ErrHistoryDropped
 		}
 		var found []Change
 		for _, change := range s.history {
@@ -222,14 +266,14 @@
 				found = append(found, change)
 			}
 		}
-		at, changed := s.revision, s.changed
+		at, changed := s.position(), s.changed
 		s.mu.Unlock()
 		if len(found) > 0 {
 			return found, at, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		case <-timer.C:
 			return nil, at, nil
 		case <-changed:
@@ -307,6 +351,8 @@
 		kind = map[string]Object{}
 		s.objects[object.Kind] = kind
 	}
+	previous, existed := kind[object.Name]
+	s.undo = append(s.undo, undoEntry{kind: object.Kind, name: object.Name, existed: existed, previous: previous})
 	if deleted {
 		delete(kind, object.Name)
 	} else {
