core: revisions of the store have an era

Cause: a state of the store was identified by its number alone, and the store assigns numbers again after it has gone back. The catalog ignored all lists and changes below its own number, for as long as the counter was behind; heartbeats did not show that a peer was ahead. Class of fault: an order that is taken from a counter which may be reset.

Ruled out: that a list read after the outage repairs it (the catalog ignored that list too).

Change: core.StoreRevision is an era and a number, with the one comparison that catalog, watches, heartbeats and fetches use. Fields of heartbeats and fetches have new names, so that an Instance of an earlier release sees none instead of wrong ones.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -57,8 +57,8 @@
 
 // Catalog holds the registered Upstreams. Create it with New.
 type Catalog struct {
-	revision    uint64 // of the last change of the entries
-	confirmed   uint64 // of the last list
+	revision    core.StoreRevision // of the last change of the entries
+	confirmed   core.StoreRevision // of the last list
 	initialized bool
 	entries     map[core.UpstreamID]Upstream
 	// removeAt holds the end of the grace period of entries that are no longer listed.
@@ -72,11 +72,11 @@
 }
 
 // Revision returns the revision of the entries, and false before the first list.
-func (c *Catalog) Revision() (uint64, bool) { return c.revision, c.initialized }
+func (c *Catalog) Revision() (core.StoreRevision, bool) { return c.revision, c.initialized }
 
 // ConfirmedRevision returns the revision up to which the entries are known to be complete.
 // It is above Revision when a later list had the same entries.
-func (c *Catalog) ConfirmedRevision() uint64 { return max(c.revision, c.confirmed) }
+func (c *Catalog) ConfirmedRevision() core.StoreRevision { return c.revision.Latest(c.confirmed) }
 
 // OnStoreError records that a call of the store failed. Entries that are removed within
 // RemovalGrace after it are kept for a grace period.
@@ -84,11 +84,11 @@
 
 // Replace applies a complete list. It returns false when the list is older than the
 // entries or equal to them. An equal list leaves the revision, like Apply without changes.
-func (c *Catalog) Replace(now core.Instant, revision uint64, list []Upstream) bool {
-	if c.initialized && revision < c.ConfirmedRevision() {
+func (c *Catalog) Replace(now core.Instant, revision core.StoreRevision, list []Upstream) bool {
+	if c.initialized && revision.Before(c.ConfirmedRevision()) {
 		return false
 	}
-	c.confirmed = max(c.confirmed, revision)
+	c.confirmed = c.confirmed.Latest(revision)
 	if c.initialized && c.equals(list) {
 		return false
 	}
@@ -123,8 +123,8 @@
 // Apply applies the changes up to a revision. It returns false and changes nothing before
 // the first list, for an older revision and without changes. In the last case the revision
 // stays, so that Instances with the same entries have the same revision.
-func (c *Catalog) Apply(now core.Instant, revision uint64, changes []Change) bool {
-	if !c.initialized || revision < c.ConfirmedRevision() || len(changes) == 0 {
+func (c *Catalog) Apply(now core.Instant, revision core.StoreRevision, changes []Change) bool {
+	if !c.initialized || revision.Before(c.ConfirmedRevision()) || len(changes) == 0 {
 		return false
 	}
 	c.revision = revision
--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -164,7 +164,7 @@
 // RoutingObject is a stored configuration.
 type RoutingObject struct {
 	Routing  *config.Routing
-	Revision uint64
+	Revision core.StoreRevision
 	// Raw is the encoded configuration, which peers may fetch.
 	Raw []byte
 }
@@ -180,17 +180,17 @@
 	// ReadRouting reads the configuration and the revision of the store. A watch
 	// must start from the latter: the history since the configuration's own revision
 	// may be compacted. Errors: ErrNotFound.
-	ReadRouting(ctx context.Context) (object RoutingObject, revision uint64, err error)
+	ReadRouting(ctx context.Context) (object RoutingObject, revision core.StoreRevision, err error)
 	// WatchRouting waits for a change after a revision, for at most wait. It returns
 	// nil and the store's revision when there was none. Errors: ErrCompacted.
-	WatchRouting(ctx context.Context, after uint64, wait time.Duration) (*RoutingObject, uint64, error)
+	WatchRouting(ctx context.Context, after core.StoreRevision, wait time.Duration) (*RoutingObject, core.StoreRevision, error)
 	// DecodeRouting decodes the Raw of a RoutingObject.
 	DecodeRouting(raw []byte) (*config.Routing, error)
 	// ListUpstreams reads all registered Upstreams.
-	ListUpstreams(ctx context.Context) (list []catalog.Upstream, skipped []SkippedEntry, revision uint64, err error)
+	ListUpstreams(ctx context.Context) (list []catalog.Upstream, skipped []SkippedEntry, revision core.StoreRevision, err error)
 	// WatchUpstreams waits for changes after a revision, for at most wait. Errors:
 	// ErrCompacted.
-	WatchUpstreams(ctx context.Context, after uint64, wait time.Duration) (changes []catalog.Change, skipped []SkippedEntry, revision uint64, err error)
+	WatchUpstreams(ctx context.Context, after core.StoreRevision, wait time.Duration) (changes []catalog.Change, skipped []SkippedEntry, revision core.StoreRevision, err error)
 	// PutMember writes the description of this Instance.
 	PutMember(ctx context.Context, member fleet.Member) error
 	// ListMembers reads the descriptions of all Instances. They may be seconds old.
--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -26,7 +26,7 @@
 // fakeStore is an in-memory store with a bounded history.
 type fakeStore struct {
 	mu       sync.Mutex
-	revision uint64
+	revision core.StoreRevision
 	oldest   uint64 // first revision from which a watch can start
 	config   *RoutingObject
 	list     []catalog.Upstream
@@ -41,7 +41,7 @@
 }
 
 func newFakeStore(routing config.Routing, list ...catalog.Upstream) *fakeStore {
-	s := &fakeStore{revision: 10, changed: make(chan struct{}), list: list}
+	s := &fakeStore{revision: core.StoreRevision{Number: 10}, changed: make(chan struct{}), list: list}
 	s.setConfig(routing)
 	return s
 }
@@ -51,7 +51,7 @@
 func (s *fakeStore) setConfig(routing config.Routing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	s.revision.Number++
 	raw, err := json.Marshal(routing)
 	if err != nil {
 		panic(err)
@@ -61,29 +61,29 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) ReadRouting(context.Context) (RoutingObject, uint64, error) {
+func (s *fakeStore) ReadRouting(context.Context) (RoutingObject, core.StoreRevision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	if s.down {
-		return RoutingObject{}, 0, errDown
+		return RoutingObject{}, core.StoreRevision{}, errDown
 	}
 	return *s.config, s.revision, nil
 }
 
-func (s *fakeStore) WatchRouting(ctx context.Context, after uint64, wait time.Duration) (*RoutingObject, uint64, error) {
+func (s *fakeStore) WatchRouting(ctx context.Context, after core.StoreRevision, wait time.Duration) (*RoutingObject, core.StoreRevision, error) {
 	s.mu.Lock()
 	s.watches++
 	s.waits = append(s.waits, wait)
 	if s.down {
 		s.mu.Unlock()
-		return nil, 0, errDown
+		return nil, core.StoreRevision{}, errDown
 	}
-	if after < s.oldest {
+	if after.Number < s.oldest {
 		s.mu.Unlock()
-		return nil, 0, ErrCompacted
+		return nil, core.StoreRevision{}, ErrCompacted
 	}
-	if s.config.Revision > after {
+	if after.Before(s.config.Revision) {
 		defer s.mu.Unlock()
 		object := *s.config
 		return &object, s.revision, nil
@@ -92,17 +92,17 @@
 	s.mu.Unlock()
 	if unresponsive {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, core.StoreRevision{}, ctx.Err()
 	}
 	select {
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, core.StoreRevision{}, ctx.Err()
 	case <-changed:
 	case <-time.After(wait):
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.config.Revision > after {
+	if after.Before(s.config.Revision) {
 		object := *s.config
 		return &object, s.revision, nil
 	}
@@ -115,18 +115,18 @@
 	return config.NewRouting(routing), err
 }
 
-func (s *fakeStore) ListUpstreams(context.Context) ([]catalog.Upstream, []SkippedEntry, uint64, error) {
+func (s *fakeStore) ListUpstreams(context.Context) ([]catalog.Upstream, []SkippedEntry, core.StoreRevision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, nil, 0, errDown
+		return nil, nil, core.StoreRevision{}, errDown
 	}
 	return s.list, nil, s.revision, nil
 }
 
-func (s *fakeStore) WatchUpstreams(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Change, []SkippedEntry, uint64, error) {
+func (s *fakeStore) WatchUpstreams(ctx context.Context, after core.StoreRevision, wait time.Duration) ([]catalog.Change, []SkippedEntry, core.StoreRevision, error) {
 	if !sleep(ctx, wait) {
-		return nil, nil, 0, ctx.Err()
+		return nil, nil, core.StoreRevision{}, ctx.Err()
 	}
 	return nil, nil, after, nil
 }
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -93,7 +93,7 @@
 
 // upstreamList is the current list of Upstreams, which peers may fetch.
 type upstreamList struct {
-	Revision  uint64             `json:"revision"`
+	Revision  core.StoreRevision `json:"store_revision"`
 	Upstreams []catalog.Upstream `json:"upstreams"`
 }
 
--- a/pkg/hosted/daemon_test.go
+++ b/pkg/hosted/daemon_test.go
@@ -30,7 +30,7 @@
 func TestOldConfigurationIsWatchedFromTheStoresRevision(t *testing.T) {
 	is := is.New(t)
 	store := newFakeStore(plainRouting(1))
-	store.revision = 100
+	store.revision.Number = 100
 	store.oldest = 90 // the configuration has revision 11
 	startDaemon(t, store)
 	time.Sleep(700 * time.Millisecond)
--- a/pkg/hosted/state.go
+++ b/pkg/hosted/state.go
@@ -59,8 +59,8 @@
 
 // peerConfig is the encoded configuration that one Instance fetches from another.
 type peerConfig struct {
-	Revision uint64 `json:"revision"`
-	Raw      []byte `json:"raw,omitempty"`
+	Revision core.StoreRevision `json:"store_revision"`
+	Raw      []byte             `json:"raw,omitempty"`
 	// Compressed replaces Raw if the request has asked for acceptGzip.
 	Compressed []byte `json:"gzip,omitempty"`
 }
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -140,7 +140,7 @@
 	}
 }
 
-func (d *Daemon) watchRouting(ctx context.Context, health *storeHealth, after uint64, phase float64) {
+func (d *Daemon) watchRouting(ctx context.Context, health *storeHealth, after core.StoreRevision, phase float64) {
 	for ctx.Err() == nil {
 		wait := watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase)
 		watchCtx, cancel := d.watches.start(ctx, wait+watchMargin)
@@ -154,7 +154,7 @@
 			return
 		}
 		health.recordSuccess()
-		after = max(after, at)
+		after = after.Latest(at)
 		if object != nil {
 			d.storeRouting(*object, "", 0)
 			sleep(ctx, changeBatchDelay)
@@ -226,7 +226,7 @@
 
 func (d *Daemon) storeRouting(object RoutingObject, from core.InstanceID, readAt core.Instant) {
 	current := d.rawConfig.Load()
-	if current == nil || object.Revision > current.Revision {
+	if current == nil || current.Revision.Before(object.Revision) {
 		d.rawConfig.Store(newHeldConfig(object))
 	}
 	d.post(router.RoutingReceived{Routing: object.Routing, Revision: object.Revision, From: from, ReadAt: readAt})
@@ -253,7 +253,7 @@
 	}
 }
 
-func (d *Daemon) watchUpstreams(ctx context.Context, health *storeHealth, after uint64, phase float64) {
+func (d *Daemon) watchUpstreams(ctx context.Context, health *storeHealth, after core.StoreRevision, phase float64) {
 	for ctx.Err() == nil {
 		wait := watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase)
 		watchCtx, cancel := d.watches.start(ctx, wait+watchMargin)
@@ -268,7 +268,7 @@
 		}
 		health.recordSuccess()
 		d.logSkipped(skipped)
-		after = max(after, at)
+		after = after.Latest(at)
 		if len(changes) > 0 {
 			d.post(router.UpstreamsChanged{Revision: after, Changes: changes})
 			sleep(ctx, changeBatchDelay)
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -214,8 +214,8 @@
 		members = append(members, other.member)
 	}
 	w.step(inst, router.MembersListed{Members: members})
-	w.step(inst, router.RoutingReceived{Routing: w.routing, Revision: 1})
-	w.step(inst, router.UpstreamsListed{Revision: w.revision, Upstreams: w.registeredUpstreams()})
+	w.step(inst, router.RoutingReceived{Routing: w.routing, Revision: core.StoreRevision{Number: 1}})
+	w.step(inst, router.UpstreamsListed{Revision: core.StoreRevision{Number: w.revision}, Upstreams: w.registeredUpstreams()})
 	w.step(inst, router.Tick{})
 }
 
@@ -241,7 +241,7 @@
 	revision, list := w.revision, w.registeredUpstreams()
 	for _, inst := range w.instances {
 		w.after(storeDelay+time.Duration(w.rng.IntN(200))*time.Millisecond, func() {
-			w.step(inst, router.UpstreamsListed{Revision: revision, Upstreams: list})
+			w.step(inst, router.UpstreamsListed{Revision: core.StoreRevision{Number: revision}, Upstreams: list})
 		})
 	}
 }
@@ -328,8 +328,8 @@
 	case router.RefreshState:
 		readAt := w.now
 		w.after(2*w.transit(inst.member.DataCentre, inst.member.DataCentre)+storeDelay, func() {
-			w.step(inst, router.RoutingReceived{Routing: w.routing, Revision: 1, ReadAt: readAt})
-			w.step(inst, router.UpstreamsListed{Revision: w.revision, Upstreams: w.registeredUpstreams(), ReadAt: readAt})
+			w.step(inst, router.RoutingReceived{Routing: w.routing, Revision: core.StoreRevision{Number: 1}, ReadAt: readAt})
+			w.step(inst, router.UpstreamsListed{Revision: core.StoreRevision{Number: w.revision}, Upstreams: w.registeredUpstreams(), ReadAt: readAt})
 		})
 	case router.FetchState:
 		w.after(storeDelay, func() { w.step(inst, router.StateFetchEnded{Kind: e.Kind, From: e.From}) })
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -72,7 +72,7 @@
 	fleet         *fleet.Fleet
 
 	pending           pendingConfirmation
-	configRevision    uint64
+	configRevision    core.StoreRevision
 	attemptSeq        uint64
 	deadlines         schedule.Queue[core.Instant, core.RequestID]
 	crashes           map[core.Fingerprint]*crashRecord
@@ -243,7 +243,7 @@
 func (h *hosted) onRoutingReceived(now core.Instant, e RoutingReceived) {
 	if h.routing != nil && e.Routing.Version <= h.routing.Version {
 		if e.Routing.Version == h.routing.Version {
-			h.configRevision = max(h.configRevision, e.Revision) // written again without a change
+			h.configRevision = h.configRevision.Latest(e.Revision) // written again without a change
 		}
 		return
 	}
@@ -270,7 +270,7 @@
 		from = "peer " + string(e.From)
 	}
 	h.recordEvent(now, "config", "in force", "version="+strconv.FormatUint(uint64(e.Routing.Version), 10)+
-		" revision="+strconv.FormatUint(e.Revision, 10)+" from="+from)
+		" revision="+e.Revision.String()+" from="+from)
 	h.emit(RoutingActivated{Routing: e.Routing})
 	h.refuseRevoked(now)
 }
@@ -293,7 +293,7 @@
 	list := h.catalog.Upstreams()
 	h.announcements.SetUpstreams(now, list)
 	h.recordEvent(now, "catalog", "upstreams "+why, "count="+strconv.Itoa(len(list))+
-		" revision="+strconv.FormatUint(revision, 10)+" from="+string(from))
+		" revision="+revision.String()+" from="+string(from))
 	h.emit(UpstreamsUpdated{Revision: revision, Upstreams: h.catalog.Registered()})
 	h.applyDispatch(now, h.dispatch.SetUpstreams(now, list))
 }
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -55,7 +55,7 @@
 // RoutingReceived is a configuration from the store or, if From is set, from a peer.
 type RoutingReceived struct {
 	Routing  *config.Routing
-	Revision uint64
+	Revision core.StoreRevision
 	From     core.InstanceID
 	// ReadAt is the instant before the read of the store, 0 for a peer or a watch.
 	ReadAt core.Instant
@@ -64,7 +64,7 @@
 // UpstreamsListed is the complete list of registered Upstreams at a revision, from
 // the store or, if From is set, from a peer.
 type UpstreamsListed struct {
-	Revision  uint64
+	Revision  core.StoreRevision
 	Upstreams []catalog.Upstream
 	From      core.InstanceID
 	// ReadAt is the instant before the read of the store, 0 for a peer.
@@ -73,7 +73,7 @@
 
 // UpstreamsChanged contains the changes of the list up to a revision.
 type UpstreamsChanged struct {
-	Revision uint64
+	Revision core.StoreRevision
 	Changes  []catalog.Change
 }
 
@@ -173,7 +173,7 @@
 
 // UpstreamsUpdated contains the Upstreams that the store lists at a revision, for peers.
 type UpstreamsUpdated struct {
-	Revision  uint64
+	Revision  core.StoreRevision
 	Upstreams []catalog.Upstream
 }
 
--- a/pkg/router/hosted_fetch.go
+++ b/pkg/router/hosted_fetch.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
@@ -25,7 +24,7 @@
 // stateFetch tracks a state of which peers have a newer revision than this Instance.
 type stateFetch struct {
 	// revision is the newer revision that was reported first, at behindSince.
-	revision    uint64
+	revision    core.StoreRevision
 	behindSince core.Instant
 	// candidates have reported a newer revision and have not been asked since.
 	candidates map[core.InstanceID]fleet.Member
@@ -35,9 +34,9 @@
 }
 
 // noteRevision records that a peer has a newer state than this Instance.
-func (h *hosted) noteRevision(now core.Instant, peer fleet.Member, kind StateKind, revision uint64) {
+func (h *hosted) noteRevision(now core.Instant, peer fleet.Member, kind StateKind, revision core.StoreRevision) {
 	own := h.ownRevision(kind)
-	if revision <= own {
+	if !own.Before(revision) {
 		return
 	}
 	f := h.fetches[kind]
@@ -48,7 +47,7 @@
 		}
 		h.fetches[kind] = f
 		h.recordEvent(now, "fleet", "behind on "+string(kind), "peer="+peer.Ref.String()+
-			" theirs="+strconv.FormatUint(revision, 10)+" own="+strconv.FormatUint(own, 10))
+			" theirs="+revision.String()+" own="+own.String())
 	}
 	if !f.running[peer.Ref.ID] {
 		f.candidates[peer.Ref.ID] = peer
@@ -64,7 +63,7 @@
 		if f == nil {
 			continue
 		}
-		if h.ownRevision(kind) >= f.revision {
+		if !h.ownRevision(kind).Before(f.revision) {
 			delete(h.fetches, kind)
 			continue
 		}
@@ -87,7 +86,7 @@
 	f.running[peer.Ref.ID] = true
 	f.askedAt = now
 	h.recordEvent(now, "fleet", "fetch "+string(kind), "from="+peer.Ref.String()+" behind_for="+now.Sub(f.behindSince).String()+
-		" theirs="+strconv.FormatUint(f.revision, 10)+" own="+strconv.FormatUint(h.ownRevision(kind), 10))
+		" theirs="+f.revision.String()+" own="+h.ownRevision(kind).String())
 	h.emit(FetchState{Kind: kind, From: peer.Ref.ID, Addr: peer.PeerAddr})
 }
 
@@ -125,12 +124,12 @@
 	}
 	delete(f.running, e.From)
 	h.recordEvent(now, "fleet", "fetch of "+string(e.Kind)+" ended", "from="+string(e.From)+
-		" own="+strconv.FormatUint(h.ownRevision(e.Kind), 10))
+		" own="+h.ownRevision(e.Kind).String())
 	h.fetchOverdueStates(now)
 }
 
 // ownRevision returns the revision up to which this Instance has a state.
-func (h *hosted) ownRevision(kind StateKind) uint64 {
+func (h *hosted) ownRevision(kind StateKind) core.StoreRevision {
 	if kind == StateConfig {
 		return h.configRevision
 	}
--- a/pkg/router/hosted_fleet_test.go
+++ b/pkg/router/hosted_fleet_test.go
@@ -67,8 +67,8 @@
 	for i := range n {
 		f.schedule(time.Duration(f.rng.IntN(150))*time.Millisecond, func() {
 			f.step(i, MembersListed{Members: f.members})
-			f.step(i, RoutingReceived{Routing: config.NewRouting(*routing), Revision: 10})
-			f.step(i, UpstreamsListed{Revision: 10, Upstreams: []catalog.Upstream{{ID: "s1", Service: "plain", Addr: "s1:1", DataCentre: "dc0"}}})
+			f.step(i, RoutingReceived{Routing: config.NewRouting(*routing), Revision: storeRevision(10)})
+			f.step(i, UpstreamsListed{Revision: storeRevision(10), Upstreams: []catalog.Upstream{{ID: "s1", Service: "plain", Addr: "s1:1", DataCentre: "dc0"}}})
 			f.tick(i)
 		})
 	}
@@ -237,7 +237,7 @@
 		is := is.New(t)
 		f := newHostedFleet(1, test.instances, largeAccount())
 		f.runFor(time.Second)
-		f.step(0, RoutingReceived{Routing: hostedRouting(2), Revision: 20})
+		f.step(0, RoutingReceived{Routing: hostedRouting(2), Revision: storeRevision(20)})
 		f.runFor(test.maxSpread)
 		behind := 0
 		for _, r := range f.routers {
@@ -261,7 +261,7 @@
 		f := newHostedFleet(1, test.instances, largeAccount())
 		f.runFor(time.Second)
 		for i := 0; i < test.instances; i += 2 {
-			f.step(i, RoutingReceived{Routing: hostedRouting(2), Revision: 20})
+			f.step(i, RoutingReceived{Routing: hostedRouting(2), Revision: storeRevision(20)})
 		}
 		f.runFor(stateFetchDelay)
 		for i := 0; i < test.instances; i += 2 {
--- a/pkg/router/hosted_pause_test.go
+++ b/pkg/router/hosted_pause_test.go
@@ -74,10 +74,10 @@
 	wantEffect[RefreshState](r)
 	r.sendRequest("1", "/call/x")
 	wantNoEffect[StartCall](r)
-	r.step(RoutingReceived{Routing: hostedRouting(1), Revision: 10, ReadAt: before}) // an answer to a read before the pause
-	r.step(UpstreamsListed{Revision: 10, Upstreams: r.upstreams, ReadAt: r.now})
+	r.step(RoutingReceived{Routing: hostedRouting(1), Revision: storeRevision(10), ReadAt: before}) // an answer to a read before the pause
+	r.step(UpstreamsListed{Revision: storeRevision(10), Upstreams: r.upstreams, ReadAt: r.now})
 	wantNoEffect[StartCall](r)
-	r.step(RoutingReceived{Routing: config.NewRouting(without), Revision: 11, ReadAt: r.now})
+	r.step(RoutingReceived{Routing: config.NewRouting(without), Revision: storeRevision(11), ReadAt: r.now})
 	is.Equal(wantEffect[Refuse](r).Refusal.Code, core.CodeUnknownKey)
 
 	r = newHostedHarness(t)
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -18,10 +18,10 @@
 type HostedHeartbeat struct {
 	Member fleet.Member
 	State  fleet.State
-	// ConfigRevision and CatalogRevision are the store's revisions of the active
-	// configuration and of the Upstreams of the sender, 0 for none.
-	ConfigRevision  uint64
-	CatalogRevision uint64
+	// ConfigAt and UpstreamsAt are the store's revisions of the active configuration and of
+	// the Upstreams of the sender, 0 for none.
+	ConfigAt    core.StoreRevision
+	UpstreamsAt core.StoreRevision
 	// Quotas holds what the sender has admitted per account.
 	Quotas map[core.AccountID]quota.Report
 	// Loads holds the load that the sender has placed on each Upstream.
@@ -58,16 +58,16 @@
 func (h *hosted) sendHeartbeats(now core.Instant, to []fleet.Member) {
 	revision, _ := h.catalog.Revision()
 	heartbeat := &HostedHeartbeat{
-		Member:          h.fleet.Self(),
-		State:           h.fleet.State(),
-		ConfigRevision:  h.configRevision,
-		CatalogRevision: revision,
-		Quotas:          h.quota.Reports(now),
-		Loads:           h.dispatch.Loads(),
-		Crashes:         h.ownCrashes(now),
-		Limits:          h.announcements.Rates.Reports(now),
-		Leaving:         h.announcements.LeavingReports(now),
-		Poison:          h.poison.Reports(now, h.Router.params.Rand.IntN(fullPoisonReports) == 0),
+		Member:      h.fleet.Self(),
+		State:       h.fleet.State(),
+		ConfigAt:    h.configRevision,
+		UpstreamsAt: revision,
+		Quotas:      h.quota.Reports(now),
+		Loads:       h.dispatch.Loads(),
+		Crashes:     h.ownCrashes(now),
+		Limits:      h.announcements.Rates.Reports(now),
+		Leaving:     h.announcements.LeavingReports(now),
+		Poison:      h.poison.Reports(now, h.Router.params.Rand.IntN(fullPoisonReports) == 0),
 	}
 	for _, member := range to {
 		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: heartbeat}, NotAfter: now.Add(peerMessageTTL)})
@@ -131,8 +131,8 @@
 		h.poison.OnPeerReports(now, heartbeat.Poison)
 		h.refuseWaitingPoison(now)
 	}
-	h.noteRevision(now, heartbeat.Member, StateConfig, heartbeat.ConfigRevision)
-	h.noteRevision(now, heartbeat.Member, StateUpstreams, heartbeat.CatalogRevision)
+	h.noteRevision(now, heartbeat.Member, StateConfig, heartbeat.ConfigAt)
+	h.noteRevision(now, heartbeat.Member, StateUpstreams, heartbeat.UpstreamsAt)
 }
 
 func loadsOf(heartbeat *HostedHeartbeat) map[core.UpstreamID]dispatch.Load {
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -30,6 +30,9 @@
 
 var hostedKey = config.DigestKey("key")
 
+// storeRevision returns a revision of the store's first era.
+func storeRevision(number int) core.StoreRevision { return core.StoreRevision{Number: uint64(number)} }
+
 func hostedRouting(version core.Version) *config.Routing {
 	route := func(prefix string, safety config.RetrySafety, streaming, resumable bool, service core.ServiceName, maxUpstreams int) config.HostRoute {
 		return config.HostRoute{
@@ -63,7 +66,7 @@
 			AddressTTL: time.Second, GracePeriod: 8 * time.Second,
 		},
 	})
-	r.step(RoutingReceived{Routing: hostedRouting(1), Revision: 10})
+	r.step(RoutingReceived{Routing: hostedRouting(1), Revision: storeRevision(10)})
 	r.upstreams = []catalog.Upstream{
 		{ID: "p1", Service: "llm", Addr: "p1:1", DataCentre: "a", Stage: catalog.StagePrefill, Slots: 8},
 		{ID: "d1", Service: "llm", Addr: "d1:1", DataCentre: "a", Stage: catalog.StageDecode, Slots: 8},
@@ -71,7 +74,7 @@
 		{ID: "s1", Service: "plain", Addr: "s1:1", DataCentre: "a", Slots: 8},
 		{ID: "s2", Service: "plain", Addr: "s2:1", DataCentre: "a", Slots: 8},
 	}
-	r.step(UpstreamsListed{Revision: 10, Upstreams: r.upstreams})
+	r.step(UpstreamsListed{Revision: storeRevision(10), Upstreams: r.upstreams})
 	return r
 }
 
@@ -264,7 +267,7 @@
 	attempt := wantEffect[StartCall](r).Attempt
 	r.failAttempt("1", attempt, attempts.Failure{Kind: attempts.FailFull, Upstream: "s1", MaybeSent: true, ConfirmedNotRun: true})
 	attempt = wantEffect[StartCall](r).Attempt
-	r.step(UpstreamsListed{Revision: 20}) // no Upstream remains
+	r.step(UpstreamsListed{Revision: storeRevision(20)}) // no Upstream remains
 	r.failAttempt("1", attempt, attempts.Failure{Kind: attempts.FailConnect, Upstream: "s2"})
 	wantNoEffect[StartCall](r)
 	r.advance(10*time.Second + deadlineSlack)
@@ -364,9 +367,9 @@
 	without := hostedRouting(3)
 	without.Accounts = nil
 	without.Accounts = []config.HostedAccount{{ID: "other"}}
-	r.step(RoutingReceived{Routing: config.NewRouting(*without), Revision: 12})
+	r.step(RoutingReceived{Routing: config.NewRouting(*without), Revision: storeRevision(12)})
 	is.Equal(wantEffect[Refuse](r).Refusal.Code, core.CodeKeyRevoked)
-	r.step(RoutingReceived{Routing: hostedRouting(2), Revision: 11, From: "peer"})
+	r.step(RoutingReceived{Routing: hostedRouting(2), Revision: storeRevision(11), From: "peer"})
 	wantNoEffect[RoutingActivated](r)
 	r.sendRequest("2", "/call/x")
 	is.Equal(wantEffect[Refuse](r).Refusal.Code.Status(), 401)
@@ -411,7 +414,7 @@
 	is := is.New(t)
 	r := newHostedHarness(t)
 	peer := fleet.Member{Ref: core.InstanceRef{ID: "peer", Incarnation: 1}, PeerAddr: "peer:1", DataCentre: "a", Region: "r"}
-	heartbeat := PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigRevision: 99, CatalogRevision: 10}}}
+	heartbeat := PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: storeRevision(99), UpstreamsAt: storeRevision(10)}}}
 	r.step(heartbeat)
 	wantNoEffect[FetchState](r) // the watch of the store may still deliver it
 	r.advance(stateFetchDelay)
@@ -419,7 +422,7 @@
 	r.step(heartbeat)
 	wantNoEffect[FetchState](r) // one at a time
 	r.step(StateFetchEnded{Kind: StateConfig, From: "peer"})
-	r.step(RoutingReceived{Routing: hostedRouting(9), Revision: 99, From: "peer"})
+	r.step(RoutingReceived{Routing: hostedRouting(9), Revision: storeRevision(99), From: "peer"})
 	wantEffect[RoutingActivated](r)
 	r.step(heartbeat)
 	r.advance(stateFetchDelay)
@@ -430,9 +433,9 @@
 // behind as well.
 func TestHostedFetchesAlthoughOtherPeersAreBehind(t *testing.T) {
 	r := newHostedHarness(t)
-	report := func(id core.InstanceID, revision uint64) PeerMessageReceived {
+	report := func(id core.InstanceID, revision int) PeerMessageReceived {
 		peer := fleet.Member{Ref: core.InstanceRef{ID: id, Incarnation: 1}, PeerAddr: string(id) + ":1", DataCentre: "a", Region: "r"}
-		return PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigRevision: revision, CatalogRevision: 10}}}
+		return PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: storeRevision(revision), UpstreamsAt: storeRevision(10)}}}
 	}
 	for range 20 {
 		r.step(report("ahead", 99))
@@ -455,7 +458,7 @@
 	r := newHostedHarness(t)
 	report := func(id core.InstanceID) {
 		peer := fleet.Member{Ref: core.InstanceRef{ID: id, Incarnation: 1}, PeerAddr: string(id) + ":1", DataCentre: "a", Region: "r"}
-		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigRevision: 99, CatalogRevision: 10}}})
+		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: storeRevision(99), UpstreamsAt: storeRevision(10)}}})
 	}
 	report("one")
 	report("two")
@@ -478,7 +481,7 @@
 	r := newHostedHarness(t)
 	for _, id := range []core.InstanceID{"one", "two", "three"} {
 		peer := fleet.Member{Ref: core.InstanceRef{ID: id, Incarnation: 1}, PeerAddr: string(id) + ":1", DataCentre: "a", Region: "r"}
-		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigRevision: 99, CatalogRevision: 10}}})
+		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: storeRevision(99), UpstreamsAt: storeRevision(10)}}})
 	}
 	r.advance(stateFetchDelay)
 	fetches := 1
@@ -498,7 +501,7 @@
 	r := newHostedHarness(t)
 	for _, peer := range []fleet.Member{{DataCentre: "z", Region: "far"}, {DataCentre: "b", Region: "r"}, {DataCentre: "a", Region: "r"}} {
 		peer.Ref = core.InstanceRef{ID: core.InstanceID("in-" + peer.DataCentre), Incarnation: 1}
-		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigRevision: 99, CatalogRevision: 10}}})
+		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: storeRevision(99), UpstreamsAt: storeRevision(10)}}})
 	}
 	r.advance(stateFetchDelay)
 	for _, from := range []core.InstanceID{"in-a", "in-b", "in-z"} {
@@ -513,7 +516,7 @@
 	is := is.New(t)
 	r := newHostedHarness(t)
 	r.step(StoreCallFailed{})
-	r.step(UpstreamsChanged{Revision: 11, Changes: []catalog.Change{{ID: "s1"}}})
+	r.step(UpstreamsChanged{Revision: storeRevision(11), Changes: []catalog.Change{{ID: "s1"}}})
 	offered := wantEffect[UpstreamsUpdated](r).Upstreams
 	is.True(!slices.ContainsFunc(offered, func(up catalog.Upstream) bool { return up.ID == "s1" }))
 	is.Equal(len(offered), 4)
@@ -521,8 +524,8 @@
 	is.True(found) // it stays usable here
 
 	peer := newHostedHarness(t) // one that has had no outage
-	peer.step(UpstreamsChanged{Revision: 11, Changes: []catalog.Change{{ID: "s1"}}})
-	peer.step(UpstreamsListed{Revision: 12, Upstreams: offered, From: "other"})
+	peer.step(UpstreamsChanged{Revision: storeRevision(11), Changes: []catalog.Change{{ID: "s1"}}})
+	peer.step(UpstreamsListed{Revision: storeRevision(12), Upstreams: offered, From: "other"})
 	_, found = peer.router.hosted.catalog.Get("s1")
 	is.True(!found)
 }
@@ -532,7 +535,7 @@
 func (r *hostedHarness) crashEngines(n int, parts ...core.PromptPart) {
 	for i := range n {
 		id := "crash" + strconv.Itoa(i)
-		r.step(UpstreamsListed{Revision: uint64(100 + i), Upstreams: []catalog.Upstream{
+		r.step(UpstreamsListed{Revision: storeRevision(100 + i), Upstreams: []catalog.Upstream{
 			{ID: "p1", Service: "llm", Addr: "p1:1", DataCentre: "a", Stage: catalog.StagePrefill, Slots: 8},
 			{ID: "d1", Service: "llm", Addr: "d1:1", DataCentre: "a", Stage: catalog.StageDecode, Slots: 8, Born: int64(i + 1)},
 		}})
@@ -590,7 +593,7 @@
 	r := newHostedHarness(t)
 	for i := range 6 {
 		id := "stream" + strconv.Itoa(i)
-		r.step(UpstreamsListed{Revision: uint64(100 + i), Upstreams: []catalog.Upstream{
+		r.step(UpstreamsListed{Revision: storeRevision(100 + i), Upstreams: []catalog.Upstream{
 			{ID: "p1", Service: "llm", Addr: "p1:1", DataCentre: "a", Stage: catalog.StagePrefill, Slots: 8},
 			{ID: "d1", Service: "llm", Addr: "d1:1", DataCentre: "a", Stage: catalog.StageDecode, Slots: 8, Born: int64(i + 1)},
 		}})
