hosted: a watch that ends in another era is followed by a full read

Cause: a watch goes on from the highest revision seen. If the store has assigned that revision again before the next watch, it does not answer that the history is gone, and changes up to it are never delivered. A watch that is unresponsive, or of an Instance that is cut off, did not notice at all.

Ruled out: that an outage always ends the watches (there is 250 ms between two watches after a change, and the counter needs one write to catch up).

Change: a watch whose reply is of another era ends in a full read.

--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -375,6 +375,8 @@
 		d.upstreams.Store(&upstreamList{Revision: e.Revision, Upstreams: e.Upstreams})
 	case router.RefreshState:
 		d.watches.endAll()
+	case router.StoreEraBegan:
+		d.watches.endBefore(e.Era)
 	case router.ShutdownStarted:
 		d.leaving.Store(true)
 	case router.Drained:
--- a/pkg/hosted/daemon_test.go
+++ b/pkg/hosted/daemon_test.go
@@ -23,6 +23,8 @@
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/router"
 )
 
 // Guards against full reads in a loop when the configuration is older than the
@@ -368,3 +370,51 @@
 	is.Equal(status, http.StatusOK)
 	is.Equal(length, int64(16*len(piece)))
 }
+
+// Guards against changes that are never delivered, because the store has lost some and has assigned
+// their revisions again before the next watch.
+func TestWatchThatEndsInANewEraIsFollowedByARead(t *testing.T) {
+	is := is.New(t)
+	store := newFakeStore(plainRouting(1))
+	d := newDaemon(t, store, zap.NewNop())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go d.syncRouting(ctx, 0)
+	version := func() core.Version {
+		for {
+			select {
+			case event := <-d.events:
+				if e, found := event.(router.RoutingReceived); found {
+					return e.Routing.Version
+				}
+			case <-time.After(2 * time.Second):
+				return 0
+			}
+		}
+	}
+	is.Equal(version(), core.Version(1))
+	store.setConfig(plainRouting(2))
+	is.Equal(version(), core.Version(2))
+	store.mu.Lock()
+	lost := store.revision
+	store.revision = core.StoreRevision{Era: lost.Era + 1, Number: lost.Number - 2}
+	store.mu.Unlock()
+	store.setConfig(plainRouting(3)) // has the number before lost, so the next watch does not deliver it
+	store.mu.Lock()
+	store.config.Revision = core.StoreRevision{} // not after any revision
+	store.revision.Number = lost.Number
+	store.mu.Unlock()
+	is.Equal(version(), core.Version(3))
+}
+
+// Guards against a watch that goes on without an answer although a peer has reported that the store
+// came back from an older copy.
+func TestWatchesOfAnEarlierEraEnd(t *testing.T) {
+	is := is.New(t)
+	var watches activeWatches
+	earlier, _ := watches.start(t.Context(), 1, time.Minute)
+	current, _ := watches.start(t.Context(), 2, time.Minute)
+	watches.endBefore(2)
+	is.Equal(context.Cause(earlier), errWatchEnded)
+	is.NoErr(current.Err())
+}
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	mathrand "math/rand/v2"
 	"sync"
 	"time"
@@ -143,7 +144,7 @@
 func (d *Daemon) watchRouting(ctx context.Context, health *storeHealth, after core.StoreRevision, phase float64) {
 	for ctx.Err() == nil {
 		wait := watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase)
-		watchCtx, cancel := d.watches.start(ctx, wait+watchMargin)
+		watchCtx, cancel := d.watches.start(ctx, after.Era, wait+watchMargin)
 		object, at, err := d.adapter.Store.WatchRouting(watchCtx, after, wait)
 		cancel()
 		switch {
@@ -154,6 +155,9 @@
 			return
 		}
 		health.recordSuccess()
+		if at.Era != after.Era {
+			return // the store does not have all changes since the revision after
+		}
 		after = after.Latest(at)
 		if object != nil {
 			d.storeRouting(*object, "", 0)
@@ -183,21 +187,27 @@
 // activeWatches are the watches of the store in progress.
 type activeWatches struct {
 	mu   sync.Mutex
-	ends map[context.Context]context.CancelCauseFunc
+	ends map[context.Context]activeWatch
+}
+
+type activeWatch struct {
+	end context.CancelCauseFunc
+	// era is that of the revision from which it watches.
+	era uint64
 }
 
 var errWatchEnded = errors.New("the watch was ended early")
 
-// start returns the context of a watch.
-func (w *activeWatches) start(ctx context.Context, timeout time.Duration) (context.Context, func()) {
+// start returns the context of a watch from a revision of an era.
+func (w *activeWatches) start(ctx context.Context, era uint64, timeout time.Duration) (context.Context, func()) {
 	timeoutCtx, cancel := context.WithTimeout(ctx, timeout)
 	watchCtx, end := context.WithCancelCause(timeoutCtx)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.ends == nil {
-		w.ends = map[context.Context]context.CancelCauseFunc{}
+		w.ends = map[context.Context]activeWatch{}
 	}
-	w.ends[watchCtx] = end
+	w.ends[watchCtx] = activeWatch{end: end, era: era}
 	return watchCtx, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -208,11 +218,16 @@
 }
 
 // endAll ends all watches, so that a full read follows each of them.
-func (w *activeWatches) endAll() {
+func (w *activeWatches) endAll() { w.endBefore(math.MaxUint64) }
+
+// endBefore ends the watches from revisions of earlier eras of the store.
+func (w *activeWatches) endBefore(era uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, end := range w.ends {
-		end(errWatchEnded)
+	for _, watch := range w.ends {
+		if watch.era < era {
+			watch.end(errWatchEnded)
+		}
 	}
 }
 
@@ -256,7 +271,7 @@
 func (d *Daemon) watchUpstreams(ctx context.Context, health *storeHealth, after core.StoreRevision, phase float64) {
 	for ctx.Err() == nil {
 		wait := watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase)
-		watchCtx, cancel := d.watches.start(ctx, wait+watchMargin)
+		watchCtx, cancel := d.watches.start(ctx, after.Era, wait+watchMargin)
 		changes, skipped, at, err := d.adapter.Store.WatchUpstreams(watchCtx, after, wait)
 		cancel()
 		switch {
@@ -267,6 +282,9 @@
 			return
 		}
 		health.recordSuccess()
+		if at.Era != after.Era {
+			return // the store does not have all changes since the revision after
+		}
 		d.logSkipped(skipped)
 		after = after.Latest(at)
 		if len(changes) > 0 {
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -73,6 +73,7 @@
 
 	pending           pendingConfirmation
 	configRevision    core.StoreRevision
+	storeEra          *uint64 // newest era of the store, nil before the first state
 	attemptSeq        uint64
 	deadlines         schedule.Queue[core.Instant, core.RequestID]
 	crashes           map[core.Fingerprint]*crashRecord
@@ -164,14 +165,17 @@
 	case CallerAddressesRequested:
 		h.onCallerAddressesRequested(e)
 	case RoutingReceived:
+		h.observeEra(now, e.Revision.Era)
 		h.onRoutingReceived(now, e)
 		h.onStateRead(now, e.ReadAt, &h.pending.routing)
 	case UpstreamsListed:
+		h.observeEra(now, e.Revision.Era)
 		if h.catalog.Replace(now, e.Revision, e.Upstreams) {
 			h.applyUpstreams(now, "listed", e.From)
 		}
 		h.onStateRead(now, e.ReadAt, &h.pending.upstreams)
 	case UpstreamsChanged:
+		h.observeEra(now, e.Revision.Era)
 		if h.catalog.Apply(now, e.Revision, e.Changes) {
 			h.applyUpstreams(now, "watched", "")
 		}
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -171,6 +171,10 @@
 // RefreshState requests a new read of the configuration and of the Upstreams.
 type RefreshState struct{}
 
+// StoreEraBegan reports that the store has come back from an older copy. What was read of an
+// earlier era has to be read again.
+type StoreEraBegan struct{ Era uint64 }
+
 // UpstreamsUpdated contains the Upstreams that the store lists at a revision, for peers.
 type UpstreamsUpdated struct {
 	Revision  core.StoreRevision
@@ -191,6 +195,7 @@
 func (RoutingActivated) effect() {}
 func (UpstreamsUpdated) effect() {}
 func (RefreshState) effect()     {}
+func (StoreEraBegan) effect()    {}
 func (ShutdownStarted) effect()  {}
 
 // HostedOutcome is what the metrics of a hosted Instance count.
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -131,6 +131,11 @@
 		h.poison.OnPeerReports(now, heartbeat.Poison)
 		h.refuseWaitingPoison(now)
 	}
+	for _, revision := range []core.StoreRevision{heartbeat.ConfigAt, heartbeat.UpstreamsAt} {
+		if revision.Number > 0 {
+			h.observeEra(now, revision.Era)
+		}
+	}
 	h.noteRevision(now, heartbeat.Member, StateConfig, heartbeat.ConfigAt)
 	h.noteRevision(now, heartbeat.Member, StateUpstreams, heartbeat.UpstreamsAt)
 }
