router: of two configurations the one with the higher version is newer

After the store had come back from an older copy, a new Instance served the version of the copy although its peers had a newer one, and one that was cut off from the store fetched that older version from them.

Cause: three places decided which of two configurations is newer. The Router went by the version; heartbeats, and what the daemon hands to peers, by the revision. After the store has gone back, an older version has a later revision. Class of fault: one order that is kept in several places.

Ruled out: that the active version of an Instance goes back (the Router has always compared versions; no case of the tests shows it).

Change: StateStamp, a version and a revision, is the one order. Heartbeats carry it, and the Router alone decides: what it has put in force is also what peers get. A version that is written again keeps its content and takes its new revision; other content under the same version and a later revision is put in force. An older version in the store is logged, since the operator has to write the newer one again.

--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -75,7 +75,7 @@
 	clock    *timeline.Clock
 
 	routing        atomic.Pointer[config.Routing]
-	rawConfig      atomic.Pointer[heldConfig]
+	config         atomic.Pointer[heldConfig]
 	upstreams      atomic.Pointer[upstreamList]
 	leaving        atomic.Bool
 	liveInstances  atomic.Int64 // including this one
@@ -371,6 +371,7 @@
 		}
 	case router.RoutingActivated:
 		d.routing.Store(e.Routing)
+		d.config.Store(newHeldConfig(RoutingObject{Routing: e.Routing, Revision: e.Revision, Raw: e.Raw}))
 	case router.UpstreamsUpdated:
 		d.upstreams.Store(&upstreamList{Revision: e.Revision, Upstreams: e.Upstreams})
 	case router.RefreshState:
--- a/pkg/hosted/state.go
+++ b/pkg/hosted/state.go
@@ -79,7 +79,7 @@
 func (d *Daemon) servePeer(_ core.InstanceRef, name string, body []byte) ([]byte, error) {
 	switch router.StateKind(name) {
 	case router.StateConfig:
-		current := d.rawConfig.Load()
+		current := d.config.Load()
 		if current == nil {
 			return nil, errorx.IllegalState.New("no configuration is held here")
 		}
@@ -133,7 +133,7 @@
 		if err != nil {
 			return err
 		}
-		d.storeRouting(RoutingObject{Routing: routing, Revision: got.Revision, Raw: raw}, e.From, 0)
+		d.postRouting(RoutingObject{Routing: routing, Revision: got.Revision, Raw: raw}, e.From, 0)
 	case router.StateUpstreams:
 		var got upstreamList
 		if err := json.Unmarshal(body, &got); err != nil {
--- a/pkg/hosted/state_test.go
+++ b/pkg/hosted/state_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -36,7 +37,11 @@
 	d := newDaemon(t, store, zap.NewNop())
 	object, _, err := store.ReadRouting(t.Context())
 	is.NoErr(err)
-	d.storeRouting(object, "", 0)
+	go d.loop(t.Context())
+	d.postRouting(object, "", 0)
+	for d.config.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
 	body, err := d.servePeer(core.InstanceRef{ID: "peer"}, string(router.StateConfig), []byte(acceptGzip))
 	is.NoErr(err)
 	seconds := float64(fetches*8*len(body)) / linkBitsPerSecond
@@ -45,7 +50,7 @@
 
 	other := newDaemon(t, store, zap.NewNop())
 	is.NoErr(other.applyState(router.FetchState{Kind: router.StateConfig, From: "peer"}, body))
-	is.Equal(other.rawConfig.Load().Raw, object.Raw)
+	is.Equal((<-other.events).(router.RoutingReceived).Raw, object.Raw)
 	old, err := d.servePeer(core.InstanceRef{ID: "peer"}, string(router.StateConfig), nil)
 	is.NoErr(err)
 	var got peerConfig
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -136,7 +136,7 @@
 			continue
 		}
 		health.recordSuccess()
-		d.storeRouting(object, "", readAt)
+		d.postRouting(object, "", readAt)
 		d.watchRouting(ctx, health, revision, phase)
 	}
 }
@@ -160,7 +160,7 @@
 		}
 		after = after.Latest(at)
 		if object != nil {
-			d.storeRouting(*object, "", 0)
+			d.postRouting(*object, "", 0)
 			sleep(ctx, changeBatchDelay)
 		}
 	}
@@ -239,12 +239,8 @@
 	}
 }
 
-func (d *Daemon) storeRouting(object RoutingObject, from core.InstanceID, readAt core.Instant) {
-	current := d.rawConfig.Load()
-	if current == nil || current.Revision.Before(object.Revision) {
-		d.rawConfig.Store(newHeldConfig(object))
-	}
-	d.post(router.RoutingReceived{Routing: object.Routing, Revision: object.Revision, From: from, ReadAt: readAt})
+func (d *Daemon) postRouting(object RoutingObject, from core.InstanceID, readAt core.Instant) {
+	d.post(router.RoutingReceived{Routing: object.Routing, Revision: object.Revision, Raw: object.Raw, From: from, ReadAt: readAt})
 }
 
 // syncUpstreams reads the registered Upstreams, then watches them for changes. phase is
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"strconv"
@@ -73,6 +74,7 @@
 
 	pending           pendingConfirmation
 	configRevision    core.StoreRevision
+	rawConfig         []byte
 	storeEra          *uint64 // newest era of the store, nil before the first state
 	attemptSeq        uint64
 	deadlines         schedule.Queue[core.Instant, core.RequestID]
@@ -245,13 +247,19 @@
 
 // onRoutingReceived activates a configuration if it is newer than the active one.
 func (h *hosted) onRoutingReceived(now core.Instant, e RoutingReceived) {
-	if h.routing != nil && e.Routing.Version <= h.routing.Version {
-		if e.Routing.Version == h.routing.Version {
-			h.configRevision = h.configRevision.Latest(e.Revision) // written again without a change
+	if h.routing != nil {
+		received := StateStamp{Version: e.Routing.Version, Revision: e.Revision}
+		if !h.ownState(StateConfig).Before(received) {
+			h.logOlderConfig(now, e)
+			return
+		}
+		if e.Routing.Version == h.routing.Version && bytes.Equal(e.Raw, h.rawConfig) { // written again
+			h.configRevision = e.Revision
+			h.emit(RoutingActivated{Routing: h.routing, Revision: e.Revision, Raw: h.rawConfig})
+			return
 		}
-		return
 	}
-	h.routing = e.Routing
+	h.routing, h.rawConfig = e.Routing, e.Raw
 	h.configRevision = e.Revision
 	for _, account := range e.Routing.Accounts {
 		h.quota.SetLimit(now, account.ID, quota.Limit{Rate: account.Rate, Burst: account.Burst})
@@ -275,10 +283,19 @@
 	}
 	h.recordEvent(now, "config", "in force", "version="+strconv.FormatUint(uint64(e.Routing.Version), 10)+
 		" revision="+e.Revision.String()+" from="+from)
-	h.emit(RoutingActivated{Routing: e.Routing})
+	h.emit(RoutingActivated{Routing: e.Routing, Revision: e.Revision, Raw: e.Raw})
 	h.refuseRevoked(now)
 }
 
+// logOlderConfig logs that the store has an older version than the active one: it has lost that,
+// and the operator has to write it again.
+func (h *hosted) logOlderConfig(now core.Instant, e RoutingReceived) {
+	if e.From == "" && e.Routing.Version < h.routing.Version {
+		h.recordEvent(now, "config", "ignored an older version", "active="+h.ownState(StateConfig).String()+
+			" received="+StateStamp{Version: e.Routing.Version, Revision: e.Revision}.String())
+	}
+}
+
 // refuseRevoked refuses the waiting requests whose key is no longer valid.
 func (h *hosted) refuseRevoked(now core.Instant) {
 	for _, id := range slices.Sorted(maps.Keys(h.requests)) {
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/announce"
@@ -56,7 +57,9 @@
 type RoutingReceived struct {
 	Routing  *config.Routing
 	Revision core.StoreRevision
-	From     core.InstanceID
+	// Raw is the encoded configuration.
+	Raw  []byte
+	From core.InstanceID
 	// ReadAt is the instant before the read of the store, 0 for a peer or a watch.
 	ReadAt core.Instant
 }
@@ -92,6 +95,31 @@
 	StateUpstreams StateKind = "upstreams"
 )
 
+// StateStamp identifies what an Instance has of a state.
+type StateStamp struct {
+	// Version is that of the configuration, 0 for other states. The operator writes the newest
+	// version again if the store has lost it.
+	Version  core.Version
+	Revision core.StoreRevision
+}
+
+// Before reports whether a state is older than another of its kind: by its version, and by its
+// revision if that is equal.
+func (s StateStamp) Before(other StateStamp) bool {
+	if s.Version != other.Version {
+		return s.Version < other.Version
+	}
+	return s.Revision.Before(other.Revision)
+}
+
+// String returns the version, if there is one, and the revision.
+func (s StateStamp) String() string {
+	if s.Version == 0 {
+		return s.Revision.String()
+	}
+	return fmt.Sprintf("%d@%s", s.Version, s.Revision)
+}
+
 // StateFetchEnded reports that a FetchState succeeded or failed. The fetched state is
 // reported in a separate event.
 type StateFetchEnded struct {
@@ -165,8 +193,13 @@
 	Addr string
 }
 
-// RoutingActivated reports that a configuration has become active.
-type RoutingActivated struct{ Routing *config.Routing }
+// RoutingActivated contains the active configuration, for requests and for peers. It reports a new
+// one, or a later revision of the same.
+type RoutingActivated struct {
+	Routing  *config.Routing
+	Revision core.StoreRevision
+	Raw      []byte
+}
 
 // RefreshState requests a new read of the configuration and of the Upstreams.
 type RefreshState struct{}
--- a/pkg/router/hosted_fetch.go
+++ b/pkg/router/hosted_fetch.go
@@ -21,41 +21,41 @@
 	maxStateFetches = 2
 )
 
-// stateFetch tracks a state of which peers have a newer revision than this Instance.
+// stateFetch tracks a state that is newer at peers than at this Instance.
 type stateFetch struct {
-	// revision is the newer revision that was reported first, at behindSince.
-	revision    core.StoreRevision
+	// reported is the newer state that was reported first, at behindSince.
+	reported    StateStamp
 	behindSince core.Instant
-	// candidates have reported a newer revision and have not been asked since.
+	// candidates have reported a newer state and have not been asked since.
 	candidates map[core.InstanceID]fleet.Member
 	// running holds the peers that are being asked, the last one since askedAt.
 	running map[core.InstanceID]bool
 	askedAt core.Instant
 }
 
-// noteRevision records that a peer has a newer state than this Instance.
-func (h *hosted) noteRevision(now core.Instant, peer fleet.Member, kind StateKind, revision core.StoreRevision) {
-	own := h.ownRevision(kind)
-	if !own.Before(revision) {
+// notePeerState records that a peer has a newer state than this Instance.
+func (h *hosted) notePeerState(now core.Instant, peer fleet.Member, kind StateKind, reported StateStamp) {
+	own := h.ownState(kind)
+	if !own.Before(reported) {
 		return
 	}
 	f := h.fetches[kind]
 	if f == nil {
 		f = &stateFetch{
-			revision: revision, behindSince: now,
+			reported: reported, behindSince: now,
 			candidates: map[core.InstanceID]fleet.Member{}, running: map[core.InstanceID]bool{},
 		}
 		h.fetches[kind] = f
 		h.recordEvent(now, "fleet", "behind on "+string(kind), "peer="+peer.Ref.String()+
-			" theirs="+revision.String()+" own="+own.String())
+			" theirs="+reported.String()+" own="+own.String())
 	}
 	if !f.running[peer.Ref.ID] {
 		f.candidates[peer.Ref.ID] = peer
 	}
 }
 
-// fetchOverdueStates fetches the states of which this Instance has had an older revision
-// for stateFetchDelay: its watch of the store is unresponsive, or the store rejects only
+// fetchOverdueStates fetches the states that peers have had in a newer form for
+// stateFetchDelay: its watch of the store is unresponsive, or the store rejects only
 // its calls. Peers that are behind as well do not matter.
 func (h *hosted) fetchOverdueStates(now core.Instant) {
 	for _, kind := range []StateKind{StateConfig, StateUpstreams} {
@@ -63,7 +63,7 @@
 		if f == nil {
 			continue
 		}
-		if !h.ownRevision(kind).Before(f.revision) {
+		if !h.ownState(kind).Before(f.reported) {
 			delete(h.fetches, kind)
 			continue
 		}
@@ -86,7 +86,7 @@
 	f.running[peer.Ref.ID] = true
 	f.askedAt = now
 	h.recordEvent(now, "fleet", "fetch "+string(kind), "from="+peer.Ref.String()+" behind_for="+now.Sub(f.behindSince).String()+
-		" theirs="+f.revision.String()+" own="+h.ownRevision(kind).String())
+		" theirs="+f.reported.String()+" own="+h.ownState(kind).String())
 	h.emit(FetchState{Kind: kind, From: peer.Ref.ID, Addr: peer.PeerAddr})
 }
 
@@ -124,14 +124,14 @@
 	}
 	delete(f.running, e.From)
 	h.recordEvent(now, "fleet", "fetch of "+string(e.Kind)+" ended", "from="+string(e.From)+
-		" own="+h.ownRevision(e.Kind).String())
+		" own="+h.ownState(e.Kind).String())
 	h.fetchOverdueStates(now)
 }
 
-// ownRevision returns the revision up to which this Instance has a state.
-func (h *hosted) ownRevision(kind StateKind) core.StoreRevision {
+// ownState returns up to what this Instance has a state.
+func (h *hosted) ownState(kind StateKind) StateStamp {
 	if kind == StateConfig {
-		return h.configRevision
+		return StateStamp{Version: h.activeVersion(), Revision: h.configRevision}
 	}
-	return h.catalog.ConfirmedRevision()
+	return StateStamp{Revision: h.catalog.ConfirmedRevision()}
 }
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -18,10 +18,10 @@
 type HostedHeartbeat struct {
 	Member fleet.Member
 	State  fleet.State
-	// ConfigAt and UpstreamsAt are the store's revisions of the active configuration and of
-	// the Upstreams of the sender, 0 for none.
-	ConfigAt    core.StoreRevision
-	UpstreamsAt core.StoreRevision
+	// ConfigAt and UpstreamsAt identify the active configuration and the Upstreams of the
+	// sender, zero for none.
+	ConfigAt    StateStamp
+	UpstreamsAt StateStamp
 	// Quotas holds what the sender has admitted per account.
 	Quotas map[core.AccountID]quota.Report
 	// Loads holds the load that the sender has placed on each Upstream.
@@ -60,8 +60,8 @@
 	heartbeat := &HostedHeartbeat{
 		Member:      h.fleet.Self(),
 		State:       h.fleet.State(),
-		ConfigAt:    h.configRevision,
-		UpstreamsAt: revision,
+		ConfigAt:    h.ownState(StateConfig),
+		UpstreamsAt: StateStamp{Revision: revision},
 		Quotas:      h.quota.Reports(now),
 		Loads:       h.dispatch.Loads(),
 		Crashes:     h.ownCrashes(now),
@@ -131,13 +131,13 @@
 		h.poison.OnPeerReports(now, heartbeat.Poison)
 		h.refuseWaitingPoison(now)
 	}
-	for _, revision := range []core.StoreRevision{heartbeat.ConfigAt, heartbeat.UpstreamsAt} {
-		if revision.Number > 0 {
-			h.observeEra(now, revision.Era)
+	for _, state := range []StateStamp{heartbeat.ConfigAt, heartbeat.UpstreamsAt} {
+		if state.Revision.Number > 0 {
+			h.observeEra(now, state.Revision.Era)
 		}
 	}
-	h.noteRevision(now, heartbeat.Member, StateConfig, heartbeat.ConfigAt)
-	h.noteRevision(now, heartbeat.Member, StateUpstreams, heartbeat.UpstreamsAt)
+	h.notePeerState(now, heartbeat.Member, StateConfig, heartbeat.ConfigAt)
+	h.notePeerState(now, heartbeat.Member, StateUpstreams, heartbeat.UpstreamsAt)
 }
 
 func loadsOf(heartbeat *HostedHeartbeat) map[core.UpstreamID]dispatch.Load {
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -33,6 +33,11 @@
 // storeRevision returns a revision of the store's first era.
 func storeRevision(number int) core.StoreRevision { return core.StoreRevision{Number: uint64(number)} }
 
+// configAt identifies a configuration whose version and revision have the same number.
+func configAt(number int) StateStamp {
+	return StateStamp{Version: core.Version(number), Revision: storeRevision(number)}
+}
+
 func hostedRouting(version core.Version) *config.Routing {
 	route := func(prefix string, safety config.RetrySafety, streaming, resumable bool, service core.ServiceName, maxUpstreams int) config.HostRoute {
 		return config.HostRoute{
@@ -414,7 +419,7 @@
 	is := is.New(t)
 	r := newHostedHarness(t)
 	peer := fleet.Member{Ref: core.InstanceRef{ID: "peer", Incarnation: 1}, PeerAddr: "peer:1", DataCentre: "a", Region: "r"}
-	heartbeat := PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: storeRevision(99), UpstreamsAt: storeRevision(10)}}}
+	heartbeat := PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: configAt(99), UpstreamsAt: StateStamp{Revision: storeRevision(10)}}}}
 	r.step(heartbeat)
 	wantNoEffect[FetchState](r) // the watch of the store may still deliver it
 	r.advance(stateFetchDelay)
@@ -422,7 +427,7 @@
 	r.step(heartbeat)
 	wantNoEffect[FetchState](r) // one at a time
 	r.step(StateFetchEnded{Kind: StateConfig, From: "peer"})
-	r.step(RoutingReceived{Routing: hostedRouting(9), Revision: storeRevision(99), From: "peer"})
+	r.step(RoutingReceived{Routing: hostedRouting(99), Revision: storeRevision(99), From: "peer"})
 	wantEffect[RoutingActivated](r)
 	r.step(heartbeat)
 	r.advance(stateFetchDelay)
@@ -435,7 +440,7 @@
 	r := newHostedHarness(t)
 	report := func(id core.InstanceID, revision int) PeerMessageReceived {
 		peer := fleet.Member{Ref: core.InstanceRef{ID: id, Incarnation: 1}, PeerAddr: string(id) + ":1", DataCentre: "a", Region: "r"}
-		return PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: storeRevision(revision), UpstreamsAt: storeRevision(10)}}}
+		return PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: configAt(revision), UpstreamsAt: StateStamp{Revision: storeRevision(10)}}}}
 	}
 	for range 20 {
 		r.step(report("ahead", 99))
@@ -458,7 +463,7 @@
 	r := newHostedHarness(t)
 	report := func(id core.InstanceID) {
 		peer := fleet.Member{Ref: core.InstanceRef{ID: id, Incarnation: 1}, PeerAddr: string(id) + ":1", DataCentre: "a", Region: "r"}
-		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: storeRevision(99), UpstreamsAt: storeRevision(10)}}})
+		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: configAt(99), UpstreamsAt: StateStamp{Revision: storeRevision(10)}}}})
 	}
 	report("one")
 	report("two")
@@ -481,7 +486,7 @@
 	r := newHostedHarness(t)
 	for _, id := range []core.InstanceID{"one", "two", "three"} {
 		peer := fleet.Member{Ref: core.InstanceRef{ID: id, Incarnation: 1}, PeerAddr: string(id) + ":1", DataCentre: "a", Region: "r"}
-		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: storeRevision(99), UpstreamsAt: storeRevision(10)}}})
+		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: configAt(99), UpstreamsAt: StateStamp{Revision: storeRevision(10)}}}})
 	}
 	r.advance(stateFetchDelay)
 	fetches := 1
@@ -501,7 +506,7 @@
 	r := newHostedHarness(t)
 	for _, peer := range []fleet.Member{{DataCentre: "z", Region: "far"}, {DataCentre: "b", Region: "r"}, {DataCentre: "a", Region: "r"}} {
 		peer.Ref = core.InstanceRef{ID: core.InstanceID("in-" + peer.DataCentre), Incarnation: 1}
-		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: storeRevision(99), UpstreamsAt: storeRevision(10)}}})
+		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, ConfigAt: configAt(99), UpstreamsAt: StateStamp{Revision: storeRevision(10)}}}})
 	}
 	r.advance(stateFetchDelay)
 	for _, from := range []core.InstanceID{"in-a", "in-b", "in-z"} {
@@ -608,3 +613,31 @@
 	r.sendRequestWithParts("next", "/once/x", "shared")
 	wantEffect[AcquireHold](r)
 }
+
+// Guards against an Instance that keeps an older version, or asks for one, because the store has
+// come back from an older copy: revisions do not tell which version is newer.
+func TestHostedNewerVersionCountsWhateverItsRevision(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	revision := func(era, number uint64) core.StoreRevision { return core.StoreRevision{Era: era, Number: number} }
+	report := func(version core.Version, at core.StoreRevision) {
+		peer := fleet.Member{Ref: core.InstanceRef{ID: "peer", Incarnation: 1}, PeerAddr: "peer:1", DataCentre: "a", Region: "r"}
+		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{
+			Member: peer, ConfigAt: StateStamp{Version: version, Revision: at}, UpstreamsAt: StateStamp{Revision: storeRevision(10)},
+		}}})
+		r.advance(2 * stateFetchDelay)
+	}
+	r.step(RoutingReceived{Routing: hostedRouting(5), Revision: revision(1, 500), Raw: []byte("5")})
+	r.step(RoutingReceived{Routing: hostedRouting(4), Revision: revision(2, 300), Raw: []byte("4")})
+	wantNoEffect[RoutingActivated](r)
+	report(4, revision(2, 300))
+	wantNoEffect[FetchState](r)
+	r.step(RoutingReceived{Routing: hostedRouting(5), Revision: revision(2, 310), Raw: []byte("5")})
+	is.Equal(wantEffect[RoutingActivated](r).Revision, revision(2, 310)) // written again
+
+	behind := newHostedHarness(t)
+	behind.step(RoutingReceived{Routing: hostedRouting(4), Revision: revision(2, 300)})
+	r = behind
+	report(5, revision(1, 500))
+	is.Equal(wantEffect[FetchState](r).Kind, StateConfig)
+}
