catalog: an Upstream that has left stays out of use in a new era of the store

Cause: the entries of the copy replaced what the store had said before.

Ruled out: that the statements of the Upstreams themselves cover it (not every one makes them, and they come with an answer, that is after a request).

Change: the catalog remembers processes that leave, and those whose entry was removed outside of an outage, beyond the era in which it learned that. One that leaves is not used again. In the same era the store's word counts, as before. Peers get the entries as the store has them, because they know for themselves which have left.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -64,11 +64,15 @@
 	// removeAt holds the end of the grace period of entries that are no longer listed.
 	removeAt   map[core.UpstreamID]core.Instant
 	graceUntil core.Instant // removals before this instant get a grace period
+	departed   map[core.UpstreamID]departure
 }
 
 // New returns an empty Catalog.
 func New() *Catalog {
-	return &Catalog{entries: map[core.UpstreamID]Upstream{}, removeAt: map[core.UpstreamID]core.Instant{}}
+	return &Catalog{
+		entries: map[core.UpstreamID]Upstream{}, removeAt: map[core.UpstreamID]core.Instant{},
+		departed: map[core.UpstreamID]departure{},
+	}
 }
 
 // Revision returns the revision of the entries, and false before the first list.
@@ -97,7 +101,7 @@
 	listed := make(map[core.UpstreamID]bool, len(list))
 	for _, up := range list {
 		listed[up.ID] = true
-		c.put(up)
+		c.put(now, up, false)
 	}
 	for id := range c.entries {
 		if !listed[id] {
@@ -133,14 +137,20 @@
 			c.remove(now, change.ID)
 			continue
 		}
-		c.put(*change.Upstream)
+		c.put(now, *change.Upstream, true)
 	}
 	return true
 }
 
-func (c *Catalog) put(up Upstream) {
+// put sets an entry. changed is set for a change, rather than an entry of a list.
+func (c *Catalog) put(now core.Instant, up Upstream, changed bool) {
 	c.entries[up.ID] = up
 	delete(c.removeAt, up.ID)
+	if up.Leaving {
+		c.recordDeparture(now, c.revision.Era, up)
+	} else {
+		c.checkDeparture(now, c.revision.Era, up, changed)
+	}
 }
 
 func (c *Catalog) remove(now core.Instant, id core.UpstreamID) {
@@ -148,7 +158,8 @@
 	if !known {
 		return
 	}
-	if entry.Leaving || now >= c.graceUntil {
+	if entry.Leaving || c.hasDeparted(entry) || now >= c.graceUntil {
+		c.recordDeparture(now, c.revision.Era, entry)
 		delete(c.entries, id)
 		delete(c.removeAt, id)
 		return
@@ -158,10 +169,10 @@
 	}
 }
 
-// Tick removes the entries whose grace period has ended. It reports whether any
-// was removed.
+// Tick removes the entries whose grace period has ended, and uses those again that are listed
+// although an earlier era of the store had removed them. It reports whether there were any.
 func (c *Catalog) Tick(now core.Instant) bool {
-	removed := false
+	removed := c.expireDepartures(now)
 	for id, until := range c.removeAt {
 		if now >= until {
 			delete(c.removeAt, id)
@@ -178,11 +189,23 @@
 	for _, until := range c.removeAt {
 		next = min(next, until)
 	}
+	for _, d := range c.departed {
+		next = min(next, c.restoredUntil(d))
+	}
 	return next
 }
 
-// Upstreams returns all entries, sorted by ID.
+// Upstreams returns all entries, sorted by ID. One that has left in an earlier era of the store is
+// leaving, whatever its entry says.
 func (c *Catalog) Upstreams() []Upstream {
+	all := c.sortedEntries()
+	for i, up := range all {
+		all[i].Leaving = up.Leaving || c.hasDeparted(up)
+	}
+	return all
+}
+
+func (c *Catalog) sortedEntries() []Upstream {
 	all := make([]Upstream, 0, len(c.entries))
 	for _, up := range c.entries {
 		all = append(all, up)
@@ -191,10 +214,10 @@
 	return all
 }
 
-// Registered returns the entries that the store lists, sorted by ID: Upstreams without those
-// that are kept for a grace period.
+// Registered returns the entries that the store lists, as they are, sorted by ID. Those that are
+// kept for a grace period are not among them.
 func (c *Catalog) Registered() []Upstream {
-	return slices.DeleteFunc(c.Upstreams(), func(up Upstream) bool {
+	return slices.DeleteFunc(c.sortedEntries(), func(up Upstream) bool {
 		_, removed := c.removeAt[up.ID]
 		return removed
 	})
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -90,3 +90,64 @@
 	is.True(!c.Apply(0, core.StoreRevision{Era: 1, Number: 502}, []Change{{ID: "a"}}))
 	is.Equal(listed(c), []core.UpstreamID{"a", "b", "c"})
 }
+
+// Guards against requests to Upstreams that leave or were removed, because the store has come back
+// from a copy in which they are ready.
+func TestDepartureOutlivesAnEra(t *testing.T) {
+	is := is.New(t)
+	ready := func(id core.UpstreamID) Upstream { return Upstream{ID: id, Addr: "1:1", Born: 7} }
+	leaving := ready("leaving")
+	leaving.Leaving = true
+	usable := func(c *Catalog) []core.UpstreamID {
+		var ids []core.UpstreamID
+		for _, up := range c.Upstreams() {
+			if !up.Leaving {
+				ids = append(ids, up.ID)
+			}
+		}
+		return ids
+	}
+	all := []Upstream{ready("kept"), ready("leaving"), ready("removed")}
+	newCatalog := func() *Catalog {
+		c := New()
+		c.Replace(second, core.StoreRevision{Era: 1, Number: 50}, all)
+		c.Apply(second, core.StoreRevision{Era: 1, Number: 52}, []Change{{ID: "leaving", Upstream: &leaving}, {ID: "removed"}})
+		is.Equal(usable(c), []core.UpstreamID{"kept"})
+		c.OnStoreError(2 * second)
+		c.Replace(3*second, core.StoreRevision{Era: 2, Number: 49}, all)
+		is.Equal(usable(c), []core.UpstreamID{"kept"})
+		is.Equal(c.Registered(), all) // peers get what the store says
+		return c
+	}
+
+	c := newCatalog()
+	is.Equal(c.NextWake(), (3 * second).Add(restoredEntryTimeout))
+	is.True(!c.Tick(7 * second))
+	is.True(c.Tick(c.NextWake()))
+	is.Equal(usable(c), []core.UpstreamID{"kept", "removed"}) // its entry has not expired: it is alive
+
+	c = newCatalog()
+	alive, back := ready("removed"), ready("leaving")
+	alive.Slots = 9
+	c.Apply(4*second, core.StoreRevision{Era: 2, Number: 55}, []Change{{ID: "removed", Upstream: &alive}, {ID: "leaving", Upstream: &back}})
+	is.Equal(usable(c), []core.UpstreamID{"kept", "removed"}) // it has written its entry again
+
+	c = newCatalog()
+	restarted := Upstream{ID: "leaving", Addr: "1:1", Born: 8}
+	c.Apply(4*second, core.StoreRevision{Era: 2, Number: 55}, []Change{{ID: "leaving", Upstream: &restarted}})
+	is.Equal(usable(c), []core.UpstreamID{"kept", "leaving"}) // another process
+}
+
+// Guards against an Upstream that is not used any more after its entry has expired and come back.
+func TestEntryThatReturnsInTheSameEraIsUsed(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	up := Upstream{ID: "a", Addr: "1:1", Born: 7}
+	c.Replace(0, at(5), []Upstream{up})
+	c.Apply(second, at(6), []Change{{ID: "a"}})
+	c.Apply(2*second, at(7), []Change{{ID: "a", Upstream: &up}})
+	is.True(!c.Upstreams()[0].Leaving)
+	c.Apply(3*second, at(8), []Change{{ID: "a"}})
+	c.Replace(4*second, at(9), []Upstream{up})
+	is.True(!c.Upstreams()[0].Leaving)
+}
