router: an Instance writes its entry again if the store has lost it

After the store has come back from an older copy, entries written since are gone for good. Instances that start later find these only through third ones, and a fleet that has lost all entries not at all.

Cause: a write was taken as lasting once it had been acknowledged.

An entry of a later incarnation is left alone, and so is the list while the Instance stops.

--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -83,6 +83,7 @@
 	lastGaugeRead  time.Time // only used by the event loop
 	addressQueries sync.Map  // query ID -> chan router.CallerAddresses
 	lastQueryID    atomic.Uint64
+	writingMember  atomic.Bool
 
 	drained   chan struct{}
 	loopEnded chan struct{}
@@ -363,6 +364,8 @@
 		}
 	case router.ListMembers:
 		go d.listMembers(ctx)
+	case router.RegisterMember:
+		go d.writeMember(ctx)
 	case router.FetchState:
 		go d.fetchState(ctx, e)
 	case router.SendPeerMessage:
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -296,16 +296,25 @@
 	}
 }
 
-// registerMember writes the description of this Instance, with retries until the store
-// accepts it, and only then lists the others. Of two Instances that register at the
-// same time, the one that writes last finds the other.
+// registerMember fetches the members from the seeds and writes the description of this Instance.
 func (d *Daemon) registerMember(ctx context.Context) {
-	health := d.newStoreHealth("members")
 	for _, seed := range d.settings.Seeds {
 		if seed != d.settings.PeerAddr {
 			go d.fetchState(ctx, router.FetchState{Kind: stateMembers, Addr: seed})
 		}
 	}
+	d.writeMember(ctx)
+}
+
+// writeMember writes the description of this Instance, with retries until the store accepts it, and
+// only then lists the others. Of two Instances that register at the same time, the one that writes
+// last finds the other.
+func (d *Daemon) writeMember(ctx context.Context) {
+	if !d.writingMember.CompareAndSwap(false, true) {
+		return
+	}
+	defer d.writingMember.Store(false)
+	health := d.newStoreHealth("members")
 	for ctx.Err() == nil {
 		writeCtx, cancel := context.WithTimeout(ctx, health.timeout())
 		err := d.adapter.Store.PutMember(writeCtx, d.router.HostedMember())
@@ -328,7 +337,7 @@
 		telemetry.ComponentLogger(d.log, "store").Warn("could not list members", zap.Error(err))
 		return
 	}
-	d.post(router.MembersListed{Members: members})
+	d.post(router.MembersListed{Members: members, Complete: true})
 }
 
 // stateMembers is fetched from seeds only.
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -213,7 +213,7 @@
 	for _, other := range w.instances {
 		members = append(members, other.member)
 	}
-	w.step(inst, router.MembersListed{Members: members})
+	w.step(inst, router.MembersListed{Members: members, Complete: true})
 	w.step(inst, router.RoutingReceived{Routing: w.routing, Revision: core.StoreRevision{Number: 1}})
 	w.step(inst, router.UpstreamsListed{Revision: core.StoreRevision{Number: w.revision}, Upstreams: w.registeredUpstreams()})
 	w.step(inst, router.Tick{})
@@ -323,7 +323,7 @@
 			for _, other := range w.instances {
 				members = append(members, other.member)
 			}
-			w.step(inst, router.MembersListed{Members: members})
+			w.step(inst, router.MembersListed{Members: members, Complete: true})
 		})
 	case router.RefreshState:
 		readAt := w.now
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -51,6 +51,9 @@
 	// crashRecordTTL is the time for which a crashRecord is stored after its last
 	// update.
 	crashRecordTTL = 30 * time.Second
+	// maxMemberListDelay bounds the time after which the members are listed in a new era of the
+	// store. The Instances of a fleet draw different times.
+	maxMemberListDelay = time.Second
 	// memberListInterval is the interval between reads of the member list. Heartbeats
 	// announce new members sooner; the list adds those that were partitioned when
 	// they started.
@@ -184,7 +187,7 @@
 	case StoreCallFailed:
 		h.catalog.OnStoreError(now)
 	case MembersListed:
-		h.fleet.OnMemberList(now, e.Members)
+		h.onMembersListed(now, e)
 	case StateFetchEnded:
 		h.onStateFetchEnded(now, e)
 	case PeerMessageReceived:
@@ -245,6 +248,21 @@
 	h.sendQuotaUpdates(now, due)
 }
 
+// onMembersListed adds the members of a list. If the store has lost the entry of this Instance, it is
+// written again, because Instances that start later find the others in the store.
+func (h *hosted) onMembersListed(now core.Instant, e MembersListed) {
+	h.fleet.OnMemberList(now, e.Members)
+	self := h.fleet.Self()
+	registered := slices.ContainsFunc(e.Members, func(m fleet.Member) bool {
+		return m == self || m.Ref.ID == self.Ref.ID && m.Ref.Incarnation > self.Ref.Incarnation
+	})
+	if !e.Complete || h.leaving || registered {
+		return
+	}
+	h.recordEvent(now, "fleet", "entry is missing", "instance="+self.Ref.String())
+	h.emit(RegisterMember{})
+}
+
 // onRoutingReceived activates a configuration if it is newer than the active one.
 func (h *hosted) onRoutingReceived(now core.Instant, e RoutingReceived) {
 	if h.routing != nil {
--- a/pkg/router/hosted_era.go
+++ b/pkg/router/hosted_era.go
@@ -2,13 +2,14 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
 
 // observeEra processes the era of a state that was read from the store or reported by a peer. In a
-// new era the store may have lost what this Instance has read before, and the entries of live
-// Upstreams among it.
+// new era the store may have lost what this Instance has read or written before: also the entries of
+// live Upstreams, and its own.
 func (h *hosted) observeEra(now core.Instant, era uint64) {
 	if h.storeEra == nil {
 		h.storeEra = &era
@@ -22,5 +23,6 @@
 	h.recordEvent(now, "store", "came back from an older copy",
 		"era="+strconv.FormatUint(era, 10)+" before="+strconv.FormatUint(before, 10))
 	h.catalog.OnStoreError(now)
+	h.nextMemberListAt = now.Add(time.Duration(h.Router.params.Rand.Int64N(int64(maxMemberListDelay))))
 	h.emit(StoreEraBegan{Era: era})
 }
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -83,8 +83,12 @@
 // StoreCallFailed reports that a call of the store failed.
 type StoreCallFailed struct{}
 
-// MembersListed is the list of Instances in the store.
-type MembersListed struct{ Members []fleet.Member }
+// MembersListed is the list of Instances in the store, or what a peer knows of it.
+type MembersListed struct {
+	Members []fleet.Member
+	// Complete is set for the list in the store.
+	Complete bool
+}
 
 // StateKind is the kind of a state that Instances fetch from each other.
 type StateKind string
@@ -186,6 +190,9 @@
 // ListMembers reads the list of Instances from the store.
 type ListMembers struct{}
 
+// RegisterMember writes the entry of this Instance to the store, which does not have it.
+type RegisterMember struct{}
+
 // FetchState fetches a state from a peer.
 type FetchState struct {
 	Kind StateKind
@@ -224,6 +231,7 @@
 func (RelayFailure) effect()     {}
 func (CallerAddresses) effect()  {}
 func (ListMembers) effect()      {}
+func (RegisterMember) effect()   {}
 func (FetchState) effect()       {}
 func (RoutingActivated) effect() {}
 func (UpstreamsUpdated) effect() {}
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -641,3 +641,24 @@
 	report(5, revision(1, 500))
 	is.Equal(wantEffect[FetchState](r).Kind, StateConfig)
 }
+
+// Guards against an Instance that new ones do not find, and against two incarnations that overwrite
+// each other's entry.
+func TestHostedWritesItsMissingEntryAgain(t *testing.T) {
+	r := newHostedHarness(t)
+	self := r.router.HostedMember()
+	earlier, later := self, self
+	earlier.Ref.Incarnation--
+	later.Ref.Incarnation++
+	r.step(MembersListed{Members: nil, Complete: true})
+	wantEffect[RegisterMember](r)
+	r.step(MembersListed{Members: []fleet.Member{earlier}, Complete: true})
+	wantEffect[RegisterMember](r)
+	for _, e := range []MembersListed{{}, {Members: []fleet.Member{self}, Complete: true}, {Members: []fleet.Member{later}, Complete: true}} {
+		r.step(e)
+		wantNoEffect[RegisterMember](r)
+	}
+	r.step(ShutdownRequested{})
+	r.step(MembersListed{Complete: true})
+	wantNoEffect[RegisterMember](r)
+}
