platform: an odd object of the store does not hide the others

It happens here: a list or watch was decoded as one document. One entry nested more than 10,000 levels deep, metadata of another type, a number too large in the metadata or bytes that are not JSON made all of it unreadable. An Instance that runs logged a lost store and read again without end; one that starts later never had any Upstream. A port out of range, no port or a huge number of slots was taken for an engine. No process ended.

Change: when a reply cannot be decoded as a whole, its objects are decoded one by one (gjson finds them whatever they contain); those that cannot be are skipped with their name and reason, as single invalid entries were before. The same for members, of which one invalid entry hid the others.

--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -194,5 +194,5 @@
 	// PutMember writes the description of this Instance.
 	PutMember(ctx context.Context, member fleet.Member) error
 	// ListMembers reads the descriptions of all Instances. They may be seconds old.
-	ListMembers(ctx context.Context) ([]fleet.Member, error)
+	ListMembers(ctx context.Context) (members []fleet.Member, skipped []SkippedEntry, err error)
 }
--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -141,13 +141,13 @@
 	return nil
 }
 
-func (s *fakeStore) ListMembers(context.Context) ([]fleet.Member, error) {
+func (s *fakeStore) ListMembers(context.Context) ([]fleet.Member, []SkippedEntry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, errDown
+		return nil, nil, errDown
 	}
-	return s.members, nil
+	return s.members, nil, nil
 }
 
 // fakeCallers decodes the identifier and the key of a request, and the event after which it resumes
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -332,11 +332,14 @@
 func (d *Daemon) listMembers(ctx context.Context) {
 	readCtx, cancel := context.WithTimeout(ctx, slowReadTimeout)
 	defer cancel()
-	members, err := d.adapter.Store.ListMembers(readCtx)
+	members, skipped, err := d.adapter.Store.ListMembers(readCtx)
 	if err != nil {
 		telemetry.ComponentLogger(d.log, "store").Warn("could not list members", zap.Error(err))
 		return
 	}
+	for _, entry := range skipped {
+		telemetry.ComponentLogger(d.log, "fleet").Warn("skipped an invalid entry of an instance", zap.String("name", entry.Name), zap.Error(entry.Reason))
+	}
 	d.post(router.MembersListed{Members: members, Complete: true})
 }
 
