router: a leaving Instance accepts no stream that outlasts its grace period

A leaving Instance accepted them until half of the grace period before its end, however long they take; plain requests get a final response at the end, but a stream that has begun can only be cut.

Ruled out: plain requests (TestStopUnderLoadAnswersEveryRequest, none is without an answer), and responses that are cut by the exit of the process (TestStopLetsAnswersFinish).

Change: the Router remembers the longest request of each service in the last 30 to 60 s. A leaving Instance accepts a request if 1.5 times that is left, and no later than before, or if its deadline is before the end; others are refused as not run and another Instance serves them. The factor covers the spread of output lengths beyond the longest one seen.

--- a/pkg/hosted/stop_test.go
+++ b/pkg/hosted/stop_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 )
 
 // stoppingCallers send requests on open connections, and on new ones, until none can be
@@ -109,3 +110,66 @@
 		}
 	}
 }
+
+// Guards against streams that are accepted late in the grace period and cut at its end: they take
+// longer than what is left of it.
+func TestStopCutsNoStreamThatItAccepts(t *testing.T) {
+	is := is.New(t)
+	const events, interval = 25, 100 * time.Millisecond
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for i := range events {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+			w.(http.Flusher).Flush()
+			time.Sleep(interval)
+		}
+	}))
+	defer engine.Close()
+	routing := plainRouting(1)
+	routing.Routes[0].Streaming = true
+	routing.Services[0].Engine = &config.EngineProfile{Slots: 100, KVCacheTokens: 1_000_000, MaxHoldDuration: time.Second}
+	settings, stop, done := startDaemon(t, newFakeStore(routing, catalog.Upstream{
+		ID: "e", Service: "s", Addr: strings.TrimPrefix(engine.URL, "http://"), DataCentre: "a", Stage: catalog.StageDecode, Slots: 100,
+	}))
+	var mu sync.Mutex
+	outcomes := map[string]int{}
+	send := func(id string) {
+		outcome := "cut"
+		request, err := http.NewRequest(http.MethodPost, "http://"+settings.CallerAddr+"/p/x", strings.NewReader("body"))
+		is.NoErr(err)
+		request.Host = "h"
+		request.Header.Set("X-Id", id)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			outcome = "not connected"
+		} else {
+			defer response.Body.Close()
+			body, err := io.ReadAll(response.Body)
+			switch {
+			case response.StatusCode == http.StatusServiceUnavailable:
+				outcome = "refused"
+			case err == nil && strings.Count(string(body), "data:") == events:
+				outcome = "complete"
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		outcomes[outcome]++
+	}
+	send("first")
+	is.Equal(outcomes, map[string]int{"complete": 1})
+	var running sync.WaitGroup
+	for n := 0; n < 5; n++ {
+		running.Go(func() { send(fmt.Sprintf("before-%d", n)) })
+	}
+	time.Sleep(200 * time.Millisecond)
+	stop()
+	for n := 0; n < 30; n++ {
+		running.Go(func() { send(fmt.Sprintf("after-%d", n)) })
+		time.Sleep(50 * time.Millisecond)
+	}
+	running.Wait()
+	<-done
+	t.Log(outcomes)
+	is.Equal(outcomes["cut"], 0)
+	is.True(outcomes["complete"] >= 6) // those from before the stop
+}
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -88,6 +88,7 @@
 	nextMemberListAt  core.Instant
 	nextQuotaUpdateAt core.Instant
 	stopAt            core.Instant
+	durations         longestDurations
 }
 
 // crashRecord counts the Upstreams that crashed while they ran requests with one
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -70,7 +70,7 @@
 		h.record(now, "request", "refused", rs, h.refusalDetail(refusal, "host="+q.Host+" path="+q.Path))
 		return
 	}
-	if now >= h.acceptUntil(rs.hosted.route) {
+	if h.mayNotComplete(now, rs) {
 		refusal := refusalWithRetryAfter(core.CodeLeaving, "the instance stops and could not complete the request", leavingRetryAfter)
 		h.emit(Refuse{Request: q.ID, Refusal: refusal})
 		h.observe(rs, refusal.Code, 0)
@@ -436,6 +436,7 @@
 		h.poison.OnCompleted(now, rs.request.SharedParts)
 	}
 	rs.completion = e
+	h.durations.record(now, rs.hosted.service.Name, now.Sub(rs.arrivedAt))
 	h.emit(Complete{Request: rs.request.ID})
 	detail := fmt.Sprintf("status=%d took=%s runs=%d", e.Status, now.Sub(rs.arrivedAt), rs.hosted.executions)
 	if rs.firstTokenAt != 0 {
--- a/pkg/router/hosted_stop.go
+++ b/pkg/router/hosted_stop.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
 
@@ -13,9 +12,13 @@
 	// stopMargin is the part of the grace period reserved for the exit.
 	stopMargin = 500 * time.Millisecond
 	// A leaving Instance accepts no request in the last quarter of its grace period, and no
-	// stream in the last half, since it could not complete them.
+	// stream in the last half, since it could not complete them. Those whose deadline is before
+	// the end are accepted.
 	finalPlainFraction  = 0.25
 	finalStreamFraction = 0.5
+	// finalDurationFactor is the time that is left for a request when the last one is accepted,
+	// in multiples of the longest recent one of its service.
+	finalDurationFactor = 1.5
 	// leavingRetryAfter is the Retry-After of a leaving Instance. Another one can serve the
 	// request immediately.
 	leavingRetryAfter = 100 * time.Millisecond
@@ -40,17 +43,18 @@
 	h.emit(ShutdownStarted{})
 }
 
-// acceptUntil returns the instant until which requests of a route are accepted, core.Never
-// unless this Instance is leaving.
-func (h *hosted) acceptUntil(route *config.HostRoute) core.Instant {
-	if !h.leaving {
-		return core.Never
+// mayNotComplete reports whether a request, which has just arrived, could still be active when
+// this Instance stops.
+func (h *hosted) mayNotComplete(now core.Instant, rs *requestState) bool {
+	if !h.leaving || rs.hosted.deadline.Add(deadlineSlack) < h.stopAt {
+		return false
 	}
 	fraction := finalPlainFraction
-	if route.Streaming {
+	if rs.hosted.route.Streaming {
 		fraction = finalStreamFraction
 	}
-	return h.stopAt.Add(-time.Duration(fraction * float64(h.params.GracePeriod)))
+	reserve := max(fraction*float64(h.params.GracePeriod), finalDurationFactor*float64(h.durations.longest(rs.hosted.service.Name)))
+	return now >= h.stopAt.Add(-time.Duration(reserve))
 }
 
 // endRequests gives every request that is still active at the end of the grace period its
--- a/pkg/router/hosted_stop_test.go
+++ b/pkg/router/hosted_stop_test.go
@@ -65,3 +65,24 @@
 	r.advance(8 * time.Second)
 	wantEffect[Drained](r) // before the end of the grace period, even if a request is active
 }
+
+// Guards against requests that are accepted in the grace period of 8 s although they take longer
+// than what is left of it, and against refusals of those that end in time in any case.
+func TestHostedLeavingInstanceKnowsHowLongRequestsTake(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	decode := r.startStream("1", "/once/x")
+	r.advance(4 * time.Second)
+	r.step(ResponseCompleted{Request: "1", Attempt: decode.Attempt, Status: 200})
+	r.step(ShutdownRequested{})
+	r.advance(time.Second)
+	r.startStream("2", "/once/x") // 6.5 s are left
+	r.advance(time.Second)
+	r.sendRequest("3", "/once/x")
+	is.Equal(wantEffect[Refuse](r).Refusal.Ran, core.NotRun)
+	key := hostedKey
+	r.step(RequestArrived{Request: Request{
+		ID: "4", Host: "h", Path: "/once/x", Key: &key, PromptTokens: 1000, MaxOutputTokens: 500, HasTokenCounts: true, Deadline: r.now.Add(3 * time.Second),
+	}})
+	wantEffect[AcquireHold](r) // its deadline is before the end
+}
