rollout: pieces of the version before stay available to peers for two seconds

What happens: on the product's own wire, an Instance that is partitioned from the store has a version more than 4 s after its promotion.

Looked for while searching for other causes of a late configuration.

Cause: three of four Instances cannot reach the store and fetch the pieces of version 2 from the fourth. That one activates version 3 within 0.1 s of it and removes the pieces that only version 2 uses; a fetch that comes after that fails until the next heartbeat announces version 3.

Change: unused pieces are removed after CallTimeout, 2 s, by when a fetch that had begun has ended. One that a later target uses again counts as received.

The check of the model is unchanged: no unused piece is left when it has settled.

--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -157,8 +157,11 @@
 	pieces    map[config.Hash][]byte
 	// receivedPieces holds the pieces that arrived since the last activation.
 	receivedPieces []config.Hash
-	fetch          fetcher
-	peers          peerSet
+	// unusedPieces holds the pieces that the active version does not use, with the instant at
+	// which they are removed.
+	unusedPieces map[config.Hash]core.Instant
+	fetch        fetcher
+	peers        peerSet
 	// pendingConfirmation is the instant of the latest confirmation that waits for
 	// ActivateSnapshot, because the root does not list every revocation.
 	pendingConfirmation    core.Instant
@@ -173,8 +176,11 @@
 		p:      p,
 		timer:  rootTimer{p: p},
 		pieces: map[config.Hash][]byte{},
-		fetch:  newFetcher(p),
-		peers:  peerSet{known: map[core.InstanceID]peerState{}},
+
+		unusedPieces: map[config.Hash]core.Instant{},
+
+		fetch: newFetcher(p),
+		peers: peerSet{known: map[core.InstanceID]peerState{}},
 	}
 }
 
@@ -308,7 +314,7 @@
 		if complete[node] {
 			continue
 		}
-		body, ok := r.pieces[node]
+		body, ok := r.heldPiece(node)
 		if !ok {
 			list = append(list, missingPiece{node, true})
 			continue
@@ -329,13 +335,24 @@
 	}
 	var list []missingPiece
 	for _, hash := range hashes {
-		if _, ok := r.pieces[hash]; !ok {
+		if _, ok := r.heldPiece(hash); !ok {
 			list = append(list, missingPiece{hash, false})
 		}
 	}
 	return list, nil
 }
 
+// heldPiece returns a piece that the target needs. One that was to be removed counts as received,
+// since the target may use it again.
+func (r *Rollout) heldPiece(hash config.Hash) ([]byte, bool) {
+	body, ok := r.pieces[hash]
+	if _, unused := r.unusedPieces[hash]; unused {
+		delete(r.unusedPieces, hash)
+		r.receivedPieces = append(r.receivedPieces, hash)
+	}
+	return body, ok
+}
+
 // OnPiece handles a piece. A body whose hash differs counts as a failure of its
 // source.
 func (r *Rollout) OnPiece(now core.Instant, hash config.Hash, body []byte) []Output {
@@ -380,6 +397,7 @@
 // are due.
 func (r *Rollout) run(now core.Instant, outs []Output) []Output {
 	outs = append(outs, r.activateIfComplete(now)...)
+	r.removeUnusedPieces(now)
 	outs = r.timer.run(now, outs)
 	return r.fetch.run(now, &r.peers, r.target.Version, outs)
 }
@@ -398,7 +416,7 @@
 	if err != nil {
 		return r.rejectTarget(err)
 	}
-	r.removeUnusedPieces(snap)
+	r.markUnusedPieces(now, snap)
 	r.snap = snap
 	outs := []Output{ActivateSnapshot{snap}}
 	if r.hasPendingConfirmation {
@@ -414,17 +432,26 @@
 	return []Output{RejectVersion{r.target.Version, err.Error()}}
 }
 
-// removeUnusedPieces removes the pieces that only former or abandoned versions use.
-func (r *Rollout) removeUnusedPieces(next *config.Snapshot) {
+// markUnusedPieces marks the pieces that only former or abandoned versions use for removal after
+// CallTimeout. Until then peers may be fetching them, and those that are partitioned from the store
+// have no other source.
+func (r *Rollout) markUnusedPieces(now core.Instant, next *config.Snapshot) {
 	added, removed := next.Diff(r.snap)
-	used := make(map[config.Hash]bool, len(added))
+	for _, hash := range append(removed, r.receivedPieces...) {
+		r.unusedPieces[hash] = now.Add(r.p.CallTimeout)
+	}
 	for _, hash := range added {
-		used[hash] = true
+		delete(r.unusedPieces, hash)
 	}
-	for _, hash := range append(removed, r.receivedPieces...) {
-		if !used[hash] {
+	r.receivedPieces = nil
+}
+
+// removeUnusedPieces removes the pieces that have been unused for CallTimeout.
+func (r *Rollout) removeUnusedPieces(now core.Instant) {
+	for hash, removeAt := range r.unusedPieces {
+		if now >= removeAt {
+			delete(r.unusedPieces, hash)
 			delete(r.pieces, hash)
 		}
 	}
-	r.receivedPieces = nil
 }
--- a/pkg/router/proof_fleet_test.go
+++ b/pkg/router/proof_fleet_test.go
@@ -50,6 +50,31 @@
 	w.RunUntil(w.Now() + activationDeadline)
 }
 
+// Guards against a promotion that is activated too late (G12) because another one follows while
+// three of four Instances are partitioned from the store and fetch the first from the fourth.
+func TestPromotionIsInForceInTimeAlthoughAnotherFollows(t *testing.T) {
+	t.Parallel()
+	opts := smallFleet(1 << 30)
+	opts.Instances[2].ClockRate = 1.003
+	w := virtual.New(opts)
+	w.RunUntil(faultsBegin)
+	for _, i := range w.Instances()[:3] {
+		w.Partition(string(i.View().Instance.ID), virtual.StoreName)
+	}
+	for n, without := range []core.UpstreamID{"north-a-prefill-1", "north-a-decode-1"} {
+		w.RunUntil(w.Now() + time.Duration(n)*2440*time.Millisecond)
+		version := w.Promote(withoutUpstream(opts.Document, without))
+		w.At(w.Now()+activationDeadline, func() {
+			for _, i := range w.Instances() {
+				if got := i.View().Version; got < version {
+					t.Errorf("%s is at version %d, %d was promoted %s ago", i.View().Instance, got, version, activationDeadline)
+				}
+			}
+		})
+	}
+	w.RunUntil(w.Now() + activationDeadline)
+}
+
 // Guards against a graceful shutdown that interrupts a request (G11). Callers
 // query addresses again when their response has expired, and callers with an
 // older, unexpired response must still be served.
