catalog: an equal list of a later era has its own revision

Cause: an equal list leaves the revision, so that Instances do not fetch equal lists from each other without end. Across eras that hides who is ahead.

Change: only an equal list of the same era leaves the revision. After the store has come back, an Instance fetches an equal list a few times at most, since lists of the same era leave the revision as before.

Test: TestEqualListOfALaterEraHasItsRevision, fails before.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -87,13 +87,14 @@
 func (c *Catalog) OnStoreError(now core.Instant) { c.graceUntil = now.Add(RemovalGrace) }
 
 // Replace applies a complete list. It returns false when the list is older than the
-// entries or equal to them. An equal list leaves the revision, like Apply without changes.
+// entries or equal to them. An equal list of the same era leaves the revision, like Apply
+// without changes.
 func (c *Catalog) Replace(now core.Instant, revision core.StoreRevision, list []Upstream) bool {
 	if c.initialized && revision.Before(c.ConfirmedRevision()) {
 		return false
 	}
 	c.confirmed = c.confirmed.Latest(revision)
-	if c.initialized && c.equals(list) {
+	if c.initialized && revision.Era == c.revision.Era && c.equals(list) {
 		return false
 	}
 	c.initialized = true
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -151,3 +151,17 @@
 	c.Replace(4*second, at(9), []Upstream{up})
 	is.True(!c.Upstreams()[0].Leaving)
 }
+
+// Guards against a peer that keeps an Upstream which only a lost list had: the Instances that have
+// read the list of the new era, and found what they had before, do not show that they are ahead.
+func TestEqualListOfALaterEraHasItsRevision(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.Replace(0, core.StoreRevision{Era: 1, Number: 500}, []Upstream{{ID: "a"}})
+	is.True(c.Replace(0, core.StoreRevision{Era: 2, Number: 480}, []Upstream{{ID: "a"}}))
+	revision, _ := c.Revision()
+	is.Equal(revision, core.StoreRevision{Era: 2, Number: 480})
+	is.True(!c.Replace(0, core.StoreRevision{Era: 2, Number: 490}, []Upstream{{ID: "a"}}))
+	revision, _ = c.Revision()
+	is.Equal(revision, core.StoreRevision{Era: 2, Number: 480})
+}
