router: a state without a revision states no era

Found when reading the change: the first state of an Instance may come from a peer of an earlier release, whose states have no era. The first read of the store was then logged as that of a store that had come back from a copy, and everything was read twice. The check for heartbeats now holds for lists too.

Test: TestHostedNoticesANewEra.

--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -171,17 +171,17 @@
 	case CallerAddressesRequested:
 		h.onCallerAddressesRequested(e)
 	case RoutingReceived:
-		h.observeEra(now, e.Revision.Era)
+		h.observeEra(now, e.Revision)
 		h.onRoutingReceived(now, e)
 		h.onStateRead(now, e.ReadAt, &h.pending.routing)
 	case UpstreamsListed:
-		h.observeEra(now, e.Revision.Era)
+		h.observeEra(now, e.Revision)
 		if h.catalog.Replace(now, e.Revision, e.Upstreams) {
 			h.applyUpstreams(now, "listed", e.From)
 		}
 		h.onStateRead(now, e.ReadAt, &h.pending.upstreams)
 	case UpstreamsChanged:
-		h.observeEra(now, e.Revision.Era)
+		h.observeEra(now, e.Revision)
 		if h.catalog.Apply(now, e.Revision, e.Changes) {
 			h.applyUpstreams(now, "watched", "")
 		}
--- a/pkg/router/hosted_era.go
+++ b/pkg/router/hosted_era.go
@@ -7,10 +7,14 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
 
-// observeEra processes the era of a state that was read from the store or reported by a peer. In a
-// new era the store may have lost what this Instance has read or written before: also the entries of
+// observeEra processes the revision of a state that was read from the store or reported by a peer, if
+// there is one. In a new era the store may have lost what this Instance has read or written before: also the entries of
 // live Upstreams, and its own.
-func (h *hosted) observeEra(now core.Instant, era uint64) {
+func (h *hosted) observeEra(now core.Instant, revision core.StoreRevision) {
+	if revision.Number == 0 {
+		return
+	}
+	era := revision.Era
 	if h.storeEra == nil {
 		h.storeEra = &era
 		return
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -132,9 +132,7 @@
 		h.refuseWaitingPoison(now)
 	}
 	for _, state := range []StateStamp{heartbeat.ConfigAt, heartbeat.UpstreamsAt} {
-		if state.Revision.Number > 0 {
-			h.observeEra(now, state.Revision.Era)
-		}
+		h.observeEra(now, state.Revision)
 	}
 	h.notePeerState(now, heartbeat.Member, StateConfig, heartbeat.ConfigAt)
 	h.notePeerState(now, heartbeat.Member, StateUpstreams, heartbeat.UpstreamsAt)
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -662,3 +662,21 @@
 	r.step(MembersListed{Complete: true})
 	wantNoEffect[RegisterMember](r)
 }
+
+// Guards against a new era that an Instance takes a state without a revision for, and against one
+// that it misses: it has to read everything again.
+func TestHostedNoticesANewEra(t *testing.T) {
+	r := newHostedHarness(t) // era 0
+	peer := fleet.Member{Ref: core.InstanceRef{ID: "peer", Incarnation: 1}, PeerAddr: "peer:1", DataCentre: "a", Region: "r"}
+	report := func(revision core.StoreRevision) {
+		r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{Member: peer, UpstreamsAt: StateStamp{Revision: revision}}}})
+	}
+	report(core.StoreRevision{Era: 7})
+	wantNoEffect[StoreEraBegan](r)
+	report(core.StoreRevision{Era: 2, Number: 5})
+	is.New(t).Equal(wantEffect[StoreEraBegan](r), StoreEraBegan{Era: 2})
+	r.step(UpstreamsListed{Revision: core.StoreRevision{Era: 2, Number: 6}, Upstreams: r.upstreams})
+	wantNoEffect[StoreEraBegan](r)
+	r.step(UpstreamsChanged{Revision: core.StoreRevision{Era: 3, Number: 4}})
+	is.New(t).Equal(wantEffect[StoreEraBegan](r), StoreEraBegan{Era: 3})
+}
