router: a connection that is reset is not a crash of its Upstream

Cause: each attempt that ended without an answer counted as a crash, summed over all Instances whatever Upstream it was at, for 30 s, and nothing cleared it. Three resets of connections to two healthy Upstreams made all Instances refuse equal requests ("has ended the Upstreams that ran it").

Ruled out: the retry budget and the choice of Upstreams; the refusal comes before both.

Change: equal requests use the evidence of pkg/poison, with their digest as the only part: processes are counted, not attempts, over at least a second; an equal request that is served clears them, here and at peers. A suspicion is dropped when the process answers a request that it was working on when the connection ended (also for parts of prompts). A request that is refused may run again after 30 s, then 60, 120, ...: before, three at a time every 30 s. Plain calls that wait are checked again before they are sent, as streams were.

The bound for requests that do crash Upstreams: TestHostedRequestThatCrashesUpstreams lets a second pass between the crashes (the rule counts from contact_ms after the third) and names the Upstreams, and is as strict otherwise.

Conclusion: suspicion needs several processes, and anything served ends it.

--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -3,6 +3,12 @@
 // alike, so the evidence is kept by part: engine processes that crashed before the first
 // event of a run, against runs that completed. Instances share their evidence in
 // heartbeats. The package is pure: every call passes the current instant.
+//
+// Equal requests are found in the same way: the digest of a request is its only part.
+//
+// A connection that ends is only a suspicion of a crash: networks reset connections of
+// processes that work on. A suspicion is dropped when the process answers a request that it
+// was working on at that time.
 package poison
 
 import (
@@ -37,6 +43,8 @@
 	maxCompleted = 4096
 	// maxReports bounds the parts in one heartbeat. Those with most crashes go first.
 	maxReports = 16
+	// maxSurvivals bounds the processes of which the last survival is remembered.
+	maxSurvivals = 4096
 	// recentEvidence is the time after its last change for which the evidence on a part is
 	// in every report. It is longer than the interval of heartbeats in a fleet of 330.
 	recentEvidence = 10 * time.Second
@@ -68,8 +76,17 @@
 	CompletedAge time.Duration
 }
 
+// Params are the settings of a Detector.
+type Params struct {
+	// TrialDelay is the time after the last crash at which a poison part may run again, once: a
+	// further crash doubles the time. 0 for never.
+	TrialDelay time.Duration
+}
+
 // Detector holds the evidence. It is not safe for concurrent use.
 type Detector struct {
+	params   Params
+	survived map[Process]survival
 	suspects map[core.PromptPart]*suspect
 	// completed holds the instant of the last completed run of this Instance per part.
 	completed map[core.PromptPart]core.Instant
@@ -86,9 +103,15 @@
 	updatedAt   core.Instant
 }
 
+// survival is a time over which a process has worked on one request: it did not end in it.
+type survival struct{ from, to core.Instant }
+
 // New returns a Detector without evidence.
-func New() *Detector {
-	return &Detector{suspects: map[core.PromptPart]*suspect{}, completed: map[core.PromptPart]core.Instant{}}
+func New(p Params) *Detector {
+	return &Detector{
+		params: p, survived: map[Process]survival{},
+		suspects: map[core.PromptPart]*suspect{}, completed: map[core.PromptPart]core.Instant{},
+	}
 }
 
 // OnCrash records that an engine process crashed before the first event of a run with
@@ -116,6 +139,41 @@
 	}
 }
 
+// OnServed records a completed run of a part that is suspected. Unlike OnCompleted, it keeps
+// nothing about any other part.
+func (d *Detector) OnServed(now core.Instant, part core.PromptPart) {
+	if s := d.suspects[part]; s != nil {
+		d.OnCompleted(now, []core.PromptPart{part})
+	}
+}
+
+// OnSurvived records that a process has answered a request that was sent to it at since. It drops
+// the crashes of that process from then until now.
+func (d *Detector) OnSurvived(now, since core.Instant, process Process) {
+	if known, found := d.survived[process]; found && since <= known.to {
+		since = min(since, known.from)
+	}
+	d.survived[process] = survival{from: since, to: now}
+	if len(d.survived) > maxSurvivals {
+		ends := make(map[Process]core.Instant, len(d.survived))
+		for p, s := range d.survived {
+			ends[p] = s.to
+		}
+		delete(d.survived, oldest(ends))
+	}
+	for _, s := range d.suspects {
+		if at, found := s.crashes[process]; found && d.hasSurvived(process, at) {
+			delete(s.crashes, process)
+		}
+	}
+}
+
+// hasSurvived reports whether a process was working at an instant and answered later.
+func (d *Detector) hasSurvived(process Process, at core.Instant) bool {
+	s, found := d.survived[process]
+	return found && s.from <= at && at <= s.to
+}
+
 // clear removes the crashes up to a completed run.
 func (s *suspect) clear(completedAt core.Instant) {
 	if s.completed {
@@ -132,7 +190,7 @@
 // those that all runs which a peer reports had in common. Of two reports of one crash the
 // earlier instant is right, as transit only adds to it.
 func (d *Detector) addCrash(now core.Instant, part core.PromptPart, common []core.PromptPart, process Process, at core.Instant) {
-	if now.Sub(at) > crashMemory {
+	if now.Sub(at) > crashMemory || d.hasSurvived(process, at) {
 		return
 	}
 	s := d.suspects[part]
@@ -252,7 +310,7 @@
 func (d *Detector) Find(now core.Instant, parts []core.PromptPart) (core.PromptPart, bool) {
 	for _, part := range parts {
 		s := d.suspects[part]
-		if s == nil || !s.isPoison(now) {
+		if s == nil || !s.isPoison(now, d.params.TrialDelay) {
 			continue
 		}
 		if !slices.ContainsFunc(s.common, func(p core.PromptPart) bool { return !slices.Contains(parts, p) }) {
@@ -262,8 +320,9 @@
 	return "", false
 }
 
-// isPoison reports whether enough processes have crashed since the last completed run.
-func (s *suspect) isPoison(now core.Instant) bool {
+// isPoison reports whether enough processes have crashed since the last completed run, and the time
+// until the next trial has not passed.
+func (s *suspect) isPoison(now core.Instant, trialDelay time.Duration) bool {
 	limit := crashLimit
 	if s.completed && now.Sub(s.completedAt) <= completionMemory {
 		limit = provenCrashLimit
@@ -275,5 +334,8 @@
 			first, last = min(first, at), max(last, at)
 		}
 	}
-	return count >= limit && last.Sub(first) >= minCrashSpread
+	if count < limit || last.Sub(first) < minCrashSpread {
+		return false
+	}
+	return trialDelay == 0 || now.Sub(last) < trialDelay<<(count-limit)
 }
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -30,7 +30,7 @@
 // although no two of them are alike.
 func TestPartThatCrashesEnginesIsFound(t *testing.T) {
 	is := is.New(t)
-	d := New()
+	d := New(Params{})
 	now := crash(d, 10*second, crashLimit-1, "first", "bad")
 	_, found := d.Find(now, parts("first", "bad"))
 	is.True(!found)
@@ -44,7 +44,7 @@
 // Guards against the refusal of sound requests that share a part with those that crash.
 func TestPartsSharedWithSoundRequestsAreNotPoison(t *testing.T) {
 	is := is.New(t)
-	d := New()
+	d := New(Params{})
 	now := crash(d, 10*second, 4, "first", "bad")
 	_, found := d.Find(now, parts("first"))
 	is.True(!found) // either part may be the cause
@@ -65,7 +65,7 @@
 // Guards against the blame of parts whose engines crash for another reason.
 func TestOtherCrashesAreNotBlamedOnAPart(t *testing.T) {
 	is := is.New(t)
-	d := New()
+	d := New(Params{})
 	for i := range 10 { // a rack fails
 		d.OnCrash(10*second, parts("a"), process(i))
 	}
@@ -88,7 +88,7 @@
 // part that relayed crashes blame again.
 func TestEvidenceIsShared(t *testing.T) {
 	is := is.New(t)
-	a, b, c := New(), New(), New()
+	a, b, c := New(Params{}), New(Params{}), New(Params{})
 	now := crash(a, 10*second, 2, "bad")
 	now = crash(b, now, 1, "bad")
 	b.OnPeerReports(now, a.Reports(now, true))
@@ -110,7 +110,7 @@
 // for unknown ones: its instants count from the start.
 func TestInstanceThatStartsLearnsOfEarlierCrashes(t *testing.T) {
 	is := is.New(t)
-	old, started := New(), New()
+	old, started := New(Params{}), New(Params{})
 	now := crash(old, 300*second, 3, "bad")
 	started.OnPeerReports(second, old.Reports(now.Add(time.Minute), true))
 	_, found := started.Find(second, parts("bad"))
@@ -124,7 +124,7 @@
 // Guards against evidence in every heartbeat for as long as it is remembered.
 func TestOldEvidenceIsRepeatedOnlyInFullReports(t *testing.T) {
 	is := is.New(t)
-	d := New()
+	d := New(Params{})
 	now := crash(d, 10*second, 3, "bad")
 	is.Equal(len(d.Reports(now, false)), 1)
 	now = now.Add(recentEvidence + time.Millisecond)
@@ -137,7 +137,7 @@
 // Guards against state and heartbeats that grow with the number of parts.
 func TestStateIsBounded(t *testing.T) {
 	is := is.New(t)
-	d := New()
+	d := New(Params{})
 	for i := range 3 * maxCompleted {
 		now := core.Instant(i) * core.Instant(time.Millisecond)
 		d.OnCompleted(now, parts(core.PromptPart(fmt.Sprintf("p%d", i))))
@@ -160,7 +160,7 @@
 func TestCompletedRunClearsItsParts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		name := rapid.SampledFrom([]core.PromptPart{"a", "b", "c", "d"})
-		detectors := []*Detector{New(), New(), New()}
+		detectors := []*Detector{New(Params{}), New(Params{}), New(Params{})}
 		now := second
 		for range rapid.IntRange(1, 60).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
@@ -186,7 +186,7 @@
 // large fleet: the crashes that are remembered then lie close together.
 func TestManyCrashesInQuickSuccession(t *testing.T) {
 	is := is.New(t)
-	d := New()
+	d := New(Params{})
 	start := core.Instant(time.Minute)
 	for i := range 20 {
 		now := start.Add(time.Duration(i) * 80 * time.Millisecond)
@@ -196,3 +196,28 @@
 	}
 	is.True(len(d.suspects["bad"].crashes) <= maxCrashes)
 }
+
+// Guards against the blame for lost connections of processes that work on, and against a crash that
+// is overlooked because the process answered before it or after it has started again.
+func TestOnlyProcessesThatEndAreCounted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := New(Params{})
+		lostAt := 100*second + core.Instant(rapid.IntRange(0, 1000).Draw(t, "lost"))*core.Instant(time.Millisecond)
+		since := 100*second + core.Instant(rapid.IntRange(-2000, 2000).Draw(t, "since"))*core.Instant(time.Millisecond)
+		answered := since.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "took")) * time.Millisecond)
+		early := rapid.Bool().Draw(t, "answer known first")
+		if early {
+			d.OnSurvived(answered, since, process(1))
+		}
+		d.OnPeerReports(answered.Add(5*time.Second), map[core.PromptPart]Report{"a": {
+			Crashes: []Crash{{Process: process(1), Age: answered.Add(5 * time.Second).Sub(lostAt)}}, Common: parts("a"),
+		}})
+		if !early {
+			d.OnSurvived(answered, since, process(1))
+		}
+		counted := d.suspects["a"] != nil && len(d.suspects["a"].crashes) == 1
+		if survived := since <= lostAt && lostAt <= answered; counted == survived {
+			t.Fatalf("lost at %d, working from %d to %d: counted=%t", lostAt, since, answered, counted)
+		}
+	})
+}
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -45,12 +45,9 @@
 	maxHoldDuration = 2 * time.Second
 	// maxUndelivered bounds the attempts of one request that reach no Upstream.
 	maxUndelivered = 4
-	// crashLimit is the number of Upstream crashes from which on requests with that
-	// fingerprint are neither accepted nor retried.
-	crashLimit = 3
-	// crashRecordTTL is the time for which a crashRecord is stored after its last
-	// update.
-	crashRecordTTL = 30 * time.Second
+	// crashTrialDelay is the time after which a request that has crashed Upstreams may run
+	// again, once.
+	crashTrialDelay = 30 * time.Second
 	// maxMemberListDelay bounds the time after which the members are listed in a new era of the
 	// store. The Instances of a fleet draw different times.
 	maxMemberListDelay = time.Second
@@ -70,7 +67,10 @@
 	dispatch *dispatch.Dispatcher
 	quota    *quota.Quota[core.AccountID]
 	retry    *retry.Budget
+	// poison finds parts of prompts that crash engines, crashing equal requests that crash any
+	// Upstream.
 	poison   *poison.Detector
+	crashing *poison.Detector
 	// announcements holds what Upstreams state about themselves.
 	announcements *announce.Registry
 	fleet         *fleet.Fleet
@@ -81,7 +81,6 @@
 	storeEra          *uint64 // newest era of the store, nil before the first state
 	attemptSeq        uint64
 	deadlines         schedule.Queue[core.Instant, core.RequestID]
-	crashes           map[core.Fingerprint]*crashRecord
 	fetches           map[StateKind]*stateFetch
 	services          map[core.ServiceName]*config.Service
 	accountViews      map[core.AccountID]*config.ClientAccount
@@ -91,22 +90,6 @@
 	durations         longestDurations
 }
 
-// crashRecord counts the Upstreams that crashed while they ran requests with one
-// fingerprint: those seen by this Instance and those reported by peers.
-type crashRecord struct {
-	own       int
-	peers     map[core.InstanceID]int
-	expiresAt core.Instant
-}
-
-func (c *crashRecord) count() int {
-	total := c.own
-	for _, n := range c.peers {
-		total += n
-	}
-	return total
-}
-
 func newHosted(r *Router, p HostedParams) *hosted {
 	p.Dispatch.Rand = r.params.Rand
 	p.Dispatch.DataCentre = p.Member.DataCentre
@@ -119,11 +102,11 @@
 		dispatch:      dispatch.New(p.Dispatch),
 		quota:         quota.New[core.AccountID](p.Member.Ref, r.params.Rand),
 		retry:         retry.New(p.Retry),
-		poison:        poison.New(),
+		poison:        poison.New(poison.Params{}),
+		crashing:      poison.New(poison.Params{TrialDelay: crashTrialDelay}),
 		announcements: announcements,
 		fleet:         fleet.New(p.Member, p.Fleet),
 
-		crashes:      map[core.Fingerprint]*crashRecord{},
 		fetches:      map[StateKind]*stateFetch{},
 		services:     map[core.ServiceName]*config.Service{},
 		accountViews: map[core.AccountID]*config.ClientAccount{},
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
@@ -40,6 +38,8 @@
 	prefillEndedAt core.Instant
 	// holdExpiresAt is the instant at which the hold ends unless it is used.
 	holdExpiresAt core.Instant
+	// runStartedAt is the instant at which the current run was sent.
+	runStartedAt core.Instant
 	// firstEventAt is the instant of the first event of the current attempt, 0 before.
 	firstEventAt core.Instant
 	// deliveries counts the attempts that may have reached an Upstream, executions
@@ -77,18 +77,11 @@
 		h.record(now, "request", "refused", rs, h.refusalDetail(refusal, "stage=leaving"))
 		return
 	}
-	if c := h.crashes[q.Fingerprint]; c != nil && c.count() >= crashLimit && now < c.expiresAt {
-		refusal := core.NewRefusal(core.CodeNoCapacity, "the request has ended the Upstreams that ran it")
+	if cause, found := h.findPoison(now, rs); found {
+		refusal := poisonRefusal(cause)
 		h.emit(Refuse{Request: q.ID, Refusal: refusal})
 		h.observe(rs, refusal.Code, 0)
-		h.record(now, "request", "refused", rs, h.refusalDetail(refusal, fmt.Sprintf("crashes=%d", c.count())))
-		return
-	}
-	if part, found := h.poison.Find(now, q.SharedParts); found {
-		refusal := poisonRefusal()
-		h.emit(Refuse{Request: q.ID, Refusal: refusal})
-		h.observe(rs, refusal.Code, 0)
-		h.record(now, "request", "refused", rs, h.refusalDetail(refusal, "poison="+string(part)))
+		h.record(now, "request", "refused", rs, h.refusalDetail(refusal, cause))
 		return
 	}
 	if refusal := h.charge(now, rs); refusal != nil {
@@ -104,35 +97,6 @@
 	h.submit(now, rs)
 }
 
-// poisonRetryAfter is the Retry-After of a request with a part that crashes engines. Only
-// an operator or a new version of the engines can change that.
-const poisonRetryAfter = 30 * time.Second
-
-func poisonRefusal() *core.Refusal {
-	return refusalWithRetryAfter(core.CodeNoCapacity, "a part of the prompt has crashed the engines that ran it", poisonRetryAfter)
-}
-
-// refusePoison refuses a request with a part that crashes engines. It reports whether it
-// did.
-func (h *hosted) refusePoison(now core.Instant, rs *requestState) bool {
-	part, found := h.poison.Find(now, rs.request.SharedParts)
-	if found {
-		h.record(now, "request", "poison", rs, "part="+string(part))
-		h.releaseKV(now, rs)
-		h.refuseHosted(now, rs, poisonRefusal())
-	}
-	return found
-}
-
-// refuseWaitingPoison refuses the waiting requests with a part that crashes engines.
-func (h *hosted) refuseWaitingPoison(now core.Instant) {
-	for _, id := range slices.Sorted(maps.Keys(h.requests)) {
-		if rs := h.requests[id]; rs != nil && rs.hosted.stage == stageWaiting {
-			h.refusePoison(now, rs)
-		}
-	}
-}
-
 func (h *hosted) refusalDetail(refusal *core.Refusal, inputs string) string {
 	return fmt.Sprintf("code=%s ran=%s retry_after=%s config=%d %s", refusal.Code, refusal.Ran, refusal.RetryAfter, h.activeVersion(), inputs)
 }
@@ -376,6 +340,7 @@
 	hr := rs.hosted
 	hr.stage = stageRun
 	hr.executions++
+	hr.runStartedAt = now
 	hr.firstEventAt = 0
 	if hr.prefillEndedAt == 0 {
 		hr.prefillEndedAt = now
@@ -395,11 +360,12 @@
 
 func (h *hosted) startCall(now core.Instant, o dispatch.Call) {
 	rs := h.requests[o.ID]
-	if rs == nil {
+	if rs == nil || h.refusePoison(now, rs) {
 		return
 	}
 	rs.hosted.stage = stageRun
 	rs.hosted.executions++
+	rs.hosted.runStartedAt = now
 	rs.hosted.upstream, _ = h.catalog.Get(o.Upstream)
 	h.emit(StartCall{
 		Request: o.ID, Attempt: h.nextAttempt(rs), Upstream: o.Upstream, URL: rs.hosted.upstream.Addr,
@@ -415,6 +381,7 @@
 		return
 	}
 	rs.hosted.firstEventAt = now
+	h.processSurvived(now, rs)
 	if rs.firstTokenAt != 0 {
 		return
 	}
@@ -432,9 +399,7 @@
 	} else { // the response was complete when its attempt was cancelled as stalled
 		h.cancelAttempt(rs)
 	}
-	if e.Status < 300 {
-		h.poison.OnCompleted(now, rs.request.SharedParts)
-	}
+	h.recordSurvival(now, rs, e)
 	rs.completion = e
 	h.durations.record(now, rs.hosted.service.Name, now.Sub(rs.arrivedAt))
 	h.emit(Complete{Request: rs.request.ID})
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -26,15 +26,14 @@
 	Quotas map[core.AccountID]quota.Report
 	// Loads holds the load that the sender has placed on each Upstream.
 	Loads map[core.UpstreamID]dispatch.Load
-	// Crashes counts, per request fingerprint, the Upstreams that crashed recently
-	// while they ran such a request for the sender.
-	Crashes map[core.Fingerprint]int
 	// Limits holds what Upstreams announce about their rate, and what the sender uses of it.
 	Limits map[core.UpstreamID]throttle.Report
 	// Leaving holds the Upstreams that have stated that they leave.
 	Leaving map[core.UpstreamID]announce.Process
 	// Poison holds the evidence on parts of prompts that may crash Upstreams.
 	Poison map[core.PromptPart]poison.Report
+	// Crashing holds the evidence on requests that may crash Upstreams, by fingerprint.
+	Crashing map[core.PromptPart]poison.Report
 }
 
 // QuotaUpdate is the message that a hosted Instance sends to its peers between two
@@ -57,6 +56,7 @@
 
 func (h *hosted) sendHeartbeats(now core.Instant, to []fleet.Member) {
 	revision, _ := h.catalog.Revision()
+	allEvidence := h.Router.params.Rand.IntN(fullPoisonReports) == 0
 	heartbeat := &HostedHeartbeat{
 		Member:      h.fleet.Self(),
 		State:       h.fleet.State(),
@@ -64,10 +64,10 @@
 		UpstreamsAt: StateStamp{Revision: revision},
 		Quotas:      h.quota.Reports(now),
 		Loads:       h.dispatch.Loads(),
-		Crashes:     h.ownCrashes(now),
 		Limits:      h.announcements.Rates.Reports(now),
 		Leaving:     h.announcements.LeavingReports(now),
-		Poison:      h.poison.Reports(now, h.Router.params.Rand.IntN(fullPoisonReports) == 0),
+		Poison:      h.poison.Reports(now, allEvidence),
+		Crashing:    h.crashing.Reports(now, allEvidence),
 	}
 	for _, member := range to {
 		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: heartbeat}, NotAfter: now.Add(peerMessageTTL)})
@@ -124,11 +124,9 @@
 	h.onPeerAnnouncements(now, from.ID, heartbeat.Leaving)
 	h.quota.OnPeerReports(now, heartbeat.Member.Ref, heartbeat.Quotas)
 	h.dispatch.SetPeerLoads(from.ID, loadsOf(heartbeat))
-	for fingerprint, n := range heartbeat.Crashes {
-		h.crashRecordOf(now, fingerprint).peers[from.ID] = n
-	}
-	if len(heartbeat.Poison) > 0 {
+	if len(heartbeat.Poison)+len(heartbeat.Crashing) > 0 {
 		h.poison.OnPeerReports(now, heartbeat.Poison)
+		h.crashing.OnPeerReports(now, heartbeat.Crashing)
 		h.refuseWaitingPoison(now)
 	}
 	for _, state := range []StateStamp{heartbeat.ConfigAt, heartbeat.UpstreamsAt} {
@@ -144,34 +142,3 @@
 	}
 	return heartbeat.Loads
 }
-
-// crashRecordOf returns the record of a fingerprint, created if necessary, with a new
-// expiry. It removes expired records.
-func (h *hosted) crashRecordOf(now core.Instant, fingerprint core.Fingerprint) *crashRecord {
-	for other, c := range h.crashes {
-		if now >= c.expiresAt {
-			delete(h.crashes, other)
-		}
-	}
-	c := h.crashes[fingerprint]
-	if c == nil {
-		c = &crashRecord{peers: map[core.InstanceID]int{}}
-		h.crashes[fingerprint] = c
-	}
-	c.expiresAt = now.Add(crashRecordTTL)
-	return c
-}
-
-func (h *hosted) ownCrashes(now core.Instant) map[core.Fingerprint]int {
-	var counts map[core.Fingerprint]int
-	for fingerprint, c := range h.crashes {
-		if c.own == 0 || now >= c.expiresAt {
-			continue
-		}
-		if counts == nil {
-			counts = map[core.Fingerprint]int{}
-		}
-		counts[fingerprint] = c.own
-	}
-	return counts
-}
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -6,7 +6,6 @@
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
-	"github.com/rhubarbsill/rhubarbsill/pkg/poison"
 )
 
 // onAttemptFailed retries or ends a request whose attempt failed because the
@@ -44,7 +43,7 @@
 	case attempts.FailCrashed:
 		h.dispatch.RecordOutcome(failure.Upstream, false)
 		if failure.MaybeSent && rs.hosted.stage == stageRun {
-			h.crashRecordOf(now, rs.request.Fingerprint).own++
+			h.crashing.OnCrash(now, rs.fingerprintPart(), rs.hosted.process())
 			h.recordPromptCrash(now, rs)
 		}
 	case attempts.FailProtocolError:
@@ -63,7 +62,7 @@
 	if hr.firstEventAt != 0 && now.Sub(hr.firstEventAt) > firstEventMargin {
 		return
 	}
-	h.poison.OnCrash(now, rs.request.SharedParts, poison.Process{ID: hr.upstream.ID, Born: hr.upstream.Born})
+	h.poison.OnCrash(now, rs.request.SharedParts, hr.process())
 	h.refuseWaitingPoison(now)
 }
 
@@ -165,10 +164,7 @@
 	if !notExecuted(failure) && !(hr.route.Idempotent() && hr.executions < hr.route.MaxUpstreams) {
 		return false
 	}
-	if c := h.crashes[rs.request.Fingerprint]; c != nil && c.count() >= crashLimit {
-		return false
-	}
-	if _, found := h.poison.Find(now, rs.request.SharedParts); found {
+	if _, found := h.findPoison(now, rs); found {
 		return false
 	}
 	if wait := h.dispatch.BackoffWait(now, hr.service.Name, hr.service.Engine != nil); wait > 0 && now.Add(wait) >= hr.deadline {
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -398,21 +398,32 @@
 	is := is.New(t)
 	r := newHostedHarness(t)
 	decode := r.startStream("1", "/resumable/x")
-	r.failAttempt("1", decode.Attempt, crashFailure)
+	failure := crashFailure
+	failure.Upstream = decode.Upstream
+	r.failAttempt("1", decode.Attempt, failure)
 	r.grantHold(wantEffect[AcquireHold](r))
 	r.failAttempt("1", wantEffect[StartDecode](r).Attempt, crashFailure)
 	wantEffect[Refuse](r)
-	peer := fleet.Member{Ref: core.InstanceRef{ID: "peer", Incarnation: 1}, DataCentre: "a", Region: "r"}
-	r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{
-		Member: peer, State: fleet.State{Serving: true}, Crashes: map[core.Fingerprint]int{{1}: 1},
-	}}})
+	r.advance(time.Second)
+	r.reportCrash("d9", 0)
 	r.sendRequest("2", "/resumable/x")
 	is.Equal(wantEffect[Refuse](r).Refusal.Ran, core.NotRun)
-	r.advance(crashRecordTTL + time.Second)
+	r.advance(crashTrialDelay + time.Second)
 	r.sendRequest("3", "/resumable/x")
 	wantEffect[AcquireHold](r)
 }
 
+// reportCrash delivers a heartbeat of a peer that reports the crash of a process, at the given age,
+// which ran the requests of sendRequest.
+func (r *hostedHarness) reportCrash(id core.UpstreamID, age time.Duration) {
+	peer := fleet.Member{Ref: core.InstanceRef{ID: "peer", Incarnation: 1}, DataCentre: "a", Region: "r"}
+	part := core.PromptPart(string([]byte{0: 1, 15: 0}))
+	report := poison.Report{Crashes: []poison.Crash{{Process: poison.Process{ID: id}, Age: age}}, Common: []core.PromptPart{part}}
+	r.step(PeerMessageReceived{From: peer.Ref, Message: Message{Hosted: &HostedHeartbeat{
+		Member: peer, State: fleet.State{Serving: true}, Crashing: map[core.PromptPart]poison.Report{part: report},
+	}}})
+}
+
 // Guards against an Upstream that has gone and gets requests again: an Instance that keeps
 // its entry for a while after an outage of the store offers it to peers that have removed it.
 func TestHostedPeersAreNotOfferedRemovedUpstreams(t *testing.T) {
