hosted: readers announce a configuration to their Region, followers fetch it from them

Ruled out: the delay of fetches and their hedging (the logs show fetches in time, from peers of the other Region, each given up after 1 s).

Change: four readers of each Region (the live Instances of highest hash) announce a configuration that they read from the store to their Region at once. Others fetch it at once, near peers first, and pause their own watch while versions come from peers within half of config_apply_ms of each other; it goes on from the revision that a peer has sent. config_apply_ms is a new setting. An Instance that hears nobody is its own reader.

Also: no isolation is found in a fleet without peers, and peer_listen_addr, for Instances behind a forwarder.

Conclusion: the first copy of a version still crosses the link once for each watch that waits when a storm begins; the next ones do not.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -78,8 +78,8 @@
 	nextHeartbeat core.Instant // the next round of heartbeats is due then
 	// nextCheck is the instant of the next check for silent peers.
 	nextCheck core.Instant
-	// lastContact is the instant of the last heartbeat of any peer, that of the first listing of
-	// peers before there was one, and 0 without any.
+	// lastContact is the instant of the last heartbeat of any peer, or that of the first listing of
+	// peers before there was one.
 	lastContact core.Instant
 	// quotaUpdatesPaidUntil is the instant at which the quota updates sent so far are
 	// covered by their rate.
@@ -241,7 +241,7 @@
 // isIsolated reports whether no heartbeats arrive from any peer. All peers together send often, so
 // this shows long before each of them has missed a few.
 func (f *Fleet) isIsolated(now core.Instant) bool {
-	if f.lastContact == 0 || now.Sub(f.lastContact) <= isolationTimeout {
+	if len(f.peers) == 0 || now.Sub(f.lastContact) <= isolationTimeout {
 		return false
 	}
 	return now.Sub(f.lastContact) > f.contactGap()
@@ -383,6 +383,24 @@
 	return max(f.params.SilenceTimeout, maxMissedHeartbeats*interval)
 }
 
+// readersPerRegion is the number of Instances of a Region that follow the store closely for the
+// others. Any of them may be lost or cut off from the store.
+const readersPerRegion = 4
+
+// IsReader reports whether this Instance is one of the readers of its Region: the live ones of
+// highest hash.
+func (f *Fleet) IsReader() bool {
+	own, ahead := readerHash(f.self), 0
+	for _, p := range f.peers {
+		if p.member.Region == f.self.Region && p.lastHeartbeat > 0 && !p.silent && !p.state.Leaving && readerHash(p.member) > own {
+			ahead++
+		}
+	}
+	return ahead < readersPerRegion
+}
+
+func readerHash(m Member) uint64 { return xxhash.Sum64String("reader\n" + string(m.Ref.ID)) }
+
 // Peers returns all known peers, sorted by name.
 func (f *Fleet) Peers() []Member {
 	members := make([]Member, 0, len(f.peers))
--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -35,6 +35,7 @@
 	reads    int
 	watches  int
 	waits    []time.Duration // of the watches of the configuration
+	from     []core.StoreRevision
 	changed  chan struct{}
 	// unresponsive is set when watches get no reply.
 	unresponsive bool
@@ -75,6 +76,7 @@
 	s.mu.Lock()
 	s.watches++
 	s.waits = append(s.waits, wait)
+	s.from = append(s.from, after)
 	if s.down {
 		s.mu.Unlock()
 		return nil, core.StoreRevision{}, errDown
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -79,6 +79,7 @@
 	upstreams      atomic.Pointer[upstreamList]
 	leaving        atomic.Bool
 	liveInstances  atomic.Int64 // including this one
+	follower       atomic.Bool  // others of the Region follow the store closely
 	watches        activeWatches
 	lastGaugeRead  time.Time // only used by the event loop
 	addressQueries sync.Map  // query ID -> chan router.CallerAddresses
@@ -176,7 +177,7 @@
 
 // Run serves until ctx ends, then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
-	if err := d.peers.Listen(d.settings.PeerAddr); err != nil {
+	if err := d.peers.Listen(d.settings.peerListenAddr()); err != nil {
 		return fmt.Errorf("peer listener: %w", err)
 	}
 	servers := []*http.Server{
@@ -325,6 +326,7 @@
 		d.lastGaugeRead = time.Now()
 		gauges := d.router.HostedGauges()
 		d.setLiveInstances(int64(gauges.LiveInstances))
+		d.follower.Store(!gauges.Reader)
 		d.metrics.SetReachableInstances(gauges.LiveInstances)
 		d.metrics.SetConfigVersion(gauges.Version)
 		for service, n := range gauges.Queued {
--- a/pkg/hosted/settings.go
+++ b/pkg/hosted/settings.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -25,6 +26,8 @@
 	DirectoryAddr string `json:"directory_addr"`
 	PeerAddr      string `json:"peer_addr"`
 	MetricsAddr   string `json:"metrics_addr"`
+	// PeerListenAddr is the address to listen on for peers, if PeerAddr is that of a forwarder.
+	PeerListenAddr string `json:"peer_listen_addr"`
 	// Seeds are peer addresses from which to fetch the members at the start, in case
 	// the store is unavailable.
 	Seeds     []string `json:"seeds"`
@@ -40,6 +43,10 @@
 	RetryAllowance     float64 `json:"retry_allowance"`
 	RetryWindowSeconds float64 `json:"retry_window_seconds"`
 
+	// ConfigApplyMS is the time within which a new configuration is in force at every Instance, in
+	// milliseconds.
+	ConfigApplyMS float64 `json:"config_apply_ms"`
+
 	// LogLevel is debug, info, warn or error. Default: info.
 	LogLevel string `json:"log_level"`
 }
@@ -54,7 +61,7 @@
 	if err != nil {
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
 	}
-	s := Settings{LogLevel: "info", GraceSeconds: 8, MaxAddressTTLSeconds: 5, RetryRatio: 0.1, RetryWindowSeconds: 10}
+	s := Settings{LogLevel: "info", GraceSeconds: 8, MaxAddressTTLSeconds: 5, RetryRatio: 0.1, RetryWindowSeconds: 10, ConfigApplyMS: 3000}
 	if err := json.Unmarshal(standard, &s); err != nil {
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
 	}
@@ -80,18 +87,30 @@
 			add("%s: %q is not HOST:PORT", name, addr)
 		}
 	}
+	if _, _, err := net.SplitHostPort(s.peerListenAddr()); err != nil {
+		add("peer_listen_addr: %q is not HOST:PORT", s.PeerListenAddr)
+	}
 	if s.GraceSeconds <= 0 {
 		add("grace_seconds: %v must be above 0", s.GraceSeconds)
 	}
 	if s.RetryWindowSeconds <= 0 {
 		add("retry_window_seconds: %v must be above 0", s.RetryWindowSeconds)
 	}
+	if s.ConfigApplyMS <= 0 {
+		add("config_apply_ms: %v must be above 0", s.ConfigApplyMS)
+	}
 	if len(findings) == 0 {
 		return nil
 	}
 	return errorx.DecorateMany("settings "+path, findings...)
 }
 
+func (s Settings) configApplyTime() time.Duration {
+	return time.Duration(s.ConfigApplyMS * float64(time.Millisecond))
+}
+
+func (s Settings) peerListenAddr() string { return cmp.Or(s.PeerListenAddr, s.PeerAddr) }
+
 func (s Settings) gracePeriod() time.Duration { return secondsToDuration(s.GraceSeconds) }
 
 // addressTTL returns the TTL of address responses. It is short, so that callers leave
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -161,9 +161,42 @@
 		after = after.Latest(at)
 		if object != nil {
 			d.postRouting(*object, "", 0)
-			sleep(ctx, changeBatchDelay)
+			d.pauseConfigWatch(ctx, object.Revision)
+			after = after.Latest(d.configFromPeer(after.Era))
+		}
+	}
+}
+
+// followerPauseFraction is the part of the time for a configuration to be in force for which a
+// follower relies on the readers of its Region. The rest is for its own watch, if they tell it of
+// nothing.
+const followerPauseFraction = 0.5
+
+// pauseConfigWatch waits after the configuration of a revision until the next watch may begin. A large
+// one may take a second to each Instance of another Region, so followers leave the next ones to peers,
+// which compress them, for as long as these keep sending some.
+func (d *Daemon) pauseConfigWatch(ctx context.Context, newest core.StoreRevision) {
+	if !d.follower.Load() {
+		sleep(ctx, changeBatchDelay)
+		return
+	}
+	pause := max(changeBatchDelay, time.Duration(followerPauseFraction*float64(d.settings.configApplyTime())))
+	for sleep(ctx, pause) {
+		held := d.configFromPeer(newest.Era)
+		if !newest.Before(held) {
+			return
 		}
+		newest = held
+	}
+}
+
+// configFromPeer returns the revision of the active configuration if it is of the era, so that a
+// watch does not deliver again what a peer has sent.
+func (d *Daemon) configFromPeer(era uint64) core.StoreRevision {
+	if held := d.config.Load(); held != nil && held.Revision.Era == era {
+		return held.Revision
 	}
+	return core.StoreRevision{Era: era}
 }
 
 // watchPeriod returns the time between the ends of two watches of one Instance. It grows
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -181,6 +181,9 @@
 		if e.Message.Quota != nil {
 			h.onQuotaUpdate(now, e.From, e.Message.Quota)
 		}
+		if e.Message.State != nil {
+			h.onStateNotice(now, e.From, e.Message.State)
+		}
 	case ProcessPaused:
 		h.onPaused(now)
 	case ShutdownRequested:
@@ -286,6 +289,9 @@
 	h.recordEvent(now, "config", "in force", "version="+strconv.FormatUint(uint64(e.Routing.Version), 10)+
 		" revision="+e.Revision.String()+" from="+from)
 	h.emit(RoutingActivated{Routing: e.Routing, Revision: e.Revision, Raw: e.Raw})
+	if e.From == "" {
+		h.announceConfig(now)
+	}
 	h.refuseRevoked(now)
 }
 
@@ -337,6 +343,8 @@
 type HostedGauges struct {
 	// LiveInstances is the number of live Instances, this one included.
 	LiveInstances int
+	// Reader is set if this Instance follows the store closely for others of its Region.
+	Reader bool
 	// Version is the active configuration version, 0 for none.
 	Version core.Version
 	// Queued counts the requests that wait for an Upstream, per service.
@@ -350,5 +358,5 @@
 	for name := range h.services {
 		waiting[name] += 0 // also reports empty queues
 	}
-	return HostedGauges{LiveInstances: h.fleet.LiveCount(), Version: h.activeVersion(), Queued: waiting}
+	return HostedGauges{LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting}
 }
--- a/pkg/router/hosted_fetch.go
+++ b/pkg/router/hosted_fetch.go
@@ -31,6 +31,42 @@
 	// running holds the peers that are being asked, the last one since askedAt.
 	running map[core.InstanceID]bool
 	askedAt core.Instant
+	// noticed is set if a reader has announced the state: no watch delivers it sooner.
+	noticed bool
+}
+
+// StateNotice is the message with which a reader of a Region announces to the other Instances of
+// that Region that it has read a newer configuration.
+type StateNotice struct {
+	Member   fleet.Member
+	ConfigAt StateStamp
+}
+
+// announceConfig sends the notice of a configuration that was just read from the store.
+func (h *hosted) announceConfig(now core.Instant) {
+	self := h.fleet.Self()
+	if !h.fleet.IsReader() {
+		return
+	}
+	notice := &StateNotice{Member: self, ConfigAt: h.ownState(StateConfig)}
+	for _, m := range h.fleet.LivePeers() {
+		if m.Region == self.Region {
+			h.emit(SendPeerMessage{To: m.Ref.ID, Addr: m.PeerAddr, Message: Message{State: notice}, NotAfter: now.Add(peerMessageTTL)})
+		}
+	}
+}
+
+// onStateNotice fetches an announced configuration. A reader waits for its own watch first.
+func (h *hosted) onStateNotice(now core.Instant, from core.InstanceRef, notice *StateNotice) {
+	if notice.Member.Ref != from || !h.fleet.IsLive(from) {
+		return
+	}
+	h.observeEra(now, notice.ConfigAt.Revision)
+	h.notePeerState(now, notice.Member, StateConfig, notice.ConfigAt)
+	if f := h.fetches[StateConfig]; f != nil && !h.fleet.IsReader() {
+		f.noticed = true
+		h.fetchOverdueStates(now)
+	}
 }
 
 // notePeerState records that a peer has a newer state than this Instance.
@@ -67,7 +103,7 @@
 			delete(h.fetches, kind)
 			continue
 		}
-		if now.Sub(f.behindSince) >= stateFetchDelay {
+		if f.noticed || now.Sub(f.behindSince) >= stateFetchDelay {
 			h.fetchState(now, kind, f)
 		}
 	}
--- a/pkg/router/message.go
+++ b/pkg/router/message.go
@@ -25,6 +25,7 @@
 	Serves       *ServedStateNotice
 	Hosted       *HostedHeartbeat
 	Quota        *QuotaUpdate
+	State        *StateNotice
 }
 
 // AbandonedAttemptsQuery asks the owner of attempts at an Upstream to cancel
