quota: an Instance that loses its peers keeps its share, less what it has used

When a peer fell silent, an even part of the level and of the rate since its last report were both deducted, also where the level had been full and the rate had added nothing. After a recorded pause the buckets were emptied as well.

Ruled out: the pause itself is not noticed below 2 s, so OnPaused was not what emptied these buckets; the store (reads answered).

Change: reserved for a silent peer is an even share of all that could have been used since its last report: the level, what is reserved for others, and what this Instance has admitted since. A pause is handled like the silence of all peers.

Conclusion: shares now add up to the allowance; the refusals were owed to deducting the rate twice.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -17,8 +17,10 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
@@ -63,6 +65,8 @@
 	requested        int64
 	requestedSmall   int64
 	reportedAdmitted int64 // value of admitted in the last urgent report
+	history          admissions
+	reserved         float64 // sum of what is reserved for silent peers
 	// recentDemand counts the tokens of all requests at the fleet and recentSmallDemand
 	// those of small requests, both decaying exponentially with demandTimeConstant.
 	recentDemand      float64
@@ -215,9 +219,16 @@
 	a.admitted += tokens
 }
 
-// OnPaused empties the buckets after a time in which this process did not run: peers have
-// used what they were refilled with, and their reports of it have not been processed.
+// OnPaused keeps an even share of the levels after a time in which this process did not run: the
+// rest is set aside for each peer until its report shows what it has used meanwhile.
 func (q *Quota[K]) OnPaused(now core.Instant) {
+	for _, id := range slices.Sorted(maps.Keys(q.peers)) {
+		q.OnPeerSilent(now, now, id)
+	}
+}
+
+// Empty empties the buckets, for allowances of which peers may have used everything.
+func (q *Quota[K]) Empty(now core.Instant) {
 	for id, a := range q.accounts {
 		q.refill(now, id, a)
 		a.level = min(a.level, 0)
@@ -280,7 +291,7 @@
 			q.charge(a, p, id, report, first)
 		}
 		p.reports[id] = report
-		delete(p.reserved, id)
+		q.dropReservation(p, id)
 	}
 	if p.silent {
 		p.silent = false
@@ -309,9 +320,18 @@
 	a.level = min(a.level-float64(used)+p.reserved[id], float64(a.limit.Burst))
 }
 
+// dropReservation forgets what is reserved for a peer.
+func (q *Quota[K]) dropReservation(p *peer[K], id K) {
+	if a := q.accounts[id]; a != nil {
+		a.reserved -= p.reserved[id]
+	}
+	delete(p.reserved, id)
+}
+
 // OnPeerSilent handles a peer whose heartbeats have stopped: since is the instant of the
-// last one, or the instant at which the peer was listed when there has been none. The
-// peer's share of the rate since then is reserved as well.
+// last one, or the instant at which the peer was listed when there has been none. An even
+// share is reserved for it of what all Instances together could have used since then, so that
+// this Instance keeps its own share less what it has used itself.
 func (q *Quota[K]) OnPeerSilent(now, since core.Instant, id core.InstanceID) {
 	q.refillAll(now)
 	p := q.peers[id]
@@ -324,10 +344,11 @@
 	}
 	p.silent = true
 	p.reserved = map[K]float64{}
-	live := float64(len(q.peers) + 1 - q.silentPeers)
-	silentShare := now.Sub(since).Seconds() / float64(len(q.peers)+1)
+	known := float64(len(q.peers) + 1)
 	for id, a := range q.accounts {
-		p.reserved[id] = max(0, a.level)/live + silentShare*float64(a.limit.Rate)
+		usable := a.level + a.reserved + a.history.admittedSince(now, since, a.admitted, a.limit.Rate)
+		p.reserved[id] = max(0, usable) / known
+		a.reserved += p.reserved[id]
 		a.level -= p.reserved[id]
 	}
 	q.silentPeers++
@@ -343,6 +364,9 @@
 	if p.silent {
 		q.silentPeers--
 	}
+	for account := range p.reserved {
+		q.dropReservation(p, account)
+	}
 	delete(q.peers, id)
 }
 
@@ -412,6 +436,7 @@
 		return
 	}
 	a.updatedAt = now
+	a.history.record(now, a.admitted)
 	decay := math.Exp(-elapsed.Seconds() / demandTimeConstant.Seconds())
 	a.recentDemand *= decay
 	a.recentSmallDemand *= decay
@@ -421,6 +446,7 @@
 		for _, p := range q.peers {
 			if p.silent {
 				p.reserved[id] += share
+				a.reserved += share
 				tokens -= share
 			}
 		}
--- a/pkg/throttle/throttle.go
+++ b/pkg/throttle/throttle.go
@@ -264,4 +264,4 @@
 }
 
 // OnPaused discards what accumulated while the process did not run, since peers have used it.
-func (l *Limiter) OnPaused(now core.Instant) { l.budget.OnPaused(now) }
+func (l *Limiter) OnPaused(now core.Instant) { l.budget.Empty(now) }
