--- a/cmd/rhubarbsilld/hosted_test.go
+++ b/cmd/rhubarbsilld/hosted_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -82,8 +83,8 @@
 	s := hosted.Settings{
 		Instance: core.InstanceID(fmt.Sprintf("entry-%d", i)), DataCentre: "a", Region: "r",
 		DataCentres: map[core.DataCentreName]core.RegionName{"a": "r", "b": "r"},
-		CallerAddr:  f.freeAddr(), ReadyAddr: f.freeAddr(), DirectoryAddr: f.freeAddr(), PeerAddr: f.freeAddr(), MetricsAddr: f.freeAddr(),
-		StoreAddr: f.platform.StoreAddr, GraceSeconds: 6, MaxAddressTTLSeconds: 0.2, RetryRatio: 0.2, RetryAllowance: 30, RetryWindowSeconds: 10,
+		CallerAddr:  freeAddr(f.t), ReadyAddr: freeAddr(f.t), DirectoryAddr: freeAddr(f.t), PeerAddr: freeAddr(f.t), MetricsAddr: freeAddr(f.t),
+		StoreAddr: f.platform.StoreAddr, GraceSeconds: 6, MaxAddressTTLSeconds: 0.2, RetryRatio: 0.2, RetryAllowance: 30, RetryWindowSeconds: 10, ConfigApplyMS: 3000,
 		LogLevel: "info",
 	}
 	text, err := json.Marshal(s)
@@ -117,13 +118,32 @@
 	f.logs = append(f.logs, logPath)
 }
 
-func (f *hostedFleet) freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
+// The system draws the ports of outgoing connections from a range above lastTestPort. A port of
+// that range could be taken before a process listens on it, and while it restarts.
+const (
+	firstTestPort = 12_000
+	lastTestPort  = 19_999
+)
+
+// usedTestPorts holds the ports that freeAddr has returned.
+var usedTestPorts sync.Map
+
+// freeAddr returns a loopback address on which nothing listens.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	for range 100 {
+		port := firstTestPort + rand.IntN(lastTestPort-firstTestPort)
+		if _, used := usedTestPorts.LoadOrStore(port, true); used {
+			continue
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close() // nothing was accepted
+			return addr
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func (f *hostedFleet) log(i int) string {
