--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -138,12 +138,6 @@
 	return time.Now()
 }
 
-// PutAnyConfig writes a configuration that is not a wire.Config as it is.
-func (s *Site) PutAnyConfig(version uint64, config any) {
-	s.put(wire.KindConfig, wire.ConfigObjectName, config)
-	s.Record.Line("operator: configuration %d is confirmed", version)
-}
-
 // PutServer registers an engine.
 func (s *Site) PutServer(id string, entry wire.Server) {
 	s.put(wire.KindServers, id, entry)
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 mkdir -p target/review
 for main in review/[1-9]/main.go; do
   case=$(basename "$(dirname "$main")")
-  go build -o "target/review/case-$case" "./review/$case"
+  go build -buildvcs=false -o "target/review/case-$case" "./review/$case"
 done
