--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -86,6 +86,7 @@
 	accountViews      map[core.AccountID]*config.ClientAccount
 	nextMemberListAt  core.Instant
 	nextQuotaUpdateAt core.Instant
+	shutdownAt        core.Instant // start of the graceful shutdown
 	stopAt            core.Instant
 	durations         longestDurations
 }
--- a/pkg/router/hosted_stop.go
+++ b/pkg/router/hosted_stop.go
@@ -11,9 +11,13 @@
 const (
 	// stopMargin is the part of the grace period reserved for the exit.
 	stopMargin = 500 * time.Millisecond
-	// A leaving Instance accepts no request in the last quarter of its grace period, and no
-	// stream in the last half, since it could not complete them. Those whose deadline is before
-	// the end are accepted.
+	// probableAdmissionPeriod is the time after the start of a shutdown in which a request is
+	// accepted if it will probably be complete before the end. Callers have asked for addresses
+	// again by then. Later, only a request whose deadline is before the end is accepted: how long
+	// others of its service took does not bound how long it takes.
+	probableAdmissionPeriod = 2500 * time.Millisecond
+	// In a short grace period, no request is accepted in the last quarter, and no stream in the
+	// last half. Those whose deadline is before the end are accepted.
 	finalPlainFraction  = 0.25
 	finalStreamFraction = 0.5
 	// finalDurationFactor is the time that is left for a request when the last one is accepted,
@@ -33,6 +37,7 @@
 		return
 	}
 	h.leaving = true
+	h.shutdownAt = now
 	state := h.fleet.State()
 	state.Leaving = true
 	h.fleet.SetState(state)
@@ -49,6 +54,9 @@
 	if !h.leaving || rs.hosted.deadline.Add(deadlineSlack) < h.stopAt {
 		return false
 	}
+	if now >= h.shutdownAt.Add(probableAdmissionPeriod) {
+		return true
+	}
 	fraction := finalPlainFraction
 	if rs.hosted.route.Streaming {
 		fraction = finalStreamFraction
--- a/pkg/router/hosted_stop_test.go
+++ b/pkg/router/hosted_stop_test.go
@@ -17,16 +17,20 @@
 	r := newHostedHarness(t)
 	r.sendRequest("0", "/call/x")
 	r.step(ShutdownRequested{})
-	r.advance(3 * time.Second)
+	r.advance(2 * time.Second)
 	r.startStream("1", "/once/x")
-	r.advance(1500 * time.Millisecond)
+	r.advance(2500 * time.Millisecond)
 	r.sendRequest("2", "/once/x")
-	is.Equal(wantEffect[Refuse](r).Refusal.Ran, core.NotRun) // a stream takes seconds
+	is.Equal(wantEffect[Refuse](r).Refusal.Ran, core.NotRun)
 	r.sendRequest("3", "/call/x")
-	wantEffect[StartCall](r)
+	is.Equal(wantEffect[Refuse](r).Refusal.Ran, core.NotRun)
+	r.sendRequestUntil("4", "/call/x", 2*time.Second)
+	call := wantEffect[StartCall](r)
 	r.advance(1500 * time.Millisecond)
-	r.sendRequest("4", "/call/x")
+	r.sendRequest("5", "/call/x")
 	is.Equal(wantEffect[Refuse](r).Refusal.Code, core.CodeLeaving)
+	r.step(ResponseCompleted{Request: "4", Attempt: call.Attempt, Status: 200})
+	is.Equal(wantEffect[Complete](r).Request, core.RequestID("4"))
 
 	ended := map[core.RequestID]core.ExecutionStatus{}
 	for _, effect := range r.advance(2 * time.Second) {
@@ -35,11 +39,38 @@
 		}
 	}
 	wantNoEffect[StartCall](r)
-	is.Equal(ended, map[core.RequestID]core.ExecutionStatus{"0": core.MayHaveRun, "1": core.MayHaveRun, "3": core.MayHaveRun})
-	r.sendRequest("5", "/call/x") // on a connection that is still open
+	is.Equal(ended, map[core.RequestID]core.ExecutionStatus{"0": core.MayHaveRun, "1": core.MayHaveRun})
+	r.sendRequest("6", "/call/x") // on a connection that is still open
 	is.Equal(wantEffect[Refuse](r).Refusal.Code, core.CodeLeaving)
 }
 
+// Guards against requests that are accepted in the grace period because earlier ones were short, and
+// are cut because they take longer.
+func TestHostedLeavingInstanceAcceptsNoRequestThatMayOutlastIt(t *testing.T) {
+	const planned = 3 * time.Second // later requests are to be answered whole or refused
+	for _, path := range []string{"/once/x", "/resumable/x", "/call/x", "/read/x"} {
+		for after := planned; after < 8*time.Second; after += 250 * time.Millisecond {
+			r := newHostedHarness(t)
+			r.sendRequest("short", "/call/x")
+			r.advance(30 * time.Millisecond)
+			r.step(ResponseCompleted{Request: "short", Attempt: r.router.hosted.requests["short"].attempt, Status: 200})
+			r.sendRequest("active", "/call/x") // keeps the Instance from stopping early
+			r.step(ShutdownRequested{})
+			r.advance(after)
+			r.sendRequest("long", path)
+			if refusal := wantEffect[Refuse](r).Refusal; refusal.Ran != core.NotRun || refusal.Code != core.CodeLeaving {
+				t.Fatalf("%s after %s: %v", path, after, refusal)
+			}
+			left := 7500*time.Millisecond - after - 200*time.Millisecond
+			if left < time.Second {
+				continue
+			}
+			r.sendRequestUntil("bounded", path, left)
+			wantNoEffect[Refuse](r)
+		}
+	}
+}
+
 // Guards against address responses that contain a leaving Instance, and against a
 // graceful shutdown that interrupts active requests.
 func TestHostedShutdown(t *testing.T) {
@@ -80,9 +111,6 @@
 	r.advance(time.Second)
 	r.sendRequest("3", "/once/x")
 	is.Equal(wantEffect[Refuse](r).Refusal.Ran, core.NotRun)
-	key := hostedKey
-	r.step(RequestArrived{Request: Request{
-		ID: "4", Host: "h", Path: "/once/x", Key: &key, PromptTokens: 1000, MaxOutputTokens: 500, HasTokenCounts: true, Deadline: r.now.Add(3 * time.Second),
-	}})
+	r.sendRequestUntil("4", "/once/x", 3*time.Second)
 	wantEffect[AcquireHold](r) // its deadline is before the end
 }
--- a/pkg/router/hosted_test.go
+++ b/pkg/router/hosted_test.go
@@ -125,6 +125,15 @@
 
 func (r *hostedHarness) sendRequest(id, path string) { r.sendRequestWithParts(id, path) }
 
+// sendRequestUntil sends a request whose caller waits for patience.
+func (r *hostedHarness) sendRequestUntil(id, path string, patience time.Duration) {
+	key := hostedKey
+	r.step(RequestArrived{Request: Request{
+		ID: core.RequestID(id), Host: "h", Path: path, Key: &key, PromptTokens: 1000, MaxOutputTokens: 500, HasTokenCounts: true,
+		Deadline: r.now.Add(patience),
+	}})
+}
+
 // sendRequestWithParts sends a request whose prompt has shared parts. Requests with
 // different parts have different fingerprints.
 func (r *hostedHarness) sendRequestWithParts(id, path string, parts ...core.PromptPart) {
