--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -293,7 +293,7 @@
 	if e.From == "" {
 		h.announceConfig(now)
 	}
-	h.refuseRevoked(now)
+	h.authorizeWaiting(now)
 }
 
 // logOlderConfig logs that the store has an older version than the active one: it has lost that,
@@ -305,19 +305,49 @@
 	}
 }
 
-// refuseRevoked refuses the waiting requests whose key is no longer valid.
-func (h *hosted) refuseRevoked(now core.Instant) {
+// authorizeWaiting applies a new configuration to the keys of the waiting requests, and refuses
+// those that it does not allow.
+func (h *hosted) authorizeWaiting(now core.Instant) {
 	for _, id := range slices.Sorted(maps.Keys(h.requests)) {
 		rs := h.requests[id]
-		if rs == nil || rs.hosted.stage != stageWaiting || rs.request.Key == nil || rs.hosted.route.Public {
+		if rs == nil || rs.hosted.stage != stageWaiting || rs.hosted.route.Public {
 			continue
 		}
-		if account, found := h.routing.AccountOfKey(*rs.request.Key); !found || account.ID != rs.account.ID {
-			h.refuseHosted(now, rs, core.NewRefusal(core.CodeKeyRevoked, "the key was withdrawn while the request waited"))
+		if refusal := h.authorizeAgain(now, rs); refusal != nil {
+			h.refuseHosted(now, rs, refusal)
 		}
 	}
 }
 
+// authorizeAgain returns the refusal of a request that arrived under an earlier configuration and
+// that the active one does not allow, else nil. A request that arrived while no keys were needed
+// gets the account of its key.
+func (h *hosted) authorizeAgain(now core.Instant, rs *requestState) *core.Refusal {
+	needsKey := len(h.routing.Accounts) > 0
+	if rs.account == nil && !needsKey {
+		return nil
+	}
+	if rs.request.Key == nil {
+		return core.NewRefusal(core.CodeMissingKey, "this route needs a key in the Authorization header since the request waits")
+	}
+	account, found := h.routing.AccountOfKey(*rs.request.Key)
+	if rs.account == nil {
+		if !found {
+			return core.NewRefusal(core.CodeUnknownKey, "the key is not known")
+		}
+		rs.account = h.accountViews[account.ID]
+		// The request is accepted already, so it is charged without being refused.
+		rs.charge = requestCost(account, &rs.request)
+		rs.charged = true
+		h.quota.Charge(now, account.ID, rs.charge)
+		return nil
+	}
+	if !found || account.ID != rs.account.ID {
+		return core.NewRefusal(core.CodeKeyRevoked, "the key was withdrawn while the request waited")
+	}
+	return nil
+}
+
 func (h *hosted) applyUpstreams(now core.Instant, why string, from core.InstanceID) {
 	revision, _ := h.catalog.Revision()
 	list := h.catalog.Upstreams()
--- /dev/null
+++ b/pkg/router/hosted_authorize_test.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
+)
+
+// withAccounts returns a configuration with the given ClientAccounts only.
+func withAccounts(version core.Version, accounts ...config.HostedAccount) RoutingReceived {
+	routing := *hostedRouting(version)
+	routing.Accounts = accounts
+	return RoutingReceived{Routing: config.NewRouting(routing), Revision: storeRevision(10 + int(version))}
+}
+
+func keyHolder(id core.AccountID, keys ...string) config.HostedAccount {
+	account := config.HostedAccount{ID: id, DefaultCostTokens: 10, Rate: 1000, Burst: 100_000}
+	for _, key := range keys {
+		account.Keys = append(account.Keys, config.DigestKey(key))
+	}
+	return account
+}
+
+// sendWithKey sends a plain request with a key, none if it is empty.
+func (r *hostedHarness) sendWithKey(id, key string) {
+	request := Request{ID: core.RequestID(id), Host: "h", Path: "/call/x", Deadline: r.now.Add(20 * time.Second)}
+	if key != "" {
+		digest := config.DigestKey(key)
+		request.Key = &digest
+	}
+	r.step(RequestArrived{Request: request})
+}
+
+// Guards against an Instance that ends, or runs requests for no account, when the first
+// ClientAccounts are configured while requests wait.
+func TestHostedFirstAccountsWhileRequestsWait(t *testing.T) {
+	for _, test := range []struct {
+		name, key string
+		next      []config.HostedAccount
+		refusal   core.Code      // empty if the request goes on
+		account   core.AccountID // for which it runs
+	}{
+		{name: "key of an account", key: "key", next: []config.HostedAccount{keyHolder("first", "key")}, account: "first"},
+		{name: "key of no account", key: "other", next: []config.HostedAccount{keyHolder("first", "key")}, refusal: core.CodeUnknownKey},
+		{name: "no key", next: []config.HostedAccount{keyHolder("first", "key")}, refusal: core.CodeMissingKey},
+		{name: "still no accounts", key: "key"},
+		{name: "still no accounts and no key"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newHostedHarness(t)
+			r.step(withAccounts(2))
+			r.step(UpstreamsListed{Revision: storeRevision(20)})
+			r.sendWithKey("1", test.key)
+			wantNoEffect[StartCall](r) // it waits for an Upstream
+			r.step(withAccounts(3, test.next...))
+			if test.refusal != "" {
+				refusal := wantEffect[Refuse](r).Refusal
+				is.Equal(refusal.Code, test.refusal)
+				is.Equal(refusal.Ran, core.NotRun)
+				return
+			}
+			wantNoEffect[Refuse](r)
+			r.step(UpstreamsListed{Revision: storeRevision(21), Upstreams: r.upstreams})
+			is.Equal(wantEffect[StartCall](r).Account, test.account)
+		})
+	}
+}
+
+// Guards against requests that take nothing from the allowance of their account because they
+// arrived before it was configured, and against a refund of more than they took.
+func TestHostedWaitingRequestIsChargedToItsFirstAccount(t *testing.T) {
+	is := is.New(t)
+	r := newHostedHarness(t)
+	r.step(withAccounts(2))
+	r.step(UpstreamsListed{Revision: storeRevision(20)})
+	r.sendWithKey("1", "key")
+	r.step(withAccounts(3, keyHolder("first", "key")))
+	h := r.router.hosted
+	is.Equal(h.quota.Limit("first"), quota.Limit{Rate: 1000, Burst: 100_000})
+	is.Equal(h.quota.Level(r.now, "first"), int64(-10))
+	r.step(CallerDisconnected{Request: "1"})
+	is.Equal(h.quota.Level(r.now, "first"), int64(0))
+}
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -166,10 +166,7 @@
 		return nil
 	}
 	account, _ := h.routing.Account(rs.account.ID)
-	rs.charge = account.DefaultCostTokens
-	if rs.request.HasTokenCounts && !account.CountRequests {
-		rs.charge = int64(rs.request.PromptTokens) + int64(rs.request.MaxOutputTokens)
-	}
+	rs.charge = requestCost(account, &rs.request)
 	admitted, wait := h.quota.Admit(now, account.ID, rs.charge)
 	if admitted {
 		rs.charged = true
@@ -178,6 +175,14 @@
 	return refusalWithRetryAfter(core.CodeOverRate, "the account is over its rate", max(wait, time.Second))
 }
 
+// requestCost returns what a request takes from the allowance of its account.
+func requestCost(account *config.HostedAccount, q *Request) int64 {
+	if q.HasTokenCounts && !account.CountRequests {
+		return int64(q.PromptTokens) + int64(q.MaxOutputTokens)
+	}
+	return account.DefaultCostTokens
+}
+
 func (h *hosted) submit(now core.Instant, rs *requestState) {
 	hr := rs.hosted
 	hr.stage = stageWaiting
