router: a withdrawn key starts no request that waits again

What callers saw: a request with a withdrawn key can start up to its time limit (14 s on the users' sites) after the configuration without the key.

Cause: keys were compared at the arrival of a configuration, for requests that waited at that moment. Those that wait again later, after a refused hold or a failed attempt, and those that a refusal of the same pass lets out of the queue, were not.

Ruled out: charging and routing, which stay those of the arrival.

Change: a request keeps the revision of the configuration that has allowed it and is authorized again, if the active one is newer, before a hold, a call or another wait.

Before: all four cases of TestHostedWithdrawnKeyStartsNothingLater fail (unexpected AcquireHold and StartCall, no Refuse). After: they pass, and the package's Hosted tests do.

--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -310,15 +310,26 @@
 func (h *hosted) authorizeWaiting(now core.Instant) {
 	for _, id := range slices.Sorted(maps.Keys(h.requests)) {
 		rs := h.requests[id]
-		if rs == nil || rs.hosted.stage != stageWaiting || rs.hosted.route.Public {
-			continue
-		}
-		if refusal := h.authorizeAgain(now, rs); refusal != nil {
-			h.refuseHosted(now, rs, refusal)
+		if rs != nil && rs.hosted.stage == stageWaiting {
+			h.refuseUnauthorized(now, rs)
 		}
 	}
 }
 
+// refuseUnauthorized refuses a request that the active configuration does not allow. It reports
+// whether it did.
+func (h *hosted) refuseUnauthorized(now core.Instant, rs *requestState) bool {
+	if rs.hosted.route.Public || rs.hosted.authorizedAt == h.configRevision {
+		return false
+	}
+	rs.hosted.authorizedAt = h.configRevision
+	refusal := h.authorizeAgain(now, rs)
+	if refusal != nil {
+		h.refuseHosted(now, rs, refusal)
+	}
+	return refusal != nil
+}
+
 // authorizeAgain returns the refusal of a request that arrived under an earlier configuration and
 // that the active one does not allow, else nil. A request that arrived while no keys were needed
 // gets the account of its key.
--- a/pkg/router/hosted_authorize_test.go
+++ b/pkg/router/hosted_authorize_test.go
@@ -87,3 +87,60 @@
 	r.step(CallerDisconnected{Request: "1"})
 	is.Equal(h.quota.Level(r.now, "first"), int64(0))
 }
+
+// Guards against a request with a withdrawn key that runs because it was not waiting when the key was
+// withdrawn: it waits again after a refused hold or a failed attempt.
+func TestHostedWithdrawnKeyStartsNothingLater(t *testing.T) {
+	withdrawn := withAccounts(2, keyHolder("acct", "other"))
+	full := func(r *hostedHarness, hold AcquireHold) {
+		r.step(HoldResult{Request: hold.Request, Attempt: hold.Attempt, Upstream: hold.Upstream, Addr: hold.Addr, Outcome: HoldFull})
+	}
+	t.Run("refused hold", func(t *testing.T) {
+		r := newHostedHarness(t)
+		r.sendRequest("1", "/once/x")
+		hold := wantEffect[AcquireHold](r)
+		r.step(withdrawn)
+		full(r, hold)
+		wantNoEffect[AcquireHold](r)
+		is.New(t).Equal(wantEffect[Refuse](r).Refusal, core.NewRefusal(core.CodeKeyRevoked, "the key was withdrawn while the request waited"))
+	})
+	t.Run("last refused hold", func(t *testing.T) {
+		r := newHostedHarness(t)
+		r.sendRequest("1", "/once/x")
+		full(r, wantEffect[AcquireHold](r))
+		hold := wantEffect[AcquireHold](r)
+		r.step(withdrawn)
+		full(r, hold)
+		is.New(t).Equal(wantEffect[Refuse](r).Refusal.Ran, core.NotRun) // immediately, not when it is placed
+	})
+	t.Run("retry", func(t *testing.T) {
+		is := is.New(t)
+		r := newHostedHarness(t)
+		r.sendRequest("1", "/read/x")
+		call := wantEffect[StartCall](r)
+		r.step(withdrawn)
+		r.failAttempt("1", call.Attempt, crashFailure)
+		wantNoEffect[StartCall](r)
+		is.Equal(wantEffect[Refuse](r).Refusal.Ran, core.MayHaveRun)
+	})
+	t.Run("place in a larger engine", func(t *testing.T) {
+		is := is.New(t)
+		r := newHostedHarness(t)
+		small := *hostedRouting(2)
+		small.Services[0].Engine = &config.EngineProfile{Slots: 8, KVCacheTokens: 1000, MaxHoldDuration: time.Second}
+		r.step(RoutingReceived{Routing: config.NewRouting(small), Revision: storeRevision(11)})
+		r.sendRequest("1", "/once/x")
+		r.sendRequest("2", "/once/x")
+		wantNoEffect[AcquireHold](r) // no engine is large enough
+		larger := withAccounts(3, keyHolder("acct", "other"))
+		r.step(larger)
+		wantNoEffect[AcquireHold](r)
+		var refused []core.RequestID
+		for _, effect := range r.lastEffects {
+			if e, ok := effect.(Refuse); ok {
+				refused = append(refused, e.Request)
+			}
+		}
+		is.Equal(refused, []core.RequestID{"1", "2"})
+	})
+}
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -28,6 +28,8 @@
 	latencyDeadline core.Instant
 	deadline        core.Instant
 	stage           hostedStage
+	// authorizedAt is the revision of the configuration that has allowed the request.
+	authorizedAt core.StoreRevision
 
 	upstream      catalog.Upstream // a decode engine or the replica of a plain service
 	prefillEngine catalog.Upstream
@@ -123,6 +125,7 @@
 		return core.NewRefusal(core.CodeNoUpstream, "the service of the route does not exist")
 	}
 	rs.service = h.services[hr.service.Name]
+	hr.authorizedAt = h.configRevision
 	if hr.service.Engine == nil {
 		rs.route = &config.Route{Idempotent: hr.route.Idempotent()}
 	}
@@ -365,7 +368,7 @@
 
 func (h *hosted) startCall(now core.Instant, o dispatch.Call) {
 	rs := h.requests[o.ID]
-	if rs == nil || h.refusePoison(now, rs) {
+	if rs == nil || h.refuseUnauthorized(now, rs) || h.refusePoison(now, rs) {
 		return
 	}
 	rs.hosted.stage = stageRun
--- a/pkg/router/hosted_hold.go
+++ b/pkg/router/hosted_hold.go
@@ -21,7 +21,7 @@
 
 func (h *hosted) acquireHold(now core.Instant, o dispatch.Hold) {
 	rs := h.requests[o.ID]
-	if rs == nil || h.refusePoison(now, rs) {
+	if rs == nil || h.refuseUnauthorized(now, rs) || h.refusePoison(now, rs) {
 		return
 	}
 	rs.hosted.stage = stageHold
@@ -65,6 +65,9 @@
 	h.recordWithUpstream(now, "dispatch", "no place", rs, e.Upstream, string(e.Outcome))
 	rs.hosted.stage = stageWaiting
 	h.applyDispatch(now, h.dispatch.OnHoldRefused(now, e.Request))
+	if h.requests[e.Request] == rs && rs.hosted.stage == stageWaiting {
+		h.refuseUnauthorized(now, rs) // the configuration may have changed since the hold was asked for
+	}
 }
 
 // replaceDecode places a request on another decode engine if the one that has granted its hold
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -142,7 +142,10 @@
 	}
 	h.emit(Observe{Observation: Observation{Service: rs.service.Name, Hosted: &HostedOutcome{Retried: true}}})
 	h.applyDispatch(now, h.dispatch.Release(now, rs.request.ID))
-	h.submit(now, rs)
+	rs.hosted.stage = stageWaiting
+	if !h.refuseUnauthorized(now, rs) {
+		h.submit(now, rs)
+	}
 }
 
 // refusedRetryAfter is the Retry-After of a request that the Upstreams refused. On a
