hosted: bytes without end of many engines are bounded together

What callers would see: engines that send bytes without end to many requests fill the memory of an instance; its process is killed with all its requests.

Cause: each response had a limit, their sum had none: 1 MB of an incomplete event for each stream that may be resumed, 256 KB of each other response.

Change: upstream.Buffers. Responses up to 16 KB (an answer of the users' services has 0.8 KB, an event 2 KB at most) are held in any number, larger ones wait: 32 places up to 128 KB, 6 up to 1 MB, 1 above, 18 MB in all. They are taken in that order, so none waits for another that waits. A head has 32 KB at most instead of 64 KB: 8,000 header lines of 64 KB take 35 MB.

--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -88,9 +88,9 @@
 
 	drained   chan struct{}
 	loopEnded chan struct{}
-	// largeResponses has one element for each large response that is being read.
-	largeResponses chan struct{}
-	background     sync.WaitGroup
+	// buffers bounds the memory of the responses that are read as a whole, or event by event.
+	buffers    *upstream.Buffers
+	background sync.WaitGroup
 }
 
 // upstreamList is the current list of Upstreams, which peers may fetch.
@@ -127,7 +127,7 @@
 		drained:   make(chan struct{}),
 		loopEnded: make(chan struct{}),
 
-		largeResponses: make(chan struct{}, maxLargeResponses),
+		buffers: upstream.NewBuffers(),
 	}
 	d.peers = peer.NewTransport(ref, peer.Options{
 		Secret:       fleetSecret(settings),
--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -26,10 +25,6 @@
 	releaseTimeout = 500 * time.Millisecond
 	// maxResponseBytes bounds the body of a buffered response.
 	maxResponseBytes = 8 << 20
-	// smallResponseBytes is the size up to which any number of responses is read at the
-	// same time. Of larger ones maxLargeResponses are.
-	smallResponseBytes = 256 << 10
-	maxLargeResponses  = 2
 )
 
 // onUpstreamAnswer reports what an answer states about its Upstream.
@@ -238,22 +233,10 @@
 	d.relay(attemptCtx, active, e, response, stall)
 }
 
-// readResponseBody reads and closes a buffered response. Large ones wait for each other,
-// so that Upstreams which send bytes without end do not fill the memory of the Instance.
+// readResponseBody reads and closes a buffered response.
 func (d *Daemon) readResponseBody(ctx context.Context, response *UpstreamResponse) ([]byte, error) {
 	defer response.Close()
-	body, err := io.ReadAll(io.LimitReader(response, smallResponseBytes))
-	if err != nil || len(body) < smallResponseBytes {
-		return body, err
-	}
-	select {
-	case d.largeResponses <- struct{}{}:
-		defer func() { <-d.largeResponses }()
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	rest, err := response.ReadAll(maxResponseBytes - smallResponseBytes)
-	return append(body, rest...), err
+	return d.buffers.ReadAll(ctx, response, maxResponseBytes)
 }
 
 // handleErrorResponse handles the response of an engine that starts no stream.
--- a/pkg/hosted/relay.go
+++ b/pkg/hosted/relay.go
@@ -24,6 +24,8 @@
 	stall    *stallWatch
 
 	events eventSplitter
+	// reserved is the memory of the event that is not complete.
+	reserved *upstream.Reservation
 	// resumed is set when the caller has events of the stream already.
 	resumed      bool
 	lastPartAt   time.Time
@@ -34,12 +36,13 @@
 // passed on in complete events only. Only a complete event is progress, and only the end of an
 // event can be the end of the stream.
 func (d *Daemon) relay(ctx context.Context, active *activeRequest, e router.StartDecode, response *UpstreamResponse, stall *stallWatch) {
-	s := &streamRelay{daemon: d, active: active, start: e, response: response, stall: stall, resumed: active.template.LastEventID != ""}
+	s := &streamRelay{daemon: d, active: active, start: e, response: response, stall: stall, resumed: active.template.LastEventID != "", reserved: d.buffers.Reserve()}
+	defer s.reserved.Release()
 	s.progress()
 	buffer := make([]byte, relayBufferSize)
 	for {
 		n, err := response.Read(buffer)
-		part, failure := s.split(buffer[:n])
+		part, failure := s.split(ctx, buffer[:n])
 		if failure != nil {
 			err = failure
 		}
@@ -62,14 +65,18 @@
 	}
 }
 
-// split returns what can be passed on after a part of the stream was read.
-func (s *streamRelay) split(part []byte) ([]byte, error) {
+// split returns what can be passed on after a part of the stream was read. It waits while other streams
+// have too many large events that are not complete.
+func (s *streamRelay) split(ctx context.Context, part []byte) ([]byte, error) {
 	if !s.start.Resumable {
 		if s.events.scan(part) {
 			s.progress()
 		}
 		return part, nil
 	}
+	if err := s.reserved.Resize(ctx, len(s.events.incomplete)+len(part)); err != nil {
+		return nil, err
+	}
 	complete, err := s.events.add(part, func(event []byte) error {
 		return s.active.acceptEvent(s.daemon.adapter.Upstreams.EventID(event), s.resumed)
 	})
--- /dev/null
+++ b/pkg/upstream/buffers.go
@@ -0,0 +1,96 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+)
+
+// Buffers bounds the memory of the responses that are held until they are complete, over all requests
+// of a process: an Upstream may send bytes without end to each of them. Small responses are held in any
+// number; larger ones wait for each other. It is safe for concurrent use.
+type Buffers struct{ tiers []bufferTier }
+
+// bufferTier is a size up to which a number of responses are held at the same time.
+type bufferTier struct {
+	size   int           // bytes
+	places chan struct{} // nil for any number
+}
+
+// NewBuffers returns Buffers that hold about 18 MB besides small responses. An answer has a few
+// kilobytes; the tiers above are for the few that are larger.
+func NewBuffers() *Buffers {
+	return &Buffers{tiers: []bufferTier{
+		{size: 16 << 10},
+		{size: 128 << 10, places: make(chan struct{}, 32)},
+		{size: 1 << 20, places: make(chan struct{}, 6)},
+		{size: math.MaxInt, places: make(chan struct{}, 1)}, // callers limit the size
+	}}
+}
+
+// Reserve returns a Reservation for one response. Resize(ctx, 0) releases it.
+func (b *Buffers) Reserve() *Reservation { return &Reservation{buffers: b} }
+
+// Reservation is the memory of one response. It is not safe for concurrent use.
+type Reservation struct {
+	buffers *Buffers
+	tier    int
+}
+
+// Resize changes the memory to size bytes. To grow it waits, at most until ctx ends, until that many
+// may be held; it never waits to shrink.
+func (r *Reservation) Resize(ctx context.Context, size int) error {
+	tiers := r.buffers.tiers
+	for size > tiers[r.tier].size {
+		// Places are taken in the order of the tiers, so that no two responses wait for each other.
+		select {
+		case tiers[r.tier+1].places <- struct{}{}:
+			r.tier++
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	for r.tier > 0 && size <= tiers[r.tier-1].size {
+		<-tiers[r.tier].places
+		r.tier--
+	}
+	return nil
+}
+
+// Release gives the memory back.
+func (r *Reservation) Release() { _ = r.Resize(context.Background(), 0) } // shrinking can't fail
+
+// ErrTooLarge means that a response has more bytes than its limit.
+var ErrTooLarge = errors.New("the response is too large")
+
+// minReadBytes is the capacity with which a response is read first.
+const minReadBytes = 512
+
+// ReadAll reads a response of at most limit bytes; a longer one is an error.
+func (b *Buffers) ReadAll(ctx context.Context, r io.Reader, limit int) ([]byte, error) {
+	reservation := b.Reserve()
+	defer reservation.Release()
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := min(max(2*cap(body), minReadBytes), limit+1)
+			if err := reservation.Resize(ctx, size); err != nil {
+				return nil, err
+			}
+			body = slices.Grow(body, size-len(body))
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > limit:
+			return nil, fmt.Errorf("%w: it has more than %d bytes", ErrTooLarge, limit)
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -154,7 +154,7 @@
 }
 
 // maxHeadBytes bounds the header of a response, with the 1xx responses before it.
-const maxHeadBytes = 64 << 10
+const maxHeadBytes = 32 << 10
 
 var errHeadTooLarge = errors.New("the header of the response is too large")
 
