--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -66,7 +66,8 @@
 
 // Client calls Upstreams. It is safe for concurrent use.
 type Client struct {
-	opts Options
+	opts    Options
+	buffers *Buffers
 
 	mu    sync.Mutex
 	hosts map[string]*hostTransports
@@ -84,7 +85,7 @@
 
 // New returns a client.
 func New(opts Options) *Client {
-	return &Client{opts: opts.withDefaults(), hosts: make(map[string]*hostTransports)}
+	return &Client{opts: opts.withDefaults(), buffers: NewBuffers(), hosts: make(map[string]*hostTransports)}
 }
 
 // transports returns the transports of a host. Each host has its own, so that the idle
@@ -342,18 +343,17 @@
 
 // readAll reads the complete body, up to the size limit.
 func (cl *call) readAll() ([]byte, error) {
-	limit := cl.client.opts.MaxResponseBytes
-	body, err := io.ReadAll(io.LimitReader(cl, limit+1))
-	if err != nil {
+	body, err := cl.client.buffers.ReadAll(cl.ctx, cl, int(cl.client.opts.MaxResponseBytes))
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		return nil, &Error{Kind: ProtocolError, Sent: true, URL: cl.url, HTTPStatus: cl.response.StatusCode, Err: err}
+	case err != nil:
 		return nil, cl.classifyError(err)
 	}
 	untilClose := cl.response.ContentLength < 0 && len(cl.response.TransferEncoding) == 0
 	if untilClose && !cl.awaitRequestWritten() {
 		return nil, cl.classifyError(io.ErrUnexpectedEOF) // see Response.Read
 	}
-	if int64(len(body)) > limit {
-		return nil, &Error{Kind: ProtocolError, Sent: true, URL: cl.url, HTTPStatus: cl.response.StatusCode, Err: fmt.Errorf("response is larger than %d bytes", limit)}
-	}
 	return body, nil
 }
 
