--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -245,6 +245,7 @@
 	return &http.Server{
 		Addr: addr, Handler: handler, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: withConn,
+		DisableGeneralOptionsHandler: true, // only an Upstream answers with success
 	}
 }
 
--- a/pkg/hosted/serve.go
+++ b/pkg/hosted/serve.go
@@ -34,10 +34,14 @@
 	rw := newResponseWriter(w, d.adapter.Callers.RequestIDHeader(), d.leaving.Load).forRequest(r)
 	inbound, refusal := d.adapter.Callers.Decode(r)
 	rw.id = inbound.ID
+	var target requestTarget
+	if refusal == nil {
+		target, refusal = parseTarget(r)
+	}
 	if refusal == nil {
 		var body []byte
 		if body, refusal = d.readBody(rw, r); refusal == nil {
-			d.serveInbound(rw, r, inbound, body)
+			d.serveInbound(rw, r, inbound, target, body)
 			return
 		}
 	}
@@ -64,10 +68,10 @@
 	return body, nil
 }
 
-func (d *Daemon) serveInbound(rw *responseWriter, r *http.Request, inbound CallerRequest, body []byte) {
+func (d *Daemon) serveInbound(rw *responseWriter, r *http.Request, inbound CallerRequest, target requestTarget, body []byte) {
 	active := &activeRequest{id: inbound.ID, effects: make(chan router.Effect, effectQueueSize), response: rw}
 	active.template = UpstreamRequest{
-		ID: inbound.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: inbound.ForwardHeader, Body: body,
+		ID: inbound.ID, Method: r.Method, Target: target.full, Host: r.Host, Header: inbound.ForwardHeader, Body: body,
 		LastEventID: inbound.LastEventID,
 	}
 	if !d.requests.add(active) {
@@ -75,7 +79,7 @@
 		return
 	}
 	defer d.requests.remove(active.id)
-	d.post(router.RequestArrived{Request: d.routerRequest(r, inbound, body)})
+	d.post(router.RequestArrived{Request: d.routerRequest(r, inbound, target, body)})
 	disconnected := r.Context().Done()
 	for {
 		select {
@@ -92,7 +96,7 @@
 	}
 }
 
-func (d *Daemon) routerRequest(r *http.Request, inbound CallerRequest, body []byte) router.Request {
+func (d *Daemon) routerRequest(r *http.Request, inbound CallerRequest, target requestTarget, body []byte) router.Request {
 	timeout := inbound.Timeout
 	if timeout <= 0 {
 		timeout = defaultRequestTimeout
@@ -101,7 +105,7 @@
 		ID:              inbound.ID,
 		Model:           inbound.Model,
 		Method:          r.Method,
-		Path:            r.URL.Path,
+		Path:            target.path,
 		Host:            r.Host,
 		PromptTokens:    inbound.PromptTokens,
 		MaxOutputTokens: inbound.MaxOutputTokens,
@@ -115,7 +119,7 @@
 		request.Key = &digest
 	}
 	hash := sha256.New()
-	for _, part := range []string{r.Method, r.RequestURI, inbound.Key, string(body)} {
+	for _, part := range []string{r.Method, target.full, inbound.Key, string(body)} {
 		_, _ = hash.Write([]byte(part)) // documented to never fail
 		_, _ = hash.Write([]byte{0})
 	}
