--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -176,79 +176,92 @@
 
 var errUnsigned = &upstream.Error{Kind: upstream.Crashed, Sent: true, Err: errors.New("the response is not signed by the upstream")}
 
+// upstreamRun is an attempt at a decode engine or a plain service.
+type upstreamRun struct {
+	attempt  core.AttemptID
+	upstream core.UpstreamID
+	url      string
+	// streaming, resumable and eventTimeout are as in router.StartDecode.
+	streaming    bool
+	resumable    bool
+	eventTimeout time.Duration
+	stallTimeout time.Duration
+	// isFailure reports whether an answer with a status fails the attempt, which may be retried.
+	isFailure func(status int) bool
+}
+
 func (d *Daemon) callPlain(ctx context.Context, active *activeRequest, e router.StartCall) {
 	req := d.upstreamRequest(active, e.Upstream, e.URL, e.Account, e.NotAfter, e.Deadline)
-	if d.reportExpired(active, e.Attempt, req) {
-		return
-	}
-	attemptCtx, cancel := active.startAttempt(ctx, e.Attempt)
-	defer cancel()
-	stall := d.watchForStall(active.id, e.Attempt, e.StallTimeout)
-	defer stall.stop()
-	response := d.sendRequest(attemptCtx, active, e.Attempt, req)
-	if response == nil {
-		return
-	}
-	body, err := d.readResponseBody(attemptCtx, response)
-	if err != nil {
-		d.attemptFailed(attemptCtx, active, e.Attempt, e.Upstream, &upstream.Error{Kind: upstream.Crashed, Sent: true, URL: e.URL, Err: err})
-		return
-	}
-	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
-	if buffered.status >= http.StatusInternalServerError && e.Idempotent {
-		active.failureResponse = buffered
-		d.post(router.AttemptFailed{Request: active.id, Attempt: e.Attempt, Failure: attempts.Failure{Kind: attempts.FailProtocolError, Upstream: e.Upstream, MaybeSent: true}})
-		return
-	}
-	active.response.sendBuffered(buffered)
-	active.completed = true
-	d.post(router.ResponseCompleted{Request: active.id, Attempt: e.Attempt, Status: buffered.status, UntilClose: response.UntilClose})
+	d.run(ctx, active, req, upstreamRun{
+		attempt: e.Attempt, upstream: e.Upstream, url: e.URL,
+		streaming: e.Streaming, resumable: e.Resumable, eventTimeout: e.EventTimeout, stallTimeout: e.StallTimeout,
+		isFailure: func(status int) bool { return status >= http.StatusInternalServerError && e.Idempotent },
+	})
 }
 
 func (d *Daemon) decode(ctx context.Context, active *activeRequest, e router.StartDecode) {
 	req := d.upstreamRequest(active, e.Upstream, e.URL, e.Account, e.NotAfter, e.Deadline)
-	if d.reportExpired(active, e.Attempt, req) {
+	req.Hold, req.KVSource, req.KV = e.Hold, e.SourceURL, e.KV
+	d.run(ctx, active, req, upstreamRun{
+		attempt: e.Attempt, upstream: e.Upstream, url: e.URL,
+		streaming: e.Streaming, resumable: e.Resumable, eventTimeout: e.EventTimeout, stallTimeout: e.StallTimeout,
+		isFailure: func(status int) bool { return status >= http.StatusMultipleChoices },
+	})
+}
+
+// run sends a request and passes its answer on. Whether that is a stream of events follows from the
+// route and from the answer; a service of engines may also answer with one body.
+func (d *Daemon) run(ctx context.Context, active *activeRequest, req UpstreamRequest, run upstreamRun) {
+	if d.reportExpired(active, run.attempt, req) {
 		return
 	}
-	if active.response.started && active.template.LastEventID == "" {
-		d.attemptFailed(ctx, active, e.Attempt, e.Upstream, &upstream.Error{Kind: upstream.Expired, URL: e.URL, Err: errNotResumable})
+	if active.response.started && !active.resumable() {
+		d.attemptFailed(ctx, active, run.attempt, run.upstream, &upstream.Error{Kind: upstream.Expired, URL: run.url, Err: errNotResumable})
 		return
 	}
-	attemptCtx, cancel := active.startAttempt(ctx, e.Attempt)
+	attemptCtx, cancel := active.startAttempt(ctx, run.attempt)
 	defer cancel()
-	req.Hold, req.KVSource, req.KV = e.Hold, e.SourceURL, e.KV
-	req.LastEventID = active.template.LastEventID
-	req.HeaderTimeout = e.EventTimeout
-	stall := d.watchForStall(active.id, e.Attempt, e.StallTimeout)
+	req.HeaderTimeout = run.eventTimeout
+	stall := d.watchForStall(active.id, run.attempt, run.stallTimeout)
 	defer stall.stop()
-	response := d.sendRequest(attemptCtx, active, e.Attempt, req)
+	response := d.sendRequest(attemptCtx, active, run.attempt, req)
 	if response == nil {
 		return
 	}
-	defer response.Close()
-	if response.Status != http.StatusOK {
-		d.handleErrorResponse(attemptCtx, active, e, response)
+	if run.streaming && response.Status == http.StatusOK {
+		defer response.Close()
+		d.relay(attemptCtx, active, run, response, stall)
 		return
 	}
-	d.relay(attemptCtx, active, e, response, stall)
+	d.passOnWhole(attemptCtx, active, run, response)
 }
 
-// readResponseBody reads and closes a buffered response.
-func (d *Daemon) readResponseBody(ctx context.Context, response *UpstreamResponse) ([]byte, error) {
-	defer response.Close()
-	return d.buffers.ReadAll(ctx, response, maxResponseBytes)
-}
-
-// handleErrorResponse handles the response of an engine that starts no stream.
-// The response is kept for the caller unless part of a stream was already sent.
-func (d *Daemon) handleErrorResponse(ctx context.Context, active *activeRequest, e router.StartDecode, response *UpstreamResponse) {
+// passOnWhole reads an answer that is not a stream and passes it on. An answer that fails the attempt
+// is kept for the caller, unless part of a stream was already sent.
+func (d *Daemon) passOnWhole(ctx context.Context, active *activeRequest, run upstreamRun, response *UpstreamResponse) {
 	body, err := d.readResponseBody(ctx, response)
+	if err == nil && active.response.started && !run.isFailure(response.Status) {
+		err = errNotAStream
+	}
 	if err != nil {
-		d.attemptFailed(ctx, active, e.Attempt, e.Upstream, &upstream.Error{Kind: upstream.Crashed, Sent: true, URL: e.URL, Err: err})
+		d.attemptFailed(ctx, active, run.attempt, run.upstream, &upstream.Error{Kind: upstream.Crashed, Sent: true, URL: run.url, Err: err})
 		return
 	}
-	if !active.response.started {
-		active.failureResponse = &bufferedResponse{status: response.Status, header: response.Header, body: body}
+	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
+	if run.isFailure(buffered.status) {
+		if !active.response.started {
+			active.failureResponse = buffered
+		}
+		d.post(router.AttemptFailed{Request: active.id, Attempt: run.attempt, Failure: attempts.Failure{Kind: attempts.FailProtocolError, Upstream: run.upstream, MaybeSent: true}})
+		return
 	}
-	d.post(router.AttemptFailed{Request: active.id, Attempt: e.Attempt, Failure: attempts.Failure{Kind: attempts.FailProtocolError, Upstream: e.Upstream, MaybeSent: true}})
+	active.response.sendBuffered(buffered)
+	active.completed = true
+	d.post(router.ResponseCompleted{Request: active.id, Attempt: run.attempt, Status: buffered.status, UntilClose: response.UntilClose})
+}
+
+// readResponseBody reads and closes a buffered response.
+func (d *Daemon) readResponseBody(ctx context.Context, response *UpstreamResponse) ([]byte, error) {
+	defer response.Close()
+	return d.buffers.ReadAll(ctx, response, maxResponseBytes)
 }
--- a/pkg/hosted/relay.go
+++ b/pkg/hosted/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
+	"net/http"
 	"os"
 	"strconv"
 	"time"
@@ -19,11 +21,13 @@
 type streamRelay struct {
 	daemon   *Daemon
 	active   *activeRequest
-	start    router.StartDecode
+	run      upstreamRun
 	response *UpstreamResponse
 	stall    *stallWatch
 
-	events eventSplitter
+	// isEvents is set when the answer is a stream of events. Another one is passed on as it comes.
+	isEvents bool
+	events   eventSplitter
 	// reserved is the memory of the event that is not complete.
 	reserved *upstream.Reservation
 	// resumed is set when the caller has events of the stream already.
@@ -35,9 +39,17 @@
 // relay passes a stream on to the caller. A stream that may be resumed at another Upstream is
 // passed on in complete events only. Only a complete event is progress, and only the end of an
 // event can be the end of the stream.
-func (d *Daemon) relay(ctx context.Context, active *activeRequest, e router.StartDecode, response *UpstreamResponse, stall *stallWatch) {
-	s := &streamRelay{daemon: d, active: active, start: e, response: response, stall: stall, resumed: active.template.LastEventID != "", reserved: d.buffers.Reserve()}
+func (d *Daemon) relay(ctx context.Context, active *activeRequest, run upstreamRun, response *UpstreamResponse, stall *stallWatch) {
+	s := &streamRelay{
+		daemon: d, active: active, run: run, response: response, stall: stall, isEvents: isEventStream(response.Header),
+		resumed: active.template.LastEventID != "", reserved: d.buffers.Reserve(),
+	}
 	defer s.reserved.Release()
+	if !s.isEvents && active.response.started {
+		s.fail(ctx, errNotAStream)
+		return
+	}
+	active.isOpaque = !s.isEvents
 	s.progress()
 	buffer := make([]byte, relayBufferSize)
 	for {
@@ -51,9 +63,7 @@
 			return
 		}
 		if err == io.EOF {
-			// An engine has nothing to add to a stream that is resumed after its last event.
-			err = s.events.checkEnd(s.resumed && !response.UntilClose)
-			if err == nil {
+			if err = s.checkEnd(); err == nil {
 				s.complete()
 				return
 			}
@@ -65,11 +75,28 @@
 	}
 }
 
+// isEventStream reports whether an answer on a streaming route is a stream of events. That is also
+// assumed of one without a type and of plain text, since some engines don't name the type.
+func isEventStream(header http.Header) bool {
+	text := header.Get("Content-Type")
+	mediaType, _, _ := mime.ParseMediaType(text)
+	return text == "" || mediaType == "text/event-stream" || mediaType == "text/plain"
+}
+
+// checkEnd returns an error if the answer must not end here.
+func (s *streamRelay) checkEnd() error {
+	if !s.isEvents {
+		return nil
+	}
+	// An engine has nothing to add to a stream that is resumed after its last event.
+	return s.events.checkEnd(s.resumed && !s.response.UntilClose)
+}
+
 // split returns what can be passed on after a part of the stream was read. It waits while other streams
 // have too many large events that are not complete.
 func (s *streamRelay) split(ctx context.Context, part []byte) ([]byte, error) {
-	if !s.start.Resumable {
-		if s.events.scan(part) {
+	if !s.isEvents || !s.run.resumable {
+		if s.events.scan(part) || !s.isEvents && len(part) > 0 {
 			s.progress()
 		}
 		return part, nil
@@ -88,14 +115,14 @@
 
 func (s *streamRelay) progress() {
 	s.stall.progress()
-	s.response.SetReadDeadline(time.Now().Add(s.start.EventTimeout))
+	s.response.SetReadDeadline(time.Now().Add(s.run.eventTimeout))
 }
 
 // pass writes a part to the caller, whose response it starts if necessary.
 func (s *streamRelay) pass(part []byte) error {
 	now := time.Now()
 	if s.lastPartAt.IsZero() {
-		s.daemon.post(router.FirstToken{Request: s.active.id, Attempt: s.start.Attempt})
+		s.daemon.post(router.FirstToken{Request: s.active.id, Attempt: s.run.attempt})
 	} else {
 		s.longestPause = max(s.longestPause, now.Sub(s.lastPartAt))
 	}
@@ -109,7 +136,7 @@
 	s.active.response.endStream()
 	s.active.completed = true
 	s.daemon.post(router.ResponseCompleted{
-		Request: s.active.id, Attempt: s.start.Attempt, Status: s.response.Status,
+		Request: s.active.id, Attempt: s.run.attempt, Status: s.response.Status,
 		LongestPause: s.longestPause, UntilClose: s.response.UntilClose,
 	})
 }
@@ -119,13 +146,14 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		kind = upstream.Stalled
 	}
-	failure := &upstream.Error{Kind: kind, Sent: true, URL: s.start.URL, Err: err}
-	s.daemon.attemptFailed(ctx, s.active, s.start.Attempt, s.start.Upstream, failure)
+	failure := &upstream.Error{Kind: kind, Sent: true, URL: s.run.url, Err: err}
+	s.daemon.attemptFailed(ctx, s.active, s.run.attempt, s.run.upstream, failure)
 }
 
 var (
 	errEventWithoutID = errors.New("an event of a resumed stream has no id")
 	errEventRepeated  = errors.New("an event of a resumed stream is not newer than the one before")
+	errNotAStream     = errors.New("the answer that would continue a stream is not a stream of events")
 	errNotResumable   = errors.New("the stream can't be resumed, because its events have no ids")
 )
 
--- a/pkg/hosted/requests.go
+++ b/pkg/hosted/requests.go
@@ -21,6 +21,8 @@
 	// failureResponse is the last error response of an Upstream, which is passed on if
 	// no attempt succeeds.
 	failureResponse *bufferedResponse
+	// isOpaque is set when the answer that was passed on, or its begin, is no stream of events.
+	isOpaque bool
 	// completed is set once the caller has been sent a complete response.
 	completed bool
 
@@ -29,6 +31,9 @@
 	cancel  context.CancelFunc
 }
 
+// resumable reports whether a response that has started can be continued at another Upstream.
+func (r *activeRequest) resumable() bool { return r.template.LastEventID != "" && !r.isOpaque }
+
 // startAttempt sets the current attempt. Its context ends when the attempt is
 // cancelled.
 func (r *activeRequest) startAttempt(parent context.Context, id core.AttemptID) (context.Context, context.CancelFunc) {
--- a/pkg/router/effect.go
+++ b/pkg/router/effect.go
@@ -74,13 +74,15 @@
 	Priority        int
 	// Account is set at a hosted Instance, which names it to the Upstream.
 	Account core.AccountID
+	// Streaming is set when the answer may be a stream of events, which is passed on as it comes.
+	Streaming bool
 	// Resumable is set when the stream may be continued at another Upstream.
 	Resumable bool
 	// StallTimeout is the time without a complete event after which AttemptStalled is
 	// reported, 0 for never.
 	StallTimeout time.Duration
 	// EventTimeout is the longest time to the first event and between two events.
-	// An engine that exceeds it is treated as not responding.
+	// An engine that exceeds it is treated as not responding. 0 means no limit.
 	EventTimeout time.Duration
 }
 
@@ -102,6 +104,11 @@
 	// StallTimeout is the time without a response after which AttemptStalled is reported, 0
 	// for never.
 	StallTimeout time.Duration
+	// Streaming, Resumable and EventTimeout are as in StartDecode. They are set at a hosted
+	// Instance.
+	Streaming    bool
+	Resumable    bool
+	EventTimeout time.Duration
 }
 
 // StartResume continues to read the stream of an attempt that another Instance
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -323,9 +323,12 @@
 }
 
 // eventTimeout returns the time without an event after which a stream ends, because its
-// caller has disconnected by then.
+// caller has disconnected by then. Other answers have no such time, 0.
 func (h *hosted) eventTimeout(rs *requestState) time.Duration {
 	route := rs.hosted.route
+	if !route.Streaming {
+		return 0
+	}
 	return max(minEventTimeout, callerPatienceTargets*route.LatencyTarget, callerPatienceIntervals*route.EventIntervalTarget)
 }
 
@@ -360,8 +363,8 @@
 	h.emit(StartDecode{
 		Request: rs.request.ID, Attempt: h.nextAttempt(rs), Upstream: hr.upstream.ID, URL: hr.upstream.Addr,
 		SourceURL: source, KV: rs.kv, Hold: hr.holdID, At: now, NotAfter: rs.sendBefore(now), Deadline: hr.deadline,
-		Priority: h.effectivePriority(rs), Account: rs.accountID(), Resumable: hr.route.Resumable,
-		EventTimeout: h.eventTimeout(rs), StallTimeout: h.stallTimeout(rs),
+		Priority: h.effectivePriority(rs), Account: rs.accountID(),
+		Streaming: hr.route.Streaming, Resumable: hr.route.Resumable, EventTimeout: h.eventTimeout(rs), StallTimeout: h.stallTimeout(rs),
 	})
 	h.recordWithUpstream(now, "dispatch", "decode", rs, hr.upstream.ID, fmt.Sprintf("kv=%t hold=%t run=%d", rs.kv != "", hr.holdID != "", hr.executions))
 }
@@ -378,7 +381,8 @@
 	h.emit(StartCall{
 		Request: o.ID, Attempt: h.nextAttempt(rs), Upstream: o.Upstream, URL: rs.hosted.upstream.Addr,
 		NotAfter: rs.sendBefore(now), Deadline: rs.hosted.deadline, Priority: h.effectivePriority(rs), Account: rs.accountID(),
-		Idempotent: rs.hosted.route.Idempotent(), StallTimeout: h.stallTimeout(rs),
+		Idempotent: rs.hosted.route.Idempotent(), Streaming: rs.hosted.route.Streaming, Resumable: rs.hosted.route.Resumable,
+		EventTimeout: h.eventTimeout(rs), StallTimeout: h.stallTimeout(rs),
 	})
 	h.recordWithUpstream(now, "dispatch", "call", rs, o.Upstream, fmt.Sprintf("run=%d waited=%s", rs.hosted.executions, now.Sub(rs.arrivedAt)))
 }
@@ -394,7 +398,9 @@
 		return
 	}
 	rs.firstTokenAt = now
-	h.dispatch.ObserveFirstEventDelay(now.Sub(rs.hosted.prefillEndedAt))
+	if rs.hosted.service.Engine != nil {
+		h.dispatch.ObserveFirstEventDelay(now.Sub(rs.hosted.prefillEndedAt))
+	}
 }
 
 func (h *hosted) onResponseCompleted(now core.Instant, e ResponseCompleted) {
