router: no key is valid while the list of accounts is empty

Cause: an empty list was taken for a configuration without accounts.

Ruled out as a fix: remembering withdrawn keys in each process; a process that starts later would not know them.

Change: Routing.NeedsKeys.

--- a/pkg/config/routing.go
+++ b/pkg/config/routing.go
@@ -124,7 +124,10 @@
 	Routes   []HostRoute
 	Services []HostedService
 	Accounts []HostedAccount
-	Limits   CallerLimits
+	// NeedsKeys is set when routes that are not public need the key of an account. It may be set
+	// without accounts: then no key is valid.
+	NeedsKeys bool
+	Limits    CallerLimits
 
 	byHost   map[string][]*HostRoute // longest prefix first
 	services map[core.ServiceName]*HostedService
@@ -148,6 +151,7 @@
 	for i := range r.Services {
 		r.services[r.Services[i].Name] = &r.Services[i]
 	}
+	r.NeedsKeys = r.NeedsKeys || len(r.Accounts) > 0
 	for i := range r.Accounts {
 		account := &r.Accounts[i]
 		r.accounts[account.ID] = account
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -334,8 +334,7 @@
 // that the active one does not allow, else nil. A request that arrived while no keys were needed
 // gets the account of its key.
 func (h *hosted) authorizeAgain(now core.Instant, rs *requestState) *core.Refusal {
-	needsKey := len(h.routing.Accounts) > 0
-	if rs.account == nil && !needsKey {
+	if rs.account == nil && !h.routing.NeedsKeys {
 		return nil
 	}
 	if rs.request.Key == nil {
--- a/pkg/router/hosted_authorize_test.go
+++ b/pkg/router/hosted_authorize_test.go
@@ -14,7 +14,7 @@
 // withAccounts returns a configuration with the given ClientAccounts only.
 func withAccounts(version core.Version, accounts ...config.HostedAccount) RoutingReceived {
 	routing := *hostedRouting(version)
-	routing.Accounts = accounts
+	routing.Accounts, routing.NeedsKeys = accounts, false
 	return RoutingReceived{Routing: config.NewRouting(routing), Revision: storeRevision(10 + int(version))}
 }
 
@@ -72,6 +72,41 @@
 	}
 }
 
+// Guards against a withdrawn key, or one that no configuration has held, that runs requests because the
+// list of ClientAccounts has become empty.
+func TestHostedEmptyListOfAccountsMakesNoKeyValid(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		needsKeys bool
+		key       string
+		code      core.Code // empty if the request runs
+	}{
+		{"empty list, withdrawn key", true, "key", core.CodeUnknownKey},
+		{"empty list, key of no configuration", true, "never", core.CodeUnknownKey},
+		{"empty list, no key", true, "", core.CodeMissingKey},
+		{"no list, key", false, "key", ""},
+		{"no list, no key", false, "", ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newHostedHarness(t)
+			r.step(UpstreamsListed{Revision: storeRevision(20)})
+			r.sendWithKey("waits", "key")
+			routing := *hostedRouting(2)
+			routing.Accounts, routing.NeedsKeys = nil, test.needsKeys
+			r.step(RoutingReceived{Routing: config.NewRouting(routing), Revision: storeRevision(12)})
+			is.Equal(wantEffect[Refuse](r).Refusal.Code, core.CodeKeyRevoked) // the request that waits
+			r.step(UpstreamsListed{Revision: storeRevision(21), Upstreams: r.upstreams})
+			r.sendWithKey("1", test.key)
+			if test.code == "" {
+				wantEffect[StartCall](r)
+				return
+			}
+			is.Equal(wantEffect[Refuse](r).Refusal.Code, test.code)
+		})
+	}
+}
+
 // Guards against requests that take nothing from the allowance of their account because they
 // arrived before it was configured, and against a refund of more than they took.
 func TestHostedWaitingRequestIsChargedToItsFirstAccount(t *testing.T) {
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -131,7 +131,7 @@
 	}
 	hr.deadline = min(q.Deadline, rs.arrivedAt.Add(hr.route.Timeout))
 	hr.latencyDeadline = rs.arrivedAt.Add(hr.route.LatencyTarget)
-	if hr.route.Public || len(h.routing.Accounts) == 0 {
+	if hr.route.Public || !h.routing.NeedsKeys {
 		return nil
 	}
 	if q.Key == nil {
