router: a waiting request follows its key to another account

Cause: the comparison was of the names of the accounts, not of the keys.

Ruled out: going on for the account of before; an upstream would be told a tenant that does not hold the key.

Change: the request moves to the account that holds its key: what it took is given back to the earlier one, if that exists, and charged to the new one.

Before: both cases of TestHostedWaitingRequestFollowsItsKey have an unexpected refusal. After: they pass, with the other tests of keys.

--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -331,8 +331,8 @@
 }
 
 // authorizeAgain returns the refusal of a request that arrived under an earlier configuration and
-// that the active one does not allow, else nil. A request that arrived while no keys were needed
-// gets the account of its key.
+// that the active one does not allow, else nil. The request gets the account that holds its key now: there
+// was none while no keys were needed, and an account may be renamed.
 func (h *hosted) authorizeAgain(now core.Instant, rs *requestState) *core.Refusal {
 	if rs.account == nil && !h.routing.NeedsKeys {
 		return nil
@@ -341,23 +341,27 @@
 		return core.NewRefusal(core.CodeMissingKey, "this route needs a key in the Authorization header since the request waits")
 	}
 	account, found := h.routing.AccountOfKey(*rs.request.Key)
-	if rs.account == nil {
-		if !found {
-			return core.NewRefusal(core.CodeUnknownKey, "the key is not known")
-		}
-		rs.account = h.accountViews[account.ID]
-		// The request is accepted already, so it is charged without being refused.
-		rs.charge = requestCost(account, &rs.request)
-		rs.charged = true
-		h.quota.Charge(now, account.ID, rs.charge)
-		return nil
-	}
-	if !found || account.ID != rs.account.ID {
+	switch {
+	case !found && rs.account == nil:
+		return core.NewRefusal(core.CodeUnknownKey, "the key is not known")
+	case !found:
 		return core.NewRefusal(core.CodeKeyRevoked, "the key was withdrawn while the request waited")
+	case rs.account == nil || rs.account.ID != account.ID:
+		h.moveToAccount(now, rs, account)
 	}
 	return nil
 }
 
+// moveToAccount charges a request to the account that holds its key now. The request is accepted
+// already, so it is not refused.
+func (h *hosted) moveToAccount(now core.Instant, rs *requestState, account *config.HostedAccount) {
+	h.refundQuota(now, rs)
+	rs.account = h.accountViews[account.ID]
+	rs.charge = requestCost(account, &rs.request)
+	rs.charged = true
+	h.quota.Charge(now, account.ID, rs.charge)
+}
+
 func (h *hosted) applyUpstreams(now core.Instant, why string, from core.InstanceID) {
 	revision, _ := h.catalog.Revision()
 	list := h.catalog.Upstreams()
--- a/pkg/router/hosted_authorize_test.go
+++ b/pkg/router/hosted_authorize_test.go
@@ -123,6 +123,34 @@
 	is.Equal(h.quota.Level(r.now, "first"), int64(0))
 }
 
+// Guards against a waiting request that is refused, or runs for the account of before, because its key
+// is now that of another account.
+func TestHostedWaitingRequestFollowsItsKey(t *testing.T) {
+	for name, accounts := range map[string][]config.HostedAccount{
+		"renamed account": {keyHolder("renamed", "key")},
+		"moved key":       {keyHolder("acct", "other"), keyHolder("renamed", "key")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newHostedHarness(t)
+			r.step(withAccounts(2, keyHolder("acct", "key")))
+			r.advance(time.Second) // the allowance fills
+			r.step(UpstreamsListed{Revision: storeRevision(20)})
+			r.sendWithKey("1", "key")
+			h := r.router.hosted
+			before := h.quota.Level(r.now, "acct")
+			r.step(withAccounts(3, accounts...))
+			wantNoEffect[Refuse](r)
+			is.Equal(h.quota.Level(r.now, "renamed"), int64(-10))
+			if len(accounts) > 1 {
+				is.Equal(h.quota.Level(r.now, "acct"), before+10)
+			}
+			r.step(UpstreamsListed{Revision: storeRevision(21), Upstreams: r.upstreams})
+			is.Equal(wantEffect[StartCall](r).Account, core.AccountID("renamed"))
+		})
+	}
+}
+
 // Guards against a request with a withdrawn key that runs because it was not waiting when the key was
 // withdrawn: it waits again after a refused hold or a failed attempt.
 func TestHostedWithdrawnKeyStartsNothingLater(t *testing.T) {
