hosted: a body has the time of its request, from the header on

What callers saw: a body that takes 10.5 s gets 400 although the request has 15 s; one that takes 2 s runs although its caller waits for 1 s, and the upstream is told the whole second again.

Cause: a fixed bound of 10 s for bodies, and a deadline that was set at the end of the body.

Ruled out: no bound; a caller that states no time would hold its connection and body for good.

--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -152,13 +153,15 @@
 	return s.members, nil, nil
 }
 
-// fakeCallers decodes the identifier and the key of a request, and the event after which it resumes
-// a stream, from fixed headers.
+// fakeCallers decodes the identifier, the key and the timeout of a request, and the event after which it
+// resumes a stream, from fixed headers.
 type fakeCallers struct{}
 
 func (fakeCallers) Decode(r *http.Request) (CallerRequest, *core.Refusal) {
+	timeoutMS, _ := strconv.Atoi(r.Header.Get("X-Timeout-Ms")) // 0 without one
 	return CallerRequest{
-		ID: core.RequestID(r.Header.Get("X-Id")), Key: r.Header.Get("X-Key"), LastEventID: r.Header.Get("Last-Event-Id"),
+		Timeout: time.Duration(timeoutMS) * time.Millisecond,
+		ID:      core.RequestID(r.Header.Get("X-Id")), Key: r.Header.Get("X-Key"), LastEventID: r.Header.Get("Last-Event-Id"),
 		ForwardHeader: http.Header{"X-Id": r.Header.Values("X-Id")},
 	}, nil
 }
@@ -198,6 +201,8 @@
 }
 
 func (e *fakeEngines) Run(ctx context.Context, req UpstreamRequest) (*UpstreamResponse, error) {
+	req.Header = req.Header.Clone()
+	req.Header.Set("X-Left", strconv.FormatInt(req.TimeLeft().Milliseconds(), 10))
 	response, err := e.pool.Do(ctx, req.Addr, upstream.Request{Method: req.Method, Target: req.Target, Host: req.Host, Header: req.Header, Body: req.Body, HeaderTimeout: req.HeaderTimeout})
 	if err != nil {
 		return nil, err
--- a/pkg/hosted/limits_test.go
+++ b/pkg/hosted/limits_test.go
@@ -1,7 +1,10 @@
 package hosted
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -50,3 +53,65 @@
 		})
 	}
 }
+
+// Guards against a slow body that is refused although its request has time left, and against a
+// deadline that counts from the end of the body instead of its begin.
+func TestSlowBodyHasTheTimeOfItsRequest(t *testing.T) {
+	for _, test := range []struct {
+		timeout, body time.Duration
+		status        int
+	}{
+		{15 * time.Second, 10500 * time.Millisecond, 200},
+		{time.Second, 2 * time.Second, 400},
+	} {
+		t.Run(fmt.Sprintf("timeout %s, body %s", test.timeout, test.body), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			left := make(chan string, 1)
+			settings, _, _ := startDaemon(t, serviceStore(t, func(_ http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				left <- string(body) + r.Header.Get("X-Left")
+			}, 0))
+			conn, err := net.Dial("tcp", settings.CallerAddr)
+			is.NoErr(err)
+			defer conn.Close()
+			fmt.Fprintf(conn, "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Timeout-Ms: %d\r\nContent-Length: 2\r\n\r\nh", test.timeout.Milliseconds())
+			time.Sleep(test.body)
+			_, _ = io.WriteString(conn, "i") // the connection may be closed
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			defer response.Body.Close()
+			is.Equal(response.StatusCode, test.status)
+			if test.status == http.StatusOK {
+				var ms int64
+				_, err := fmt.Sscanf(<-left, "hi%d", &ms)
+				is.NoErr(err)
+				is.True(ms <= (test.timeout - test.body).Milliseconds())
+			}
+		})
+	}
+}
+
+// Guards against an Upstream that goes on working for a caller who has closed the connection: a caller
+// who closes only its sending side can't be told from that.
+func TestClosedSendingSideEndsTheRequest(t *testing.T) {
+	is := is.New(t)
+	started, ended := make(chan struct{}), make(chan struct{})
+	settings, _, _ := startDaemon(t, serviceStore(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	}, 0))
+	conn, err := net.Dial("tcp", settings.CallerAddr)
+	is.NoErr(err)
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nhi")
+	<-started
+	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the request goes on")
+	}
+}
--- a/pkg/hosted/serve.go
+++ b/pkg/hosted/serve.go
@@ -20,9 +20,8 @@
 const (
 	// defaultBodyBytes bounds a request body until a configuration is active.
 	defaultBodyBytes = 4 << 20
-	// bodyTimeout bounds the time in which a caller must send the body.
-	bodyTimeout = 10 * time.Second
-	// defaultRequestTimeout is the timeout of a request that states none.
+	// defaultRequestTimeout is the timeout of a request that states none. A body must arrive within the
+	// timeout of its request, at most in this time.
 	defaultRequestTimeout = time.Minute
 	// addressQueryTimeout bounds the wait for the event loop's reply to an address
 	// query.
@@ -31,6 +30,7 @@
 
 // serveCaller handles a caller's request.
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
+	arrivedAt := d.now()
 	rw := newResponseWriter(w, d.adapter.Callers.RequestIDHeader(), d.leaving.Load).forRequest(r)
 	inbound, refusal := d.adapter.Callers.Decode(r)
 	rw.id = inbound.ID
@@ -43,8 +43,8 @@
 	}
 	if refusal == nil {
 		var body []byte
-		if body, refusal = d.readBody(rw, r); refusal == nil {
-			d.serveInbound(rw, r, inbound, target, body)
+		if body, refusal = d.readBody(rw, r, inbound.timeout()); refusal == nil {
+			d.serveInbound(rw, r, inbound, target, body, arrivedAt.Add(inbound.timeout()))
 			return
 		}
 	}
@@ -72,12 +72,20 @@
 	return nil
 }
 
-func (d *Daemon) readBody(rw *responseWriter, r *http.Request) ([]byte, *core.Refusal) {
+// timeout returns the time for which the caller of a request waits.
+func (in CallerRequest) timeout() time.Duration {
+	if in.Timeout <= 0 {
+		return defaultRequestTimeout
+	}
+	return in.Timeout
+}
+
+func (d *Daemon) readBody(rw *responseWriter, r *http.Request, timeout time.Duration) ([]byte, *core.Refusal) {
 	limit := int64(defaultBodyBytes)
 	if routing := d.routing.Load(); routing != nil && routing.Limits.BodyBytes > 0 {
 		limit = routing.Limits.BodyBytes
 	}
-	_ = rw.control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = rw.control.SetReadDeadline(time.Now().Add(min(timeout, defaultRequestTimeout)))
 	body, err := io.ReadAll(http.MaxBytesReader(rw.w, r.Body, limit))
 	_ = rw.control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
@@ -90,7 +98,7 @@
 	return body, nil
 }
 
-func (d *Daemon) serveInbound(rw *responseWriter, r *http.Request, inbound CallerRequest, target requestTarget, body []byte) {
+func (d *Daemon) serveInbound(rw *responseWriter, r *http.Request, inbound CallerRequest, target requestTarget, body []byte, deadline core.Instant) {
 	active := &activeRequest{id: inbound.ID, effects: make(chan router.Effect, effectQueueSize), response: rw}
 	active.template = UpstreamRequest{
 		ID: inbound.ID, Method: r.Method, Target: target.full, Host: r.Host, Header: inbound.ForwardHeader, Body: body,
@@ -101,7 +109,7 @@
 		return
 	}
 	defer d.requests.remove(active.id)
-	d.post(router.RequestArrived{Request: d.routerRequest(r, inbound, target, body)})
+	d.post(router.RequestArrived{Request: d.routerRequest(r, inbound, target, body, deadline)})
 	disconnected := r.Context().Done()
 	for {
 		select {
@@ -118,11 +126,7 @@
 	}
 }
 
-func (d *Daemon) routerRequest(r *http.Request, inbound CallerRequest, target requestTarget, body []byte) router.Request {
-	timeout := inbound.Timeout
-	if timeout <= 0 {
-		timeout = defaultRequestTimeout
-	}
+func (d *Daemon) routerRequest(r *http.Request, inbound CallerRequest, target requestTarget, body []byte, deadline core.Instant) router.Request {
 	request := router.Request{
 		ID:              inbound.ID,
 		Model:           inbound.Model,
@@ -134,7 +138,7 @@
 		HasTokenCounts:  inbound.HasTokenCounts,
 		ExpectedOutput:  inbound.ExpectedOutput,
 		SharedParts:     inbound.SharedParts,
-		Deadline:        d.now().Add(timeout),
+		Deadline:        deadline,
 	}
 	if inbound.Key != "" {
 		digest := config.DigestKey(inbound.Key)
