dispatch: a job is not placed after its deadline

What callers saw: after a pause of the process (3 s and more), a request whose time limit has passed is sent to an upstream and cancelled in the same step; its caller gets 504, "may have run", instead of 503, "not run".

Cause: the end of one overdue request releases its place, and the queue is placed again before the other overdue ones are ended.

Change: placeQueue refuses a job whose deadline has passed.

Before: TestJobIsNotPlacedAfterItsDeadline gets a Hold.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -430,6 +430,12 @@
 	remaining := d.queue[:0]
 	ahead := map[core.ServiceName]int{}
 	for _, j := range slices.Clone(d.queue) {
+		if now >= j.Deadline { // the process may have been paused
+			j.waiting = false
+			delete(d.jobs, j.ID)
+			outputs = append(outputs, Refused{ID: j.ID, Refusal: core.NewRefusal(core.CodeTargetUnreachable, "the request reached its time limit before it ran")})
+			continue
+		}
 		if output := d.place(now, j); output != nil {
 			j.waiting = false
 			d.placementRateOf(j.Service).onPlaced(now, j.hasWaited)
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -76,6 +76,21 @@
 	is.Equal(third.ID, core.RequestID("a"))
 }
 
+// Guards against a job that is placed after its deadline, when the process was paused.
+func TestJobIsNotPlacedAfterItsDeadline(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(0, 1)
+	now := core.Instant(time.Second)
+	is.Equal(len(d.Submit(now, modelJob("a", now))), 0)
+	now = now.Add(15 * time.Second)
+	outputs := d.SetUpstreams(now, []catalog.Upstream{{ID: "d0", Service: service, DataCentre: local, Stage: catalog.StageDecode, Slots: 8}})
+	is.Equal(len(outputs), 1)
+	refused, ok := outputs[0].(Refused)
+	is.True(ok)
+	is.Equal(refused.Refusal.Ran, core.NotRun)
+	is.Equal(d.QueueLength(), 0)
+}
+
 // fixedLimiter allows each Upstream in it a number of requests.
 type fixedLimiter struct {
 	left map[core.UpstreamID]int
