router, dispatch: read-through of the fixes

One place ends a job that is not placed; the refusal for a missing key says why it comes late. No change of behaviour; tests of both packages pass.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -429,11 +429,14 @@
 	var outputs []Output
 	remaining := d.queue[:0]
 	ahead := map[core.ServiceName]int{}
+	refuse := func(j *job, refusal *core.Refusal) {
+		j.waiting = false
+		delete(d.jobs, j.ID)
+		outputs = append(outputs, Refused{ID: j.ID, Refusal: refusal})
+	}
 	for _, j := range slices.Clone(d.queue) {
 		if now >= j.Deadline { // the process may have been paused
-			j.waiting = false
-			delete(d.jobs, j.ID)
-			outputs = append(outputs, Refused{ID: j.ID, Refusal: core.NewRefusal(core.CodeTargetUnreachable, "the request reached its time limit before it ran")})
+			refuse(j, core.NewRefusal(core.CodeTargetUnreachable, "the request reached its time limit before it ran"))
 			continue
 		}
 		if output := d.place(now, j); output != nil {
@@ -443,9 +446,7 @@
 			continue
 		}
 		if refusal := d.refusalIfUnservable(now, j, ahead[j.Service]); refusal != nil {
-			j.waiting = false
-			delete(d.jobs, j.ID)
-			outputs = append(outputs, Refused{ID: j.ID, Refusal: refusal})
+			refuse(j, refusal)
 			continue
 		}
 		if !j.hasWaited {
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -331,14 +331,14 @@
 }
 
 // authorizeAgain returns the refusal of a request that arrived under an earlier configuration and
-// that the active one does not allow, else nil. The request gets the account that holds its key now: there
-// was none while no keys were needed, and an account may be renamed.
+// that the active one does not allow, else nil. The request gets the account that holds its key
+// now: there was none while no keys were needed, and an account may be renamed.
 func (h *hosted) authorizeAgain(now core.Instant, rs *requestState) *core.Refusal {
 	if rs.account == nil && !h.routing.NeedsKeys {
 		return nil
 	}
 	if rs.request.Key == nil {
-		return core.NewRefusal(core.CodeMissingKey, "this route needs a key in the Authorization header since the request waits")
+		return core.NewRefusal(core.CodeMissingKey, "the route needs a key in the Authorization header since a configuration that came while the request waited")
 	}
 	account, found := h.routing.AccountOfKey(*rs.request.Key)
 	switch {
