--- a/cmd/rhubarbsilld/soak_test.go
+++ b/cmd/rhubarbsilld/soak_test.go
@@ -61,6 +61,7 @@
 	outcomes    map[string]int
 	keyDeadline time.Time // from which on withdrawnKey must not work, zero for never
 	events      []string
+	timeouts    []time.Duration // that routes have had
 }
 
 type soakInstance struct {
@@ -69,6 +70,15 @@
 	peer     *faultnet.Proxy
 	mu       sync.Mutex
 	process  *exec.Cmd
+	// stoppedAt is the time of a SIGTERM, since the begin of the faults; 0 for none.
+	stoppedAt time.Duration
+}
+
+// soakParams are the settings of a soak.
+type soakParams struct {
+	instances   int
+	engineSlots int // of each engine
+	grace       time.Duration
 }
 
 func soakNumber(t *testing.T, name string, fallback int) int {
@@ -89,7 +99,7 @@
 // runs; SOAK_DIR keeps the settings and logs.
 func TestSoak(t *testing.T) {
 	seed := uint64(soakNumber(t, "SOAK_SEED", 1))
-	s := newSoak(t, seed, soakNumber(t, "SOAK_INSTANCES", 6))
+	s := newSoak(t, seed, soakParams{instances: soakNumber(t, "SOAK_INSTANCES", 6), engineSlots: 8, grace: 6 * time.Second})
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	for i := range soakCallers {
@@ -118,7 +128,7 @@
 	}
 }
 
-func newSoak(t *testing.T, seed uint64, instances int) *soak {
+func newSoak(t *testing.T, seed uint64, p soakParams) *soak {
 	t.Helper()
 	dir := os.Getenv("SOAK_DIR")
 	if dir == "" {
@@ -126,7 +136,7 @@
 	}
 	s := &soak{t: t, rng: rand.New(rand.NewPCG(seed, 1)), dir: dir, outcomes: map[string]int{}}
 	engine := hostplatform.EngineParams{
-		Slots: 8, MemoryTokens: 20_000, PrefillTokensPerSecond: 50_000, EventInterval: 10 * time.Millisecond, KVTTL: 500 * time.Millisecond,
+		Slots: p.engineSlots, MemoryTokens: 20_000, PrefillTokensPerSecond: 50_000, EventInterval: 10 * time.Millisecond, KVTTL: 500 * time.Millisecond,
 	}
 	var err error
 	s.platform, err = standin.Start(standin.Params{
@@ -159,8 +169,8 @@
 	if out, err := exec.Command("go", "build", "-o", s.bin, ".").CombinedOutput(); err != nil {
 		t.Fatalf("go build: %v\n%s", err, out)
 	}
-	for i := range instances {
-		s.addInstance(i)
+	for i := range p.instances {
+		s.addInstance(i, p.grace)
 	}
 	for _, e := range s.entries {
 		s.start(e)
@@ -188,7 +198,7 @@
 }
 
 // addInstance writes the settings of an Instance that callers and peers reach through proxies.
-func (s *soak) addInstance(i int) {
+func (s *soak) addInstance(i int, grace time.Duration) {
 	s.t.Helper()
 	callerAddr, peerAddr := freeAddr(s.t), freeAddr(s.t)
 	e := &soakInstance{entry: s.proxy(callerAddr), peer: s.proxy(peerAddr), settings: filepath.Join(s.dir, fmt.Sprintf("entry-%d.jsonc", i))}
@@ -197,7 +207,7 @@
 		Instance: core.InstanceID(fmt.Sprintf("entry-%d", i)), DataCentre: core.DataCentreName(zone), Region: "r",
 		DataCentres: map[core.DataCentreName]core.RegionName{"a": "r", "b": "r"},
 		CallerAddr:  callerAddr, ReadyAddr: freeAddr(s.t), DirectoryAddr: freeAddr(s.t), PeerAddr: e.peer.Addr(), PeerListenAddr: peerAddr, MetricsAddr: freeAddr(s.t),
-		StoreAddr: s.store.Addr(), GraceSeconds: 6, MaxAddressTTLSeconds: 0.2, RetryRatio: 0.2, RetryAllowance: 30, RetryWindowSeconds: 10,
+		StoreAddr: s.store.Addr(), GraceSeconds: grace.Seconds(), MaxAddressTTLSeconds: 0.2, RetryRatio: 0.2, RetryAllowance: 30, RetryWindowSeconds: 10,
 		ConfigApplyMS: float64(soakApply.Milliseconds()), LogLevel: "info",
 	}
 	text, err := json.Marshal(settings)
