upstream, soak: name the sizes of the tiers and the tolerance of a timeout

Figures stood without a name. No change of behaviour: the .text section of rhubarbsilld is the same byte for byte before and after (sha256...), tests of pkg/upstream pass.

--- a/cmd/rhubarbsilld/soak_changes_test.go
+++ b/cmd/rhubarbsilld/soak_changes_test.go
@@ -121,8 +121,11 @@
 	}
 }
 
-// timeoutTolerance is the time after its route's timeout in which a request ends.
-const timeoutTolerance = 500 * time.Millisecond
+// A request ends between timeoutEarly before its route's timeout and timeoutTolerance after it.
+const (
+	timeoutEarly     = 50 * time.Millisecond
+	timeoutTolerance = 500 * time.Millisecond
+)
 
 // deadlineTolerance is the time before its deadline in which a request may end: an Upstream gets the
 // time left in whole milliseconds, and stops before the caller does.
@@ -133,7 +136,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.ContainsFunc(s.timeouts, func(timeout time.Duration) bool {
-		return took > timeout-timeoutTolerance/10 && took < timeout+timeoutTolerance
+		return took > timeout-timeoutEarly && took < timeout+timeoutTolerance
 	})
 }
 
--- a/pkg/upstream/buffers.go
+++ b/pkg/upstream/buffers.go
@@ -20,14 +20,24 @@
 	places chan struct{} // nil for any number
 }
 
-// NewBuffers returns Buffers that hold about 18 MB besides small responses. An answer has a few
-// kilobytes; the tiers above are for the few that are larger.
+// Sizes of the tiers in bytes, and how many responses each holds at the same time. Most answers are
+// small, which are held in any number. The size of huge ones is limited by the callers.
+const (
+	maxSmallBytes  = 16 << 10
+	maxMediumBytes = 128 << 10
+	maxLargeBytes  = 1 << 20
+	mediumPlaces   = 32
+	largePlaces    = 6
+	hugePlaces     = 1
+)
+
+// NewBuffers returns Buffers that hold about 18 MB besides small responses.
 func NewBuffers() *Buffers {
 	return &Buffers{tiers: []bufferTier{
-		{size: 16 << 10},
-		{size: 128 << 10, places: make(chan struct{}, 32)},
-		{size: 1 << 20, places: make(chan struct{}, 6)},
-		{size: math.MaxInt, places: make(chan struct{}, 1)}, // callers limit the size
+		{size: maxSmallBytes},
+		{size: maxMediumBytes, places: make(chan struct{}, mediumPlaces)},
+		{size: maxLargeBytes, places: make(chan struct{}, largePlaces)},
+		{size: math.MaxInt, places: make(chan struct{}, hugePlaces)},
 	}}
 }
 
