locality, router, dispatch, fleet: allowed regions and liveness of directory answers

Routes and accounts may list allowed regions; Upstreams and directory answers were chosen without regard to them. Heartbeats that a partition had delayed renewed dead peers, and a peer was named to callers for up to three heartbeat intervals (26 s at 330 Instances).

Adds pkg/locality, the restriction in dispatch and in the hosted reducer (first attempts, retries, holds, KV caches, waiting requests after a new configuration), the directory answer by host, and a stamp in heartbeats from which receivers tell when they were made.

go test ./pkg/fleet ./pkg/dispatch ./pkg/config ./pkg/locality ./platform and go test ./pkg/router -run Hosted: ok.

--- a/pkg/config/routing.go
+++ b/pkg/config/routing.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/locality"
 )
 
 // RetrySafety says whether the requests of a HostRoute are safe to retry.
@@ -47,6 +48,8 @@
 	Public bool
 	// ServiceShares distributes the requests over services by weight.
 	ServiceShares []ServiceShare
+	// AllowedRegions are the regions in which requests of the route may be processed.
+	AllowedRegions locality.Set
 }
 
 // Idempotent reports whether a request of the route is safe to retry after it was
@@ -100,6 +103,9 @@
 	CountRequests bool
 	// DefaultCostTokens is the charge for a request that does not state its tokens.
 	DefaultCostTokens int64
+	// AllowedRegions are the regions in which requests of the account may be processed. Those of
+	// the route apply too.
+	AllowedRegions locality.Set
 }
 
 // KeyDigest is the SHA-256 of a key. The keys themselves are not stored.
--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/locality"
 )
 
 const (
@@ -63,12 +64,12 @@
 	return !isModelRequest || u.Stage == catalog.StageDecode
 }
 
-// BackoffWait returns the time until the first Upstream of a service returns if all that run its
-// requests and do not leave want none for a time, and 0 otherwise.
-func (d *Dispatcher) BackoffWait(now core.Instant, service core.ServiceName, isModelRequest bool) time.Duration {
+// BackoffWait returns the time until the first Upstream of a service in the regions returns if all
+// that run its requests and do not leave want none for a time, and 0 otherwise.
+func (d *Dispatcher) BackoffWait(now core.Instant, service core.ServiceName, isModelRequest bool, regions locality.Set) time.Duration {
 	first := core.Never
 	for _, up := range d.byService[service] {
-		if !up.runs(isModelRequest) || up.leaves() {
+		if !up.runs(isModelRequest) || up.leaves() || !regions.Allows(up.region) {
 			continue
 		}
 		if now >= up.announced.BackoffUntil {
@@ -98,11 +99,11 @@
 }
 
 // IsReplaceable reports whether an Upstream leaves while another one that runs the requests of
-// its service can be used.
-func (d *Dispatcher) IsReplaceable(now core.Instant, id core.UpstreamID) bool {
+// its service can be used in the regions.
+func (d *Dispatcher) IsReplaceable(now core.Instant, id core.UpstreamID, regions locality.Set) bool {
 	up := d.upstreams[id]
 	return up != nil && up.leaves() && slices.ContainsFunc(d.byService[up.Service], func(other *upstream) bool {
-		return other.Stage == up.Stage && other.usable(now)
+		return other.Stage == up.Stage && other.usable(now) && regions.Allows(other.region)
 	})
 }
 
@@ -159,7 +160,7 @@
 func (d *Dispatcher) shortestPrefillTime(now core.Instant, j *job) time.Duration {
 	best := time.Duration(-1)
 	for _, up := range d.byService[j.Service] {
-		if up.Stage != catalog.StagePrefill || !up.usable(now) {
+		if up.Stage != catalog.StagePrefill || !up.usable(now) || !j.Regions.Allows(up.region) {
 			continue
 		}
 		if duration := d.prefillTimeAt(up, j); best < 0 || duration < best {
@@ -208,7 +209,7 @@
 // may become free at any time.
 func (d *Dispatcher) anyUnlimited(now core.Instant, j *job) bool {
 	return slices.ContainsFunc(d.byService[j.Service], func(up *upstream) bool {
-		return up.runs(j.IsModelRequest) && up.usable(now) && !d.params.Announcements.Limited(now, up.ID)
+		return up.runs(j.IsModelRequest) && up.usable(now) && j.Regions.Allows(up.region) && !d.params.Announcements.Limited(now, up.ID)
 	})
 }
 
@@ -220,7 +221,7 @@
 	lowest := 0.0
 	ties := 0
 	for _, up := range d.byService[j.Service] {
-		if slices.Contains(excluded, up) {
+		if slices.Contains(excluded, up) || !j.Regions.Allows(up.region) {
 			continue
 		}
 		value, ok := score(up)
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/announce"
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/locality"
 )
 
 // Job is a request to be placed on Upstreams.
@@ -45,6 +46,8 @@
 	// IsRetry is set when the request has been placed before. It is not refused for a
 	// missed latency target, and precedes new requests of its priority.
 	IsRetry bool
+	// Regions are the regions in which the job may be processed.
+	Regions locality.Set
 }
 
 // Load is the work that Instances have placed on an Upstream.
@@ -189,6 +192,7 @@
 	jobs           map[core.RequestID]*job
 	peers          map[core.InstanceID]map[core.UpstreamID]Load
 	nextQueueRetry core.Instant
+	listed         bool // the Upstreams are known
 	// firstEventDelay is the moving average of the time from the end of a prefill to the
 	// first event.
 	firstEventDelay time.Duration
@@ -214,6 +218,7 @@
 
 type upstream struct {
 	catalog.Upstream
+	region core.RegionName // empty if unknown
 	// announced is what the Upstream itself says of its use.
 	announced announce.Availability
 	own       Load
@@ -255,12 +260,14 @@
 	known := d.upstreams
 	d.upstreams = make(map[core.UpstreamID]*upstream, len(list))
 	clear(d.byService)
+	d.listed = true
 	for _, entry := range list {
 		up := known[entry.ID]
 		if up == nil || !up.SameProcess(entry) {
 			up = &upstream{}
 		}
 		up.Upstream = entry
+		up.region = d.params.Regions[entry.DataCentre]
 		up.announced = d.params.Announcements.Availability(entry.ID)
 		d.upstreams[entry.ID] = up
 		d.byService[entry.Service] = append(d.byService[entry.Service], up)
@@ -474,7 +481,7 @@
 	if j.limitWait > 0 && d.anyUnlimited(now, j) {
 		j.limitWait = 0
 	}
-	j.backoffWait = d.BackoffWait(now, j.Service, j.IsModelRequest)
+	j.backoffWait = d.BackoffWait(now, j.Service, j.IsModelRequest, j.Regions)
 	return nil
 }
 
@@ -503,6 +510,9 @@
 // waiting, nil for others. A retry waits although all Upstreams leave: its caller may have a part of
 // the response, and an Upstream that is registered later can continue it.
 func (d *Dispatcher) refusalIfUnservable(now core.Instant, j *job, ahead int) *core.Refusal {
+	if refusal := d.refusalByRegion(j); refusal != nil {
+		return refusal
+	}
 	if !j.IsRetry && d.allLeave(j) {
 		refusal := core.NewRefusal(core.CodeNoUpstream, "all Upstreams of the service leave")
 		refusal.RetryAfter = d.retryAfter()
@@ -555,8 +565,8 @@
 
 // RetryAfter returns the time after which a refused caller of a service should return: usual,
 // or after the first Upstream does if all of them want no requests.
-func (d *Dispatcher) RetryAfter(now core.Instant, service core.ServiceName, isModelRequest bool, usual time.Duration) time.Duration {
-	if wait := d.BackoffWait(now, service, isModelRequest); wait > 0 {
+func (d *Dispatcher) RetryAfter(now core.Instant, service core.ServiceName, isModelRequest bool, regions locality.Set, usual time.Duration) time.Duration {
+	if wait := d.BackoffWait(now, service, isModelRequest, regions); wait > 0 {
 		return d.spread(wait)
 	}
 	return usual
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -47,6 +47,9 @@
 	QuotaUpdateRate float64
 	// RemovalTimeout is the time without a heartbeat after which a peer is removed.
 	RemovalTimeout time.Duration
+	// ContactTime is the time after which an Instance that can reach nobody no longer counts as
+	// connected. Address responses name no Instance that ended more than contactMargin before that.
+	ContactTime time.Duration
 }
 
 const (
@@ -84,6 +87,8 @@
 	// quotaUpdatesPaidUntil is the instant at which the quota updates sent so far are
 	// covered by their rate.
 	quotaUpdatesPaidUntil core.Instant
+	// delayedHeartbeats counts the heartbeats that were ignored because they were made long ago.
+	delayedHeartbeats int64
 }
 
 type peer struct {
@@ -94,6 +99,8 @@
 	listedAt      core.Instant
 	silent        bool
 	unheard       bool
+	// life is what is known of when the peer was alive.
+	life liveness
 	// contacted is set once a heartbeat has been sent to the peer; lastInterval is the
 	// number of the interval of the last one.
 	contacted    bool
@@ -114,6 +121,9 @@
 	if p.SilenceTimeout == 0 {
 		p.SilenceTimeout = defaultSilenceTimeout
 	}
+	if p.ContactTime == 0 {
+		p.ContactTime = defaultContactTime
+	}
 	if p.RemovalTimeout == 0 {
 		p.RemovalTimeout = defaultRemovalTimeout
 	}
@@ -154,18 +164,34 @@
 // OnHeartbeat processes a heartbeat. It returns false for one of a previous incarnation
 // and for one of this Instance.
 func (f *Fleet) OnHeartbeat(now core.Instant, m Member, s State) bool {
+	return f.OnStampedHeartbeat(now, m, s, nil)
+}
+
+// OnStampedHeartbeat processes a heartbeat with its stamp, nil for one of an Instance that sends
+// none. It also returns false for a heartbeat that was delayed for longer than a peer may be
+// silent and for longer than ContactTime: the peer may have ended since it was made.
+func (f *Fleet) OnStampedHeartbeat(now core.Instant, m Member, s State, stamp *Stamp) bool {
 	if m.Ref.ID == f.self.Ref.ID {
 		return false
 	}
 	p := f.peers[m.Ref.ID]
+	if p != nil && m.Ref.Incarnation < p.member.Ref.Incarnation {
+		return false
+	}
 	if p == nil {
 		p = &peer{}
 		f.peers[m.Ref.ID] = p
 	}
-	if m.Ref.Incarnation < p.member.Ref.Incarnation {
-		return false
+	if m.Ref.Incarnation != p.life.incarnation {
+		p.life = liveness{incarnation: m.Ref.Incarnation}
 	}
 	p.member = m
+	madeAt := p.life.observe(now, stamp)
+	if now.Sub(madeAt) > max(f.params.ContactTime, f.silenceTimeout(f.intervalTo(m))) {
+		f.delayedHeartbeats++
+		return false
+	}
+	f.takeVouchers(p, stamp)
 	p.state = s
 	p.lastHeartbeat = now
 	f.lastContact = now
@@ -431,41 +457,3 @@
 
 // KnownCount returns the number of Instances that may be running, including this one.
 func (f *Fleet) KnownCount() int { return len(f.peers) + 1 }
-
-// MinAddresses is the number of addresses below which an address response is extended with
-// more distant Instances, so that a caller has an alternative.
-const MinAddresses = 2
-
-// Addresses returns the addresses of the Instances that a caller in a DataCentre should
-// use, at most limit: those of its DataCentre, extended by those of its region and then by
-// all others while there are fewer than MinAddresses.
-func (f *Fleet) Addresses(region core.RegionName, dc core.DataCentreName, limit int) []string {
-	var local, regional, remote []string
-	add := func(m Member) {
-		switch {
-		case m.DataCentre == dc:
-			local = append(local, m.CallerAddr)
-		case m.Region == region:
-			regional = append(regional, m.CallerAddr)
-		default:
-			remote = append(remote, m.CallerAddr)
-		}
-	}
-	if f.state.Serving && !f.state.Leaving {
-		add(f.self)
-	}
-	for _, id := range slices.Sorted(maps.Keys(f.peers)) {
-		p := f.peers[id]
-		if p.lastHeartbeat > 0 && !p.silent && p.state.Serving && !p.state.Leaving {
-			add(p.member)
-		}
-	}
-	addresses := local
-	if len(addresses) < MinAddresses {
-		addresses = append(addresses, regional...)
-	}
-	if len(addresses) < MinAddresses {
-		addresses = append(addresses, remote...)
-	}
-	return addresses[:min(limit, len(addresses))]
-}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -35,14 +35,14 @@
 	deliverHeartbeat(t, f, now, member(1, "a", "r"))
 	deliverHeartbeat(t, f, now, member(2, "b", "r"))
 	deliverHeartbeat(t, f, now, member(3, "c", "far"))
-	is.Equal(f.Addresses("r", "a", 64), []string{"10.0.0.0:80", "10.0.0.1:80"})
-	is.Equal(f.Addresses("far", "c", 64), []string{"10.0.0.3:80", "10.0.0.0:80", "10.0.0.1:80", "10.0.0.2:80"})
+	is.Equal(f.Addresses(now, AddressQuery{Region: "r", DataCentre: "a", Limit: 64}), []string{"10.0.0.0:80", "10.0.0.1:80"})
+	is.Equal(f.Addresses(now, AddressQuery{Region: "far", DataCentre: "c", Limit: 64}), []string{"10.0.0.3:80", "10.0.0.0:80", "10.0.0.1:80", "10.0.0.2:80"})
 
 	f.OnHeartbeat(now, member(1, "a", "r"), State{Serving: true, Leaving: true})
-	is.Equal(f.Addresses("r", "a", 64), []string{"10.0.0.0:80", "10.0.0.2:80"})
+	is.Equal(f.Addresses(now, AddressQuery{Region: "r", DataCentre: "a", Limit: 64}), []string{"10.0.0.0:80", "10.0.0.2:80"})
 	deliverHeartbeat(t, f, now.Add(2*time.Second), member(3, "c", "far"))
 	f.Tick(now.Add(2 * time.Second)) // the others have become silent
-	is.Equal(f.Addresses("r", "a", 64), []string{"10.0.0.0:80", "10.0.0.3:80"})
+	is.Equal(f.Addresses(now.Add(2*time.Second), AddressQuery{Region: "r", DataCentre: "a", Limit: 64}), []string{"10.0.0.0:80", "10.0.0.3:80"})
 }
 
 // Guards against a heartbeat of a previous incarnation that overwrites a later one.
@@ -131,7 +131,7 @@
 		if len(changes.Unheard) > 0 {
 			is.Equal(unheard, time.Duration(0)) // reported once
 			unheard = d
-			is.Equal(len(f.Addresses("", "a", 8)), 1)
+			is.Equal(len(f.Addresses(start.Add(d), AddressQuery{DataCentre: "a", Limit: 8})), 1)
 		}
 		if len(changes.Silent) > 0 {
 			silent = d
--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -70,6 +70,8 @@
 
 // AddressQuery is a caller's query for Instances near its location.
 type AddressQuery struct {
+	// Host is the one of the requests that the caller will send, empty if it is not stated.
+	Host       string
 	Region     core.RegionName
 	DataCentre core.DataCentreName
 	// Limit is the largest number of addresses to return.
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -74,17 +74,19 @@
 	timeline *timeline.RingBuffer
 	clock    *timeline.Clock
 
-	routing        atomic.Pointer[config.Routing]
-	config         atomic.Pointer[heldConfig]
-	upstreams      atomic.Pointer[upstreamList]
-	leaving        atomic.Bool
-	liveInstances  atomic.Int64 // including this one
-	follower       atomic.Bool  // others of the Region follow the store closely
-	watches        activeWatches
-	lastGaugeRead  time.Time // only used by the event loop
-	addressQueries sync.Map  // query ID -> chan router.CallerAddresses
-	lastQueryID    atomic.Uint64
-	writingMember  atomic.Bool
+	routing       atomic.Pointer[config.Routing]
+	config        atomic.Pointer[heldConfig]
+	upstreams     atomic.Pointer[upstreamList]
+	leaving       atomic.Bool
+	liveInstances atomic.Int64 // including this one
+	follower      atomic.Bool  // others of the Region follow the store closely
+	watches       activeWatches
+	lastGaugeRead time.Time // only used by the event loop
+	// delayedHeartbeats is what the metrics have counted, only used by the event loop.
+	delayedHeartbeats int64
+	addressQueries    sync.Map // query ID -> chan router.CallerAddresses
+	lastQueryID       atomic.Uint64
+	writingMember     atomic.Bool
 
 	drained   chan struct{}
 	loopEnded chan struct{}
@@ -145,6 +147,7 @@
 		NonceSource: rand.Reader,
 		Hosted: &router.HostedParams{
 			Member:   member,
+			Fleet:    fleet.Params{ContactTime: settings.contactTime()},
 			Dispatch: dispatch.Params{Regions: settings.DataCentres},
 			Retry: retry.Params{
 				Ratio: settings.RetryRatio, Allowance: settings.RetryAllowance, Window: secondsToDuration(settings.RetryWindowSeconds),
@@ -325,11 +328,13 @@
 	}
 	if _, tick := event.(router.Tick); tick && time.Since(d.lastGaugeRead) >= gaugeInterval {
 		d.lastGaugeRead = time.Now()
-		gauges := d.router.HostedGauges()
+		gauges := d.router.HostedGauges(d.now())
 		d.setLiveInstances(int64(gauges.LiveInstances))
 		d.follower.Store(!gauges.Reader)
 		d.metrics.SetReachableInstances(gauges.LiveInstances)
 		d.metrics.SetConfigVersion(gauges.Version)
+		d.metrics.SetLiveness(gauges.Liveness.NotNamed, gauges.Liveness.DelayedHeartbeats-d.delayedHeartbeats)
+		d.delayedHeartbeats = gauges.Liveness.DelayedHeartbeats
 		for service, n := range gauges.Queued {
 			d.metrics.SetQueueLength(service, n)
 		}
--- a/pkg/hosted/serve.go
+++ b/pkg/hosted/serve.go
@@ -213,7 +213,7 @@
 	queryID := d.lastQueryID.Add(1)
 	d.addressQueries.Store(queryID, reply)
 	defer d.addressQueries.Delete(queryID)
-	d.post(router.CallerAddressesRequested{QueryID: queryID, Region: query.Region, DataCentre: query.DataCentre, Limit: query.Limit})
+	d.post(router.CallerAddressesRequested{QueryID: queryID, Host: query.Host, Region: query.Region, DataCentre: query.DataCentre, Limit: query.Limit})
 	timer := time.NewTimer(addressQueryTimeout)
 	defer timer.Stop()
 	select {
--- a/pkg/hosted/settings.go
+++ b/pkg/hosted/settings.go
@@ -46,6 +46,9 @@
 	// ConfigApplyMS is the time within which a new configuration is in force at every Instance, in
 	// milliseconds.
 	ConfigApplyMS float64 `json:"config_apply_ms"`
+	// ContactMS is the time without a contact after which an Instance counts as cut off, in
+	// milliseconds. It bounds the time for which a dead Instance is named to callers.
+	ContactMS float64 `json:"contact_ms"`
 
 	// LogLevel is debug, info, warn or error. Default: info.
 	LogLevel string `json:"log_level"`
@@ -61,7 +64,7 @@
 	if err != nil {
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
 	}
-	s := Settings{LogLevel: "info", GraceSeconds: 8, MaxAddressTTLSeconds: 5, RetryRatio: 0.1, RetryWindowSeconds: 10, ConfigApplyMS: 3000}
+	s := Settings{LogLevel: "info", GraceSeconds: 8, MaxAddressTTLSeconds: 5, RetryRatio: 0.1, RetryWindowSeconds: 10, ConfigApplyMS: 3000, ContactMS: 4000}
 	if err := json.Unmarshal(standard, &s); err != nil {
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
 	}
@@ -99,6 +102,9 @@
 	if s.ConfigApplyMS <= 0 {
 		add("config_apply_ms: %v must be above 0", s.ConfigApplyMS)
 	}
+	if s.ContactMS <= 0 {
+		add("contact_ms: %v must be above 0", s.ContactMS)
+	}
 	if len(findings) == 0 {
 		return nil
 	}
@@ -109,6 +115,10 @@
 	return time.Duration(s.ConfigApplyMS * float64(time.Millisecond))
 }
 
+func (s Settings) contactTime() time.Duration {
+	return time.Duration(s.ContactMS * float64(time.Millisecond))
+}
+
 func (s Settings) peerListenAddr() string { return cmp.Or(s.PeerListenAddr, s.PeerAddr) }
 
 func (s Settings) gracePeriod() time.Duration { return secondsToDuration(s.GraceSeconds) }
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -89,6 +89,10 @@
 	shutdownAt        core.Instant // start of the graceful shutdown
 	stopAt            core.Instant
 	durations         longestDurations
+	// regionsCheckedFor is the configuration version whose region names were last checked.
+	regionsCheckedFor core.Version
+	delayedLog        delayedHeartbeatLog
+	emptyAnswerLogAt  core.Instant // the last empty address response was logged then
 }
 
 func newHosted(r *Router, p HostedParams) *hosted {
@@ -153,7 +157,7 @@
 	case AttemptStalled:
 		h.onAttemptStalled(now, e)
 	case CallerAddressesRequested:
-		h.onCallerAddressesRequested(e)
+		h.onCallerAddressesRequested(now, e)
 	case RoutingReceived:
 		h.observeEra(now, e.Revision)
 		h.onRoutingReceived(now, e)
@@ -293,7 +297,9 @@
 	if e.From == "" {
 		h.announceConfig(now)
 	}
+	h.updateRegions(now)
 	h.authorizeWaiting(now)
+	h.applyRegions(now)
 }
 
 // logOlderConfig logs that the store has an older version than the active one: it has lost that,
@@ -372,14 +378,6 @@
 	h.applyDispatch(now, h.dispatch.SetUpstreams(now, list))
 }
 
-func (h *hosted) onCallerAddressesRequested(e CallerAddressesRequested) {
-	h.emit(CallerAddresses{
-		QueryID:   e.QueryID,
-		Addresses: h.fleet.Addresses(e.Region, e.DataCentre, e.Limit),
-		TTL:       h.params.AddressTTL,
-	})
-}
-
 // HostedMember returns the entry of this Instance in the member list. It does not
 // change, so it may be called from any goroutine.
 func (r *Router) HostedMember() fleet.Member { return r.hosted.params.Member }
@@ -394,14 +392,16 @@
 	Version core.Version
 	// Queued counts the requests that wait for an Upstream, per service.
 	Queued map[core.ServiceName]int
+	// Liveness describes what is known of when peers were alive.
+	Liveness fleet.LivenessCounts
 }
 
 // HostedGauges returns the current values. The Router must be hosted.
-func (r *Router) HostedGauges() HostedGauges {
+func (r *Router) HostedGauges(now core.Instant) HostedGauges {
 	h := r.hosted
 	waiting := h.dispatch.QueueLengthByService()
 	for name := range h.services {
 		waiting[name] += 0 // also reports empty queues
 	}
-	return HostedGauges{LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting}
+	return HostedGauges{LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting, Liveness: h.fleet.LivenessCounts(now)}
 }
--- a/pkg/router/hosted_announce.go
+++ b/pkg/router/hosted_announce.go
@@ -41,7 +41,7 @@
 // retryAfter returns the Retry-After of a request that the Upstreams have refused.
 func (h *hosted) retryAfter(now core.Instant, rs *requestState) time.Duration {
 	service := rs.hosted.service
-	return h.dispatch.RetryAfter(now, service.Name, service.Engine != nil, refusedRetryAfter)
+	return h.dispatch.RetryAfter(now, service.Name, service.Engine != nil, rs.hosted.regions(), refusedRetryAfter)
 }
 
 // maxDescribedUpstreams bounds the Upstreams in a log line.
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -25,6 +25,9 @@
 	HoldAddressReassigned HoldOutcome = "elsewhere"
 	// HoldLeaving means that the hold was given back, because the engine leaves.
 	HoldLeaving HoldOutcome = "leaving"
+	// HoldForeign means that the hold was given back, because the configuration excludes the
+	// region of the engine by now.
+	HoldForeign HoldOutcome = "foreign"
 	// HoldExpired means that the result arrived after the end of the hold.
 	HoldExpired HoldOutcome = "expired"
 )
@@ -135,6 +138,7 @@
 type CallerAddressesRequested struct {
 	// QueryID is returned in the CallerAddresses effect.
 	QueryID    uint64
+	Host       string
 	Region     core.RegionName
 	DataCentre core.DataCentreName
 	// Limit is the largest number of addresses in the response.
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -9,6 +9,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
+	"github.com/rhubarbsill/rhubarbsill/pkg/locality"
 )
 
 // hostedStage is what a hosted request waits for.
@@ -30,6 +31,10 @@
 	stage           hostedStage
 	// authorizedAt is the revision of the configuration that has allowed the request.
 	authorizedAt core.StoreRevision
+	// routeRegions and accountRegions are the regions in which the route and the account allow
+	// the request by the active configuration.
+	routeRegions   locality.Set
+	accountRegions locality.Set
 
 	upstream      catalog.Upstream // a decode engine or the replica of a plain service
 	prefillEngine catalog.Upstream
@@ -64,7 +69,9 @@
 		return
 	}
 	rs := &requestState{request: q, arrivedAt: now, startDeadline: core.Never, promptTokens: q.PromptTokens, hosted: &hostedRequest{stage: stageWaiting}}
-	if refusal := h.authorize(rs); refusal != nil {
+	refusal := h.authorize(rs)
+	h.setRegions(rs)
+	if refusal != nil {
 		h.emit(Refuse{Request: q.ID, Refusal: refusal})
 		// The quota was not checked, so the refusal does not count as one within the
 		// rate of the account.
@@ -201,6 +208,7 @@
 		Deadline:        hr.deadline,
 		AvoidUpstreams:  rs.avoidUpstreams,
 		IsRetry:         hr.deliveries+hr.undelivered > 0,
+		Regions:         hr.regions(),
 	}
 	h.applyDispatch(now, h.dispatch.Submit(now, job))
 }
@@ -356,6 +364,7 @@
 	if hr.prefillEndedAt == 0 {
 		hr.prefillEndedAt = now
 	}
+	h.dropForeignKV(now, rs)
 	source := ""
 	if rs.kv != "" {
 		source = hr.prefillEngine.Addr
@@ -499,7 +508,7 @@
 	h.refundQuota(now, rs)
 	h.emit(Refuse{Request: rs.request.ID, Refusal: refusal})
 	h.record(now, "request", "refused", rs, h.refusalDetail(refusal, fmt.Sprintf("stage=%s waited=%s runs=%d arrivals=%d waiting=%d",
-		rs.hosted.stage, now.Sub(rs.arrivedAt), rs.hosted.executions, rs.hosted.deliveries, h.dispatch.QueueLength())+h.unavailable(now, rs.hosted.service.Name)))
+		rs.hosted.stage, now.Sub(rs.arrivedAt), rs.hosted.executions, rs.hosted.deliveries, h.dispatch.QueueLength())+rs.hosted.regionDetail()+h.unavailable(now, rs.hosted.service.Name)))
 	h.observe(rs, refusal.Code, 0)
 	h.finish(now, rs)
 }
--- a/pkg/router/hosted_hold.go
+++ b/pkg/router/hosted_hold.go
@@ -48,7 +48,10 @@
 	}
 	switch e.Outcome {
 	case HoldGranted:
-		if h.dispatch.IsReplaceable(now, e.Upstream) {
+		if h.giveUpForeignHold(now, rs, &e) {
+			break
+		}
+		if h.dispatch.IsReplaceable(now, e.Upstream, rs.hosted.regions()) {
 			h.emitReleaseHold(now, ReleaseHold{Upstream: e.Upstream, Addr: e.Addr, Hold: e.Hold})
 			e.Outcome = HoldLeaving
 			break
@@ -73,6 +76,9 @@
 // replaceDecode places a request on another decode engine if the one that has granted its hold
 // wants no requests any more. It reports whether it did, or has ended the request.
 func (h *hosted) replaceDecode(now core.Instant, rs *requestState) bool {
+	if replaced := h.replaceForeignDecode(now, rs); replaced {
+		return true
+	}
 	up := rs.hosted.upstream.ID
 	if h.announcements.MayUseReservation(now, up) {
 		return false
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -18,6 +18,8 @@
 type HostedHeartbeat struct {
 	Member fleet.Member
 	State  fleet.State
+	// Liveness states when the heartbeat was made, nil from an Instance of an earlier version.
+	Liveness *fleet.Stamp
 	// ConfigAt and UpstreamsAt identify the active configuration and the Upstreams of the
 	// sender, zero for none.
 	ConfigAt    StateStamp
@@ -60,6 +62,7 @@
 	heartbeat := &HostedHeartbeat{
 		Member:      h.fleet.Self(),
 		State:       h.fleet.State(),
+		Liveness:    h.fleet.Stamp(now),
 		ConfigAt:    h.ownState(StateConfig),
 		UpstreamsAt: StateStamp{Revision: revision},
 		Quotas:      h.quota.Reports(now),
@@ -112,7 +115,8 @@
 
 func (h *hosted) onHeartbeat(now core.Instant, from core.InstanceRef, heartbeat *HostedHeartbeat) {
 	known := h.fleet.KnownCount()
-	if !h.fleet.OnHeartbeat(now, heartbeat.Member, heartbeat.State) {
+	if !h.fleet.OnStampedHeartbeat(now, heartbeat.Member, heartbeat.State, heartbeat.Liveness) {
+		h.logDelayedHeartbeats(now, from)
 		return
 	}
 	if h.fleet.KnownCount() != known {
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -170,7 +170,7 @@
 	if _, found := h.findPoison(now, rs); found {
 		return false
 	}
-	if wait := h.dispatch.BackoffWait(now, hr.service.Name, hr.service.Engine != nil); wait > 0 && now.Add(wait) >= hr.deadline {
+	if wait := h.dispatch.BackoffWait(now, hr.service.Name, hr.service.Engine != nil, hr.regions()); wait > 0 && now.Add(wait) >= hr.deadline {
 		return false
 	}
 	return h.retry.Allow(now, hr.service.Name)
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -108,6 +108,8 @@
 	retries            metric.Int64Counter
 	announcements      metric.Int64Counter
 	reachableInstances metric.Int64Gauge
+	notNamed           metric.Int64Gauge
+	delayedHeartbeats  metric.Int64Counter
 	configVersion      metric.Int64Gauge
 	storeWatchFailing  metric.Int64Gauge
 }
@@ -152,6 +154,8 @@
 	m.retries = b.counter("resends", "{request}", "Requests sent to another upstream after a failed call.")
 	m.announcements = b.counter("upstream_announcements", "{announcement}", "New announcements of upstreams about themselves by kind.")
 	m.reachableInstances = b.gauge("instances_heard", "{instance}", "Instances that are heard, this one included.")
+	m.notNamed = b.gauge("instances_not_named", "{instance}", "Heard instances that address responses leave out, because it is not known that they are alive.")
+	m.delayedHeartbeats = b.counter("delayed_heartbeats", "{heartbeat}", "Heartbeats that were ignored because they were made long ago.")
 	m.configVersion = b.gauge("config_version", "{version}", "Configuration version in force, 0 for none.")
 	m.storeWatchFailing = b.gauge("store_lost", "{watch}", "1 while a watch of the store fails.")
 	b.observableGauge("worst_account_service", "1", "Share of requests answered within both targets, of the account with the lowest share in the window. 1 when no account has enough requests.", m.accounts.lowestShare)
@@ -257,6 +261,13 @@
 	m.reachableInstances.Record(context.Background(), int64(n))
 }
 
+// SetLiveness records the number of Instances that address responses leave out, and counts ignored
+// heartbeats.
+func (m *Metrics) SetLiveness(notNamed int, delayedHeartbeats int64) {
+	m.notNamed.Record(context.Background(), int64(notNamed))
+	m.delayedHeartbeats.Add(context.Background(), delayedHeartbeats)
+}
+
 // SetConfigVersion records the active configuration version, 0 for none.
 func (m *Metrics) SetConfigVersion(v core.Version) {
 	m.configVersion.Record(context.Background(), int64(v))
