--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -187,7 +187,7 @@
 	}
 	p.member = m
 	madeAt := p.life.observe(now, stamp)
-	if now.Sub(madeAt) > max(f.params.ContactTime, f.silenceTimeout(f.intervalTo(m))) {
+	if delay := now.Sub(madeAt); delay > f.params.ContactTime && delay > f.silenceTimeout(f.intervalTo(m)) {
 		f.delayedHeartbeats++
 		return false
 	}
