--- a/pkg/fleet/liveness_test.go
+++ b/pkg/fleet/liveness_test.go
@@ -85,6 +85,34 @@
 	}
 }
 
+// Guards against a dead peer that a member of its DataCentre vouches for again, after it has ceased to
+// report the loss and the receiver has missed the reports.
+func TestVoucherRevivesNoDeadPeer(t *testing.T) {
+	is := is.New(t)
+	f := New(member(0, "a", "r"), Params{SilenceTimeout: time.Minute, RemovalTimeout: 2 * time.Minute})
+	f.SetState(State{Serving: true})
+	dead, live := member(1, "b", "r"), member(2, "b", "r")
+	started := core.Instant(time.Hour)
+	send := func(now core.Instant, m Member, vouches bool) {
+		f.OnStampedHeartbeat(now, m, State{Serving: true}, &Stamp{MadeAt: core.Instant(now.Sub(started)), Vouches: vouches})
+	}
+	now := started
+	for ; now < started.Add(time.Second); now = now.Add(150 * time.Millisecond) {
+		send(now, dead, false)
+		send(now, live, true)
+	}
+	for end := now.Add(20 * time.Second); now < end; now = now.Add(time.Second) {
+		send(now, live, true)
+		is.Equal(len(f.Addresses(now, queryB)), 2) // vouched for
+	}
+	now = now.Add(3 * time.Second)
+	for range 5 {
+		now = now.Add(time.Second)
+		send(now, live, true)
+		is.Equal(f.Addresses(now, queryB), []string{"10.0.0.2:80", "10.0.0.0:80"})
+	}
+}
+
 // Guards against live peers that are not named because the clock of their machine runs faster or
 // slower, and against names that are missing for long after a peer was suspended or has restarted.
 func TestClockOfAPeerDoesNotMatter(t *testing.T) {
--- a/pkg/lab/hostedsim/experiment.go
+++ b/pkg/lab/hostedsim/experiment.go
@@ -80,6 +80,8 @@
 	// Rate is in tokens per second, 0 for no limit. Burst is in tokens.
 	Rate  int64 `json:"rate"`
 	Burst int64 `json:"burst"`
+	// AllowedRegions restricts the Upstreams of the account, empty for none.
+	AllowedRegions []core.RegionName `json:"allowed_regions"`
 }
 
 // FaultKind is a kind of injected fault.
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -18,6 +18,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/locality"
 	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
 	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
@@ -175,6 +176,7 @@
 	for _, account := range w.x.Accounts {
 		r.Accounts = append(r.Accounts, config.HostedAccount{
 			ID: account.Name, Keys: []config.KeyDigest{keyOf(account.Name)}, Rate: account.Rate, Burst: account.Burst, DefaultCostTokens: callTokens,
+			AllowedRegions: locality.Only(account.AllowedRegions...),
 		})
 		w.loadFactor[account.Name] = 1
 	}
@@ -372,6 +374,7 @@
 			w.failCall(c, attempts.FailConnect, false, false)
 		default:
 			w.recordArrival(up, inst, request.sentAt)
+			w.checkRegion(request, up, dc)
 			if w.rejects(up) {
 				w.failCall(c, attempts.FailFull, true, true)
 				return
