warmup: keep the fleet below the rate of cold Upstreams

An Upstream that has just started or becomes cold again takes few requests a second and crashes well above that. All Instances used it at once, since it has the lowest load.

For each cold Upstream a few Instances, chosen by hash over all known members, get places that each cover one request, or a hold and its run, in a second. There is no message. The senders of one view of the members use at most half of the limit; the other half is for differing views and for Instances that do not know yet. The remaining time is read from entries and answers. An entry that only goes on with it changes no revision, places nothing anew and logs nothing, and the watches that it ends begin again after 1 s.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -30,6 +30,8 @@
 	// Backoff is the time for which the Upstream wants no requests from this Instance, 0 for
 	// none.
 	Backoff time.Duration
+	// ColdFor is the time for which the Upstream stays cold, 0 for none stated.
+	ColdFor time.Duration
 	// Invalid lists the statements that could not be read.
 	Invalid []Invalid
 }
@@ -44,7 +46,7 @@
 
 // IsEmpty reports whether the answer states nothing.
 func (a Announcement) IsEmpty() bool {
-	return !a.StatesRate && !a.Leaving && a.Backoff == 0 && len(a.Invalid) == 0
+	return !a.StatesRate && !a.Leaving && a.Backoff == 0 && a.ColdFor == 0 && len(a.Invalid) == 0
 }
 
 // Source is the Upstream of an answer.
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -36,6 +36,9 @@
 	Leaving bool
 	// Born is the start of the Upstream's process in Unix milliseconds, 0 for unknown.
 	Born int64
+	// ColdFor is the time for which the Upstream stays cold, 0 for a warm one. It counts from the
+	// instant at which the entry was read; see Catalog.WithColdTimes.
+	ColdFor time.Duration `json:",omitempty"`
 }
 
 // SameProcess reports whether two entries describe the same process of an Upstream.
@@ -65,13 +68,14 @@
 	removeAt   map[core.UpstreamID]core.Instant
 	graceUntil core.Instant // removals before this instant get a grace period
 	departed   map[core.UpstreamID]departure
+	cold       coldTimes
 }
 
 // New returns an empty Catalog.
 func New() *Catalog {
 	return &Catalog{
 		entries: map[core.UpstreamID]Upstream{}, removeAt: map[core.UpstreamID]core.Instant{},
-		departed: map[core.UpstreamID]departure{},
+		departed: map[core.UpstreamID]departure{}, cold: newColdTimes(),
 	}
 }
 
@@ -94,7 +98,8 @@
 		return false
 	}
 	c.confirmed = c.confirmed.Latest(revision)
-	if c.initialized && revision.Era == c.revision.Era && c.equals(list) {
+	if c.initialized && revision.Era == c.revision.Era && c.equals(now, list) {
+		c.refresh(now, list)
 		return false
 	}
 	c.initialized = true
@@ -113,12 +118,12 @@
 }
 
 // equals reports whether the entries are those of a list, without pending removals.
-func (c *Catalog) equals(list []Upstream) bool {
+func (c *Catalog) equals(now core.Instant, list []Upstream) bool {
 	if len(list) != len(c.entries) || len(c.removeAt) > 0 {
 		return false
 	}
 	for _, up := range list {
-		if entry, found := c.entries[up.ID]; !found || entry != up {
+		if !c.isRefresh(now, up) {
 			return false
 		}
 	}
@@ -127,11 +132,16 @@
 
 // Apply applies the changes up to a revision. It returns false and changes nothing before
 // the first list, for an older revision and without changes. In the last case the revision
-// stays, so that Instances with the same entries have the same revision.
+// stays, so that Instances with the same entries have the same revision. It also returns false and
+// leaves the revision if Upstreams only state how their cold time goes on.
 func (c *Catalog) Apply(now core.Instant, revision core.StoreRevision, changes []Change) bool {
 	if !c.initialized || revision.Before(c.ConfirmedRevision()) || len(changes) == 0 {
 		return false
 	}
+	if revision.Era == c.revision.Era && c.refreshesOnly(now, changes) {
+		c.confirmed = c.confirmed.Latest(revision)
+		return false
+	}
 	c.revision = revision
 	for _, change := range changes {
 		if change.Upstream == nil {
@@ -146,6 +156,7 @@
 // put sets an entry. changed is set for a change, rather than an entry of a list.
 func (c *Catalog) put(now core.Instant, up Upstream, changed bool) {
 	c.entries[up.ID] = up
+	c.cold.publish(now, up)
 	delete(c.removeAt, up.ID)
 	if up.Leaving {
 		c.recordDeparture(now, c.revision.Era, up)
@@ -163,6 +174,7 @@
 		c.recordDeparture(now, c.revision.Era, entry)
 		delete(c.entries, id)
 		delete(c.removeAt, id)
+		c.cold.remove(id)
 		return
 	}
 	if _, pending := c.removeAt[id]; !pending {
@@ -178,6 +190,7 @@
 		if now >= until {
 			delete(c.removeAt, id)
 			delete(c.entries, id)
+			c.cold.remove(id)
 			removed = true
 		}
 	}
--- /dev/null
+++ b/pkg/catalog/cold_test.go
@@ -0,0 +1,72 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+)
+
+// Guards against a re-placement and a fetch by all peers each time that a cold engine writes its entry,
+// and against a cold time that is missed because it is taken for the rest of an earlier one.
+func TestOnlyANewColdTimeIsAChange(t *testing.T) {
+	entry := func(coldFor time.Duration) Upstream { return Upstream{ID: "a", Born: 1, ColdFor: coldFor} }
+	restarted := entry(8500 * time.Millisecond)
+	restarted.Born = 2
+	leaving := entry(8500 * time.Millisecond)
+	leaving.Leaving = true
+	for _, c := range []struct {
+		name   string
+		entry  Upstream
+		change bool
+	}{
+		{"goes on", entry(8800 * time.Millisecond), false},
+		{"read late", entry(9500 * time.Millisecond), false},
+		{"cold again", entry(20 * time.Second), true},
+		{"warm early", entry(0), true},
+		{"other process", restarted, true},
+		{"leaves", leaving, true},
+	} {
+		for _, listed := range []bool{false, true} {
+			t.Run(c.name, func(t *testing.T) {
+				is := is.New(t)
+				apply := func(cat *Catalog, now core.Instant, revision uint64, up Upstream) bool {
+					if listed {
+						return cat.Replace(now, at(revision), []Upstream{up})
+					}
+					return cat.Apply(now, at(revision), []Change{{ID: up.ID, Upstream: &up}})
+				}
+				cat := New()
+				cat.Replace(0, at(1), []Upstream{entry(10 * time.Second)})
+				is.Equal(apply(cat, 1200*core.Instant(time.Millisecond), 2, c.entry), c.change)
+				revision, _ := cat.Revision()
+				is.Equal(revision == at(2), c.change)
+				is.Equal(cat.ConfirmedRevision(), at(2))
+				now := 2200 * core.Instant(time.Millisecond)
+				remaining := cat.WithColdTimes(now, cat.Upstreams())[0].ColdFor
+				is.Equal(remaining, max(0, c.entry.ColdFor-time.Second))
+				refreshed := cat.TakeRefreshed(now)
+				is.Equal(len(refreshed) > 0, !c.change)
+				is.Equal(len(cat.TakeRefreshed(now)), 0)
+			})
+		}
+	}
+}
+
+// Guards against a cold time that grows in small steps of which no peer hears.
+func TestSmallExtensionsOfAColdTimeAddUp(t *testing.T) {
+	is := is.New(t)
+	cat := New()
+	cat.Replace(0, at(1), []Upstream{{ID: "a", ColdFor: 10 * time.Second}})
+	changes := 0
+	for i := range 10 {
+		now := core.Instant(i+1) * second
+		up := Upstream{ID: "a", ColdFor: 10*time.Second - time.Duration(i+1)*300*time.Millisecond}
+		if cat.Apply(now, at(uint64(i+2)), []Change{{ID: "a", Upstream: &up}}) {
+			changes++
+		}
+	}
+	is.True(changes >= 4)
+}
--- a/pkg/config/routing.go
+++ b/pkg/config/routing.go
@@ -67,6 +67,11 @@
 	HealthPath string
 	// MaxConnections limits the connections to one Upstream over all Instances.
 	MaxConnections int
+	// ColdRate is the number of requests per second that a cold Upstream takes from all Instances
+	// together. ColdTime is the time for which an Upstream is cold after its start. Upstreams are
+	// never cold if one of them is 0.
+	ColdRate float64
+	ColdTime time.Duration
 	// Engine is nil for a plain service.
 	Engine *EngineProfile
 }
--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -188,6 +188,7 @@
 // used.
 func (d *Dispatcher) best(now core.Instant, j *job, requests int, score func(*upstream) (float64, bool)) *upstream {
 	var atLimit []*upstream
+	score = d.whileCold(now, j, score)
 	for {
 		up := d.lowest(j, atLimit, score)
 		if up == nil {
@@ -195,7 +196,7 @@
 		}
 		allowed, wait := d.params.Announcements.Allow(now, up.ID, requests)
 		if allowed {
-			return up
+			return up.takeColdPlace(now, j)
 		}
 		atLimit = append(atLimit, up)
 		if j.limitWait == 0 || wait < j.limitWait {
@@ -204,11 +205,11 @@
 	}
 }
 
-// anyUnlimited reports whether a usable Upstream of the job announces no rate. A place there
-// may become free at any time.
+// anyUnlimited reports whether a usable Upstream of the job announces no rate and is warm. A place
+// there may become free at any time.
 func (d *Dispatcher) anyUnlimited(now core.Instant, j *job) bool {
 	return slices.ContainsFunc(d.byService[j.Service], func(up *upstream) bool {
-		return up.runs(j.IsModelRequest) && up.usable(now) && !d.params.Announcements.Limited(now, up.ID)
+		return up.runs(j.IsModelRequest) && up.usable(now) && !d.params.Announcements.Limited(now, up.ID) && !up.cold.IsCold(now)
 	})
 }
 
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/announce"
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/warmup"
 )
 
 // Job is a request to be placed on Upstreams.
@@ -132,6 +133,8 @@
 	Regions    map[core.DataCentreName]core.RegionName
 	// Announcements says what Upstreams announce, nil if they announce nothing.
 	Announcements Announcements
+	// Warmup says which cold Upstreams this Instance may send to, nil if none is ever cold.
+	Warmup *warmup.Registry
 	// QueueRetryInterval is the time after which the placement of waiting jobs is
 	// attempted again.
 	QueueRetryInterval time.Duration
@@ -216,8 +219,10 @@
 	catalog.Upstream
 	// announced is what the Upstream itself says of its use.
 	announced announce.Availability
-	own       Load
-	peer      Load
+	// cold is what is known of a cold Upstream, nil for one that was never cold.
+	cold *warmup.Upstream
+	own  Load
+	peer Load
 	// fullUntil is the end of the backoff after a refused hold.
 	fullUntil core.Instant
 	// unreachableUntil is the end of the backoff after a failed connection.
@@ -260,8 +265,7 @@
 		if up == nil || !up.SameProcess(entry) {
 			up = &upstream{}
 		}
-		up.Upstream = entry
-		up.announced = d.params.Announcements.Availability(entry.ID)
+		d.setEntry(up, entry)
 		d.upstreams[entry.ID] = up
 		d.byService[entry.Service] = append(d.byService[entry.Service], up)
 	}
@@ -340,6 +344,7 @@
 	j.decode.fullUntil = now.Add(d.params.FullBackoff)
 	j.refusedBy = append(j.refusedBy, j.decode.ID)
 	d.params.Announcements.Return(now, j.decode.ID, requestsOfHold-1)
+	j.returnColdPlace(now)
 	d.releaseDecode(j)
 	d.enqueue(j)
 	return d.placeQueue(now)
@@ -540,6 +545,7 @@
 	}
 	refusal := core.NewRefusal(code, message)
 	refusal.RetryAfter = max(d.retryAfter(), j.limitWait)
+	d.coldRefusal(now, j, refusal)
 	if j.backoffWait > 0 {
 		refusal.Message = "all Upstreams of the service have asked for no requests for a time"
 		refusal.RetryAfter = d.spread(j.backoffWait)
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
 	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
 	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+	"github.com/rhubarbsill/rhubarbsill/pkg/warmup"
 )
 
 const (
@@ -82,7 +83,8 @@
 	follower       atomic.Bool  // others of the Region follow the store closely
 	watches        activeWatches
 	lastGaugeRead  time.Time // only used by the event loop
-	addressQueries sync.Map  // query ID -> chan router.CallerAddresses
+	lastCold       warmup.Summary
+	addressQueries sync.Map // query ID -> chan router.CallerAddresses
 	lastQueryID    atomic.Uint64
 	writingMember  atomic.Bool
 
@@ -97,6 +99,8 @@
 type upstreamList struct {
 	Revision  core.StoreRevision `json:"store_revision"`
 	Upstreams []catalog.Upstream `json:"upstreams"`
+	// at is the instant from which the cold times count.
+	at core.Instant
 }
 
 // envelope is a peer message with the hybrid logical timestamp of its sender.
@@ -149,6 +153,7 @@
 			Retry: retry.Params{
 				Ratio: settings.RetryRatio, Allowance: settings.RetryAllowance, Window: secondsToDuration(settings.RetryWindowSeconds),
 			},
+			Warmup:      warmup.Params{Overage: settings.ColdOverage, Slack: settings.ColdSlack},
 			GracePeriod: settings.gracePeriod(),
 			AddressTTL:  settings.addressTTL(),
 		},
@@ -325,11 +330,12 @@
 	}
 	if _, tick := event.(router.Tick); tick && time.Since(d.lastGaugeRead) >= gaugeInterval {
 		d.lastGaugeRead = time.Now()
-		gauges := d.router.HostedGauges()
+		gauges := d.router.HostedGauges(d.now())
 		d.setLiveInstances(int64(gauges.LiveInstances))
 		d.follower.Store(!gauges.Reader)
 		d.metrics.SetReachableInstances(gauges.LiveInstances)
 		d.metrics.SetConfigVersion(gauges.Version)
+		d.setColdGauges(gauges.Cold)
 		for service, n := range gauges.Queued {
 			d.metrics.SetQueueLength(service, n)
 		}
@@ -379,7 +385,7 @@
 		d.routing.Store(e.Routing)
 		d.config.Store(newHeldConfig(RoutingObject{Routing: e.Routing, Revision: e.Revision, Raw: e.Raw}))
 	case router.UpstreamsUpdated:
-		d.upstreams.Store(&upstreamList{Revision: e.Revision, Upstreams: e.Upstreams})
+		d.upstreams.Store(&upstreamList{Revision: e.Revision, Upstreams: e.Upstreams, at: e.At})
 	case router.RefreshState:
 		d.watches.endAll()
 	case router.StoreEraBegan:
--- a/pkg/hosted/settings.go
+++ b/pkg/hosted/settings.go
@@ -12,6 +12,7 @@
 	"github.com/tailscale/hujson"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/warmup"
 )
 
 // Settings are the settings of a hosted Instance, a file in JSON with comments.
@@ -47,6 +48,11 @@
 	// milliseconds.
 	ConfigApplyMS float64 `json:"config_apply_ms"`
 
+	// In any second, a cold Upstream gets at most ColdOverage times the rate that its service has while
+	// it is cold, plus ColdSlack requests, from all Instances together.
+	ColdOverage float64 `json:"cold_overage"`
+	ColdSlack   float64 `json:"cold_slack"`
+
 	// LogLevel is debug, info, warn or error. Default: info.
 	LogLevel string `json:"log_level"`
 }
@@ -62,6 +68,7 @@
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
 	}
 	s := Settings{LogLevel: "info", GraceSeconds: 8, MaxAddressTTLSeconds: 5, RetryRatio: 0.1, RetryWindowSeconds: 10, ConfigApplyMS: 3000}
+	s.ColdOverage, s.ColdSlack = warmup.DefaultOverage, warmup.DefaultSlack
 	if err := json.Unmarshal(standard, &s); err != nil {
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
 	}
@@ -99,6 +106,12 @@
 	if s.ConfigApplyMS <= 0 {
 		add("config_apply_ms: %v must be above 0", s.ConfigApplyMS)
 	}
+	if s.ColdOverage <= 0 {
+		add("cold_overage: %v must be above 0", s.ColdOverage)
+	}
+	if s.ColdSlack < 0 {
+		add("cold_slack: %v must not be below 0", s.ColdSlack)
+	}
 	if len(findings) == 0 {
 		return nil
 	}
--- a/pkg/hosted/state.go
+++ b/pkg/hosted/state.go
@@ -96,7 +96,7 @@
 		if current == nil {
 			return nil, errorx.IllegalState.New("no list of upstreams is held here")
 		}
-		return json.Marshal(current)
+		return json.Marshal(current.agedAt(d.now()))
 	case stateMembers:
 		return json.Marshal([]fleet.Member{d.router.HostedMember()})
 	}
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -298,6 +298,7 @@
 }
 
 func (d *Daemon) watchUpstreams(ctx context.Context, health *storeHealth, after core.StoreRevision, phase float64) {
+	cold := coldEntries{}
 	for ctx.Err() == nil {
 		wait := watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase)
 		watchCtx, cancel := d.watches.start(ctx, after.Era, wait+watchMargin)
@@ -318,7 +319,7 @@
 		after = after.Latest(at)
 		if len(changes) > 0 {
 			d.post(router.UpstreamsChanged{Revision: after, Changes: changes})
-			sleep(ctx, changeBatchDelay)
+			sleep(ctx, cold.batchDelay(changes))
 		}
 	}
 }
--- a/pkg/lab/hostedsim/experiment.go
+++ b/pkg/lab/hostedsim/experiment.go
@@ -30,6 +30,9 @@
 	Streams  Load              `json:"streams"`
 	Calls    Load              `json:"calls"`
 	Accounts []AccountSettings `json:"accounts"`
+	// ColdPerSecond is the number of requests that a cold Upstream takes in a second, 0 if none is
+	// ever cold.
+	ColdPerSecond float64 `json:"cold_per_second"`
 	// SingleEntry makes all callers use the first live Instance.
 	SingleEntry bool    `json:"single_entry"`
 	Faults      []Fault `json:"faults"`
@@ -107,6 +110,8 @@
 	// FaultBackoff makes Count Upstreams refuse all requests and ask each Instance for a backoff
 	// of Factor seconds.
 	FaultBackoff FaultKind = "upstream_backoff"
+	// FaultUpstreamCold makes Count Upstreams cold for as long as the fault lasts.
+	FaultUpstreamCold FaultKind = "upstream_cold"
 	// FaultInstancePause stops Count Instances, which continue when the fault ends.
 	FaultInstancePause FaultKind = "instance_pause"
 	// FaultPeerCut drops the messages between Count Instances and all others.
@@ -230,6 +235,10 @@
 			if fault.Factor <= 0 {
 				add("faults[%d].x: %v must be above 0", i, fault.Factor)
 			}
+		case FaultUpstreamCold:
+			if x.ColdPerSecond <= 0 {
+				add("cold_per_second: %v must be above 0 for faults[%d]", x.ColdPerSecond, i)
+			}
 		case FaultEngineCrash, FaultUpstreamLeaves, FaultInstanceKill, FaultInstancePause, FaultPeerCut, FaultRegionCut:
 		default:
 			add("faults[%d].kind: %q is not a kind of fault", i, fault.Kind)
--- a/pkg/lab/hostedsim/limits.go
+++ b/pkg/lab/hostedsim/limits.go
@@ -53,6 +53,7 @@
 	w.result.Arrivals[id] = append(w.result.Arrivals[id], w.now)
 	w.checkAnnouncements(id, inst, sentAt)
 	w.checkLimit(id, inst)
+	w.checkCold(id)
 }
 
 // checkLimit checks a request of an Instance that was told the limit of an Upstream, unless the
--- a/pkg/lab/hostedsim/result.go
+++ b/pkg/lab/hostedsim/result.go
@@ -72,6 +72,9 @@
 	// PeakLimitUse is the largest number of requests in a window at an Upstream that
 	// announces a limit, as a share of what it may get.
 	PeakLimitUse float64
+	// PeakColdUse is the largest number of requests in a second at a cold Upstream, as a share of what
+	// it may get.
+	PeakColdUse float64
 	// Arrivals are the instants at which each Upstream got a request of any kind.
 	Arrivals map[core.UpstreamID][]core.Instant
 	// RefusalDelays are the times from sending a request to its refusal as not run.
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -64,6 +64,7 @@
 	limits       map[core.UpstreamID]*announcedLimit // of the Upstreams that announce one
 	leaving      map[core.UpstreamID]*leaving
 	backingOff   map[core.UpstreamID]*backingOff
+	cold         map[core.UpstreamID]*coldUpstream
 	loadFactor   map[core.AccountID]float64 // load multiplier of each account
 	requests     map[core.RequestID]*callerRequest
 	requestCount int
@@ -122,11 +123,12 @@
 		x: x, rng: rand.New(rand.NewPCG(x.Seed, 9)), now: core.Instant(time.Hour), revision: 1,
 		byID: map[core.InstanceID]*instance{}, engines: map[core.UpstreamID]*engine{}, plain: map[core.UpstreamID]*plainUpstream{},
 		limits: map[core.UpstreamID]*announcedLimit{}, leaving: map[core.UpstreamID]*leaving{}, backingOff: map[core.UpstreamID]*backingOff{},
+		cold:       map[core.UpstreamID]*coldUpstream{},
 		loadFactor: map[core.AccountID]float64{}, requests: map[core.RequestID]*callerRequest{}, result: newResult(x),
 	}
 	w.start = w.now.Add(warmUp)
 	w.result.start = w.start
-	w.routing = config.NewRouting(w.configuration())
+	w.routing = config.NewRouting(withColdRate(w.configuration(), x.ColdPerSecond))
 	for _, dc := range slices.Sorted(maps.Keys(x.DataCentres)) {
 		for i := range x.DecodeEngines {
 			w.addEngine(core.UpstreamID(fmt.Sprintf("decode-%s-%d", dc, i)), dc, catalog.StageDecode)
@@ -206,6 +208,7 @@
 		Hosted: &router.HostedParams{
 			Member: inst.member, Dispatch: dispatch.Params{Regions: w.x.DataCentres},
 			Retry:      retry.Params{Ratio: 0.2, Allowance: 56, Window: 10 * time.Second},
+			StartedAt:  w.now,
 			AddressTTL: time.Second, GracePeriod: 8 * time.Second,
 		},
 	})
@@ -232,6 +235,7 @@
 	for _, id := range slices.Sorted(maps.Keys(w.plain)) {
 		list = append(list, catalog.Upstream{ID: id, Service: plainService, Addr: string(id), DataCentre: w.plain[id].dc, Slots: w.x.Plain.Slots, Born: w.plain[id].generation})
 	}
+	w.setColdTimes(list)
 	return list
 }
 
@@ -491,6 +495,10 @@
 		for _, id := range choose(w.rng, w.upstreamIDs(), f.Count) {
 			w.startBackoff(id, seconds(f.Factor), length)
 		}
+	case FaultUpstreamCold:
+		for _, id := range choose(w.rng, w.upstreamIDs(), f.Count) {
+			w.startCold(id, length)
+		}
 	case FaultRegionCut:
 		w.partitioned = true
 		w.after(length, func() { w.partitioned = false })
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -17,6 +17,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
 	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
 	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
+	"github.com/rhubarbsill/rhubarbsill/pkg/warmup"
 )
 
 // HostedParams are the settings of a Router on a platform that registers the
@@ -27,6 +28,10 @@
 	Fleet    fleet.Params
 	Dispatch dispatch.Params
 	Retry    retry.Params
+	// Warmup defines how much a cold Upstream may get.
+	Warmup warmup.Params
+	// StartedAt is the start of the process.
+	StartedAt core.Instant
 	// AddressTTL is the time for which callers may use an address response.
 	AddressTTL time.Duration
 	// GracePeriod is the time from ShutdownRequested to the end of the process.
@@ -73,7 +78,10 @@
 	crashing *poison.Detector
 	// announcements holds what Upstreams state about themselves.
 	announcements *announce.Registry
-	fleet         *fleet.Fleet
+	// warmup keeps the fleet below the rate of cold Upstreams.
+	warmup  *warmup.Registry
+	coldLog coldLog
+	fleet   *fleet.Fleet
 
 	pending           pendingConfirmation
 	configRevision    core.StoreRevision
@@ -96,6 +104,7 @@
 	p.Dispatch.DataCentre = p.Member.DataCentre
 	announcements := announce.New(p.Member.Ref, r.params.Rand)
 	p.Dispatch.Announcements = announcements
+	cold := newWarmup(&p)
 	return &hosted{
 		Router:        r,
 		params:        p,
@@ -106,6 +115,7 @@
 		poison:        poison.New(poison.Params{}),
 		crashing:      poison.New(poison.Params{TrialDelay: crashTrialDelay}),
 		announcements: announcements,
+		warmup:        cold,
 		fleet:         fleet.New(p.Member, p.Fleet),
 
 		fetches:      map[StateKind]*stateFetch{},
@@ -163,12 +173,14 @@
 		if h.catalog.Replace(now, e.Revision, e.Upstreams) {
 			h.applyUpstreams(now, "listed", e.From)
 		}
+		h.refreshCold(now)
 		h.onStateRead(now, e.ReadAt, &h.pending.upstreams)
 	case UpstreamsChanged:
 		h.observeEra(now, e.Revision)
 		if h.catalog.Apply(now, e.Revision, e.Changes) {
 			h.applyUpstreams(now, "watched", "")
 		}
+		h.refreshCold(now)
 	case StoreCallFailed:
 		h.catalog.OnStoreError(now)
 	case MembersListed:
@@ -207,6 +219,7 @@
 		h.applyUpstreams(now, "grace ended", "")
 	}
 	h.applyDispatch(now, h.dispatch.Tick(now))
+	h.logCold(now)
 	if now >= h.nextMemberListAt {
 		h.nextMemberListAt = now.Add(memberListInterval)
 		h.emit(ListMembers{})
@@ -240,6 +253,7 @@
 // written again, because Instances that start later find the others in the store.
 func (h *hosted) onMembersListed(now core.Instant, e MembersListed) {
 	h.fleet.OnMemberList(now, e.Members)
+	h.setColdMembers(e)
 	self := h.fleet.Self()
 	registered := slices.ContainsFunc(e.Members, func(m fleet.Member) bool {
 		return m == self || m.Ref.ID == self.Ref.ID && m.Ref.Incarnation > self.Ref.Incarnation
@@ -280,6 +294,7 @@
 		}
 	}
 	h.dispatch.SetEngineCapacity(engines)
+	h.setColdRates(now, e.Routing)
 	state := h.fleet.State()
 	state.Serving = true
 	h.fleet.SetState(state)
@@ -364,11 +379,12 @@
 
 func (h *hosted) applyUpstreams(now core.Instant, why string, from core.InstanceID) {
 	revision, _ := h.catalog.Revision()
-	list := h.catalog.Upstreams()
+	list := h.withColdTimes(now, h.catalog.Upstreams())
 	h.announcements.SetUpstreams(now, list)
+	h.warmup.SetUpstreams(now, list)
 	h.recordEvent(now, "catalog", "upstreams "+why, "count="+strconv.Itoa(len(list))+
 		" revision="+revision.String()+" from="+string(from))
-	h.emit(UpstreamsUpdated{Revision: revision, Upstreams: h.catalog.Registered()})
+	h.emit(UpstreamsUpdated{Revision: revision, Upstreams: h.withColdTimes(now, h.catalog.Registered()), At: now})
 	h.applyDispatch(now, h.dispatch.SetUpstreams(now, list))
 }
 
@@ -394,14 +410,18 @@
 	Version core.Version
 	// Queued counts the requests that wait for an Upstream, per service.
 	Queued map[core.ServiceName]int
+	// Cold counts the cold Upstreams and the requests to them.
+	Cold warmup.Summary
 }
 
 // HostedGauges returns the current values. The Router must be hosted.
-func (r *Router) HostedGauges() HostedGauges {
+func (r *Router) HostedGauges(now core.Instant) HostedGauges {
 	h := r.hosted
 	waiting := h.dispatch.QueueLengthByService()
 	for name := range h.services {
 		waiting[name] += 0 // also reports empty queues
 	}
-	return HostedGauges{LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting}
+	return HostedGauges{
+		LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting, Cold: h.warmup.Summary(now),
+	}
 }
--- a/pkg/router/hosted_announce.go
+++ b/pkg/router/hosted_announce.go
@@ -10,6 +10,7 @@
 
 // onUpstreamAnswered processes what an answer states about its Upstream.
 func (h *hosted) onUpstreamAnswered(now core.Instant, e UpstreamAnswered) {
+	h.onColdStatement(now, e.Source, e.Announcement.ColdFor)
 	for _, event := range h.announcements.Observe(now, e.Source, e.Announcement) {
 		if !event.Repeated {
 			h.recordAnnouncement(now, e.Source.Upstream, event)
@@ -51,6 +52,7 @@
 // about themselves, for the log.
 func (h *hosted) unavailable(now core.Instant, service core.ServiceName) string {
 	found := h.announcements.DescribeService(now, service, maxDescribedUpstreams)
+	found = append(found, h.warmup.DescribeService(now, service, maxDescribedUpstreams-len(found))...)
 	if len(found) == 0 {
 		return ""
 	}
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -219,6 +219,8 @@
 type UpstreamsUpdated struct {
 	Revision  core.StoreRevision
 	Upstreams []catalog.Upstream
+	// At is the instant from which the cold times of the Upstreams count.
+	At core.Instant
 }
 
 // ShutdownStarted reports that a graceful shutdown has begun: the Instance is no
--- a/pkg/router/hosted_hold.go
+++ b/pkg/router/hosted_hold.go
@@ -71,13 +71,13 @@
 }
 
 // replaceDecode places a request on another decode engine if the one that has granted its hold
-// wants no requests any more. It reports whether it did, or has ended the request.
+// wants no requests any more, or has become cold. It reports whether it did, or has ended the request.
 func (h *hosted) replaceDecode(now core.Instant, rs *requestState) bool {
 	up := rs.hosted.upstream.ID
-	if h.announcements.MayUseReservation(now, up) {
+	if h.mayUseHold(now, rs) {
 		return false
 	}
-	h.recordWithUpstream(now, "dispatch", "hold given up", rs, up, h.announcements.Describe(now, up))
+	h.recordWithUpstream(now, "dispatch", "hold given up", rs, up, h.describeUnused(now, up))
 	rs.hosted.stage = stageRun
 	failure := attempts.Failure{Kind: attempts.FailFull, Upstream: up, ConfirmedNotRun: true}
 	if !h.allowRetry(now, rs, failure) {
@@ -89,9 +89,9 @@
 	return true
 }
 
-// emitReleaseHold releases a hold, unless its engine wants no requests: the hold expires soon.
+// emitReleaseHold releases a hold, unless its engine wants no requests or is cold: the hold expires soon.
 func (h *hosted) emitReleaseHold(now core.Instant, release ReleaseHold) {
-	if h.announcements.MayUseReservation(now, release.Upstream) {
+	if h.mayRelease(now, release.Upstream) {
 		h.emit(release)
 	}
 }
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -117,6 +117,7 @@
 	}
 	if h.fleet.KnownCount() != known {
 		h.recordEvent(now, "fleet", "peer found", from.String())
+		h.warmup.AddMember(from.ID)
 	}
 	h.retry.SetInstances(h.fleet.KnownCount())
 	h.announcements.Rates.SetInstances(now, h.fleet.KnownCount())
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -186,7 +186,7 @@
 }
 
 func (h *hosted) emitReleaseKV(now core.Instant, release ReleaseKV) {
-	if !h.announcements.MayUseReservation(now, release.Upstream) {
+	if !h.mayRelease(now, release.Upstream) {
 		return // the KV cache expires soon
 	}
 	h.announcements.Rates.Charge(now, release.Upstream, 1)
--- /dev/null
+++ b/pkg/telemetry/cold.go
@@ -0,0 +1,24 @@
+package telemetry
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// SetColdUpstreams records the number of cold Upstreams, and of those to which this Instance may send.
+func (m *Metrics) SetColdUpstreams(cold, sending int) {
+	for use, n := range map[string]int{"sending": sending, "other": cold - sending} {
+		m.coldUpstreams.Record(context.Background(), int64(n), metric.WithAttributes(attribute.String("use", use)))
+	}
+}
+
+// AddColdRequests records requests that were sent to cold Upstreams, and those that were deferred.
+func (m *Metrics) AddColdRequests(sent, deferred int) {
+	for outcome, n := range map[string]int{"sent": sent, "deferred": deferred} {
+		if n > 0 {
+			m.coldRequests.Add(context.Background(), int64(n), metric.WithAttributes(attribute.String("outcome", outcome)))
+		}
+	}
+}
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -107,6 +107,8 @@
 	upstreamFailures   metric.Int64Counter
 	retries            metric.Int64Counter
 	announcements      metric.Int64Counter
+	coldUpstreams      metric.Int64Gauge
+	coldRequests       metric.Int64Counter
 	reachableInstances metric.Int64Gauge
 	configVersion      metric.Int64Gauge
 	storeWatchFailing  metric.Int64Gauge
@@ -151,6 +153,8 @@
 	m.upstreamFailures = b.counter("upstream_failures", "{call}", "Failed calls to upstreams by kind.")
 	m.retries = b.counter("resends", "{request}", "Requests sent to another upstream after a failed call.")
 	m.announcements = b.counter("upstream_announcements", "{announcement}", "New announcements of upstreams about themselves by kind.")
+	m.coldUpstreams = b.gauge("cold_upstreams", "{upstream}", "Upstreams that are cold; those to which this instance may send, and the others.")
+	m.coldRequests = b.counter("cold_requests", "{request}", "Requests to cold upstreams: sent, and deferred at each cold upstream that a request passed by.")
 	m.reachableInstances = b.gauge("instances_heard", "{instance}", "Instances that are heard, this one included.")
 	m.configVersion = b.gauge("config_version", "{version}", "Configuration version in force, 0 for none.")
 	m.storeWatchFailing = b.gauge("store_lost", "{watch}", "1 while a watch of the store fails.")
