--- a/pkg/router/hosted_cold.go
+++ b/pkg/router/hosted_cold.go
@@ -89,29 +89,30 @@
 }
 
 const (
-	// coldLogInterval is the shortest time between two log lines on cold Upstreams, coldLogPeriod
-	// that between two lines without a change of their number.
+	// coldLogInterval is the time between two counts of the cold Upstreams, and so the shortest one
+	// between two log lines. coldLogPeriod is that between two lines without a change of their number.
 	coldLogInterval = time.Second
 	coldLogPeriod   = 10 * time.Second
 )
 
 // coldLog is what was logged last on cold Upstreams.
 type coldLog struct {
-	at   core.Instant
-	cold int
+	countedAt core.Instant
+	at        core.Instant
+	cold      int
 }
 
 // logCold logs the cold Upstreams: when their number changes and from time to time.
 func (h *hosted) logCold(now core.Instant) {
-	since := now.Sub(h.coldLog.at)
-	if since < coldLogInterval {
+	if now.Sub(h.coldLog.countedAt) < coldLogInterval {
 		return
 	}
+	h.coldLog.countedAt = now
 	s := h.warmup.Summary(now)
-	if s.Cold == h.coldLog.cold && (s.Cold == 0 || since < coldLogPeriod) {
+	if s.Cold == h.coldLog.cold && (s.Cold == 0 || now.Sub(h.coldLog.at) < coldLogPeriod) {
 		return
 	}
-	h.coldLog = coldLog{at: now, cold: s.Cold}
+	h.coldLog.at, h.coldLog.cold = now, s.Cold
 	h.recordEvent(now, "warmup", "cold upstreams", fmt.Sprintf("count=%d sending=%d sent=%d deferred=%d longest=[%s]",
 		s.Cold, s.Sending, s.Sent, s.Deferred, strings.Join(h.warmup.DescribeColdest(now), "; ")))
 }
