--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
 	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
 	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
+	"github.com/rhubarbsill/rhubarbsill/pkg/warmup"
 )
 
 const (
@@ -84,6 +85,7 @@
 	lastGaugeRead time.Time // only used by the event loop
 	// delayedHeartbeats is what the metrics have counted, only used by the event loop.
 	delayedHeartbeats int64
+	lastCold          warmup.Summary
 	addressQueries    sync.Map // query ID -> chan router.CallerAddresses
 	lastQueryID       atomic.Uint64
 	writingMember     atomic.Bool
@@ -99,6 +101,8 @@
 type upstreamList struct {
 	Revision  core.StoreRevision `json:"store_revision"`
 	Upstreams []catalog.Upstream `json:"upstreams"`
+	// at is the instant from which the cold times count.
+	at core.Instant
 }
 
 // envelope is a peer message with the hybrid logical timestamp of its sender.
@@ -152,6 +156,7 @@
 			Retry: retry.Params{
 				Ratio: settings.RetryRatio, Allowance: settings.RetryAllowance, Window: secondsToDuration(settings.RetryWindowSeconds),
 			},
+			Warmup:      warmup.Params{Overage: settings.ColdOverage, Slack: settings.ColdSlack},
 			GracePeriod: settings.gracePeriod(),
 			AddressTTL:  settings.addressTTL(),
 		},
@@ -335,6 +340,7 @@
 		d.metrics.SetConfigVersion(gauges.Version)
 		d.metrics.SetLiveness(gauges.Liveness.NotNamed, gauges.Liveness.DelayedHeartbeats-d.delayedHeartbeats)
 		d.delayedHeartbeats = gauges.Liveness.DelayedHeartbeats
+		d.setColdGauges(gauges.Cold)
 		for service, n := range gauges.Queued {
 			d.metrics.SetQueueLength(service, n)
 		}
@@ -384,7 +390,7 @@
 		d.routing.Store(e.Routing)
 		d.config.Store(newHeldConfig(RoutingObject{Routing: e.Routing, Revision: e.Revision, Raw: e.Raw}))
 	case router.UpstreamsUpdated:
-		d.upstreams.Store(&upstreamList{Revision: e.Revision, Upstreams: e.Upstreams})
+		d.upstreams.Store(&upstreamList{Revision: e.Revision, Upstreams: e.Upstreams, at: e.At})
 	case router.RefreshState:
 		d.watches.endAll()
 	case router.StoreEraBegan:
