dispatch: choose no Upstream of an evacuated data centre

Applies to decode, prefill and plain requests. If every Upstream that runs a service is evacuated, or leaves while one is evacuated, its jobs are refused at once with no_upstream and the data centres in the message, retries too: an evacuation mostly lasts longer than callers wait.

go test ./pkg/dispatch passes.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -55,7 +55,7 @@
 func (u *upstream) leaves() bool { return u.Leaving || u.announced.Leaving }
 
 func (u *upstream) usable(now core.Instant) bool {
-	return !u.leaves() && now >= u.unreachableUntil && now >= u.announced.BackoffUntil
+	return !u.leaves() && !u.evacuated && now >= u.unreachableUntil && now >= u.announced.BackoffUntil
 }
 
 // runs reports whether the Upstream runs the requests of a service, unlike a prefill engine.
@@ -68,7 +68,7 @@
 func (d *Dispatcher) BackoffWait(now core.Instant, service core.ServiceName, isModelRequest bool) time.Duration {
 	first := core.Never
 	for _, up := range d.byService[service] {
-		if !up.runs(isModelRequest) || up.leaves() {
+		if !up.runs(isModelRequest) || up.leaves() || up.evacuated {
 			continue
 		}
 		if now >= up.announced.BackoffUntil {
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -188,6 +188,7 @@
 	queue          []*job // sorted by precedes
 	jobs           map[core.RequestID]*job
 	peers          map[core.InstanceID]map[core.UpstreamID]Load
+	evacuated      map[core.DataCentreName]bool
 	nextQueueRetry core.Instant
 	// firstEventDelay is the moving average of the time from the end of a prefill to the
 	// first event.
@@ -216,6 +217,8 @@
 	catalog.Upstream
 	// announced is what the Upstream itself says of its use.
 	announced announce.Availability
+	// evacuated is set while nothing is to be sent to the DataCentre of the Upstream.
+	evacuated bool
 	own       Load
 	peer      Load
 	// fullUntil is the end of the backoff after a refused hold.
@@ -262,6 +265,7 @@
 		}
 		up.Upstream = entry
 		up.announced = d.params.Announcements.Availability(entry.ID)
+		up.evacuated = d.evacuated[entry.DataCentre]
 		d.upstreams[entry.ID] = up
 		d.byService[entry.Service] = append(d.byService[entry.Service], up)
 	}
@@ -503,6 +507,9 @@
 // waiting, nil for others. A retry waits although all Upstreams leave: its caller may have a part of
 // the response, and an Upstream that is registered later can continue it.
 func (d *Dispatcher) refusalIfUnservable(now core.Instant, j *job, ahead int) *core.Refusal {
+	if refusal := d.refusalIfEvacuated(j); refusal != nil {
+		return refusal
+	}
 	if !j.IsRetry && d.allLeave(j) {
 		refusal := core.NewRefusal(core.CodeNoUpstream, "all Upstreams of the service leave")
 		refusal.RetryAfter = d.retryAfter()
