router, hosted, platform: evacuate data centres within evacuate_ms

Readers of a Region watch the kind, heartbeats carry the list, followers list the kind when no confirmation of the last half of the bound has reached them. Holds whose decode was not sent are released and placed elsewhere; running answers go on. The first requests wait for the list for at most 1 s. Logs, and metrics for own requests that still run there and for the age of the confirmation.

--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -16,6 +16,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/evacuation"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
 	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
 )
@@ -191,6 +192,10 @@
 	// WatchUpstreams waits for changes after a revision, for at most wait. Errors:
 	// ErrCompacted.
 	WatchUpstreams(ctx context.Context, after core.StoreRevision, wait time.Duration) (changes []catalog.Change, skipped []SkippedEntry, revision core.StoreRevision, err error)
+	// ListEvacuations reads the DataCentres to whose Upstreams nothing more is to be sent.
+	ListEvacuations(ctx context.Context) ([]core.DataCentreName, core.StoreRevision, error)
+	// WatchEvacuations waits for changes after a revision, for at most wait. Errors: ErrCompacted.
+	WatchEvacuations(ctx context.Context, after core.StoreRevision, wait time.Duration) ([]evacuation.Change, core.StoreRevision, error)
 	// PutMember writes the description of this Instance.
 	PutMember(ctx context.Context, member fleet.Member) error
 	// ListMembers reads the descriptions of all Instances. They may be seconds old.
--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -20,24 +20,26 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/evacuation"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
 	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
 )
 
 // fakeStore is an in-memory store with a bounded history.
 type fakeStore struct {
-	mu       sync.Mutex
-	revision core.StoreRevision
-	oldest   uint64 // first revision from which a watch can start
-	config   *RoutingObject
-	list     []catalog.Upstream
-	members  []fleet.Member
-	down     bool
-	reads    int
-	watches  int
-	waits    []time.Duration // of the watches of the configuration
-	from     []core.StoreRevision
-	changed  chan struct{}
+	mu        sync.Mutex
+	revision  core.StoreRevision
+	oldest    uint64 // first revision from which a watch can start
+	config    *RoutingObject
+	list      []catalog.Upstream
+	members   []fleet.Member
+	evacuated []core.DataCentreName
+	down      bool
+	reads     int
+	watches   int
+	waits     []time.Duration // of the watches of the configuration
+	from      []core.StoreRevision
+	changed   chan struct{}
 	// unresponsive is set when watches get no reply.
 	unresponsive bool
 }
@@ -134,6 +136,22 @@
 	return nil, nil, after, nil
 }
 
+func (s *fakeStore) ListEvacuations(context.Context) ([]core.DataCentreName, core.StoreRevision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, core.StoreRevision{}, errDown
+	}
+	return s.evacuated, s.revision, nil
+}
+
+func (s *fakeStore) WatchEvacuations(ctx context.Context, after core.StoreRevision, wait time.Duration) ([]evacuation.Change, core.StoreRevision, error) {
+	if !sleep(ctx, wait) {
+		return nil, core.StoreRevision{}, ctx.Err()
+	}
+	return nil, after, nil
+}
+
 func (s *fakeStore) PutMember(_ context.Context, m fleet.Member) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -85,6 +85,10 @@
 	addressQueries sync.Map  // query ID -> chan router.CallerAddresses
 	lastQueryID    atomic.Uint64
 	writingMember  atomic.Bool
+	// evacuationHealth is used by one call of the store at a time. evacuatedBefore is only used by the
+	// event loop.
+	evacuationHealth *storeHealth
+	evacuatedBefore  map[core.DataCentreName]int
 
 	drained   chan struct{}
 	loopEnded chan struct{}
@@ -151,8 +155,11 @@
 			},
 			GracePeriod: settings.gracePeriod(),
 			AddressTTL:  settings.addressTTL(),
+
+			EvacuationBound: settings.evacuationBound(),
 		},
 	})
+	d.evacuationHealth = d.newStoreHealth("evacuations")
 	return d, nil
 }
 
@@ -325,7 +332,7 @@
 	}
 	if _, tick := event.(router.Tick); tick && time.Since(d.lastGaugeRead) >= gaugeInterval {
 		d.lastGaugeRead = time.Now()
-		gauges := d.router.HostedGauges()
+		gauges := d.router.HostedGauges(d.now())
 		d.setLiveInstances(int64(gauges.LiveInstances))
 		d.follower.Store(!gauges.Reader)
 		d.metrics.SetReachableInstances(gauges.LiveInstances)
@@ -333,6 +340,7 @@
 		for service, n := range gauges.Queued {
 			d.metrics.SetQueueLength(service, n)
 		}
+		d.recordEvacuationGauges(gauges.Evacuations)
 	}
 }
 
@@ -369,6 +377,8 @@
 		go d.listMembers(ctx)
 	case router.RegisterMember:
 		go d.writeMember(ctx)
+	case router.ReadEvacuations:
+		go d.readEvacuations(ctx, e.Call)
 	case router.FetchState:
 		go d.fetchState(ctx, e)
 	case router.SendPeerMessage:
--- a/pkg/hosted/settings.go
+++ b/pkg/hosted/settings.go
@@ -47,6 +47,10 @@
 	// milliseconds.
 	ConfigApplyMS float64 `json:"config_apply_ms"`
 
+	// EvacuateMS is the time within which the evacuation of a DataCentre binds every Instance, in
+	// milliseconds. 0 if the deployment has no evacuations: the store is not asked for them then.
+	EvacuateMS float64 `json:"evacuate_ms"`
+
 	// LogLevel is debug, info, warn or error. Default: info.
 	LogLevel string `json:"log_level"`
 }
@@ -99,6 +103,9 @@
 	if s.ConfigApplyMS <= 0 {
 		add("config_apply_ms: %v must be above 0", s.ConfigApplyMS)
 	}
+	if s.EvacuateMS < 0 {
+		add("evacuate_ms: %v must not be below 0", s.EvacuateMS)
+	}
 	if len(findings) == 0 {
 		return nil
 	}
@@ -109,6 +116,10 @@
 	return time.Duration(s.ConfigApplyMS * float64(time.Millisecond))
 }
 
+func (s Settings) evacuationBound() time.Duration {
+	return time.Duration(s.EvacuateMS * float64(time.Millisecond))
+}
+
 func (s Settings) peerListenAddr() string { return cmp.Or(s.PeerListenAddr, s.PeerAddr) }
 
 func (s Settings) gracePeriod() time.Duration { return secondsToDuration(s.GraceSeconds) }
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -12,6 +12,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
+	"github.com/rhubarbsill/rhubarbsill/pkg/evacuation"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
 	"github.com/rhubarbsill/rhubarbsill/pkg/poison"
 	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
@@ -31,6 +32,9 @@
 	AddressTTL time.Duration
 	// GracePeriod is the time from ShutdownRequested to the end of the process.
 	GracePeriod time.Duration
+	// EvacuationBound is the time after which the evacuation of a DataCentre binds every Instance, 0 if
+	// the deployment has none.
+	EvacuationBound time.Duration
 }
 
 const (
@@ -74,8 +78,11 @@
 	// announcements holds what Upstreams state about themselves.
 	announcements *announce.Registry
 	fleet         *fleet.Fleet
+	evacuations   *evacuation.State
+	evacuationLog evacuationLog
 
 	pending           pendingConfirmation
+	evacuationWait    evacuationWait
 	configRevision    core.StoreRevision
 	rawConfig         []byte
 	storeEra          *uint64 // newest era of the store, nil before the first state
@@ -107,12 +114,15 @@
 		crashing:      poison.New(poison.Params{TrialDelay: crashTrialDelay}),
 		announcements: announcements,
 		fleet:         fleet.New(p.Member, p.Fleet),
+		evacuations:   evacuation.New(evacuation.Params{Bound: p.EvacuationBound, Rand: r.params.Rand}),
 
 		fetches:      map[StateKind]*stateFetch{},
 		services:     map[core.ServiceName]*config.Service{},
 		accountViews: map[core.AccountID]*config.ClientAccount{},
 		stopAt:       core.Never,
 		pending:      pendingConfirmation{since: core.Never},
+
+		evacuationWait: evacuationWait{until: core.Never},
 	}
 }
 
@@ -169,6 +179,10 @@
 		if h.catalog.Apply(now, e.Revision, e.Changes) {
 			h.applyUpstreams(now, "watched", "")
 		}
+	case EvacuationsRead:
+		h.onEvacuationsRead(now, e)
+	case EvacuationsCallFailed:
+		h.onEvacuationsCallFailed(now, e)
 	case StoreCallFailed:
 		h.catalog.OnStoreError(now)
 	case MembersListed:
@@ -211,6 +225,7 @@
 		h.nextMemberListAt = now.Add(memberListInterval)
 		h.emit(ListMembers{})
 	}
+	h.tickEvacuations(now)
 	changes := h.fleet.Tick(now)
 	for _, peer := range changes.Unheard {
 		h.quota.OnPeerSilent(now, peer.Since, peer.ID)
@@ -226,6 +241,7 @@
 		h.quota.OnPeerTerminated(now, id)
 		h.announcements.Rates.OnPeerTerminated(now, id)
 		h.dispatch.SetPeerLoads(id, nil)
+		h.evacuations.Forget(id)
 		h.recordEvent(now, "fleet", "peer forgotten", string(id))
 	}
 	h.fetchOverdueStates(now)
@@ -265,6 +281,7 @@
 			return
 		}
 	}
+	h.beginEvacuationWait(now)
 	h.routing, h.rawConfig = e.Routing, e.Raw
 	h.configRevision = e.Revision
 	for _, account := range e.Routing.Accounts {
@@ -394,14 +411,16 @@
 	Version core.Version
 	// Queued counts the requests that wait for an Upstream, per service.
 	Queued map[core.ServiceName]int
+	// Evacuations describes the evacuations, nil if the deployment has none.
+	Evacuations *EvacuationGauges
 }
 
 // HostedGauges returns the current values. The Router must be hosted.
-func (r *Router) HostedGauges() HostedGauges {
+func (r *Router) HostedGauges(now core.Instant) HostedGauges {
 	h := r.hosted
 	waiting := h.dispatch.QueueLengthByService()
 	for name := range h.services {
 		waiting[name] += 0 // also reports empty queues
 	}
-	return HostedGauges{LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting}
+	return HostedGauges{LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting, Evacuations: h.evacuationGauges(now)}
 }
--- a/pkg/router/hosted_era.go
+++ b/pkg/router/hosted_era.go
@@ -15,6 +15,7 @@
 		return
 	}
 	era := revision.Era
+	h.observeEvacuationEra(now, era)
 	if h.storeEra == nil {
 		h.storeEra = &era
 		return
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -56,7 +56,7 @@
 
 // onRequestArrived authorizes and charges a request and submits it for dispatch.
 func (h *hosted) onRequestArrived(now core.Instant, q Request) {
-	if h.awaitConfirmation(now, q) {
+	if h.awaitConfirmation(now, q) || h.awaitEvacuations(now, q) {
 		return
 	}
 	if _, exists := h.requests[q.ID]; exists {
@@ -345,7 +345,7 @@
 	if h.refusePoison(now, rs) {
 		return
 	}
-	if h.replaceDecode(now, rs) {
+	if h.replaceEvacuatedDecode(now, rs) || h.replaceDecode(now, rs) {
 		return
 	}
 	hr := rs.hosted
@@ -450,6 +450,7 @@
 	rs := h.requests[id]
 	if rs == nil {
 		h.abandonPending(id)
+		h.abandonEvacuationWait(id)
 		return
 	}
 	h.record(now, "request", "caller_gone", rs, "stage="+string(rs.hosted.stage))
--- a/pkg/router/hosted_hold.go
+++ b/pkg/router/hosted_hold.go
@@ -48,7 +48,7 @@
 	}
 	switch e.Outcome {
 	case HoldGranted:
-		if h.dispatch.IsReplaceable(now, e.Upstream) {
+		if h.isEvacuated(rs.hosted.upstream) || h.dispatch.IsReplaceable(now, e.Upstream) {
 			h.emitReleaseHold(now, ReleaseHold{Upstream: e.Upstream, Addr: e.Addr, Hold: e.Hold})
 			e.Outcome = HoldLeaving
 			break
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -7,6 +7,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/announce"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
+	"github.com/rhubarbsill/rhubarbsill/pkg/evacuation"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
 	"github.com/rhubarbsill/rhubarbsill/pkg/poison"
 	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
@@ -34,6 +35,8 @@
 	Poison map[core.PromptPart]poison.Report
 	// Crashing holds the evidence on requests that may crash Upstreams, by fingerprint.
 	Crashing map[core.PromptPart]poison.Report
+	// Evacuations holds the evacuated DataCentres, nil if the deployment has none.
+	Evacuations *evacuation.Report
 }
 
 // QuotaUpdate is the message that a hosted Instance sends to its peers between two
@@ -68,6 +71,7 @@
 		Leaving:     h.announcements.LeavingReports(now),
 		Poison:      h.poison.Reports(now, allEvidence),
 		Crashing:    h.crashing.Reports(now, allEvidence),
+		Evacuations: h.evacuations.Report(now),
 	}
 	for _, member := range to {
 		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: heartbeat}, NotAfter: now.Add(peerMessageTTL)})
@@ -132,6 +136,7 @@
 	for _, state := range []StateStamp{heartbeat.ConfigAt, heartbeat.UpstreamsAt} {
 		h.observeEra(now, state.Revision)
 	}
+	h.onPeerEvacuations(now, heartbeat.Member.Ref, heartbeat.Evacuations)
 	h.notePeerState(now, heartbeat.Member, StateConfig, heartbeat.ConfigAt)
 	h.notePeerState(now, heartbeat.Member, StateUpstreams, heartbeat.UpstreamsAt)
 }
--- a/pkg/router/hosted_stop.go
+++ b/pkg/router/hosted_stop.go
@@ -90,7 +90,7 @@
 	if h.drained || !h.leaving {
 		return
 	}
-	active := len(h.requests) + len(h.pending.requests)
+	active := len(h.requests) + len(h.pending.requests) + len(h.evacuationWait.requests)
 	idle := now >= h.addressesExpireAt && active == 0
 	if now >= h.addressesExpireAt {
 		h.addressesExpireAt = core.Never
@@ -98,6 +98,7 @@
 	}
 	if now >= h.stopAt {
 		h.endConfirmation(now)
+		h.endEvacuationWait(now)
 		h.endRequests(now)
 	}
 	if idle || h.addressesExpired && active == 0 || now >= h.stopAt {
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -110,6 +110,8 @@
 	reachableInstances metric.Int64Gauge
 	configVersion      metric.Int64Gauge
 	storeWatchFailing  metric.Int64Gauge
+	evacuatedRequests  metric.Int64Gauge
+	evacuationAge      metric.Float64Gauge
 }
 
 // New creates the instruments and the Prometheus exporter.
@@ -153,6 +155,8 @@
 	m.announcements = b.counter("upstream_announcements", "{announcement}", "New announcements of upstreams about themselves by kind.")
 	m.reachableInstances = b.gauge("instances_heard", "{instance}", "Instances that are heard, this one included.")
 	m.configVersion = b.gauge("config_version", "{version}", "Configuration version in force, 0 for none.")
+	m.evacuatedRequests = b.gauge("evacuated_requests", "{request}", "Own requests that still run at an evacuated data centre.")
+	m.evacuationAge = b.secondsGauge("evacuations_age", "Time since the list of evacuations was confirmed by the store, -1 before.")
 	m.storeWatchFailing = b.gauge("store_lost", "{watch}", "1 while a watch of the store fails.")
 	b.observableGauge("worst_account_service", "1", "Share of requests answered within both targets, of the account with the lowest share in the window. 1 when no account has enough requests.", m.accounts.lowestShare)
 	return b.err
@@ -271,6 +275,17 @@
 	m.storeWatchFailing.Record(context.Background(), value, metric.WithAttributes(attribute.String("what", watch)))
 }
 
+// SetEvacuatedRequests records the own requests that run at an evacuated data centre.
+func (m *Metrics) SetEvacuatedRequests(dc core.DataCentreName, n int) {
+	m.evacuatedRequests.Record(context.Background(), int64(n), metric.WithAttributes(attribute.String("data_centre", string(dc))))
+}
+
+// SetEvacuationAge records the time since the list of evacuations was confirmed, negative before the
+// first confirmation.
+func (m *Metrics) SetEvacuationAge(age time.Duration) {
+	m.evacuationAge.Record(context.Background(), max(-1, age.Seconds()))
+}
+
 func serviceLabel(name core.ServiceName) attribute.KeyValue {
 	return attribute.String("service", string(name))
 }
@@ -305,6 +320,12 @@
 	return g
 }
 
+func (b *builder) secondsGauge(name, text string) metric.Float64Gauge {
+	g, err := b.meter.Float64Gauge(name, metric.WithUnit("s"), metric.WithDescription(text))
+	b.recordError(err)
+	return g
+}
+
 func (b *builder) observableGauge(name, unit, text string, read func() float64) {
 	_, err := b.meter.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(text),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
