--- a/pkg/dispatch/cold.go
+++ b/pkg/dispatch/cold.go
@@ -85,4 +85,5 @@
 	up.region = d.params.Regions[entry.DataCentre]
 	up.announced = d.params.Announcements.Availability(entry.ID)
 	up.cold = d.coldState(entry.ID)
+	up.evacuated = d.evacuated[entry.DataCentre]
 }
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -194,6 +194,7 @@
 	queue          []*job // sorted by precedes
 	jobs           map[core.RequestID]*job
 	peers          map[core.InstanceID]map[core.UpstreamID]Load
+	evacuated      map[core.DataCentreName]bool
 	nextQueueRetry core.Instant
 	listed         bool // the Upstreams are known
 	// firstEventDelay is the moving average of the time from the end of a prefill to the
@@ -226,8 +227,10 @@
 	announced announce.Availability
 	// cold is what is known of a cold Upstream, nil for one that was never cold.
 	cold *warmup.Upstream
-	own  Load
-	peer Load
+	// evacuated is set while nothing is to be sent to the DataCentre of the Upstream.
+	evacuated bool
+	own       Load
+	peer      Load
 	// fullUntil is the end of the backoff after a refused hold.
 	fullUntil core.Instant
 	// unreachableUntil is the end of the backoff after a failed connection.
@@ -517,6 +520,9 @@
 	if refusal := d.refusalByRegion(j); refusal != nil {
 		return refusal
 	}
+	if refusal := d.refusalIfEvacuated(j); refusal != nil {
+		return refusal
+	}
 	if !j.IsRetry && d.allLeave(j) {
 		refusal := core.NewRefusal(core.CodeNoUpstream, "all Upstreams of the service leave")
 		refusal.RetryAfter = d.retryAfter()
--- a/pkg/hosted/settings.go
+++ b/pkg/hosted/settings.go
@@ -56,6 +56,10 @@
 	ColdOverage float64 `json:"cold_overage"`
 	ColdSlack   float64 `json:"cold_slack"`
 
+	// EvacuateMS is the time within which the evacuation of a DataCentre binds every Instance, in
+	// milliseconds. 0 if the deployment has no evacuations: the store is not asked for them then.
+	EvacuateMS float64 `json:"evacuate_ms"`
+
 	// LogLevel is debug, info, warn or error. Default: info.
 	LogLevel string `json:"log_level"`
 }
@@ -118,6 +122,9 @@
 	if s.ColdSlack < 0 {
 		add("cold_slack: %v must not be below 0", s.ColdSlack)
 	}
+	if s.EvacuateMS < 0 {
+		add("evacuate_ms: %v must not be below 0", s.EvacuateMS)
+	}
 	if len(findings) == 0 {
 		return nil
 	}
@@ -132,6 +139,10 @@
 	return time.Duration(s.ContactMS * float64(time.Millisecond))
 }
 
+func (s Settings) evacuationBound() time.Duration {
+	return time.Duration(s.EvacuateMS * float64(time.Millisecond))
+}
+
 func (s Settings) peerListenAddr() string { return cmp.Or(s.PeerListenAddr, s.PeerAddr) }
 
 func (s Settings) gracePeriod() time.Duration { return secondsToDuration(s.GraceSeconds) }
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -12,6 +12,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
+	"github.com/rhubarbsill/rhubarbsill/pkg/evacuation"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
 	"github.com/rhubarbsill/rhubarbsill/pkg/poison"
 	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
@@ -36,6 +37,9 @@
 	AddressTTL time.Duration
 	// GracePeriod is the time from ShutdownRequested to the end of the process.
 	GracePeriod time.Duration
+	// EvacuationBound is the time after which the evacuation of a DataCentre binds every Instance, 0 if
+	// the deployment has none.
+	EvacuationBound time.Duration
 }
 
 const (
@@ -79,11 +83,14 @@
 	// announcements holds what Upstreams state about themselves.
 	announcements *announce.Registry
 	// warmup keeps the fleet below the rate of cold Upstreams.
-	warmup  *warmup.Registry
-	coldLog coldLog
-	fleet   *fleet.Fleet
+	warmup        *warmup.Registry
+	coldLog       coldLog
+	fleet         *fleet.Fleet
+	evacuations   *evacuation.State
+	evacuationLog evacuationLog
 
 	pending           pendingConfirmation
+	evacuationWait    evacuationWait
 	configRevision    core.StoreRevision
 	rawConfig         []byte
 	storeEra          *uint64 // newest era of the store, nil before the first state
@@ -121,12 +128,15 @@
 		announcements: announcements,
 		warmup:        cold,
 		fleet:         fleet.New(p.Member, p.Fleet),
+		evacuations:   evacuation.New(evacuation.Params{Bound: p.EvacuationBound, Rand: r.params.Rand}),
 
 		fetches:      map[StateKind]*stateFetch{},
 		services:     map[core.ServiceName]*config.Service{},
 		accountViews: map[core.AccountID]*config.ClientAccount{},
 		stopAt:       core.Never,
 		pending:      pendingConfirmation{since: core.Never},
+
+		evacuationWait: evacuationWait{until: core.Never},
 	}
 }
 
@@ -185,6 +195,10 @@
 			h.applyUpstreams(now, "watched", "")
 		}
 		h.refreshCold(now)
+	case EvacuationsRead:
+		h.onEvacuationsRead(now, e)
+	case EvacuationsCallFailed:
+		h.onEvacuationsCallFailed(now, e)
 	case StoreCallFailed:
 		h.catalog.OnStoreError(now)
 	case MembersListed:
@@ -228,6 +242,7 @@
 		h.nextMemberListAt = now.Add(memberListInterval)
 		h.emit(ListMembers{})
 	}
+	h.tickEvacuations(now)
 	changes := h.fleet.Tick(now)
 	for _, peer := range changes.Unheard {
 		h.quota.OnPeerSilent(now, peer.Since, peer.ID)
@@ -243,6 +258,7 @@
 		h.quota.OnPeerTerminated(now, id)
 		h.announcements.Rates.OnPeerTerminated(now, id)
 		h.dispatch.SetPeerLoads(id, nil)
+		h.evacuations.Forget(id)
 		h.recordEvent(now, "fleet", "peer forgotten", string(id))
 	}
 	h.fetchOverdueStates(now)
@@ -283,6 +299,7 @@
 			return
 		}
 	}
+	h.beginEvacuationWait(now)
 	h.routing, h.rawConfig = e.Routing, e.Raw
 	h.configRevision = e.Revision
 	for _, account := range e.Routing.Accounts {
@@ -412,6 +429,8 @@
 	Liveness fleet.LivenessCounts
 	// Cold counts the cold Upstreams and the requests to them.
 	Cold warmup.Summary
+	// Evacuations describes the evacuations, nil if the deployment has none.
+	Evacuations *EvacuationGauges
 }
 
 // HostedGauges returns the current values. The Router must be hosted.
@@ -423,6 +442,6 @@
 	}
 	return HostedGauges{
 		LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting,
-		Liveness: h.fleet.LivenessCounts(now), Cold: h.warmup.Summary(now),
+		Liveness: h.fleet.LivenessCounts(now), Cold: h.warmup.Summary(now), Evacuations: h.evacuationGauges(now),
 	}
 }
--- a/pkg/router/hosted_hold.go
+++ b/pkg/router/hosted_hold.go
@@ -51,7 +51,7 @@
 		if h.giveUpForeignHold(now, rs, &e) {
 			break
 		}
-		if h.dispatch.IsReplaceable(now, e.Upstream, rs.hosted.regions()) {
+		if h.isEvacuated(rs.hosted.upstream) || h.dispatch.IsReplaceable(now, e.Upstream, rs.hosted.regions()) {
 			h.emitReleaseHold(now, ReleaseHold{Upstream: e.Upstream, Addr: e.Addr, Hold: e.Hold})
 			e.Outcome = HoldLeaving
 			break
