dispatch: callers that return late use spare engine memory

Cause: a refused caller that came back was treated like a new one, with a new latency target, although its target had passed. After a burst, such callers kept the engines full while new ones were late or refused. At its deadline a request could still start and be cut.

Change: a model request whose caller states less time than its route allows, by more than the target, waits behind those that can be on time, fills engines to 0.6 of their memory only, and is refused once half of its time, or the time of a usual run, is left.

TestReturningCallersLeaveRoomForNewOnes and the tests of dispatch fail without the change.

--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -201,6 +201,7 @@
 		Deadline:        hr.deadline,
 		AvoidUpstreams:  rs.avoidUpstreams,
 		IsRetry:         hr.deliveries+hr.undelivered > 0,
+		PlaceLateUntil:  h.placeLateUntil(rs),
 	}
 	h.applyDispatch(now, h.dispatch.Submit(now, job))
 }
