fleet, router: report heard peers only, place again only if regions changed

The store lists Instances that ended long ago in each list, so each sender would have reported them as lost for ever, and with more than 32 of them would not have vouched. A new configuration that changes no regions places nothing, as before.

--- a/pkg/fleet/liveness.go
+++ b/pkg/fleet/liveness.go
@@ -144,8 +144,8 @@
 	}
 	stamp.Vouches = true
 	for _, p := range f.peers {
-		if p.member.DataCentre != f.self.DataCentre || p.life.unstamped {
-			continue
+		if p.member.DataCentre != f.self.DataCentre || p.life.unstamped || p.lastHeartbeat == 0 {
+			continue // the store lists Instances that ended long ago again and again
 		}
 		last := max(p.life.aliveAt, p.listedAt)
 		if !p.life.paced {
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -329,9 +329,11 @@
 	if e.From == "" {
 		h.announceConfig(now)
 	}
-	h.updateRegions(now)
+	regionsChanged := h.updateRegions(now)
 	h.authorizeWaiting(now)
-	h.applyRegions(now)
+	if regionsChanged {
+		h.applyRegions(now)
+	}
 }
 
 // logOlderConfig logs that the store has an older version than the active one: it has lost that,
--- a/pkg/router/hosted_regions.go
+++ b/pkg/router/hosted_regions.go
@@ -46,15 +46,18 @@
 
 // updateRegions takes the regions of all requests from a new configuration, before any of them is
 // placed again.
-func (h *hosted) updateRegions(now core.Instant) {
+// It reports whether those of any request have changed.
+func (h *hosted) updateRegions(now core.Instant) (changed bool) {
 	h.logUnknownRegions(now)
 	for _, rs := range h.requests {
 		before := rs.hosted.regions()
 		h.setRegions(rs)
 		if regions := rs.hosted.regions(); !regions.Equal(before) {
 			h.dispatch.SetRegions(rs.request.ID, regions)
+			changed = true
 		}
 	}
+	return changed
 }
 
 // applyRegions places the waiting requests by their new regions, and places those elsewhere that
