dispatch: let requests wait for the places of cold Upstreams side by side

With all Upstreams cold, the wait of a request was counted as one place after the other, although the places of an Instance become free together: with four places and a target of 1.5 s, one of 16 requests waited. Now four do, and get the places 1.02 s later (TestRequestsWaitWhileAllUpstreamsAreCold). go test ./pkg/dispatch ./pkg/warmup, and go test -run 'Cold|Limit' ./pkg/router ./pkg/lab/hostedsim pass.

--- a/pkg/dispatch/cold.go
+++ b/pkg/dispatch/cold.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
@@ -60,6 +61,23 @@
 	return cold
 }
 
+// limitDelay returns the time until a job is sent that waits because of the limits of its Upstreams,
+// with a number of jobs ahead of it. If all are cold, these take the places that are free first.
+func (d *Dispatcher) limitDelay(now core.Instant, j *job, ahead int) time.Duration {
+	if j.limitWait == 0 || !d.coldOnly(now, j) {
+		return time.Duration(ahead+1) * j.limitWait
+	}
+	var waits []time.Duration
+	for _, up := range d.byService[j.Service] {
+		if up.runs(j.IsModelRequest) && up.usable(now) {
+			waits = up.cold.AppendWaits(now, waits)
+		}
+	}
+	slices.Sort(waits)
+	rounds := time.Duration(ahead / len(waits))
+	return waits[ahead%len(waits)] + rounds*warmup.ReuseTime
+}
+
 // coldRefusal changes the refusal of a job that waited in vain for a cold Upstream. Another Instance may
 // be a sender of it, so the caller need not wait until the Upstream is warm.
 func (d *Dispatcher) coldRefusal(now core.Instant, j *job, refusal *core.Refusal) {
--- a/pkg/dispatch/cold_test.go
+++ b/pkg/dispatch/cold_test.go
@@ -77,13 +77,12 @@
 		count(d.Submit(now, plainJob(fmt.Sprint(i), now)))
 	}
 	is.Equal(calls, 4)
-	waiting := d.QueueLength()
-	is.True(waiting > 0)
-	is.Equal(waiting+refused, 16)
-	for range 40 {
+	is.Equal(d.QueueLength(), 4) // for the same places, 1.02 s later
+	is.Equal(refused, 12)
+	for range 30 {
 		now = now.Add(50 * time.Millisecond)
 		count(d.Tick(now))
 	}
-	is.Equal(calls, 4+min(4, waiting))
+	is.Equal(calls, 8)
 	is.Equal(d.QueueLength(), 0)
 }
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -553,7 +553,7 @@
 	case j.isLate():
 		latestStart, start = j.PlaceLateUntil, now
 	}
-	start = max(start, now.Add(time.Duration(ahead+1)*j.limitWait))
+	start = max(start, now.Add(d.limitDelay(now, j, ahead)))
 	if j.backoffWait > 0 {
 		start = max(start, now.Add(j.backoffWait+announce.RampUpDelay(ahead)))
 	}
--- a/pkg/warmup/warmup.go
+++ b/pkg/warmup/warmup.go
@@ -9,11 +9,11 @@
 //   - The senders of an Upstream are the members of highest hash of member and Upstream, as many as
 //     the budget has requests, or all members if there are fewer.
 //   - Each sender has an equal number of places. A request takes one, and a place is free again
-//     reuseTime after its last request. A hold and its run share a place. In any second a place
+//     ReuseTime after its last request. A hold and its run share a place. In any second a place
 //     therefore covers one request, or two at a decode engine, for which the budget is halved.
 //
 // So the senders of one view of the fleet send at most the budget in any second, whatever their
-// clocks show: only durations are measured, and reuseTime allows for a clock that is 2% fast.
+// clocks show: only durations are measured, and ReuseTime allows for a clock that is 2% fast.
 //
 // Views may differ. Let C be the members that are in all of them. A sender has fewer members of
 // higher hash than there are senders, in its own view and hence in C. The senders of all views
@@ -22,7 +22,7 @@
 // that and for Instances that do not know yet that the Upstream is cold. Members leave a view only
 // when the complete list of the store lacks them and no heartbeats of them arrive, never because they
 // are silent, so a partition changes no view. A member is hashed by its ID, so that a restart changes
-// none either. An Instance that has just started has no free places for reuseTime, in which the last
+// none either. An Instance that has just started has no free places for ReuseTime, in which the last
 // requests of its predecessor count, and waits for settleTime until it knows the others.
 package warmup
 
@@ -55,10 +55,11 @@
 const (
 	// views is the number of differing views of the fleet for which the limit has room.
 	views = 2
-	// window is the time in which the requests to an Upstream are counted, and reuseTime the time
-	// after which a place is used again: 2% more, because a clock may be fast and transit times vary.
-	window    = time.Second
-	reuseTime = window + window/50
+	// window is the time in which the requests to an Upstream are counted.
+	window = time.Second
+	// ReuseTime is the time after which a place is used again: 2% more than the window, because a clock
+	// may be fast and transit times vary.
+	ReuseTime = window + window/50
 	// requestsOfRun is the number of requests of a place at a decode engine: the hold, and the run or
 	// the release of the hold.
 	requestsOfRun = 2
@@ -222,9 +223,9 @@
 	u.limitedUntil = u.until.Add(time.Duration(fraction * float64(joinTime)))
 	places, senders := u.registry.share(rate, u.isDecode)
 	u.isSender = u.registry.complete && u.ahead < senders
-	u.reuse = reuseTime
+	u.reuse = ReuseTime
 	if requests := u.requestsOfPlace(); rate < requests { // a single place would exceed the rate
-		u.reuse = time.Duration(requests / rate * float64(reuseTime))
+		u.reuse = time.Duration(requests / rate * float64(ReuseTime))
 	}
 	for len(u.places) < places {
 		u.places = append(u.places, place{freeAt: u.registry.startedAt.Add(u.reuse)})
@@ -321,6 +322,23 @@
 	return max(0, first.Sub(now))
 }
 
+// AppendWaits appends the expected time until each place of this Instance is free, or until the
+// Upstream is warm if that is sooner. The run that ends the use of a place is expected soon.
+func (u *Upstream) AppendWaits(now core.Instant, waits []time.Duration) []time.Duration {
+	warm := max(0, u.limitedUntil.Sub(now))
+	if !u.isSender {
+		return append(waits, warm)
+	}
+	for _, p := range u.places {
+		wait := max(0, p.freeAt.Sub(now))
+		if p.holder != "" {
+			wait = min(wait, u.reuse)
+		}
+		waits = append(waits, min(warm, wait))
+	}
+	return waits
+}
+
 // Take counts a request that is sent now. The place of a hold stays taken until OnRun or Return, or
 // until the hold has expired. It is safe to call on nil.
 func (u *Upstream) Take(now core.Instant, id core.RequestID) {
