router: state the urgency of requests to model engines

Engines admit more urgent requests first and preempt others for them, but every request reached them without a priority, so that urgent streams queued behind routine ones there. Prefill and decode requests now state the priority of the account or route, cut to 0..9, where the priorities that the configuration gives to requests of the service differ. Plain services and services with one priority get no header, as before. The acquisition of a hold states none: it names no request, and its grant is by free memory.

--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -96,6 +96,8 @@
 	Hold     string
 	KVSource string
 	KV       string
+	// Urgency is the priority to state to a model engine, 0 for the most urgent, nil for none.
+	Urgency *int
 	// LastEventID is the id of the last event that the caller has received, for a
 	// stream that is resumed. Empty passes on what the caller sent.
 	LastEventID string
--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -104,6 +104,7 @@
 	attemptCtx, cancel := active.startAttempt(ctx, e.Attempt)
 	defer cancel()
 	req.HeaderTimeout = e.ResponseTimeout
+	req.Urgency = e.Urgency
 	kv, err := d.adapter.Upstreams.Prefill(attemptCtx, req)
 	if err != nil {
 		d.attemptFailed(attemptCtx, active, e.Attempt, e.Upstream, err)
@@ -201,7 +202,7 @@
 
 func (d *Daemon) decode(ctx context.Context, active *activeRequest, e router.StartDecode) {
 	req := d.upstreamRequest(active, e.Upstream, e.URL, e.Account, e.NotAfter, e.Deadline)
-	req.Hold, req.KVSource, req.KV = e.Hold, e.SourceURL, e.KV
+	req.Hold, req.KVSource, req.KV, req.Urgency = e.Hold, e.SourceURL, e.KV, e.Urgency
 	d.run(ctx, active, req, upstreamRun{
 		attempt: e.Attempt, upstream: e.Upstream, url: e.URL,
 		streaming: e.Streaming, resumable: e.Resumable, eventTimeout: e.EventTimeout, stallTimeout: e.StallTimeout,
--- a/pkg/router/effect.go
+++ b/pkg/router/effect.go
@@ -50,6 +50,8 @@
 	Account core.AccountID
 	// ResponseTimeout is the time within which the engine must respond.
 	ResponseTimeout time.Duration
+	// Urgency is the priority that a hosted Instance states to the engine, nil for none.
+	Urgency *int
 }
 
 // StartDecode makes a decode engine import the KV cache at the instant At and
@@ -84,6 +86,8 @@
 	// EventTimeout is the longest time to the first event and between two events.
 	// An engine that exceeds it is treated as not responding. 0 means no limit.
 	EventTimeout time.Duration
+	// Urgency is the priority that a hosted Instance states to the engine, nil for none.
+	Urgency *int
 }
 
 // StartCall sends a plain request to a replica of its service.
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -83,6 +83,7 @@
 	deadlines         schedule.Queue[core.Instant, core.RequestID]
 	fetches           map[StateKind]*stateFetch
 	services          map[core.ServiceName]*config.Service
+	hasUrgency        map[core.ServiceName]bool // see servicesWithUrgency
 	accountViews      map[core.AccountID]*config.ClientAccount
 	nextMemberListAt  core.Instant
 	nextQuotaUpdateAt core.Instant
@@ -280,6 +281,7 @@
 		}
 	}
 	h.dispatch.SetEngineCapacity(engines)
+	h.hasUrgency = servicesWithUrgency(e.Routing)
 	state := h.fleet.State()
 	state.Serving = true
 	h.fleet.SetState(state)
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -268,6 +268,7 @@
 		Request: rs.request.ID, Attempt: h.nextAttempt(rs), Upstream: id, URL: rs.hosted.prefillEngine.Addr,
 		At: now, NotAfter: rs.sendBefore(now), Deadline: rs.hosted.deadline, Priority: h.effectivePriority(rs), Account: rs.accountID(),
 		ResponseTimeout: min(max(minPrefillTimeout, prefillTimeoutFactor*expected), maxHoldDuration),
+		Urgency:         h.urgency(rs),
 	})
 	h.recordWithUpstream(now, "dispatch", "prefill", rs, id, fmt.Sprintf("decode=%s place=%d waited=%s", rs.hosted.upstream.ID, rs.holdTokens(), now.Sub(rs.arrivedAt)))
 }
@@ -363,7 +364,7 @@
 	h.emit(StartDecode{
 		Request: rs.request.ID, Attempt: h.nextAttempt(rs), Upstream: hr.upstream.ID, URL: hr.upstream.Addr,
 		SourceURL: source, KV: rs.kv, Hold: hr.holdID, At: now, NotAfter: rs.sendBefore(now), Deadline: hr.deadline,
-		Priority: h.effectivePriority(rs), Account: rs.accountID(),
+		Priority: h.effectivePriority(rs), Urgency: h.urgency(rs), Account: rs.accountID(),
 		Streaming: hr.route.Streaming, Resumable: hr.route.Resumable, EventTimeout: h.eventTimeout(rs), StallTimeout: h.stallTimeout(rs),
 	})
 	h.recordWithUpstream(now, "dispatch", "decode", rs, hr.upstream.ID, fmt.Sprintf("kv=%t hold=%t run=%d", rs.kv != "", hr.holdID != "", hr.executions))
