dispatch: choose Upstreams by the time that work takes there

Upstreams of one service differ in speed: engines of two generations, replicas that are slow for half a second, engines at five times the duration. The choice by count gave all of them the same work, and the load that answers state was dropped unread.

Package pace estimates the duration of work at each Upstream relative to the usual, from durations of prefills, calls and first events and from the stated load. The choices of prefill, decode and plain Upstreams, their refusals and the time to the first event use it. Equal paces give the choices of before.

The plain choice among 1,300 Upstreams no longer draws a random number for each tie.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -17,6 +17,7 @@
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/pace"
 	"github.com/rhubarbsill/rhubarbsill/pkg/throttle"
 )
 
@@ -30,6 +31,8 @@
 	// Backoff is the time for which the Upstream wants no requests from this Instance, 0 for
 	// none.
 	Backoff time.Duration
+	// Load is the load of the Upstream. Package pace keeps what follows from it.
+	Load pace.Load
 	// Invalid lists the statements that could not be read.
 	Invalid []Invalid
 }
@@ -44,7 +47,7 @@
 
 // IsEmpty reports whether the answer states nothing.
 func (a Announcement) IsEmpty() bool {
-	return !a.StatesRate && !a.Leaving && a.Backoff == 0 && len(a.Invalid) == 0
+	return !a.StatesRate && !a.Leaving && a.Backoff == 0 && !a.Load.Stated && len(a.Invalid) == 0
 }
 
 // Source is the Upstream of an answer.
--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -49,7 +49,7 @@
 }
 
 func (d *Dispatcher) distancePenalty(up *upstream) float64 {
-	return [...]float64{0, otherDataCentrePenalty, otherRegionPenalty}[d.distance(d.params.DataCentre, up.DataCentre)]
+	return [...]float64{0, otherDataCentrePenalty, otherRegionPenalty}[up.distance]
 }
 
 func (u *upstream) leaves() bool { return u.Leaving || u.announced.Leaving }
@@ -122,7 +122,7 @@
 			return 0, false
 		}
 		load := float64(tokens) / float64(max(1, size.MemoryTokens))
-		return load + d.distancePenalty(up) + failurePenalty*up.failureRate, true
+		return decodeScore(up, load) + d.distancePenalty(up) + failurePenalty*up.failureRate, true
 	})
 	return best
 }
@@ -134,18 +134,18 @@
 		if up.Stage != catalog.StagePrefill || !up.usable(now) {
 			return 0, false
 		}
-		return d.prefillTimeAt(up, j).Seconds() + prefillFailurePenalty.Seconds()*up.failureRate, true
+		return d.prefillTimeAt(up, j, up.paceFactor()).Seconds() + prefillFailurePenalty.Seconds()*up.failureRate, true
 	})
 }
 
 // prefillTimeAt estimates the time until the engine has finished the prefill of the job
-// and the decode engine can fetch its KV cache.
-func (d *Dispatcher) prefillTimeAt(up *upstream, j *job) time.Duration {
-	tokens := float64(up.own.Tokens + up.peer.Tokens + j.PromptTokens)
+// and the decode engine can fetch its KV cache, if the engine takes pace times the usual time.
+func (d *Dispatcher) prefillTimeAt(up *upstream, j *job, pace float64) time.Duration {
+	tokens := float64(up.own.Tokens+up.peer.Tokens+j.PromptTokens) * pace
 	duration := time.Duration(tokens / d.params.PrefillTokensPerSecond * float64(time.Second))
-	duration += transferDelay(d.distance(d.params.DataCentre, up.DataCentre))
+	duration += transferDelay(up.distance)
 	if j.decode != nil {
-		duration += transferDelay(d.distance(j.decode.DataCentre, up.DataCentre))
+		duration += transferDelay(up.distanceTo(j.decode))
 	}
 	return duration
 }
@@ -162,24 +162,24 @@
 		if up.Stage != catalog.StagePrefill || !up.usable(now) {
 			continue
 		}
-		if duration := d.prefillTimeAt(up, j); best < 0 || duration < best {
+		if duration := d.prefillTimeAt(up, j, boundedPace(up)); best < 0 || duration < best {
 			best = duration
 		}
 	}
 	return max(best, 0)
 }
 
-// choosePlain returns the Upstream of a plain service with the lowest load and
-// penalties, or nil when none has capacity. The failure rate is among the penalties, so
+// choosePlain returns the Upstream of a plain service with the earliest expected completion and the
+// lowest penalties, or nil when none has capacity. The failure rate is among the penalties, so
 // that an Upstream that accepts requests and fails them loses its traffic.
 func (d *Dispatcher) choosePlain(now core.Instant, j *job) *upstream {
 	return d.best(now, j, requestsOfCall, func(up *upstream) (float64, bool) {
 		requests := up.own.Requests + up.peer.Requests + 1
 		slots := max(1, up.Slots)
-		if !up.usable(now) || requests > maxPlainRequestsPerSlot*slots {
+		if !up.usable(now) || requests > maxPlainRequests(up, slots) {
 			return 0, false
 		}
-		return float64(requests)/float64(slots) + d.distancePenalty(up) + failurePenalty*up.failureRate, true
+		return plainScore(now, up, requests, slots) + d.distancePenalty(up) + failurePenalty*up.failureRate, true
 	})
 }
 
@@ -216,9 +216,9 @@
 // that are excluded; ties are broken at random. Upstreams in AvoidUpstreams are used only
 // when no other is usable.
 func (d *Dispatcher) lowest(j *job, excluded []*upstream, score func(*upstream) (float64, bool)) *upstream {
-	var best, avoided *upstream
+	var avoided *upstream
 	lowest := 0.0
-	ties := 0
+	ties := d.ties[:0]
 	for _, up := range d.byService[j.Service] {
 		if slices.Contains(excluded, up) {
 			continue
@@ -232,19 +232,20 @@
 			continue
 		}
 		switch {
-		case best == nil || value < lowest:
-			best, lowest, ties = up, value, 1
+		case len(ties) == 0 || value < lowest:
+			ties, lowest = append(ties[:0], up), value
 		case value == lowest:
-			ties++
-			if d.params.Rand.IntN(ties) == 0 {
-				best = up
-			}
+			ties = append(ties, up)
 		}
 	}
-	if best == nil {
+	d.ties = ties
+	switch len(ties) {
+	case 0:
 		return avoided
+	case 1:
+		return ties[0]
 	}
-	return best
+	return ties[d.params.Rand.IntN(len(ties))]
 }
 
 // MarkUnreachable records that an Upstream could not be reached or stopped responding.
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/announce"
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/pace"
 )
 
 // Job is a request to be placed on Upstreams.
@@ -132,6 +133,8 @@
 	Regions    map[core.DataCentreName]core.RegionName
 	// Announcements says what Upstreams announce, nil if they announce nothing.
 	Announcements Announcements
+	// Pace estimates how long work takes at Upstreams, nil if it takes the usual time at all.
+	Pace *pace.Registry
 	// QueueRetryInterval is the time after which the placement of waiting jobs is
 	// attempted again.
 	QueueRetryInterval time.Duration
@@ -194,6 +197,9 @@
 	firstEventDelay time.Duration
 	// placementRates estimates the speed of the queue of each service.
 	placementRates map[core.ServiceName]*placementRate
+	pacesRefreshAt core.Instant
+	overdue        []*upstream // see refreshOverdue
+	ties           []*upstream // of the last choice, kept for its capacity
 }
 
 type job struct {
@@ -203,6 +209,7 @@
 	decode    *upstream // MemoryTokens are held there
 	prefill   *upstream // PromptTokens count as its load
 	plain     *upstream
+	work      attemptWork // at prefill or plain
 	// limitWait is the time until an Upstream may be sent the job, if all usable ones are at the
 	// rate that they announce.
 	limitWait time.Duration
@@ -218,6 +225,8 @@
 	announced announce.Availability
 	own       Load
 	peer      Load
+	expectation
+	place
 	// fullUntil is the end of the backoff after a refused hold.
 	fullUntil core.Instant
 	// unreachableUntil is the end of the backoff after a failed connection.
@@ -261,6 +270,8 @@
 			up = &upstream{}
 		}
 		up.Upstream = entry
+		up.place = d.placeOf(entry)
+		d.updatePace(now, up)
 		up.announced = d.params.Announcements.Availability(entry.ID)
 		d.upstreams[entry.ID] = up
 		d.byService[entry.Service] = append(d.byService[entry.Service], up)
@@ -319,12 +330,14 @@
 		return "", 0, false
 	}
 	j.decode.consecutiveFailures = 0
+	d.refreshPaces(now)
 	up := d.choosePrefill(now, j)
 	if up == nil {
 		return "", 0, false
 	}
-	duration := d.prefillTimeAt(up, j)
+	duration := d.prefillTimeAt(up, j, up.paceFactor())
 	j.prefill = up
+	j.work = prefillWork(now, up, j)
 	up.own.Requests++
 	up.own.Tokens += j.PromptTokens
 	return up.ID, duration, true
@@ -426,6 +439,7 @@
 // placeQueue places the waiting jobs in order. A job that can't be placed does not block
 // those behind it that need another service or less memory.
 func (d *Dispatcher) placeQueue(now core.Instant) []Output {
+	d.refreshPaces(now)
 	var outputs []Output
 	remaining := d.queue[:0]
 	ahead := map[core.ServiceName]int{}
@@ -495,6 +509,7 @@
 		return nil
 	}
 	j.plain = up
+	j.work = plainWork(now, up)
 	up.own.Requests++
 	return Call{ID: j.ID, Upstream: up.ID}
 }
@@ -569,10 +584,10 @@
 }
 
 // timeToFirstEvent returns the expected time from the placement of a job to the first
-// event of its response, 0 for plain requests.
+// event of its response. For plain requests it is the time beyond the usual.
 func (d *Dispatcher) timeToFirstEvent(now core.Instant, j *job) time.Duration {
 	if !j.IsModelRequest {
-		return 0
+		return d.plainDelay(now, j)
 	}
 	return d.shortestPrefillTime(now, j) + d.firstEventDelay
 }
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -325,7 +325,7 @@
 	}
 	if _, tick := event.(router.Tick); tick && time.Since(d.lastGaugeRead) >= gaugeInterval {
 		d.lastGaugeRead = time.Now()
-		gauges := d.router.HostedGauges()
+		gauges := d.router.HostedGauges(d.now())
 		d.setLiveInstances(int64(gauges.LiveInstances))
 		d.follower.Store(!gauges.Reader)
 		d.metrics.SetReachableInstances(gauges.LiveInstances)
@@ -333,6 +333,9 @@
 		for service, n := range gauges.Queued {
 			d.metrics.SetQueueLength(service, n)
 		}
+		for _, s := range gauges.Paces {
+			d.metrics.SetPaceSpread(s.Service, string(s.Stage), s.Fastest, s.Slowest, s.Slow)
+		}
 	}
 }
 
--- a/pkg/lab/hostedsim/announcements.go
+++ b/pkg/lab/hostedsim/announcements.go
@@ -5,6 +5,7 @@
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/announce"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/pace"
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
 	"github.com/rhubarbsill/rhubarbsill/pkg/throttle"
 )
@@ -41,6 +42,7 @@
 
 // answer is what the Upstream announces in one answer.
 type answer struct {
+	load    pace.Load
 	limit   *announcedLimit
 	leaving *leaving
 	backoff time.Duration
@@ -48,7 +50,7 @@
 
 // answerOf returns what an Upstream announces in an answer that it sends now.
 func (w *Simulation) answerOf(id core.UpstreamID) answer {
-	return answer{limit: w.limits[id], leaving: w.leaving[id]}
+	return answer{load: w.loadOf(id), limit: w.limits[id], leaving: w.leaving[id]}
 }
 
 // refusalTo returns the answer of an Upstream that refuses a request of an Instance now.
@@ -125,7 +127,7 @@
 
 // deliverAnswer reports to an Instance what an answer that has just arrived announces.
 func (w *Simulation) deliverAnswer(inst *instance, id core.UpstreamID, sentAt core.Instant, a answer, statesRate bool) {
-	announcement := announce.Announcement{StatesRate: statesRate || a.limit != nil, Backoff: a.backoff}
+	announcement := announce.Announcement{StatesRate: statesRate || a.limit != nil, Backoff: a.backoff, Load: a.load}
 	if a.limit != nil {
 		announcement.Rate = throttle.Announcement{Limited: true, RequestsPerSecond: a.limit.perSecond}
 		w.noteTold(a.limit.told, inst)
--- a/pkg/lab/hostedsim/callers.go
+++ b/pkg/lab/hostedsim/callers.go
@@ -14,6 +14,7 @@
 type job struct {
 	account      core.AccountID
 	stream       bool
+	path         string
 	load         Load
 	dc           core.DataCentreName
 	firstSentAt  core.Instant // send time of the first request
@@ -40,13 +41,14 @@
 
 // scheduleLoad schedules the arrivals of both kinds of request.
 func (w *Simulation) scheduleLoad() {
-	w.scheduleArrivals(w.x.Streams, true)
-	w.scheduleArrivals(w.x.Calls, false)
+	w.scheduleArrivals(w.x.Streams, streamPath)
+	w.scheduleArrivals(w.x.Calls, callPath)
+	w.scheduleArrivals(w.x.Routine, routinePath)
 }
 
 // scheduleArrivals generates a Poisson process by thinning: arrivals are drawn at the peak
 // rate and accepted with the ratio of the current rate to it.
-func (w *Simulation) scheduleArrivals(load Load, stream bool) {
+func (w *Simulation) scheduleArrivals(load Load, path string) {
 	peak := 1.0
 	for _, fault := range w.x.Faults {
 		if fault.Kind == FaultBurst {
@@ -71,7 +73,7 @@
 			point := w.rng.Float64() * total * peak
 			for _, account := range w.x.Accounts {
 				if point -= account.Share * w.loadFactor[account.Name]; point < 0 {
-					w.startJob(account.Name, load, stream)
+					w.startJob(account.Name, load, path)
 					return
 				}
 			}
@@ -80,8 +82,9 @@
 	next()
 }
 
-func (w *Simulation) startJob(account core.AccountID, load Load, stream bool) {
-	j := &job{account: account, stream: stream, load: load, firstSentAt: w.now, retriesLeft: load.Retries}
+func (w *Simulation) startJob(account core.AccountID, load Load, path string) {
+	stream := path != callPath
+	j := &job{account: account, stream: stream, path: path, load: load, firstSentAt: w.now, retriesLeft: load.Retries}
 	j.dc = w.instances[w.rng.IntN(len(w.instances))].member.DataCentre
 	if stream {
 		j.promptTokens = w.drawAround(load.PromptTokens)
@@ -128,11 +131,10 @@
 	w.requests[a.id] = a
 	key := keyOf(j.account)
 	request := router.Request{
-		ID: a.id, Host: host, Path: callPath, Key: &key, Deadline: w.now.Add(millis(j.load.TimeoutMS)),
+		ID: a.id, Host: host, Path: j.path, Key: &key, Deadline: w.now.Add(millis(j.load.TimeoutMS)),
 	}
 	binary.BigEndian.PutUint64(request.Fingerprint[:], uint64(w.requestCount))
 	if j.stream {
-		request.Path = streamPath
 		request.PromptTokens, request.ExpectedOutput, request.HasTokenCounts = j.promptTokens, j.outputHint, true
 		request.MaxOutputTokens = 2 * j.load.OutputTokens
 	}
@@ -221,6 +223,7 @@
 	if a.stream {
 		start = a.firstEventAt
 	}
+	w.result.Times[a.path] = append(w.result.Times[a.path], start.Sub(a.firstSentAt))
 	if start.Sub(a.firstSentAt) <= millis(a.load.TargetMS) && !a.pauseExceeded {
 		w.result.countOutcome(w, a, outcomeOnTime)
 		return
--- a/pkg/lab/hostedsim/experiment.go
+++ b/pkg/lab/hostedsim/experiment.go
@@ -25,14 +25,26 @@
 	DecodeEngines  int `json:"decode_engines"`
 	PlainUpstreams int `json:"plain_upstreams"`
 
-	Engine   EngineSettings    `json:"engine"`
-	Plain    PlainSettings     `json:"plain"`
-	Streams  Load              `json:"streams"`
+	Engine  EngineSettings `json:"engine"`
+	Plain   PlainSettings  `json:"plain"`
+	Streams Load           `json:"streams"`
+	// Routine are further streams, usually less urgent than Streams.
+	Routine  Load              `json:"routine"`
 	Calls    Load              `json:"calls"`
 	Accounts []AccountSettings `json:"accounts"`
 	// SingleEntry makes all callers use the first live Instance.
-	SingleEntry bool    `json:"single_entry"`
-	Faults      []Fault `json:"faults"`
+	SingleEntry bool `json:"single_entry"`
+	// EngineDurations are the durations of work at the engines relative to the settings, in turn.
+	// Without any, all engines are equal.
+	EngineDurations []float64 `json:"engine_durations"`
+	// StatesLoad makes Upstreams state their load and the duration of work in their answers.
+	StatesLoad bool `json:"states_load"`
+	// IgnorePace makes the Instances take all Upstreams as equally fast, and IgnoreUrgency the engines
+	// all requests as equally urgent, to compare.
+	IgnorePace    bool `json:"ignore_pace"`
+	IgnoreUrgency bool `json:"ignore_urgency"`
+
+	Faults []Fault `json:"faults"`
 }
 
 // EngineSettings describe each model engine.
@@ -51,6 +63,11 @@
 type PlainSettings struct {
 	Slots  int     `json:"slots"`
 	WorkMS float64 `json:"work_ms"`
+	// For SlowShare of the time, in spells of SlowMS on average, a request takes SlowFactor times as
+	// long.
+	SlowFactor float64 `json:"slow_factor"`
+	SlowShare  float64 `json:"slow_share"`
+	SlowMS     float64 `json:"slow_ms"`
 }
 
 // Load describes the load of one kind of request.
@@ -68,6 +85,8 @@
 	TimeoutMS float64 `json:"timeout_ms"`
 	// SafeToRetry requests may run more than once.
 	SafeToRetry bool `json:"repeatable"`
+	// Priority is that of the route, 0 for the most urgent.
+	Priority int `json:"priority"`
 	// Retries is the maximum number of retries by a caller.
 	Retries int `json:"retries"`
 }
@@ -209,6 +228,17 @@
 			add("%s: per_second must not be negative, target_ms above 0, timeout_ms not below target_ms", name)
 		}
 	}
+	if x.Routine.PerSecond < 0 || x.Routine.PerSecond > 0 && (x.Routine.TargetMS <= 0 || x.Routine.TimeoutMS < x.Routine.TargetMS) {
+		add("routine: per_second must not be negative, target_ms above 0, timeout_ms not below target_ms")
+	}
+	if p := x.Plain; p.SlowShare < 0 || p.SlowShare >= 1 || p.SlowShare > 0 && (p.SlowFactor <= 0 || p.SlowMS <= 0) {
+		add("plain: slow_share must be from 0 to below 1, slow_factor and slow_ms above 0 with it")
+	}
+	for i, duration := range x.EngineDurations {
+		if duration <= 0 {
+			add("engine_durations[%d]: %v must be above 0", i, duration)
+		}
+	}
 	names := map[core.AccountID]bool{}
 	total := 0.0
 	for i, account := range x.Accounts {
--- a/pkg/lab/hostedsim/result.go
+++ b/pkg/lab/hostedsim/result.go
@@ -63,7 +63,11 @@
 // Result holds what callers and Upstreams observed.
 type Result struct {
 	Streams Counts
+	Routine Counts
 	Calls   Counts
+	// Times are the times to the response, or to the first event of a stream, of the requests that
+	// completed, by the path of the route.
+	Times map[string][]time.Duration
 	// Windows counts both kinds by the time the first request was sent.
 	Windows  []Counts
 	Accounts map[core.AccountID]*Counts
@@ -97,7 +101,7 @@
 }
 
 func newResult(x Experiment) *Result {
-	r := &Result{x: x, Accounts: map[core.AccountID]*Counts{}, Arrivals: map[core.UpstreamID][]core.Instant{}, usage: map[core.AccountID][]usage{}}
+	r := &Result{x: x, Times: map[string][]time.Duration{}, Accounts: map[core.AccountID]*Counts{}, Arrivals: map[core.UpstreamID][]core.Instant{}, usage: map[core.AccountID][]usage{}}
 	r.Windows = make([]Counts, int(seconds(x.Seconds)/windowLength)+1)
 	for _, account := range x.Accounts {
 		r.Accounts[account.Name] = &Counts{}
@@ -111,8 +115,11 @@
 
 func (r *Result) rows(w *Simulation, j *job) []*Counts {
 	kind := &r.Calls
-	if j.stream {
+	switch j.path {
+	case streamPath:
 		kind = &r.Streams
+	case routinePath:
+		kind = &r.Routine
 	}
 	return []*Counts{kind, r.Accounts[j.account], &r.Windows[int(j.firstSentAt.Sub(w.start)/windowLength)]}
 }
@@ -173,6 +180,9 @@
 		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%s\n", name, c.Requests, c.OnTime, c.Late, c.Refused, c.Failed, 100*c.Goodput(), plot)
 	}
 	row("streams", r.Streams, "")
+	if r.x.Routine.PerSecond > 0 {
+		row("routine", r.Routine, "")
+	}
 	row("calls", r.Calls, "")
 	worst, share := core.AccountID(""), 2.0
 	for _, account := range r.x.Accounts {
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -28,6 +28,7 @@
 	plainService = core.ServiceName("plain")
 	host         = "site"
 	streamPath   = "/stream/"
+	routinePath  = "/routine/"
 	callPath     = "/call/"
 	// callTokens is the charge for a plain request.
 	callTokens = 200
@@ -109,7 +110,7 @@
 	}
 	end := w.start.Add(seconds(x.Seconds))
 	w.runUntil(end)
-	w.runUntil(end.Add(seconds(x.Streams.TimeoutMS/1000) + time.Second)) // requests in progress may end
+	w.runUntil(end.Add(millis(max(x.Streams.TimeoutMS, x.Routine.TimeoutMS)) + time.Second)) // requests in progress may end
 	w.result.finish(w)
 	return w.result, nil
 }
@@ -136,7 +137,8 @@
 		}
 		for i := range x.PlainUpstreams {
 			id := core.UpstreamID(fmt.Sprintf("plain-%s-%d", dc, i))
-			w.plain[id] = &plainUpstream{sim: w, id: id, dc: dc, generation: 1}
+			w.plain[id] = &plainUpstream{sim: w, id: id, dc: dc, generation: 1, slowFactor: 1}
+			w.plain[id].startSpells()
 		}
 		for i := range x.Instances {
 			ref := core.InstanceRef{ID: core.InstanceID(fmt.Sprintf("%s-%03d", dc, i)), Incarnation: 1}
@@ -172,6 +174,13 @@
 			Engine: &config.EngineProfile{Slots: w.x.Engine.Slots, KVCacheTokens: w.x.Engine.MemoryTokens, MaxHoldDuration: 2 * time.Second},
 		}, {Name: plainService}},
 	}
+	r.Routes[0].Priority = stream.Priority
+	if routine := w.x.Routine; routine.PerSecond > 0 {
+		route := r.Routes[0]
+		route.Prefix, route.Resumable, route.Priority = routinePath, routine.SafeToRetry, routine.Priority
+		route.Timeout, route.LatencyTarget, route.EventIntervalTarget = millis(routine.TimeoutMS), millis(routine.TargetMS), millis(routine.PauseMS)
+		r.Routes = append(r.Routes, route)
+	}
 	for _, account := range w.x.Accounts {
 		r.Accounts = append(r.Accounts, config.HostedAccount{
 			ID: account.Name, Keys: []config.KeyDigest{keyOf(account.Name)}, Rate: account.Rate, Burst: account.Burst, DefaultCostTokens: callTokens,
@@ -206,7 +215,7 @@
 		Hosted: &router.HostedParams{
 			Member: inst.member, Dispatch: dispatch.Params{Regions: w.x.DataCentres},
 			Retry:      retry.Params{Ratio: 0.2, Allowance: 56, Window: 10 * time.Second},
-			AddressTTL: time.Second, GracePeriod: 8 * time.Second,
+			AddressTTL: time.Second, GracePeriod: 8 * time.Second, IgnorePace: w.x.IgnorePace,
 		},
 	})
 	members := make([]fleet.Member, 0, len(w.instances))
--- a/pkg/lab/hostedsim/upstreams.go
+++ b/pkg/lab/hostedsim/upstreams.go
@@ -23,6 +23,8 @@
 	generation int64
 	slowFactor float64
 	busyUntil  core.Instant // end of the queued prefills
+	prefills   []prefill    // not yet started
+	prefilling bool
 	caches     map[string]int
 	holds      map[string]hold
 	lastID     int
@@ -38,6 +40,8 @@
 // stream is a request that a decode engine runs.
 type stream struct {
 	call         *call
+	priority     int
+	urgency      *int
 	heldTokens   int // memory reserved by the hold
 	usedTokens   int
 	eventsLeft   int // not yet emitted
@@ -46,8 +50,12 @@
 }
 
 func (w *Simulation) addEngine(id core.UpstreamID, dc core.DataCentreName, stage catalog.Stage) {
+	factor := 1.0
+	if durations := w.x.EngineDurations; len(durations) > 0 {
+		factor = durations[len(w.engines)%len(durations)]
+	}
 	w.engines[id] = &engine{
-		sim: w, id: id, dc: dc, stage: stage, up: true, registered: true, generation: 1, slowFactor: 1,
+		sim: w, id: id, dc: dc, stage: stage, up: true, registered: true, generation: 1, slowFactor: factor,
 		caches: map[string]int{}, holds: map[string]hold{},
 	}
 }
@@ -122,12 +130,20 @@
 
 func (e *engine) releaseHold(name string) { delete(e.holds, name) }
 
-// enqueuePrefill queues the prefill of a prompt and returns the time until it is done.
-func (e *engine) enqueuePrefill(tokens int) time.Duration {
+// enqueuePrefill queues the prefill of a prompt. done runs when it is complete. Without routine streams
+// all requests are equally urgent and the time is known from the start.
+func (e *engine) enqueuePrefill(tokens int, urgency *int, done func()) {
+	if e.sim.x.Routine.PerSecond > 0 {
+		if e.sim.x.IgnoreUrgency {
+			urgency = nil
+		}
+		e.queuePrefill(tokens, urgency, done)
+		return
+	}
 	delay := seconds(float64(tokens) / e.sim.x.Engine.PrefillTokensPerSecond * e.slowFactor)
 	e.busyUntil = max(e.busyUntil, e.sim.now).Add(delay)
 	e.sim.result.PromptTokens += int64(tokens)
-	return e.busyUntil.Sub(e.sim.now)
+	e.sim.after(e.busyUntil.Sub(e.sim.now), done)
 }
 
 func (w *Simulation) startPrefill(inst *instance, q router.StartPrefill) {
@@ -135,7 +151,7 @@
 	w.openCall(inst, q.Request, q.Attempt, q.Upstream, e.dc, func() bool { return e.up }, func(c *call) {
 		generation := e.generation
 		w.after(q.ResponseTimeout, func() { w.failCall(c, attempts.FailStalled, true, false) })
-		w.after(e.enqueuePrefill(c.caller.promptTokens), func() {
+		e.enqueuePrefill(c.caller.promptTokens, q.Urgency, func() {
 			if !e.up || e.generation != generation || c.ended {
 				return
 			}
@@ -161,7 +177,7 @@
 			}
 			delete(source.caches, q.KV)
 		}
-		s := &stream{call: c, heldTokens: h.tokens, usedTokens: c.caller.promptTokens + c.caller.relayedEvents*w.x.Engine.EventTokens, eventsLeft: c.caller.eventCount - c.caller.relayedEvents}
+		s := &stream{call: c, priority: priorityOf(q.Urgency), urgency: q.Urgency, heldTokens: h.tokens, usedTokens: c.caller.promptTokens + c.caller.relayedEvents*w.x.Engine.EventTokens, eventsLeft: c.caller.eventCount - c.caller.relayedEvents}
 		if !held && !e.fits(s.usedTokens) {
 			w.failCall(c, attempts.FailFull, true, true)
 			return
@@ -170,7 +186,7 @@
 		c.release = func() { e.removeStream(s) }
 		e.streams = append(e.streams, s)
 		if q.KV == "" {
-			w.after(e.enqueuePrefill(s.usedTokens), func() { e.scheduleEvent(s) })
+			e.enqueuePrefill(s.usedTokens, s.urgency, func() { e.scheduleEvent(s) })
 			return
 		}
 		w.after(withinRegionDelay, func() { e.scheduleEvent(s) })
@@ -206,8 +222,12 @@
 // preempt moves the most recent stream to the preempted list. Its tokens are prefilled
 // again when it resumes.
 func (e *engine) preempt() {
-	last := e.streams[len(e.streams)-1]
-	e.streams = e.streams[:len(e.streams)-1]
+	index := len(e.streams) - 1
+	if e.sim.x.Routine.PerSecond > 0 && !e.sim.x.IgnoreUrgency {
+		index = e.leastUrgent()
+	}
+	last := e.streams[index]
+	e.streams = slices.Delete(e.streams, index, index+1)
 	e.preempted = append(e.preempted, last)
 	e.sim.result.Preemptions++
 }
@@ -221,7 +241,7 @@
 		resumed := e.preempted[0]
 		e.preempted = e.preempted[1:]
 		e.streams = append(e.streams, resumed)
-		e.sim.after(e.enqueuePrefill(resumed.usedTokens), func() { e.scheduleEvent(resumed) })
+		e.enqueuePrefill(resumed.usedTokens, resumed.urgency, func() { e.scheduleEvent(resumed) })
 	}
 }
 
@@ -235,6 +255,7 @@
 		e.sim.failCall(s.call, attempts.FailCrashed, true, false)
 	}
 	e.streams, e.preempted, e.busyUntil = nil, nil, 0
+	e.prefills, e.prefilling = nil, false
 	clear(e.holds)
 	clear(e.caches)
 	generation := e.generation
@@ -260,6 +281,7 @@
 	queue   []func()
 	// generation counts the starts.
 	generation int64
+	slowFactor float64
 }
 
 func (w *Simulation) startCall(inst *instance, q router.StartCall) {
@@ -267,7 +289,7 @@
 	w.openCall(inst, q.Request, q.Attempt, q.Upstream, p.dc, func() bool { return true }, func(c *call) {
 		w.onExecution(c)
 		p.queue = append(p.queue, func() {
-			w.after(millis(w.x.Plain.WorkMS), func() {
+			w.after(p.workTime(), func() {
 				w.endCall(c, p.dc, router.ResponseCompleted{Request: c.caller.id, Attempt: c.attempt, Status: 200})
 				p.running--
 				p.startQueued()
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/pace"
 	"github.com/rhubarbsill/rhubarbsill/pkg/poison"
 	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
 	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
@@ -31,6 +32,8 @@
 	AddressTTL time.Duration
 	// GracePeriod is the time from ShutdownRequested to the end of the process.
 	GracePeriod time.Duration
+	// IgnorePace takes all Upstreams as equally fast, to compare.
+	IgnorePace bool
 }
 
 const (
@@ -73,7 +76,9 @@
 	crashing *poison.Detector
 	// announcements holds what Upstreams state about themselves.
 	announcements *announce.Registry
-	fleet         *fleet.Fleet
+	// paces holds how long work takes at Upstreams, nil if that is ignored.
+	paces *pace.Registry
+	fleet *fleet.Fleet
 
 	pending           pendingConfirmation
 	configRevision    core.StoreRevision
@@ -97,6 +102,11 @@
 	p.Dispatch.DataCentre = p.Member.DataCentre
 	announcements := announce.New(p.Member.Ref, r.params.Rand)
 	p.Dispatch.Announcements = announcements
+	paces := pace.New()
+	if p.IgnorePace {
+		paces = nil
+	}
+	p.Dispatch.Pace = paces
 	return &hosted{
 		Router:        r,
 		params:        p,
@@ -107,6 +117,7 @@
 		poison:        poison.New(poison.Params{}),
 		crashing:      poison.New(poison.Params{TrialDelay: crashTrialDelay}),
 		announcements: announcements,
+		paces:         paces,
 		fleet:         fleet.New(p.Member, p.Fleet),
 
 		fetches:      map[StateKind]*stateFetch{},
@@ -230,6 +241,7 @@
 		h.recordEvent(now, "fleet", "peer forgotten", string(id))
 	}
 	h.fetchOverdueStates(now)
+	h.recordPaces(now)
 	due := h.fleet.DueHeartbeats(now)
 	if len(due) > 0 {
 		h.sendHeartbeats(now, due)
@@ -368,6 +380,7 @@
 	revision, _ := h.catalog.Revision()
 	list := h.catalog.Upstreams()
 	h.announcements.SetUpstreams(now, list)
+	h.paces.SetUpstreams(now, list)
 	h.recordEvent(now, "catalog", "upstreams "+why, "count="+strconv.Itoa(len(list))+
 		" revision="+revision.String()+" from="+string(from))
 	h.emit(UpstreamsUpdated{Revision: revision, Upstreams: h.catalog.Registered()})
@@ -396,14 +409,16 @@
 	Version core.Version
 	// Queued counts the requests that wait for an Upstream, per service.
 	Queued map[core.ServiceName]int
+	// Paces holds how much the Upstreams of each service and stage differ in speed.
+	Paces []pace.Spread
 }
 
 // HostedGauges returns the current values. The Router must be hosted.
-func (r *Router) HostedGauges() HostedGauges {
+func (r *Router) HostedGauges(now core.Instant) HostedGauges {
 	h := r.hosted
 	waiting := h.dispatch.QueueLengthByService()
 	for name := range h.services {
 		waiting[name] += 0 // also reports empty queues
 	}
-	return HostedGauges{LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting}
+	return HostedGauges{LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting, Paces: h.paces.Spreads(now)}
 }
--- a/pkg/router/hosted_announce.go
+++ b/pkg/router/hosted_announce.go
@@ -10,6 +10,7 @@
 
 // onUpstreamAnswered processes what an answer states about its Upstream.
 func (h *hosted) onUpstreamAnswered(now core.Instant, e UpstreamAnswered) {
+	h.observeLoad(now, e)
 	for _, event := range h.announcements.Observe(now, e.Source, e.Announcement) {
 		if !event.Repeated {
 			h.recordAnnouncement(now, e.Source.Upstream, event)
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -279,6 +279,7 @@
 		h.emitReleaseKV(now, ReleaseKV{Upstream: e.Upstream, Addr: e.Addr, KV: e.KV})
 		return
 	}
+	h.dispatch.ObservePrefill(now, rs.request.ID)
 	h.dispatch.OnPrefillDone(rs.request.ID)
 	h.dispatch.RecordOutcome(rs.hosted.prefillEngine.ID, true)
 	rs.kv = e.KV
@@ -395,6 +396,7 @@
 	}
 	rs.hosted.firstEventAt = now
 	h.processSurvived(now, rs)
+	h.observeFirstEvent(now, rs)
 	if rs.firstTokenAt != 0 {
 		return
 	}
@@ -410,6 +412,7 @@
 		return
 	}
 	if rs.attempt == e.Attempt {
+		h.observeCompletion(now, rs, e)
 		h.dispatch.RecordOutcome(rs.hosted.upstream.ID, e.Status < 500)
 	} else { // the response was complete when its attempt was cancelled as stalled
 		h.cancelAttempt(rs)
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -126,6 +126,7 @@
 		return
 	}
 	h.cancelAttempt(rs)
+	h.dispatch.ObservePlain(now, rs.request.ID) // it takes at least this long
 	h.recordFailure(now, rs, failure)
 	h.emit(Observe{Observation: Observation{Service: rs.service.Name, Hosted: &HostedOutcome{Failure: failure.Kind}}})
 	rs.hosted.deliveries++
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -107,6 +107,8 @@
 	upstreamFailures   metric.Int64Counter
 	retries            metric.Int64Counter
 	announcements      metric.Int64Counter
+	paceSpread         metric.Int64Gauge
+	slowUpstreams      metric.Int64Gauge
 	reachableInstances metric.Int64Gauge
 	configVersion      metric.Int64Gauge
 	storeWatchFailing  metric.Int64Gauge
@@ -151,6 +153,8 @@
 	m.upstreamFailures = b.counter("upstream_failures", "{call}", "Failed calls to upstreams by kind.")
 	m.retries = b.counter("resends", "{request}", "Requests sent to another upstream after a failed call.")
 	m.announcements = b.counter("upstream_announcements", "{announcement}", "New announcements of upstreams about themselves by kind.")
+	m.paceSpread = b.gauge("upstream_pace", "%", "Estimated duration of work at the fastest and the slowest upstream of a service and stage, 100 for the usual.")
+	m.slowUpstreams = b.gauge("upstreams_slow", "{upstream}", "Upstreams of a service and stage that have turned slow.")
 	m.reachableInstances = b.gauge("instances_heard", "{instance}", "Instances that are heard, this one included.")
 	m.configVersion = b.gauge("config_version", "{version}", "Configuration version in force, 0 for none.")
 	m.storeWatchFailing = b.gauge("store_lost", "{watch}", "1 while a watch of the store fails.")
@@ -252,6 +256,17 @@
 	m.announcements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
 }
 
+// SetPaceSpread records how long work takes at the fastest and the slowest Upstream of a service and
+// stage relative to the usual, and how many have turned slow.
+func (m *Metrics) SetPaceSpread(service core.ServiceName, stage string, fastest, slowest float64, slow int) {
+	group := []attribute.KeyValue{serviceLabel(service), attribute.String("stage", stage)}
+	for bound, pace := range map[string]float64{"fastest": fastest, "slowest": slowest} {
+		labels := append([]attribute.KeyValue{attribute.String("bound", bound)}, group...)
+		m.paceSpread.Record(context.Background(), int64(100*pace+0.5), metric.WithAttributes(labels...))
+	}
+	m.slowUpstreams.Record(context.Background(), int64(slow), metric.WithAttributes(group...))
+}
+
 // SetReachableInstances records the number of live Instances, this one included.
 func (m *Metrics) SetReachableInstances(n int) {
 	m.reachableInstances.Record(context.Background(), int64(n))
