--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -6,7 +6,7 @@
 // that do the same work; they are accurate on average and late. The figure that an Upstream states
 // itself is up to date and may be false. A stated figure counts while it is fresh and within a
 // bound of the measured one. Both decay, so that an Upstream that gets no requests because of its
-// estimate is tried again. A wrong estimate costs time, never a request.
+// estimate is tried again. A wrong estimate costs time.
 package pace
 
 import (
