--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -134,7 +134,7 @@
 		if up.Stage != catalog.StagePrefill || !up.usable(now) {
 			return 0, false
 		}
-		return d.prefillTimeAt(up, j, up.paceFactor()).Seconds() + prefillFailurePenalty.Seconds()*up.failureRate, true
+		return float64(d.prefillTimeAt(up, j, up.paceFactor())) + float64(prefillFailurePenalty)*up.failureRate, true
 	})
 }
 
