--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -17,6 +17,7 @@
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/pace"
 	"github.com/rhubarbsill/rhubarbsill/pkg/throttle"
 )
 
@@ -32,6 +33,8 @@
 	Backoff time.Duration
 	// ColdFor is the time for which the Upstream stays cold, 0 for none stated.
 	ColdFor time.Duration
+	// Load is the load of the Upstream. Package pace keeps what follows from it.
+	Load pace.Load
 	// Invalid lists the statements that could not be read.
 	Invalid []Invalid
 }
@@ -46,7 +49,7 @@
 
 // IsEmpty reports whether the answer states nothing.
 func (a Announcement) IsEmpty() bool {
-	return !a.StatesRate && !a.Leaving && a.Backoff == 0 && a.ColdFor == 0 && len(a.Invalid) == 0
+	return !a.StatesRate && !a.Leaving && a.Backoff == 0 && a.ColdFor == 0 && !a.Load.Stated && len(a.Invalid) == 0
 }
 
 // Source is the Upstream of an answer.
--- a/pkg/dispatch/cold.go
+++ b/pkg/dispatch/cold.go
@@ -100,6 +100,7 @@
 // setEntry sets the entry of a registered Upstream.
 func (d *Dispatcher) setEntry(up *upstream, entry catalog.Upstream) {
 	up.Upstream = entry
+	up.place = d.placeOf(entry)
 	up.region = d.params.Regions[entry.DataCentre]
 	up.announced = d.params.Announcements.Availability(entry.ID)
 	up.cold = d.coldState(entry.ID)
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -352,6 +352,9 @@
 			d.metrics.SetQueueLength(service, n)
 		}
 		d.recordEvacuationGauges(gauges.Evacuations)
+		for _, s := range gauges.Paces {
+			d.metrics.SetPaceSpread(s.Service, string(s.Stage), s.Fastest, s.Slowest, s.Slow)
+		}
 	}
 }
 
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
 	"github.com/rhubarbsill/rhubarbsill/pkg/evacuation"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/pace"
 	"github.com/rhubarbsill/rhubarbsill/pkg/poison"
 	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
 	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
@@ -40,6 +41,8 @@
 	// EvacuationBound is the time after which the evacuation of a DataCentre binds every Instance, 0 if
 	// the deployment has none.
 	EvacuationBound time.Duration
+	// IgnorePace takes all Upstreams as equally fast, to compare.
+	IgnorePace bool
 }
 
 const (
@@ -88,6 +91,8 @@
 	fleet         *fleet.Fleet
 	evacuations   *evacuation.State
 	evacuationLog evacuationLog
+	// paces holds how long work takes at Upstreams, nil if that is ignored.
+	paces *pace.Registry
 
 	pending           pendingConfirmation
 	evacuationWait    evacuationWait
@@ -98,6 +103,7 @@
 	deadlines         schedule.Queue[core.Instant, core.RequestID]
 	fetches           map[StateKind]*stateFetch
 	services          map[core.ServiceName]*config.Service
+	hasUrgency        map[core.ServiceName]bool // see servicesWithUrgency
 	accountViews      map[core.AccountID]*config.ClientAccount
 	nextMemberListAt  core.Instant
 	nextQuotaUpdateAt core.Instant
@@ -116,6 +122,11 @@
 	announcements := announce.New(p.Member.Ref, r.params.Rand)
 	p.Dispatch.Announcements = announcements
 	cold := newWarmup(&p)
+	paces := pace.New()
+	if p.IgnorePace {
+		paces = nil
+	}
+	p.Dispatch.Pace = paces
 	return &hosted{
 		Router:        r,
 		params:        p,
@@ -127,6 +138,7 @@
 		crashing:      poison.New(poison.Params{TrialDelay: crashTrialDelay}),
 		announcements: announcements,
 		warmup:        cold,
+		paces:         paces,
 		fleet:         fleet.New(p.Member, p.Fleet),
 		evacuations:   evacuation.New(evacuation.Params{Bound: p.EvacuationBound, Rand: r.params.Rand}),
 
@@ -262,6 +274,7 @@
 		h.recordEvent(now, "fleet", "peer forgotten", string(id))
 	}
 	h.fetchOverdueStates(now)
+	h.recordPaces(now)
 	due := h.fleet.DueHeartbeats(now)
 	if len(due) > 0 {
 		h.sendHeartbeats(now, due)
@@ -316,6 +329,7 @@
 	}
 	h.dispatch.SetEngineCapacity(engines)
 	h.setColdRates(now, e.Routing)
+	h.hasUrgency = servicesWithUrgency(e.Routing)
 	state := h.fleet.State()
 	state.Serving = true
 	h.fleet.SetState(state)
@@ -407,6 +421,7 @@
 	list := h.withColdTimes(now, h.catalog.Upstreams())
 	h.announcements.SetUpstreams(now, list)
 	h.warmup.SetUpstreams(now, list)
+	h.paces.SetUpstreams(now, list)
 	h.recordEvent(now, "catalog", "upstreams "+why, "count="+strconv.Itoa(len(list))+
 		" revision="+revision.String()+" from="+string(from))
 	h.emit(UpstreamsUpdated{Revision: revision, Upstreams: h.withColdTimes(now, h.catalog.Registered()), At: now})
@@ -433,6 +448,8 @@
 	Cold warmup.Summary
 	// Evacuations describes the evacuations, nil if the deployment has none.
 	Evacuations *EvacuationGauges
+	// Paces holds how much the Upstreams of each service and stage differ in speed.
+	Paces []pace.Spread
 }
 
 // HostedGauges returns the current values. The Router must be hosted.
@@ -445,5 +462,6 @@
 	return HostedGauges{
 		LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting,
 		Liveness: h.fleet.LivenessCounts(now), Cold: h.warmup.Summary(now), Evacuations: h.evacuationGauges(now),
+		Paces: h.paces.Spreads(now),
 	}
 }
--- a/pkg/router/hosted_announce.go
+++ b/pkg/router/hosted_announce.go
@@ -11,6 +11,7 @@
 // onUpstreamAnswered processes what an answer states about its Upstream.
 func (h *hosted) onUpstreamAnswered(now core.Instant, e UpstreamAnswered) {
 	h.onColdStatement(now, e.Source, e.Announcement.ColdFor)
+	h.observeLoad(now, e)
 	for _, event := range h.announcements.Observe(now, e.Source, e.Announcement) {
 		if !event.Repeated {
 			h.recordAnnouncement(now, e.Source.Upstream, event)
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -277,6 +277,7 @@
 		Request: rs.request.ID, Attempt: h.nextAttempt(rs), Upstream: id, URL: rs.hosted.prefillEngine.Addr,
 		At: now, NotAfter: rs.sendBefore(now), Deadline: rs.hosted.deadline, Priority: h.effectivePriority(rs), Account: rs.accountID(),
 		ResponseTimeout: min(max(minPrefillTimeout, prefillTimeoutFactor*expected), maxHoldDuration),
+		Urgency:         h.urgency(rs),
 	})
 	h.recordWithUpstream(now, "dispatch", "prefill", rs, id, fmt.Sprintf("decode=%s place=%d waited=%s", rs.hosted.upstream.ID, rs.holdTokens(), now.Sub(rs.arrivedAt)))
 }
@@ -287,6 +288,7 @@
 		h.emitReleaseKV(now, ReleaseKV{Upstream: e.Upstream, Addr: e.Addr, KV: e.KV})
 		return
 	}
+	h.dispatch.ObservePrefill(now, rs.request.ID)
 	h.dispatch.OnPrefillDone(rs.request.ID)
 	h.dispatch.RecordOutcome(rs.hosted.prefillEngine.ID, true)
 	rs.kv = e.KV
@@ -373,7 +375,7 @@
 	h.emit(StartDecode{
 		Request: rs.request.ID, Attempt: h.nextAttempt(rs), Upstream: hr.upstream.ID, URL: hr.upstream.Addr,
 		SourceURL: source, KV: rs.kv, Hold: hr.holdID, At: now, NotAfter: rs.sendBefore(now), Deadline: hr.deadline,
-		Priority: h.effectivePriority(rs), Account: rs.accountID(),
+		Priority: h.effectivePriority(rs), Urgency: h.urgency(rs), Account: rs.accountID(),
 		Streaming: hr.route.Streaming, Resumable: hr.route.Resumable, EventTimeout: h.eventTimeout(rs), StallTimeout: h.stallTimeout(rs),
 	})
 	h.recordWithUpstream(now, "dispatch", "decode", rs, hr.upstream.ID, fmt.Sprintf("kv=%t hold=%t run=%d", rs.kv != "", hr.holdID != "", hr.executions))
@@ -404,6 +406,7 @@
 	}
 	rs.hosted.firstEventAt = now
 	h.processSurvived(now, rs)
+	h.observeFirstEvent(now, rs)
 	if rs.firstTokenAt != 0 {
 		return
 	}
@@ -419,6 +422,7 @@
 		return
 	}
 	if rs.attempt == e.Attempt {
+		h.observeCompletion(now, rs, e)
 		h.dispatch.RecordOutcome(rs.hosted.upstream.ID, e.Status < 500)
 	} else { // the response was complete when its attempt was cancelled as stalled
 		h.cancelAttempt(rs)
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -109,6 +109,8 @@
 	announcements      metric.Int64Counter
 	coldUpstreams      metric.Int64Gauge
 	coldRequests       metric.Int64Counter
+	paceSpread         metric.Int64Gauge
+	slowUpstreams      metric.Int64Gauge
 	reachableInstances metric.Int64Gauge
 	notNamed           metric.Int64Gauge
 	delayedHeartbeats  metric.Int64Counter
@@ -159,6 +161,8 @@
 	m.announcements = b.counter("upstream_announcements", "{announcement}", "New announcements of upstreams about themselves by kind.")
 	m.coldUpstreams = b.gauge("cold_upstreams", "{upstream}", "Upstreams that are cold; those to which this instance may send, and the others.")
 	m.coldRequests = b.counter("cold_requests", "{request}", "Requests to cold upstreams: sent, and deferred at each cold upstream that a request passed by.")
+	m.paceSpread = b.gauge("upstream_pace", "%", "Estimated duration of work at the fastest and the slowest upstream of a service and stage, 100 for the usual.")
+	m.slowUpstreams = b.gauge("upstreams_slow", "{upstream}", "Upstreams of a service and stage that have turned slow.")
 	m.reachableInstances = b.gauge("instances_heard", "{instance}", "Instances that are heard, this one included.")
 	m.notNamed = b.gauge("instances_not_named", "{instance}", "Heard instances that address responses leave out, because it is not known that they are alive.")
 	m.delayedHeartbeats = b.counter("delayed_heartbeats", "{heartbeat}", "Heartbeats that were ignored because they were made long ago.")
@@ -264,6 +268,17 @@
 	m.announcements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
 }
 
+// SetPaceSpread records how long work takes at the fastest and the slowest Upstream of a service and
+// stage relative to the usual, and how many have turned slow.
+func (m *Metrics) SetPaceSpread(service core.ServiceName, stage string, fastest, slowest float64, slow int) {
+	group := []attribute.KeyValue{serviceLabel(service), attribute.String("stage", stage)}
+	for bound, pace := range map[string]float64{"fastest": fastest, "slowest": slowest} {
+		labels := append([]attribute.KeyValue{attribute.String("bound", bound)}, group...)
+		m.paceSpread.Record(context.Background(), int64(100*pace+0.5), metric.WithAttributes(labels...))
+	}
+	m.slowUpstreams.Record(context.Background(), int64(slow), metric.WithAttributes(group...))
+}
+
 // SetReachableInstances records the number of live Instances, this one included.
 func (m *Metrics) SetReachableInstances(n int) {
 	m.reachableInstances.Record(context.Background(), int64(n))
