--- a/pkg/router/hosted_takeover_test.go
+++ b/pkg/router/hosted_takeover_test.go
@@ -123,12 +123,6 @@
 	f.runFor(duration)
 }
 
-// usedPart returns the admitted part of what the account may use since an instant.
-func (f *hostedFleet) usedPart(since core.Instant) float64 {
-	first, _ := slices.BinarySearch(f.admittedAt, since)
-	return float64(len(f.admittedAt)-first) * requestTokens / (float64(f.account.Rate) * f.now.Sub(since).Seconds())
-}
-
 func (f *hostedFleet) checkLimit(t *testing.T) {
 	t.Helper()
 	if got := f.maxWindowTokens(8 * time.Second); got > f.allowedTokens() {
