fleet: a restarted Instance that finds an empty store waits for the others

Cause: its previous incarnation may have removed the entries of peers that it was cut off from; before they were written again it took itself for the only one.

--- a/pkg/fleet/takeover.go
+++ b/pkg/fleet/takeover.go
@@ -98,6 +98,9 @@
 	// instant from which its entry has been in all lists, 0 without one.
 	joined  bool
 	joining core.Instant
+	// replaced is set if the entry replaced another: a previous incarnation may just have removed
+	// the entries of all others.
+	replaced bool
 	// settled is the instant from which the peers' silence is judged again after a freeze.
 	settled   core.Instant
 	lastCheck core.Instant
@@ -179,6 +182,13 @@
 	return now.Sub(e.rewrittenAt) > min(firstRemovalBackoff<<min(e.removals-1, 4), maxRemovalBackoff)
 }
 
+// OnRegistered processes the write of the own entry, which may have replaced another.
+func (f *Fleet) OnRegistered(replaced bool) {
+	if !f.takeOver.joined {
+		f.takeOver.replaced = f.takeOver.replaced || replaced
+	}
+}
+
 // SetContact records what a peer has told in a heartbeat.
 func (f *Fleet) SetContact(id core.InstanceID, c Contact) {
 	if p := f.peers[id]; p != nil {
@@ -248,7 +258,7 @@
 	stored := t.entrySeen != 0 && now.Sub(t.entrySeen) <= lease
 	switch {
 	case t.joined:
-	case known > 1 && most, known == 1 && stored && settled:
+	case known > 1 && most, known == 1 && stored && settled && !t.replaced:
 		t.joined = true
 	case t.joining != 0 && stored && now.Sub(t.joining) > joinDelay:
 		t.joined = true
@@ -316,6 +326,9 @@
 		return false
 	}
 	since := now.Sub(lastList)
+	if !t.joined && len(f.peers) == 0 && since >= missingListInterval {
+		return true
+	}
 	return t.partial && since >= missingListInterval && now.Sub(t.covered) >= missingListInterval ||
 		len(t.taken) > 0 && since >= takenListInterval
 }
--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -191,8 +191,8 @@
 	// WatchUpstreams waits for changes after a revision, for at most wait. Errors:
 	// ErrCompacted.
 	WatchUpstreams(ctx context.Context, after core.StoreRevision, wait time.Duration) (changes []catalog.Change, skipped []SkippedEntry, revision core.StoreRevision, err error)
-	// PutMember writes the description of this Instance.
-	PutMember(ctx context.Context, member fleet.Member) error
+	// PutMember writes the description of this Instance. It reports whether it replaced one.
+	PutMember(ctx context.Context, member fleet.Member) (replaced bool, err error)
 	// RemoveMember removes the description of an Instance if it is that of this incarnation. It
 	// returns nil if there is none.
 	RemoveMember(ctx context.Context, ref core.InstanceRef) error
--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -135,14 +135,14 @@
 	return nil, nil, after, nil
 }
 
-func (s *fakeStore) PutMember(_ context.Context, m fleet.Member) error {
+func (s *fakeStore) PutMember(_ context.Context, m fleet.Member) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return errDown
+		return false, errDown
 	}
 	s.members = append(s.members, m)
-	return nil
+	return false, nil
 }
 
 func (s *fakeStore) RemoveMember(_ context.Context, ref core.InstanceRef) error {
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -350,13 +350,14 @@
 	health := d.newStoreHealth("members")
 	for ctx.Err() == nil {
 		writeCtx, cancel := context.WithTimeout(ctx, health.timeout())
-		err := d.adapter.Store.PutMember(writeCtx, d.router.HostedMember())
+		replaced, err := d.adapter.Store.PutMember(writeCtx, d.router.HostedMember())
 		cancel()
 		if err != nil {
 			health.recordFailureAndWait(ctx, err)
 			continue
 		}
 		health.recordSuccess()
+		d.post(router.MemberRegistered{Replaced: replaced})
 		d.listMembers(ctx)
 		return
 	}
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -173,6 +173,8 @@
 		}
 	case StoreCallFailed:
 		h.catalog.OnStoreError(now)
+	case MemberRegistered:
+		h.fleet.OnRegistered(e.Replaced)
 	case MembersListed:
 		h.onMembersListed(now, e)
 	case StateFetchEnded:
--- a/pkg/router/hosted_takeover.go
+++ b/pkg/router/hosted_takeover.go
@@ -13,6 +13,11 @@
 
 func (RemoveMembers) effect() {}
 
+// MemberRegistered reports that the entry of this Instance is written, and whether it replaced one.
+type MemberRegistered struct{ Replaced bool }
+
+func (MemberRegistered) event() {}
+
 // followShares applies what the contact to peers and to the store says about the shares of the
 // allowances: which part this Instance may use, and which entries it removes.
 func (h *hosted) followShares(now core.Instant) {
--- a/pkg/router/hosted_takeover_test.go
+++ b/pkg/router/hosted_takeover_test.go
@@ -54,7 +54,9 @@
 		switch e := effect.(type) {
 		case RegisterMember:
 			f.store.writes++
+			_, replaced := f.store.entries[f.members[i].Ref.ID]
 			f.store.entries[f.members[i].Ref.ID] = f.members[i]
+			f.step(i, MemberRegistered{Replaced: replaced})
 		case RemoveMembers:
 			for _, ref := range e.Refs {
 				f.store.writes++
