--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -200,8 +200,11 @@
 	ListEvacuations(ctx context.Context) ([]core.DataCentreName, core.StoreRevision, error)
 	// WatchEvacuations waits for changes after a revision, for at most wait. Errors: ErrCompacted.
 	WatchEvacuations(ctx context.Context, after core.StoreRevision, wait time.Duration) ([]evacuation.Change, core.StoreRevision, error)
-	// PutMember writes the description of this Instance.
-	PutMember(ctx context.Context, member fleet.Member) error
+	// PutMember writes the description of this Instance. It reports whether it replaced one.
+	PutMember(ctx context.Context, member fleet.Member) (replaced bool, err error)
+	// RemoveMember removes the description of an Instance if it is that of this incarnation. It
+	// returns nil if there is none.
+	RemoveMember(ctx context.Context, ref core.InstanceRef) error
 	// ListMembers reads the descriptions of all Instances. They may be seconds old.
 	ListMembers(ctx context.Context) (members []fleet.Member, skipped []SkippedEntry, err error)
 }
--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -152,13 +153,23 @@
 	return nil, after, nil
 }
 
-func (s *fakeStore) PutMember(_ context.Context, m fleet.Member) error {
+func (s *fakeStore) PutMember(_ context.Context, m fleet.Member) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return errDown
+		return false, errDown
 	}
 	s.members = append(s.members, m)
+	return false, nil
+}
+
+func (s *fakeStore) RemoveMember(_ context.Context, ref core.InstanceRef) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return errDown
+	}
+	s.members = slices.DeleteFunc(s.members, func(m fleet.Member) bool { return m.Ref == ref })
 	return nil
 }
 
@@ -168,7 +179,7 @@
 	if s.down {
 		return nil, nil, errDown
 	}
-	return s.members, nil, nil
+	return slices.Clone(s.members), nil, nil
 }
 
 // fakeCallers decodes the identifier, the key and the timeout of a request, and the event after which it
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -155,7 +155,7 @@
 		NonceSource: rand.Reader,
 		Hosted: &router.HostedParams{
 			Member:   member,
-			Fleet:    fleet.Params{ContactTime: settings.contactTime()},
+			Fleet:    fleet.Params{ContactTime: settings.contactTime(), TakeOver: true},
 			Dispatch: dispatch.Params{Regions: settings.DataCentres},
 			Retry: retry.Params{
 				Ratio: settings.RetryRatio, Allowance: settings.RetryAllowance, Window: secondsToDuration(settings.RetryWindowSeconds),
@@ -393,6 +393,8 @@
 		go d.writeMember(ctx)
 	case router.ReadEvacuations:
 		go d.readEvacuations(ctx, e.Call)
+	case router.RemoveMembers:
+		go d.removeMembers(ctx, e.Refs)
 	case router.FetchState:
 		go d.fetchState(ctx, e)
 	case router.SendPeerMessage:
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -106,6 +106,8 @@
 	hasUrgency        map[core.ServiceName]bool // see servicesWithUrgency
 	accountViews      map[core.AccountID]*config.ClientAccount
 	nextMemberListAt  core.Instant
+	memberListAt      core.Instant // the last request for a list
+	claim             fleet.Claim
 	nextQuotaUpdateAt core.Instant
 	shutdownAt        core.Instant // start of the graceful shutdown
 	stopAt            core.Instant
@@ -213,6 +215,8 @@
 		h.onEvacuationsCallFailed(now, e)
 	case StoreCallFailed:
 		h.catalog.OnStoreError(now)
+	case MemberRegistered:
+		h.fleet.OnRegistered(e.Replaced)
 	case MembersListed:
 		h.onMembersListed(now, e)
 	case StateFetchEnded:
@@ -251,8 +255,7 @@
 	h.applyDispatch(now, h.dispatch.Tick(now))
 	h.logCold(now)
 	if now >= h.nextMemberListAt {
-		h.nextMemberListAt = now.Add(memberListInterval)
-		h.emit(ListMembers{})
+		h.listMembers(now)
 	}
 	h.tickEvacuations(now)
 	changes := h.fleet.Tick(now)
@@ -272,7 +275,9 @@
 		h.dispatch.SetPeerLoads(id, nil)
 		h.evacuations.Forget(id)
 		h.recordEvent(now, "fleet", "peer forgotten", string(id))
+		h.logTakenOver(now, id)
 	}
+	h.followShares(now)
 	h.fetchOverdueStates(now)
 	h.recordPaces(now)
 	due := h.fleet.DueHeartbeats(now)
@@ -285,8 +290,15 @@
 // onMembersListed adds the members of a list. If the store has lost the entry of this Instance, it is
 // written again, because Instances that start later find the others in the store.
 func (h *hosted) onMembersListed(now core.Instant, e MembersListed) {
+	if e.Complete && h.fleet.IsStaleList(e.ReadAt) {
+		return
+	}
 	h.fleet.OnMemberList(now, e.Members)
 	h.setColdMembers(e)
+	if e.Complete {
+		h.fleet.OnStoreList(now, e.ReadAt, e.Members)
+		h.followShares(now)
+	}
 	self := h.fleet.Self()
 	registered := slices.ContainsFunc(e.Members, func(m fleet.Member) bool {
 		return m == self || m.Ref.ID == self.Ref.ID && m.Ref.Incarnation > self.Ref.Incarnation
@@ -313,6 +325,7 @@
 		}
 	}
 	h.beginEvacuationWait(now)
+	h.followShares(now)
 	h.routing, h.rawConfig = e.Routing, e.Raw
 	h.configRevision = e.Revision
 	for _, account := range e.Routing.Accounts {
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -21,6 +21,8 @@
 	State  fleet.State
 	// Liveness states when the heartbeat was made, nil from an Instance of an earlier version.
 	Liveness *fleet.Stamp
+	// Contact tells the receiver which peers the sender misses.
+	Contact fleet.Contact
 	// ConfigAt and UpstreamsAt identify the active configuration and the Upstreams of the
 	// sender, zero for none.
 	ConfigAt    StateStamp
@@ -77,7 +79,7 @@
 		Evacuations: h.evacuations.Report(now),
 	}
 	for _, member := range to {
-		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: heartbeat}, NotAfter: now.Add(peerMessageTTL)})
+		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: h.heartbeatFor(now, member, heartbeat)}, NotAfter: now.Add(peerMessageTTL)})
 	}
 }
 
@@ -123,6 +125,7 @@
 		h.logDelayedHeartbeats(now, from)
 		return
 	}
+	h.fleet.SetContact(from.ID, heartbeat.Contact)
 	if h.fleet.KnownCount() != known {
 		h.recordEvent(now, "fleet", "peer found", from.String())
 		h.warmup.AddMember(from.ID)
