soak: one group of clients that hold bytes and connections

The soak draws its kind, Instance and time from numbers of its own, so that a seed draws the same faults as before.

--- a/cmd/rhubarbsilld/soak_callers_test.go
+++ b/cmd/rhubarbsilld/soak_callers_test.go
@@ -142,3 +142,45 @@
 	defer s.mu.Unlock()
 	return maps.Clone(s.outcomes)
 }
+
+const (
+	soakHostileClients = 60
+	soakHostileTime    = 6 * time.Second
+)
+
+// drawHostileClients starts one group of clients that hold bytes and connections, of a drawn kind, at a
+// drawn Instance and time. They leave after soakHostileTime, or when the returned function is called.
+func (s *soak) drawHostileClients(rng *rand.Rand) (leave func()) {
+	kinds := []struct {
+		name       string
+		behaviours func() []hostileBehaviour
+	}{
+		{"short bodies", shortBodies}, {"long bodies", longBodies}, {"many fields", manyFields},
+		{"pipelines", pipelines}, {"slow senders", slowSenders}, {"slow readers", slowReaders},
+	}
+	kind, e := kinds[rng.IntN(len(kinds))], s.entries[rng.IntN(len(s.entries))]
+	start := time.Duration(rng.Int64N(int64(soakFaultTime - soakHostileTime)))
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		select {
+		case <-stop:
+			return
+		case <-time.After(start):
+		}
+		s.note("%d clients at %s: %s", soakHostileClients, e.settings, kind.name)
+		addr := e.entry.Addr()
+		group := startHostileGroup(soakHostileClients, []hostileTarget{
+			{addr: addr, path: standin.NonIdempotentPath}, {addr: addr, path: "/nowhere/"},
+		}, kind.behaviours()...)
+		select {
+		case <-stop:
+		case <-time.After(soakHostileTime):
+		}
+		group.leave()
+	}()
+	return func() {
+		close(stop)
+		<-ended
+	}
+}
--- a/cmd/rhubarbsilld/soak_test.go
+++ b/cmd/rhubarbsilld/soak_test.go
@@ -105,10 +105,13 @@
 	for i := range soakCallers {
 		callers.Go(func() { s.call(rand.New(rand.NewPCG(seed, uint64(100+i))), stop) })
 	}
+	// Drawn from numbers of its own, so that a seed draws the same faults as before.
+	leave := s.drawHostileClients(rand.New(rand.NewPCG(seed, 3)))
 	for time.Since(s.began) < soakFaultTime {
 		s.drawFault()
 		time.Sleep(time.Duration(300+s.rng.IntN(900)) * time.Millisecond)
 	}
+	leave()
 	s.heal()
 	time.Sleep(soakContact)
 	s.checkServed()
@@ -163,7 +166,10 @@
 		c.Tenants[0].Keys = append(c.Tenants[0].Keys, withdrawnKey)
 		c.Tenants = append(c.Tenants, wire.Tenant{
 			Name: soakAccount, Keys: []string{soakKey}, DefaultCostTokens: soakRequestTokens, RatePerS: soakRate, Burst: soakRate, Unit: wire.UnitTokens,
+		}, wire.Tenant{ // of the clients that hold bytes and connections, so that they take few places of the engines
+			Name: hostileAccount, Keys: []string{hostileKey}, DefaultCostTokens: hostileCostTokens, RatePerS: soakRate, Burst: soakRate, Unit: wire.UnitTokens,
 		})
+		c.Limits.BodyBytes = hostileBodyBytes
 	})
 	s.bin = filepath.Join(s.dir, "rhubarbsilld")
 	if out, err := exec.Command("go", "build", "-o", s.bin, ".").CombinedOutput(); err != nil {
@@ -209,6 +215,7 @@
 		CallerAddr:  callerAddr, ReadyAddr: freeAddr(s.t), DirectoryAddr: freeAddr(s.t), PeerAddr: e.peer.Addr(), PeerListenAddr: peerAddr, MetricsAddr: freeAddr(s.t),
 		StoreAddr: s.store.Addr(), GraceSeconds: grace.Seconds(), MaxAddressTTLSeconds: 0.2, RetryRatio: 0.2, RetryAllowance: 30, RetryWindowSeconds: 10,
 		ConfigApplyMS: float64(soakApply.Milliseconds()), LogLevel: "info",
+		MemoryMB: hostileMemoryMB, MaxFDs: hostileDescriptors,
 	}
 	text, err := json.Marshal(settings)
 	if err != nil {
