upstream, hosted: buffers of sockets have 64 KiB, tests of the limits

Cause: with 32 KiB, less than a segment of the loopback interface, a body of 4 MiB took 1.5 s (TestSingleRequestInsideTheLimitsIsServed 12.0 s).

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -181,8 +181,9 @@
 
 // socketBufferBytes is the size of the receive and the send buffer of a connection; the kernel sets
 // aside twice as much. Received bytes that are not read count as memory of the process, and without a
-// limit the kernel lets a buffer grow to 6 MB. Between regions (60 ms) it allows 0.5 MB/s.
-const socketBufferBytes = 32 << 10
+// limit the kernel lets a buffer grow to 6 MB. Between regions (60 ms) it allows 1 MB/s. With 32 KiB, less
+// than a segment of the loopback interface, a body of 4 MiB took 1.5 s there.
+const socketBufferBytes = 64 << 10
 
 // LimitSocketBuffers limits the buffers of a socket before it connects or listens.
 func LimitSocketBuffers(_, _ string, raw syscall.RawConn) error {
