rhubarbsilld: settings of the tests have the bounds of all parts

Cause: the tests write hosted.Settings as JSON, so a field that they don't set is 0 in the file and replaces its default. contact_ms and cold_overage must be above 0, so no process of TestHostedFleet, TestSoak and the TestHostile tests started.

--- a/cmd/rhubarbsilld/hosted_test.go
+++ b/cmd/rhubarbsilld/hosted_test.go
@@ -85,6 +85,7 @@
 		DataCentres: map[core.DataCentreName]core.RegionName{"a": "r", "b": "r"},
 		CallerAddr:  freeAddr(f.t), ReadyAddr: freeAddr(f.t), DirectoryAddr: freeAddr(f.t), PeerAddr: freeAddr(f.t), MetricsAddr: freeAddr(f.t),
 		StoreAddr: f.platform.StoreAddr, GraceSeconds: 6, MaxAddressTTLSeconds: 0.2, RetryRatio: 0.2, RetryAllowance: 30, RetryWindowSeconds: 10, ConfigApplyMS: 3000,
+		ContactMS: 4000, ColdOverage: 1.5, ColdSlack: 5,
 		LogLevel: "info",
 	}
 	text, err := json.Marshal(s)
--- a/cmd/rhubarbsilld/hostile_site_test.go
+++ b/cmd/rhubarbsilld/hostile_site_test.go
@@ -136,6 +136,7 @@
 		DataCentres: map[core.DataCentreName]core.RegionName{"a": "r"},
 		CallerAddr:  freeAddr(s.t), ReadyAddr: freeAddr(s.t), DirectoryAddr: freeAddr(s.t), PeerAddr: freeAddr(s.t), MetricsAddr: freeAddr(s.t),
 		StoreAddr: s.platform.StoreAddr, GraceSeconds: 6, MaxAddressTTLSeconds: 0.2, RetryRatio: 0.2, RetryAllowance: 30, RetryWindowSeconds: 10, ConfigApplyMS: 3000,
+		ContactMS: 4000, ColdOverage: 1.5, ColdSlack: 5,
 		LogLevel: "info",
 	}}
 	text, err := json.Marshal(e.settings)
--- a/cmd/rhubarbsilld/soak_test.go
+++ b/cmd/rhubarbsilld/soak_test.go
@@ -214,7 +214,7 @@
 		DataCentres: map[core.DataCentreName]core.RegionName{"a": "r", "b": "r"},
 		CallerAddr:  callerAddr, ReadyAddr: freeAddr(s.t), DirectoryAddr: freeAddr(s.t), PeerAddr: e.peer.Addr(), PeerListenAddr: peerAddr, MetricsAddr: freeAddr(s.t),
 		StoreAddr: s.store.Addr(), GraceSeconds: grace.Seconds(), MaxAddressTTLSeconds: 0.2, RetryRatio: 0.2, RetryAllowance: 30, RetryWindowSeconds: 10,
-		ConfigApplyMS: float64(soakApply.Milliseconds()), LogLevel: "info",
+		ConfigApplyMS: float64(soakApply.Milliseconds()), ContactMS: 4000, ColdOverage: 1.5, ColdSlack: 5, LogLevel: "info",
 		MemoryMB: hostileMemoryMB, MaxFDs: hostileDescriptors,
 	}
 	text, err := json.Marshal(settings)
