Revert "dispatch: callers that return late use spare engine memory"

Cause: the rule took every caller that states less time than its route allows for one that was refused before.

Conclusion: a late caller has to be known by what the system itself told it, for example by the fingerprint of the refused request, not by its stated time. The virtual callers all state the whole time of the route and could not show this.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -118,7 +118,7 @@
 	best := d.best(now, j, requestsOfHold, func(up *upstream) (float64, bool) {
 		tokens := up.own.Tokens + up.peer.Tokens + j.MemoryTokens
 		requests := up.own.Requests + up.peer.Requests + 1
-		fits := tokens <= memoryLimit(j, size) && requests <= size.Slots && now >= up.fullUntil
+		fits := tokens <= size.MemoryTokens && requests <= size.Slots && now >= up.fullUntil
 		if up.Stage != catalog.StageDecode || !up.usable(now) || !fits || slices.Contains(j.refusedBy, up.ID) {
 			return 0, false
 		}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -45,9 +45,6 @@
 	Deadline core.Instant
 	// AvoidUpstreams lists Upstreams that are used only when no other is usable.
 	AvoidUpstreams []core.UpstreamID
-	// PlaceLateUntil is set when the caller was refused before and its latency target has passed: the
-	// instant until which the request may be placed, on spare memory only. 0 for other requests.
-	PlaceLateUntil core.Instant
 	// IsRetry is set when the request has been placed before. It is not refused for a
 	// missed latency target, and precedes new requests of its priority.
 	IsRetry bool
@@ -324,8 +321,8 @@
 	d.queue = slices.Insert(d.queue, index, j)
 }
 
-// precedes orders the queue by priority, then retries before new requests, then late requests after
-// those that can be on time, then by arrival.
+// precedes orders the queue by priority, then retries before new requests, then by
+// arrival.
 func precedes(a, b *job) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
@@ -333,9 +330,6 @@
 	if a.IsRetry != b.IsRetry {
 		return a.IsRetry
 	}
-	if a.isLate() != b.isLate() {
-		return b.isLate()
-	}
 	return a.ArrivalTime < b.ArrivalTime
 }
 
@@ -561,11 +555,8 @@
 	if !j.hasWaited {
 		start = now.Add(d.placementRateOf(j.Service).expectedWait(ahead))
 	}
-	switch {
-	case j.IsRetry:
+	if j.IsRetry {
 		latestStart, start = j.Deadline, now
-	case j.isLate():
-		latestStart, start = j.PlaceLateUntil, now
 	}
 	start = max(start, now.Add(d.limitDelay(now, j, ahead)))
 	if j.backoffWait > 0 {
--- a/pkg/lab/hostedsim/callers.go
+++ b/pkg/lab/hostedsim/callers.go
@@ -131,7 +131,7 @@
 	w.requests[a.id] = a
 	key := keyOf(j.account)
 	request := router.Request{
-		ID: a.id, Host: host, Path: j.path, Key: &key, Deadline: j.firstSentAt.Add(millis(j.load.TimeoutMS)),
+		ID: a.id, Host: host, Path: j.path, Key: &key, Deadline: w.now.Add(millis(j.load.TimeoutMS)),
 	}
 	binary.BigEndian.PutUint64(request.Fingerprint[:], uint64(w.requestCount))
 	if j.stream {
@@ -203,8 +203,7 @@
 	mayRetry := refusal.Ran == core.NotRun || a.load.SafeToRetry
 	if a.retriesLeft > 0 && mayRetry && refusal.RetryAfter > 0 {
 		a.retriesLeft--
-		timeLeft := a.firstSentAt.Add(millis(a.load.TimeoutMS)).Sub(w.now)
-		w.after(min(refusal.RetryAfter, timeLeft/3), func() { w.sendRequest(a.job, 0) })
+		w.after(refusal.RetryAfter, func() { w.sendRequest(a.job, 0) })
 		return
 	}
 	if refusal.Ran == core.NotRun {
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -209,7 +209,6 @@
 		AvoidUpstreams:  rs.avoidUpstreams,
 		IsRetry:         hr.deliveries+hr.undelivered > 0,
 		Regions:         hr.regions(),
-		PlaceLateUntil:  h.placeLateUntil(rs),
 	}
 	h.applyDispatch(now, h.dispatch.Submit(now, job))
 }
