--- a/pkg/hosted/gate.go
+++ b/pkg/hosted/gate.go
@@ -24,9 +24,6 @@
 	// reserveTimeout bounds the wait for bytes of connections that are being closed. Closing takes
 	// milliseconds.
 	reserveTimeout = 2 * time.Second
-	// maxHeaderFields bounds the fields of a header section. Ordinary requests have up to about 30;
-	// one of 16 KiB may have 3,000, which take 0.8 MB.
-	maxHeaderFields = 256
 	// headerSlack is what a header section may have beyond the limit of the configuration before it is
 	// cut off. Up to there, the refusal states the request.
 	headerSlack = 4 << 10
@@ -206,7 +203,6 @@
 	// by the goroutine that reads.
 	inHeader    atomic.Bool
 	headerBytes int
-	fields      int
 	lineLength  int
 }
 
@@ -245,8 +241,7 @@
 		rest = rest[end+1:]
 	}
 	c.headerBytes += len(part)
-	c.fields += fields
-	if c.headerBytes > c.headerLimit()+headerSlack || c.fields > maxHeaderFields+1 {
+	if c.headerBytes > c.headerLimit()+headerSlack {
 		c.gate.report(c.class, "header section refused")
 		c.refuseHeader()
 		return errHeaderSection
@@ -299,7 +294,7 @@
 func (c *callerConn) onState(state http.ConnState) {
 	switch state {
 	case http.StateIdle:
-		c.headerBytes, c.fields, c.lineLength = 0, 0, 0
+		c.headerBytes, c.lineLength = 0, 0
 		c.inHeader.Store(true)
 		c.gate.release(c, 0)
 		c.gate.setPhase(c, admission.Idle)
