--- a/pkg/hosted/limits_test.go
+++ b/pkg/hosted/limits_test.go
@@ -115,3 +115,21 @@
 		t.Fatal("the request goes on")
 	}
 }
+
+// Guards against a limit on the number of fields that a header section of legal size meets.
+func TestRequestOfManyShortFieldsIsServed(t *testing.T) {
+	is := is.New(t)
+	const limit, fields = 16_384, 2_000
+	settings, _, _ := startDaemon(t, serviceStore(t, func(http.ResponseWriter, *http.Request) {}, limit))
+	request, err := http.NewRequest(http.MethodPost, "http://"+settings.CallerAddr+"/p/x", strings.NewReader("body"))
+	is.NoErr(err)
+	request.Host = "h"
+	request.Header.Set("X-Id", "1")
+	for i := range fields {
+		request.Header[fmt.Sprintf("%X", i)] = []string{""}
+	}
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusOK)
+}
