--- a/pkg/router/hosted_takeover_test.go
+++ b/pkg/router/hosted_takeover_test.go
@@ -306,18 +306,24 @@
 	}
 }
 
-// Prints the table of docs/design/quota-after-losses.md. It takes minutes and runs only on request.
+// Logs the table of docs/design/quota-after-losses.md, and guards against survivors that use more than
+// the overage allows. QUOTA_TABLE=1 adds the larger fleets, which take minutes.
 func TestTableOfUseAfterLosses(t *testing.T) {
-	if os.Getenv("QUOTA_TABLE") == "" {
-		t.Skip("runs with QUOTA_TABLE=1")
+	const allowedUse = 1.1
+	sizes := []int{8}
+	if os.Getenv("QUOTA_TABLE") != "" {
+		sizes = append(sizes, 28, 84, 330)
 	}
-	for _, n := range []int{8, 28, 84, 330} {
+	for _, n := range sizes {
 		for _, kind := range []lossKind{lossReturn, lossKill, lossSilent, lossCut} {
 			for _, lost := range []int{1, n / 3, n / 2, n - 1} {
 				t.Run(fmt.Sprintf("%d/%s/%d", n, kind, lost), func(t *testing.T) {
 					t.Parallel()
 					early, late := useAfterLoss(t, kind, n, lost, true)
 					t.Logf("| %d | %s | %d | %.2f | %.2f |", n, kind, lost, early, late)
+					if max(early, late) > allowedUse {
+						t.Errorf("the survivors use %.2f and %.2f of the quota", early, late)
+					}
 				})
 			}
 		}
