--- a/pkg/dispatch/cold.go
+++ b/pkg/dispatch/cold.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/warmup"
 )
@@ -96,13 +95,3 @@
 	u.cold.Take(now, j.ID)
 	return u
 }
-
-// setEntry sets the entry of a registered Upstream.
-func (d *Dispatcher) setEntry(up *upstream, entry catalog.Upstream) {
-	up.Upstream = entry
-	up.place = d.placeOf(entry)
-	up.region = d.params.Regions[entry.DataCentre]
-	up.announced = d.params.Announcements.Availability(entry.ID)
-	up.cold = d.coldState(entry.ID)
-	up.evacuated = d.evacuated[entry.DataCentre]
-}
--- a/pkg/dispatch/expected.go
+++ b/pkg/dispatch/expected.go
@@ -72,7 +72,7 @@
 
 // place is where an Upstream is, kept because a choice compares all of them.
 type place struct {
-	region core.RegionName
+	region core.RegionName // empty if unknown
 	// distance is that from this Instance.
 	distance int
 }
@@ -115,9 +115,10 @@
 	d.refreshOverdue(now)
 }
 
-// refreshOverdue finds the plain Upstreams that have not answered for overdueRatio times the expected time.
-// An Upstream that has just become slow or silent shows it by this before its first answer does. A prefill says less: what the peers have put ahead of it is
-// known late, and a burst would make equal engines differ.
+// refreshOverdue finds the plain Upstreams that have not answered for overdueRatio times the expected
+// time. An Upstream that has just become slow or silent shows it by this before its first answer does.
+// A prefill says less: what the peers have put ahead of it is known late, and a burst would make equal
+// engines differ.
 func (d *Dispatcher) refreshOverdue(now core.Instant) {
 	for _, up := range d.overdue {
 		up.overdue = 0
