--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -165,7 +165,7 @@
 		NonceSource: rand.Reader,
 		Hosted: &router.HostedParams{
 			Member:   member,
-			Fleet:    fleet.Params{ContactTime: settings.contactTime(), TakeOver: true},
+			Fleet:    fleet.Params{ContactTime: settings.contactTime(), TakeOver: settings.TakeOverLostShares},
 			Dispatch: dispatch.Params{Regions: settings.DataCentres},
 			Retry: retry.Params{
 				Ratio: settings.RetryRatio, Allowance: settings.RetryAllowance, Window: secondsToDuration(settings.RetryWindowSeconds),
--- a/pkg/hosted/settings.go
+++ b/pkg/hosted/settings.go
@@ -66,6 +66,11 @@
 	MemoryMB MachineFigure `json:"memory_mb"`
 	MaxFDs   MachineFigure `json:"max_fds"`
 
+	// TakeOverLostShares has survivors take over the quota shares of lost Instances
+	// (docs/design/quota-after-losses.md). All Instances of a fleet must have the same value. Off by
+	// default: an Instance that has just started may refuse requests inside a quota with it.
+	TakeOverLostShares bool `json:"take_over_lost_shares"`
+
 	// LogLevel is debug, info, warn or error. Default: info.
 	LogLevel string `json:"log_level"`
 }
