dispatch: durations are compared with a floor of 5 ms

Cause: the measured pace compared answers of less than a millisecond with each other. Noise of the machine made one upstream of a fast service the fastest, and it got all requests.

Change: 5 ms are added to each measured duration. Slow upstreams still show: 75 ms against 30 ms count as 2.3 instead of 2.5.

--- a/pkg/dispatch/expected.go
+++ b/pkg/dispatch/expected.go
@@ -38,6 +38,9 @@
 	// measuredDelay is subtracted from the durations at Upstreams of other DataCentres of the region.
 	// Those of other regions are not measured: the way takes longer than the work.
 	measuredDelay = 3 * time.Millisecond
+	// minMeasured is added to each duration: differences of a millisecond between fast answers are noise,
+	// and one Upstream of a fast service would get all requests for as long as it is measured as the fastest.
+	minMeasured = 5 * time.Millisecond
 )
 
 // expectation is what the Dispatcher knows of the duration of work at an Upstream.
@@ -214,7 +217,7 @@
 	if up.distance == 1 {
 		took = max(took-measuredDelay, took/2)
 	}
-	d.params.Pace.ObserveDuration(now, up.ID, work.sentAt, took.Seconds()/work.units, work.weight)
+	d.params.Pace.ObserveDuration(now, up.ID, work.sentAt, (took+minMeasured).Seconds()/work.units, work.weight)
 	d.updatePace(now, up)
 }
 
