--- a/pkg/dispatch/expected_test.go
+++ b/pkg/dispatch/expected_test.go
@@ -147,3 +147,19 @@
 		})
 	}
 }
+
+// Guards against a fast service whose requests all go to one Upstream, because its answers of less than
+// a millisecond are measured as the fastest.
+func TestDurationsBelowAMillisecondDoNotDiffer(t *testing.T) {
+	is := is.New(t)
+	d := unevenDispatcher(catalog.StagePlain, 2, 0, 1)
+	now := core.Instant(time.Second)
+	for i := range 40 {
+		up := d.upstreams[core.UpstreamID(fmt.Sprintf("u%d", i%2))]
+		took := time.Duration(1+2*(i%2)) * 300 * time.Microsecond
+		d.observePace(now, up, attemptWork{sentAt: now, units: 1, weight: 1}, took)
+		now = now.Add(20 * time.Millisecond)
+	}
+	d.refreshPaces(now)
+	is.Equal(d.upstreams["u0"].paceFactor(), d.upstreams["u1"].paceFactor())
+}
