--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -147,7 +147,7 @@
 	}
 	limits := settings.admissionLimits()
 	d.gate = newGate(limits, d.now, metrics, log)
-	d.chunks.limit = int(limits.LargeBytes / 2 / chunkBytes)
+	d.chunks.limit = int(limits.LargeBytes / chunkBytes)
 	d.peers = peer.NewTransport(ref, peer.Options{
 		Secret:       fleetSecret(settings),
 		CallTimeout:  peerTimeout,
@@ -282,7 +282,7 @@
 // runtimeMemoryPercent is the share of the machine's memory that the Go runtime may use. Garbage is
 // collected more often near it, which costs processor time and only then. The rest is the program text
 // (15 MB) and what the kernel holds for connections.
-const runtimeMemoryPercent = 65
+const runtimeMemoryPercent = 60
 
 // classServer is a server with the class of its connections.
 type classServer struct {
--- a/pkg/hosted/gate.go
+++ b/pkg/hosted/gate.go
@@ -7,8 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime/debug"
-	"runtime/metrics"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -324,6 +322,13 @@
 	}
 }
 
+// releaseAll gives back what was reserved for the current request.
+func (c *callerConn) releaseAll() {
+	if c != nil {
+		c.gate.release(c, 0)
+	}
+}
+
 func (c *callerConn) setPhase(phase admission.Phase) {
 	if c != nil {
 		c.gate.setPhase(c, phase)
@@ -351,35 +356,3 @@
 		_ = conn.Close() // nothing was received
 	}
 }
-
-const (
-	memoryCheckInterval = time.Second
-	// memoryFreeInterval is the shortest time between two returns of memory to the system, which cost a
-	// garbage collection (some 10 ms) each. It is doubled, up to memoryFreeMax, while that does not help.
-	memoryFreeInterval = 2 * time.Second
-	memoryFreeMax      = time.Minute
-)
-
-// returnMemory returns memory to the system that the runtime keeps after a load has ended, which it
-// would only return minutes later.
-func (d *Daemon) returnMemory(ctx context.Context) {
-	g, memoryBytes, limits := d.gate, d.settings.memoryBytes(), d.settings.admissionLimits()
-	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
-	wait, last := memoryFreeInterval, time.Now()
-	for sleep(ctx, memoryCheckInterval) {
-		g.mu.Lock()
-		used, conns := g.budget.Used()
-		g.mu.Unlock()
-		g.metrics.SetHeld(used, conns)
-		metrics.Read(samples)
-		kept := int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
-		switch {
-		case kept < memoryBytes/4, used >= limits.Bytes/4:
-			wait = memoryFreeInterval
-		case time.Since(last) >= wait:
-			d.chunks.clear()
-			debug.FreeOSMemory()
-			wait, last = min(2*wait, memoryFreeMax), time.Now()
-		}
-	}
-}
--- a/pkg/hosted/serve.go
+++ b/pkg/hosted/serve.go
@@ -141,6 +141,10 @@
 	}
 	body, err := reader.readAll(http.MaxBytesReader(rw.w, r.Body, limit), int(largest))
 	_ = rw.control.SetReadDeadline(time.Time{})
+	if err != nil {
+		// net/http keeps the connection open for 0.5 s after a refusal. Others wait for these bytes.
+		rw.callerConn.releaseAll()
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
