--- a/pkg/config/findings.go
+++ b/pkg/config/findings.go
@@ -7,6 +7,28 @@
 	"strings"
 )
 
+// Code names a kind of finding. Codes are stable, so that scripts can rely on them.
+type Code string
+
+// The codes of errors.
+const (
+	CodeSyntax           Code = "syntax"
+	CodeTooLarge         Code = "too-large" // size, nesting or number of elements
+	CodeUnknownField     Code = "unknown-field"
+	CodeDuplicateField   Code = "duplicate-field"
+	CodeMissingField     Code = "missing-field"
+	CodeMisplacedField   Code = "misplaced-field" // not allowed in a service of this kind
+	CodeWrongType        Code = "wrong-type"
+	CodeBadValue         Code = "bad-value"
+	CodeEmptyList        Code = "empty-list"
+	CodeDuplicateName    Code = "duplicate-name"
+	CodeUnknownReference Code = "unknown-reference"
+	CodeNoEngine         Code = "no-engine"
+	CodeRouteHidden      Code = "route-hidden"
+	CodeKeyShared        Code = "key-shared"
+	CodeOmitted          Code = "omitted" // counts findings that are not listed
+)
+
 // Finding is one error in a document.
 type Finding struct {
 	File string `json:"file"`
@@ -15,7 +37,9 @@
 	Column int `json:"column"`
 	// Path names the field, as in accounts[3].keys[0].digest. It is empty for the
 	// document itself.
-	Path    string `json:"path"`
+	Path string `json:"path"`
+	// Code is fixed for each kind of finding.
+	Code    Code   `json:"code"`
 	Message string `json:"message"`
 }
 
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -53,13 +53,13 @@
 func Parse(name string, text []byte) (*Document, Findings) {
 	r := newReader(name, nil)
 	if len(text) > maxDocumentBytes {
-		r.report(0, "", fmt.Sprintf("document has %d bytes, at most %d are allowed", len(text), maxDocumentBytes))
+		r.report(CodeTooLarge, 0, "", fmt.Sprintf("document has %d bytes, at most %d are allowed", len(text), maxDocumentBytes))
 		return nil, r.finish()
 	}
 	r = newReader(name, text)
 	// hujson.Parse is recursive: without this limit, 64 MB of brackets overflow the stack.
 	if depth, offset := depthOf(text); depth > maxDepth {
-		r.report(offset, "", fmt.Sprintf("nesting of %d levels, at most %d are allowed", depth, maxDepth))
+		r.report(CodeTooLarge, offset, "", fmt.Sprintf("nesting of %d levels, at most %d are allowed", depth, maxDepth))
 		return nil, r.finish()
 	}
 	value, err := hujson.Parse(text)
@@ -78,7 +78,7 @@
 var syntaxErrorPattern = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (?s:(.*))$`)
 
 func (r *reader) reportSyntax(err error) {
-	finding := Finding{File: r.file, Line: 1, Column: 1, Message: err.Error()}
+	finding := Finding{File: r.file, Line: 1, Column: 1, Code: CodeSyntax, Message: err.Error()}
 	if m := syntaxErrorPattern.FindStringSubmatch(err.Error()); m != nil {
 		fmt.Sscan(m[1], &finding.Line)
 		fmt.Sscan(m[2], &finding.Column)
@@ -117,7 +117,11 @@
 // their first use. The field must hold a string.
 func checkUnique[K ~string](f field, used map[K]string, id K, what string) {
 	if first, duplicate := used[id]; duplicate {
-		f.fail("%s %s is already used at %s", what, f.quoted(), first)
+		code := CodeDuplicateName
+		if what == "digest" {
+			code = CodeKeyShared
+		}
+		f.fail(code, "%s %s is already used at %s", what, f.quoted(), first)
 		return
 	}
 	used[id] = f.path
@@ -144,13 +148,13 @@
 	doc.UpstreamCredential, _ = o.member("upstream_credential").matchPattern(secretPattern, maxNameLength, secretRule)
 	doc.DataCentres = p.dataCentreList(o.required("data_centres"))
 	if region := o.member("store_region"); region.present && doc.StoreRegion != "" && !p.regions[doc.StoreRegion] {
-		region.fail("no data centre is in region %q", doc.StoreRegion)
+		region.fail(CodeUnknownReference, "no data centre is in region %q", doc.StoreRegion)
 	}
 	for _, element := range o.member("services").list(maxServices) {
 		doc.Services = append(doc.Services, p.service(element))
 	}
 	if len(p.upstreams) > maxUpstreams {
-		o.member("services").fail("has %d upstreams, at most %d are allowed", len(p.upstreams), maxUpstreams)
+		o.member("services").fail(CodeTooLarge, "has %d upstreams, at most %d are allowed", len(p.upstreams), maxUpstreams)
 	}
 	for _, element := range o.member("accounts").list(maxAccounts) {
 		doc.Accounts = append(doc.Accounts, p.account(element))
@@ -233,7 +237,7 @@
 			continue
 		}
 		if _, found := p.services[name]; !found {
-			element.fail("service %s does not exist", quote(text))
+			element.fail(CodeUnknownReference, "service %s does not exist", quote(text))
 			continue
 		}
 		checkUnique(element, used, name, "service")
--- a/pkg/config/parse_service.go
+++ b/pkg/config/parse_service.go
@@ -40,7 +40,7 @@
 func (o object) rejectFields(kind ServiceKind, names ...string) {
 	for _, name := range names {
 		if f := o.member(name); f.present {
-			f.fail("a %s service has no %s", kind, name)
+			f.fail(CodeMisplacedField, "a %s service has no %s", kind, name)
 		}
 	}
 }
@@ -68,7 +68,7 @@
 		list = append(list, core.ModelName(text))
 	}
 	if f.present && len(list) == 0 {
-		f.fail("a model service needs at least one model")
+		f.fail(CodeEmptyList, "a model service needs at least one model")
 	}
 	return list
 }
@@ -93,7 +93,7 @@
 	for _, role := range []Role{RolePrefill, RoleDecode} {
 		found := slices.ContainsFunc(service.Upstreams, func(u Upstream) bool { return u.Role == role })
 		if !found {
-			f.fail("service %q has no %s engine", service.Name, role)
+			f.fail(CodeNoEngine, "service %q has no %s engine", service.Name, role)
 			return
 		}
 	}
@@ -104,7 +104,7 @@
 			continue // the unknown data centre has its own finding
 		}
 		if !slices.ContainsFunc(decode, func(r core.RegionName) bool { return slices.Contains(prefill, r) }) {
-			f.fail("no region has both a prefill and a decode engine for model %q", model)
+			f.fail(CodeNoEngine, "no region has both a prefill and a decode engine for model %q", model)
 		}
 	}
 }
@@ -126,14 +126,14 @@
 		service.Upstreams = append(service.Upstreams, p.upstream(element, service))
 	}
 	if upstreams.present && len(service.Upstreams) == 0 {
-		upstreams.fail("service %q has no upstream", service.Name)
+		upstreams.fail(CodeEmptyList, "service %q has no upstream", service.Name)
 	}
 	routes := o.required("routes")
 	for _, element := range routes.list(maxRoutes) {
 		service.Routes = append(service.Routes, p.route(element))
 	}
 	if routes.present && len(service.Routes) == 0 {
-		routes.fail("service %q has no route", service.Name)
+		routes.fail(CodeEmptyList, "service %q has no route", service.Name)
 	}
 }
 
@@ -153,7 +153,7 @@
 	}
 	up.URL = p.readURL(o.required("url"))
 	if _, found := p.dataCentres[up.DataCentre]; up.DataCentre != "" && !found {
-		o.member("data_centre").fail("data centre %q does not exist", up.DataCentre)
+		o.member("data_centre").fail(CodeUnknownReference, "data centre %q does not exist", up.DataCentre)
 	}
 	up.Slots = readSlots(o, up.Role)
 	up.Models = readModels(o.member("models"), service)
@@ -168,7 +168,7 @@
 		return nil
 	}
 	if kind == ServicePlain {
-		f.fail("only an engine has a desired state")
+		f.fail(CodeMisplacedField, "only an engine has a desired state")
 		return nil
 	}
 	o, ok := f.object("model", "adapter", "version")
@@ -177,7 +177,7 @@
 	}
 	model, given := o.required("model").text()
 	if given && !slices.Contains(models, core.ModelName(model)) {
-		o.member("model").fail("model %s is not among the models of the upstream", quote(model))
+		o.member("model").fail(CodeUnknownReference, "model %s is not among the models of the upstream", quote(model))
 		return nil
 	}
 	adapter, _ := o.member("adapter").matchPattern(modelPattern, maxModelLength, modelRule)
@@ -221,14 +221,14 @@
 			continue
 		}
 		if !slices.Contains(service.Models, name) {
-			element.fail("service %q does not offer model %s", service.Name, quote(text))
+			element.fail(CodeUnknownReference, "service %q does not offer model %s", service.Name, quote(text))
 			continue
 		}
 		checkUnique(element, used, name, "model")
 		list = append(list, name)
 	}
 	if len(list) == 0 {
-		f.fail("an upstream needs at least one model; leave the field out for all of them")
+		f.fail(CodeEmptyList, "an upstream needs at least one model; leave the field out for all of them")
 	}
 	return list
 }
@@ -243,11 +243,11 @@
 	rest, found := strings.CutPrefix(text, "http://")
 	addr, err := netip.ParseAddrPort(rest)
 	if !found || err != nil || addr.Port() == 0 || addr.Addr().Zone() != "" {
-		f.fail("%s is not valid: want http://IP:port without a path", quote(text))
+		f.fail(CodeBadValue, "%s is not valid: want http://IP:port without a path", quote(text))
 		return ""
 	}
 	if addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() {
-		f.fail("%s is not the address of one process", quote(text))
+		f.fail(CodeBadValue, "%s is not the address of one process", quote(text))
 		return ""
 	}
 	checkUnique(f, p.urls, "http://"+addr.String(), "url")
@@ -273,7 +273,7 @@
 		route.Methods = append(route.Methods, method)
 	}
 	if o.member("methods").present && len(route.Methods) == 0 {
-		o.member("methods").fail("a route needs at least one method")
+		o.member("methods").fail(CodeEmptyList, "a route needs at least one method")
 	}
 	route.Path = p.readPath(o.required("path"), route.Methods)
 	return route
@@ -286,11 +286,11 @@
 	}
 	exact := strings.TrimSuffix(text, "*")
 	if isPrefix(text) != (exact != text) || strings.Contains(exact, "*") || !isNormalisedPath(exact) || len(text) > maxPathLength {
-		f.fail("%s is not valid: want an absolute path without dot segments, with * only as a last /*", quote(text))
+		f.fail(CodeBadValue, "%s is not valid: want an absolute path without dot segments, with * only as a last /*", quote(text))
 		return ""
 	}
 	for _, overlap := range p.routes.overlaps(text, methods) {
-		f.fail("%s", overlap)
+		f.fail(CodeRouteHidden, "%s", overlap)
 	}
 	p.routes.add(f.path, text, methods)
 	return text
--- a/pkg/config/reader.go
+++ b/pkg/config/reader.go
@@ -36,20 +36,20 @@
 }
 
 // report adds a finding at a byte offset of the text.
-func (r *reader) report(offset int, path, message string) {
+func (r *reader) report(code Code, offset int, path, message string) {
 	if len(r.findings) >= maxFindings {
 		r.omitted++
 		return
 	}
 	line := sort.SearchInts(r.lines, offset+1)
 	column := offset - r.lines[line-1] + 1
-	r.findings = append(r.findings, Finding{r.file, line, column, path, message})
+	r.findings = append(r.findings, Finding{r.file, line, column, path, code, message})
 }
 
 // finish returns the findings in the order of the text.
 func (r *reader) finish() Findings {
 	if r.omitted > 0 {
-		last := Finding{File: r.file, Line: len(r.lines), Column: 1}
+		last := Finding{File: r.file, Code: CodeOmitted, Line: len(r.lines), Column: 1}
 		last.Message = fmt.Sprintf("%d more findings are not listed", r.omitted)
 		r.findings = append(r.findings, last)
 	}
@@ -68,8 +68,8 @@
 }
 
 // fail reports a finding at the field.
-func (f field) fail(format string, args ...any) {
-	f.r.report(f.offset, f.path, fmt.Sprintf(format, args...))
+func (f field) fail(code Code, format string, args ...any) {
+	f.r.report(code, f.offset, f.path, fmt.Sprintf(format, args...))
 }
 
 // object holds the members of an object by name.
@@ -86,7 +86,7 @@
 	}
 	syntax, ok := f.value.(*hujson.Object)
 	if !ok {
-		f.fail("want an object, got %s", kindOf(f.value))
+		f.fail(CodeWrongType, "want an object, got %s", kindOf(f.value))
 		return o, false
 	}
 	o.members = make(map[string]field, len(syntax.Members))
@@ -103,12 +103,12 @@
 		value: m.Value.Value, present: true,
 	}
 	if !slices.Contains(known, name) {
-		o.r.report(m.Name.StartOffset, member.path,
+		o.r.report(CodeUnknownField, m.Name.StartOffset, member.path,
 			fmt.Sprintf("unknown field %q; known fields: %s", name, strings.Join(known, ", ")))
 		return
 	}
 	if _, duplicate := o.members[name]; duplicate {
-		o.r.report(m.Name.StartOffset, member.path, fmt.Sprintf("field %q is set twice", name))
+		o.r.report(CodeDuplicateField, m.Name.StartOffset, member.path, fmt.Sprintf("field %q is set twice", name))
 		return
 	}
 	o.members[name] = member
@@ -133,7 +133,7 @@
 func (o object) required(name string) field {
 	f := o.member(name)
 	if !f.present {
-		f.fail("field %q is missing", name)
+		f.fail(CodeMissingField, "field %q is missing", name)
 	}
 	return f
 }
@@ -146,11 +146,11 @@
 	}
 	syntax, ok := f.value.(*hujson.Array)
 	if !ok {
-		f.fail("want an array, got %s", kindOf(f.value))
+		f.fail(CodeWrongType, "want an array, got %s", kindOf(f.value))
 		return nil
 	}
 	if len(syntax.Elements) > limit {
-		f.fail("has %d elements, at most %d are allowed", len(syntax.Elements), limit)
+		f.fail(CodeTooLarge, "has %d elements, at most %d are allowed", len(syntax.Elements), limit)
 		return nil
 	}
 	elements := make([]field, len(syntax.Elements))
@@ -172,7 +172,7 @@
 	}
 	literal, ok := f.value.(hujson.Literal)
 	if !ok || literal.Kind() != kind {
-		f.fail("want %s, got %s", want, kindOf(f.value))
+		f.fail(CodeWrongType, "want %s, got %s", want, kindOf(f.value))
 		return nil, false
 	}
 	return literal, true
@@ -202,7 +202,7 @@
 		return "", false
 	}
 	if len(text) > limit || !pattern.MatchString(text) {
-		f.fail("%s is not valid: want %s, at most %d characters", quote(text), rule, limit)
+		f.fail(CodeBadValue, "%s is not valid: want %s, at most %d characters", quote(text), rule, limit)
 		return "", false
 	}
 	return text, true
@@ -216,7 +216,7 @@
 	}
 	text, ok := f.text()
 	if ok && !slices.Contains(allowed, text) {
-		f.fail("%s is not one of %s", quote(text), strings.Join(allowed, ", "))
+		f.fail(CodeBadValue, "%s is not one of %s", quote(text), strings.Join(allowed, ", "))
 	}
 	return text
 }
@@ -228,7 +228,7 @@
 		return
 	}
 	if err := into.UnmarshalText([]byte(text)); err != nil {
-		f.fail("%v", err)
+		f.fail(CodeBadValue, "%v", err)
 	}
 }
 
@@ -241,7 +241,7 @@
 	}
 	n, err := strconv.ParseInt(string(literal), 10, 64)
 	if err != nil || n < low || n > high {
-		f.fail("%s is not a whole number from %d to %d", shorten(string(literal)), low, high)
+		f.fail(CodeBadValue, "%s is not a whole number from %d to %d", shorten(string(literal)), low, high)
 		return fallback
 	}
 	return n
@@ -254,7 +254,7 @@
 	}
 	literal, ok := f.value.(hujson.Literal)
 	if !ok || (literal.Kind() != 't' && literal.Kind() != 'f') {
-		f.fail("want true or false, got %s", kindOf(f.value))
+		f.fail(CodeWrongType, "want true or false, got %s", kindOf(f.value))
 		return false
 	}
 	return literal.Bool()
