--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -75,6 +75,13 @@
 	return doc, nil
 }
 
+// IsNestedTooDeep reports whether Parse rejects a text for its nesting. Other parsers that recurse need
+// the check too.
+func IsNestedTooDeep(text []byte) bool {
+	depth, _ := depthOf(text)
+	return depth > maxDepth
+}
+
 var syntaxErrorPattern = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (?s:(.*))$`)
 
 func (r *reader) reportSyntax(err error) {
