--- a/pkg/operator/command.go
+++ b/pkg/operator/command.go
@@ -17,6 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/configcheck"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/keys"
 	"github.com/rhubarbsill/rhubarbsill/pkg/platform"
@@ -43,11 +44,13 @@
 	out, errOut io.Writer
 	output      string // text or json
 	platformURL string
+	hosted      configcheck.Format // nil if the program knows no host platform
 }
 
-// Main runs the command line and returns its exit code.
-func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
-	c := &cli{out: out, errOut: errOut}
+// Main runs the command line and returns its exit code. hosted is the format of a host platform's
+// configuration, nil if there is none.
+func Main(ctx context.Context, args []string, out, errOut io.Writer, hosted configcheck.Format) int {
+	c := &cli{out: out, errOut: errOut, hosted: hosted}
 	root := c.command()
 	root.SetArgs(args)
 	root.SetOut(out)
@@ -70,7 +73,8 @@
 		return ExitConflict
 	case errors.As(err, &usage), strings.HasPrefix(err.Error(), "unknown command"):
 		return ExitUsage
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrOutcomeUnknown), errors.Is(err, errUnreachable):
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrOutcomeUnknown), errors.Is(err, errUnreachable),
+		errors.Is(err, configcheck.ErrUnreachable):
 		return ExitUnreachable
 	default:
 		return ExitFailure
@@ -153,13 +157,7 @@
 		Example: "  rhubarbsill config check production.jsonc",
 	}
 	command.AddCommand(
-		&cobra.Command{
-			Use:     "check FILE",
-			Short:   "Report every finding of a document with its place",
-			Example: "  rhubarbsill config check production.jsonc",
-			Args:    exactArgs(1),
-			RunE:    func(_ *cobra.Command, args []string) error { return c.check(args[0]) },
-		},
+		c.checkCommand(),
 		&cobra.Command{
 			Use:     "trial FILE",
 			Short:   "Put a document in trial, which takes no production traffic",
@@ -216,18 +214,6 @@
 	return nil, errors.Join(err, errFindings)
 }
 
-func (c *cli) check(file string) error {
-	doc, err := c.readDocument(file)
-	if err != nil {
-		return err
-	}
-	if c.output == "json" {
-		return json.NewEncoder(c.out).Encode([]config.Finding{})
-	}
-	_, err = fmt.Fprintf(c.out, "%s: no findings, %d services, %d accounts\n", file, len(doc.Services), len(doc.Accounts))
-	return err
-}
-
 func (c *cli) trial(ctx context.Context, file string) error {
 	doc, err := c.readDocument(file)
 	if err != nil {
--- a/pkg/operator/command_test.go
+++ b/pkg/operator/command_test.go
@@ -24,7 +24,7 @@
 func run(t *testing.T, args ...string) (code int, out, errOut string) {
 	t.Helper()
 	var stdout, stderr bytes.Buffer
-	code = Main(t.Context(), args, &stdout, &stderr)
+	code = Main(t.Context(), args, &stdout, &stderr, nil)
 	return code, stdout.String(), stderr.String()
 }
 
