--- a/pkg/configcheck/compare.go
+++ b/pkg/configcheck/compare.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"strconv"
+	"strings"
 )
 
 // Compare returns the differences of a configuration from the one that it replaces, with their effect
@@ -34,7 +35,7 @@
 	if e.kind == kindDocument {
 		return "the configuration"
 	}
-	return fmt.Sprintf("%s %s", e.kind, cmp.Or(e.label, e.name))
+	return strings.ReplaceAll(string(e.kind), "-", " ") + " " + cmp.Or(e.label, e.name)
 }
 
 func (r *Reporter) compareFields(old, updated entry) {
@@ -118,6 +119,7 @@
 const (
 	effectRegions = "allowed-regions"
 	effectAccount = "key-account"
+	effectNeed    = "need-of-keys"
 	effectState   = "key-state"
 	effectAddress = "upstream-address"
 )
@@ -146,6 +148,7 @@
 	"key-changed":              "the former key ends " + endOfKey,
 	"key-account-changed":      "its requests are charged to the new account once the version is in force; it goes on working",
 	"key-state-changed":        "a key that is revoked ends " + endOfKey,
+	"need-of-keys-changed":     "without a list of accounts, no route needs a key; with one, waiting requests without a valid key are refused once the version is in force",
 	"rate-lowered":             "binds one quota window after the version is in force, since what was admitted before counts by the former rate; no running request ends",
 	"rate-raised":              "applies once the version is in force",
 	"burst-lowered":            "requests that cost more are refused once the version is in force; what was admitted before keeps its tokens",
--- a/pkg/configcheck/routing_entries.go
+++ b/pkg/configcheck/routing_entries.go
@@ -13,7 +13,7 @@
 	e.add(entry{entryID: entryID{kindDocument, ""}, fields: []entryField{
 		limits(FieldHeaderBytes, c.Limits.HeaderBytes), limits(FieldBodyBytes, c.Limits.BodyBytes),
 		limits(FieldHeaderTimeout, c.Limits.HeaderTimeout), limits(FieldIdleTimeout, c.Limits.IdleTimeout),
-		{name: "need of keys", path: c.path(Place{PlaceAccounts, Whole, "", Whole}), value: fmt.Sprint(c.NeedsKeys)},
+		text("need of keys", c.path(Place{PlaceAccounts, Whole, "", Whole}), c.NeedsKeys).withEffect(effectNeed),
 	}})
 	for i := range c.Routes {
 		e.addRoute(c, i, &c.Routes[i])
--- a/pkg/configcheck/shape.go
+++ b/pkg/configcheck/shape.go
@@ -90,7 +90,7 @@
 	default:
 		if literal, ok := v.Value.(hujson.Literal); ok && literal.Kind() == '0' {
 			if !numberFits(string(literal), shape) {
-				s.addAt(SeverityError, config.CodeBadValue, v.StartOffset, path, "%.80s is not %s in range", string(literal), wanted(shape))
+				s.addAt(SeverityError, config.CodeBadValue, v.StartOffset, path, "%.80s is not %s of %d bits", string(literal), wanted(shape), shape.Bits())
 			}
 			return
 		}
@@ -177,7 +177,7 @@
 		return "a number"
 	}
 	if shape.Kind() >= reflect.Uint && shape.Kind() <= reflect.Uint64 {
-		return "a whole number that is not negative"
+		return "a natural number"
 	}
 	return "a whole number"
 }
