platform: tests of the check of the platform's configuration

The property test found two faults of the check: a panic for a usable route with one unknown share, and an unknown field with the number 1e400 as an error.

--- a/pkg/configcheck/configcheck_test.go
+++ b/pkg/configcheck/configcheck_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
+	"github.com/rhubarbsill/rhubarbsill/pkg/configcheck/mutate"
 )
 
 const valid = `{ "environment": "test", "store_region": "north",
@@ -138,7 +139,7 @@
 	}
 	before := CheckDocument("old", []byte(valid), Options{})
 	rapid.Check(t, func(t *rapid.T) {
-		text := []byte(Mutate(t, tree))
+		text := []byte(mutate.Text(t, tree))
 		report := CheckDocument("f", text, Options{MemoryBytes: 1 << 27, EngineTokens: 5})
 		doc, findings := config.Parse("f", text)
 		if report.HasErrors() != (doc == nil) || report.HasErrors() && len(report.Findings) != len(findings) {
@@ -157,51 +158,3 @@
 		}
 	})
 }
-
-var oddValues = []string{`null`, `0`, `-1`, `1.5`, `1e3`, `1e400`, `99999999999999999999`, `""`, `"x"`, `"llm"`, `true`, `[]`, `{}`, `[null]`, `[{}]`, `"\ud800"`, "\"\xff\"", `"/*"`, `"north"`}
-
-// Mutate returns the text of a JSON value with up to three random changes.
-func Mutate(t *rapid.T, tree any) string {
-	changes := rapid.IntRange(0, 3).Draw(t, "changes")
-	size := strings.Count(encode(tree, func(any) (string, bool) { return "", false }), ":") + 8
-	at := rapid.SliceOfN(rapid.IntRange(0, size), changes, changes).Draw(t, "at")
-	n := -1
-	text := encode(tree, func(v any) (string, bool) {
-		if n++; !slices.Contains(at, n) {
-			return "", false
-		}
-		return rapid.SampledFrom(oddValues).Draw(t, "value"), true
-	})
-	if rapid.IntRange(0, 9).Draw(t, "syntax") == 0 {
-		i := rapid.IntRange(0, len(text)).Draw(t, "cut")
-		text = text[:i] + rapid.SampledFrom([]string{`,`, `}`, `"`, `/* */`, "\x00", `"a": 1,`, "\n"}).Draw(t, "insert") + text[i:]
-	}
-	return text
-}
-
-// encode writes a value with one element a line. It asks replace for the text of each value first.
-func encode(v any, replace func(any) (string, bool)) string {
-	if text, replaced := replace(v); replaced {
-		return text
-	}
-	var parts []string
-	switch v := v.(type) {
-	case map[string]any:
-		names := make([]string, 0, len(v))
-		for name := range v {
-			names = append(names, name)
-		}
-		slices.Sort(names)
-		for _, name := range names {
-			parts = append(parts, fmt.Sprintf("%q: %s", name, encode(v[name], replace)))
-		}
-		return "{" + strings.Join(parts, ",\n") + "}"
-	case []any:
-		for _, item := range v {
-			parts = append(parts, encode(item, replace))
-		}
-		return "[" + strings.Join(parts, ",\n") + "]"
-	}
-	text, _ := json.Marshal(v) // a value that was decoded always encodes
-	return string(text)
-}
--- a/pkg/configcheck/hosted.go
+++ b/pkg/configcheck/hosted.go
@@ -317,7 +317,10 @@
 	allModel := true
 	for _, route := range routes {
 		for _, share := range route.ServiceShares {
-			service, _ := c.Service(share.Service)
+			service, found := c.Service(share.Service)
+			if !found || share.Weight <= 0 {
+				continue
+			}
 			services[share.Service] = true
 			allModel = allModel && service.Engine != nil
 			if service.Engine != nil && !account.CountRequests && largest < int64(service.Engine.KVCacheTokens) {
--- a/pkg/configcheck/shape.go
+++ b/pkg/configcheck/shape.go
@@ -17,7 +17,7 @@
 // that json.Unmarshal ignores and of fields that are set twice. The type has only structs, slices,
 // pointers, strings, booleans and numbers, without embedded fields and methods of decoding.
 func CheckShape(file string, text []byte, shape reflect.Type) *Reporter {
-	if err := json.Unmarshal(text, new(any)); err != nil {
+	if err := json.Unmarshal(text, new(json.RawMessage)); err != nil {
 		return syntaxError(file, text, err)
 	}
 	r := NewReporter(NewPlaces(file, text))
--- a/pkg/operator/check.go
+++ b/pkg/operator/check.go
@@ -186,7 +186,7 @@
 
 func (c *cli) printFindings(file, earlier string, report *configcheck.Report, findings []configcheck.Finding) error {
 	if c.output == "json" {
-		return json.NewEncoder(c.out).Encode(slices.Concat([]configcheck.Finding{}, findings))
+		return json.NewEncoder(c.out).Encode(append([]configcheck.Finding{}, findings...)) // [] and not null without findings
 	}
 	for _, finding := range findings {
 		fmt.Fprintln(c.out, finding)
