--- a/pkg/configcheck/configcheck_test.go
+++ b/pkg/configcheck/configcheck_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"os"
 	"regexp"
 	"slices"
@@ -139,22 +140,28 @@
 	}
 	before := CheckDocument("old", []byte(valid), Options{})
 	rapid.Check(t, func(t *rapid.T) {
-		text := []byte(mutate.Text(t, tree))
-		report := CheckDocument("f", text, Options{MemoryBytes: 1 << 27, EngineTokens: 5})
-		doc, findings := config.Parse("f", text)
-		if report.HasErrors() != (doc == nil) || report.HasErrors() && len(report.Findings) != len(findings) {
-			t.Fatalf("%s\nloader: %v\ncheck: %v", text, findings, report.Findings)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		for range 40 {
+			checkErrors(t, before, mutate.Text(random, tree))
 		}
-		for _, f := range append(Compare(before, report), report.Findings...) {
-			if f.Line < 1 || f.Column < 1 || f.Line > strings.Count(string(text), "\n")+1 || f.Message == "" || f.Code == "" {
-				t.Fatalf("%s\n%+v", text, f)
-			}
+	})
+}
+
+func checkErrors(t *rapid.T, before *Report, text string) {
+	report := CheckDocument("f", []byte(text), Options{MemoryBytes: 1 << 27, EngineTokens: 5})
+	doc, findings := config.Parse("f", []byte(text))
+	if report.HasErrors() != (doc == nil) || report.HasErrors() && len(report.Findings) != len(findings) {
+		t.Fatalf("%s\nloader: %v\ncheck: %v", text, findings, report.Findings)
+	}
+	for _, f := range append(Compare(before, report), report.Findings...) {
+		if f.Line < 1 || f.Column < 1 || f.Line > strings.Count(text, "\n")+1 || f.Message == "" || f.Code == "" {
+			t.Fatalf("%s\n%+v", text, f)
 		}
-		if doc != nil {
-			again := CheckDocument("f", config.Format(config.Compile(doc, 1).Document()), Options{})
-			if notes := Compare(report, again); again.HasErrors() || len(notes) > 0 {
-				t.Fatalf("%s\nin force: %v %v", text, again.Findings, notes)
-			}
+	}
+	if doc != nil {
+		again := CheckDocument("f", config.Format(config.Compile(doc, 1).Document()), Options{})
+		if notes := Compare(report, again); again.HasErrors() || len(notes) > 0 {
+			t.Fatalf("%s\nin force: %v %v", text, again.Findings, notes)
 		}
-	})
+	}
 }
--- a/pkg/configcheck/finding.go
+++ b/pkg/configcheck/finding.go
@@ -28,6 +28,9 @@
 // Code names a kind of finding.
 type Code = config.Code
 
+// CodeUnreadable is an error of the loader that the check has not located.
+const CodeUnreadable Code = "unreadable"
+
 // The codes of warnings. CodeKeyShared, CodeRouteHidden, CodeDuplicateName, CodeDuplicateField and
 // CodeUnknownField of package config are warnings where the loader of the format accepts them.
 const (
--- a/pkg/configcheck/mutate/mutate.go
+++ b/pkg/configcheck/mutate/mutate.go
@@ -5,10 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
-
-	"pgregory.net/rapid"
 )
 
 var (
@@ -20,28 +19,30 @@
 )
 
 // Text returns the text of a JSON value, which json.Unmarshal has decoded, with some random changes of
-// values, names and syntax.
-func Text(t *rapid.T, tree any) string {
-	m := mutation{t: t, one: rapid.SampledFrom([]int{10, 40, 150, 1000}).Draw(t, "one in")}
+// values, names and syntax. Few of them are most likely, so that one does not hide another.
+func Text(r *rand.Rand, tree any) string {
+	m := mutation{r, pick(r, []int{50, 150, 400, 1000})}
 	text := m.encode(tree)
-	if rapid.IntRange(0, 9).Draw(t, "syntax") == 0 {
-		i := rapid.IntRange(0, len(text)).Draw(t, "offset")
-		text = text[:i] + rapid.SampledFrom(syntax).Draw(t, "insert") + text[i:]
+	if r.IntN(20) == 0 {
+		i := r.IntN(len(text) + 1)
+		text = text[:i] + pick(r, syntax) + text[i:]
 	}
 	return text
 }
 
+func pick[T any](r *rand.Rand, list []T) T { return list[r.IntN(len(list))] }
+
 type mutation struct {
-	t   *rapid.T
+	r   *rand.Rand
 	one int // one in so many values changes
 }
 
-func (m mutation) happens() bool { return rapid.IntRange(1, m.one).Draw(m.t, "chance") == 1 }
+func (m mutation) happens() bool { return m.r.IntN(m.one) == 0 }
 
 // encode writes each element and member in a line of its own.
 func (m mutation) encode(v any) string {
 	if m.happens() {
-		return rapid.SampledFrom(values).Draw(m.t, "value")
+		return pick(m.r, values)
 	}
 	var parts []string
 	switch v := v.(type) {
@@ -69,7 +70,7 @@
 	if !m.happens() {
 		return []string{member(name)}
 	}
-	switch rapid.IntRange(0, 3).Draw(m.t, "name") {
+	switch m.r.IntN(4) {
 	case 0:
 		return nil
 	case 1:
