--- a/pkg/configcheck/configcheck_test.go
+++ b/pkg/configcheck/configcheck_test.go
@@ -128,6 +128,7 @@
 	r.Warn(CodeServiceUnused, "x", "m")
 	list := r.Findings()
 	is.Equal(len(list), maxOfCode+2)
+	is.Equal(Count(list, SeverityWarning), 3*maxOfCode+1)
 	is.True(slices.ContainsFunc(list, func(f Finding) bool { return f.Message == "2000 more findings of this code are not listed" }))
 }
 
--- a/pkg/configcheck/document.go
+++ b/pkg/configcheck/document.go
@@ -14,7 +14,9 @@
 	if doc == nil {
 		report := &Report{}
 		for _, e := range errs {
-			report.Findings = append(report.Findings, Finding{e.File, e.Line, e.Column, e.Path, SeverityError, e.Code, e.Message})
+			report.Findings = append(report.Findings, Finding{
+				File: e.File, Line: e.Line, Column: e.Column, Path: e.Path, Severity: SeverityError, Code: e.Code, Message: e.Message,
+			})
 		}
 		return report
 	}
--- a/pkg/configcheck/finding.go
+++ b/pkg/configcheck/finding.go
@@ -72,6 +72,8 @@
 	Severity Severity `json:"severity"`
 	Code     Code     `json:"code"`
 	Message  string   `json:"message"`
+	// more is the number of findings that this one stands for, 0 for itself.
+	more int
 }
 
 // String returns the finding as one line. An error has the form of config.Finding.
@@ -83,12 +85,12 @@
 	return place.String()
 }
 
-// Count returns the number of findings of a severity.
+// Count returns the number of findings of a severity, with those that are not listed.
 func Count(list []Finding, severity Severity) int {
 	n := 0
 	for _, finding := range list {
 		if finding.Severity == severity {
-			n++
+			n += max(1, finding.more)
 		}
 	}
 	return n
@@ -136,7 +138,9 @@
 		return
 	}
 	line, column := r.places.position(offset)
-	r.findings = append(r.findings, Finding{r.places.file, line, column, path, severity, code, fmt.Sprintf(format, args...)})
+	r.findings = append(r.findings, Finding{
+		File: r.places.file, Line: line, Column: column, Path: path, Severity: severity, Code: code, Message: fmt.Sprintf(format, args...),
+	})
 }
 
 // Findings returns the findings in the order of the text. A code with more than maxOfCode findings
@@ -147,7 +151,7 @@
 	for i := len(list) - 1; i >= 0; i-- {
 		last := list[i]
 		if more := r.count[last.Code] - maxOfCode; more > 0 {
-			last.Path, last.Message = "", fmt.Sprintf("%d more findings of this code are not listed", more)
+			last.Path, last.more, last.Message = "", more, fmt.Sprintf("%d more findings of this code are not listed", more)
 			list = append(list, last)
 			r.count[last.Code] = maxOfCode
 		}
--- a/pkg/locality/locality.go
+++ b/pkg/locality/locality.go
@@ -65,6 +65,17 @@
 	return s.restricted == other.restricted && slices.Equal(s.regions, other.regions)
 }
 
+// ExcludesAll reports whether the Set allows no region, as the intersection of two lists without a
+// common region or a list of empty names does.
+func (s Set) ExcludesAll() bool {
+	for _, region := range s.regions {
+		if region != "" {
+			return false
+		}
+	}
+	return s.restricted
+}
+
 // Unknown returns the regions of the Set that are not known. They allow no Upstream.
 func (s Set) Unknown(known func(core.RegionName) bool) []core.RegionName {
 	var unknown []core.RegionName
--- a/pkg/locality/locality_test.go
+++ b/pkg/locality/locality_test.go
@@ -42,5 +42,6 @@
 		}
 	}
 	is.True(!none.Equal(free))
+	is.True(none.ExcludesAll() && Only("").ExcludesAll() && !free.ExcludesAll() && !east.ExcludesAll())
 	is.Equal(Only("east", "moon").Unknown(east.Allows), []core.RegionName{"moon"})
 }
--- a/pkg/operator/check_test.go
+++ b/pkg/operator/check_test.go
@@ -23,12 +23,12 @@
 	defer web.Close()
 	doc := document(3, 7)
 	sound := writeFile(t, config.Format(doc))
-	code, _, errOut := run(t, "config", "trial", sound, "--platform", web.URL)
+	code, _, _ := run(t, "config", "trial", sound, "--platform", web.URL)
 	is.Equal(code, ExitOK)
 	code, out, _ := run(t, "config", "check", sound, "--in-force", "--platform", web.URL)
 	is.Equal(code, ExitOK) // nothing is in force
 	is.Equal(out, sound+": no findings, 1 services, 3 accounts\n")
-	code, _, errOut = run(t, "config", "promote", "--platform", web.URL)
+	code, _, errOut := run(t, "config", "promote", "--platform", web.URL)
 	is.Equal(errOut, "")
 	is.Equal(code, ExitOK)
 	doc.Accounts[1].RateTokensPerSecond = 6
