--- a/pkg/configcheck/hosted.go
+++ b/pkg/configcheck/hosted.go
@@ -177,23 +177,25 @@
 
 // checkShares reports whether a request of the route can get a service.
 func (c *routingCheck) checkShares(route *config.HostRoute, i int) bool {
-	weight := 0
+	total, usable := 0, 0
 	for j, share := range route.ServiceShares {
 		_, found := c.Service(share.Service)
 		path := c.path(Place{PlaceRoutes, i, FieldShares, j})
+		total += share.Weight
 		switch {
 		case !found:
 			c.Warn(CodeShareNeverPicked, path, "route %q sends requests to service %q, which does not exist: they are refused", route.Name, share.Service)
 		case share.Weight <= 0:
 			c.Warn(CodeShareNeverPicked, path, "route %q gives service %q the weight %d, which gets nothing", route.Name, share.Service, share.Weight)
 		default:
-			weight += share.Weight
+			usable += share.Weight
 		}
 	}
-	if weight <= 0 {
+	hasService := total > 0 && usable > 0
+	if !hasService {
 		c.warnAt(CodeRouteNoService, PlaceRoutes, i, FieldShares, "route %q has no service: its requests are refused", route.Name)
 	}
-	return weight > 0
+	return hasService
 }
 
 func (c *routingCheck) checkRegions(set locality.Set, list PlaceList, i int) {
