--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -418,6 +418,23 @@
 	return max(f.params.SilenceTimeout, maxMissedHeartbeats*interval)
 }
 
+// HearsAllDataCentres reports whether, of each DataCentre with live peers, a heartbeat has arrived within
+// maxAge. A partition of DataCentres or regions shows by this long before each peer counts as silent.
+func (f *Fleet) HearsAllDataCentres(now core.Instant, maxAge time.Duration) bool {
+	newest := map[core.DataCentreName]core.Instant{}
+	for _, p := range f.peers {
+		if !p.silent && !p.state.Leaving {
+			newest[p.member.DataCentre] = max(newest[p.member.DataCentre], p.lastHeartbeat)
+		}
+	}
+	for _, heard := range newest {
+		if heard == 0 || now.Sub(heard) > maxAge {
+			return false
+		}
+	}
+	return true
+}
+
 // readersPerRegion is the number of Instances of a Region that follow the store closely for the
 // others. Any of them may be lost or cut off from the store.
 const readersPerRegion = 4
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -82,6 +82,7 @@
 	upstreams     atomic.Pointer[upstreamList]
 	leaving       atomic.Bool
 	liveInstances atomic.Int64 // including this one
+	extraTokens   int64        // last recorded
 	follower      atomic.Bool  // others of the Region follow the store closely
 	watches       activeWatches
 	lastGaugeRead time.Time // only used by the event loop
@@ -175,6 +176,7 @@
 			AddressTTL:  settings.addressTTL(),
 
 			EvacuationBound: settings.evacuationBound(),
+			QuotaTolerance:  settings.quotaTolerance(),
 		},
 	})
 	d.evacuationHealth = d.newStoreHealth("evacuations")
@@ -428,6 +430,8 @@
 			d.metrics.SetQueueLength(service, n)
 		}
 		d.recordEvacuationGauges(gauges.Evacuations)
+		d.metrics.AddExtraTokens(gauges.ExtraTokens - d.extraTokens)
+		d.extraTokens = gauges.ExtraTokens
 		for _, s := range gauges.Paces {
 			d.metrics.SetPaceSpread(s.Service, string(s.Stage), s.Fastest, s.Slowest, s.Slow)
 		}
--- a/pkg/hosted/settings.go
+++ b/pkg/hosted/settings.go
@@ -13,6 +13,7 @@
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/admission"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
 	"github.com/rhubarbsill/rhubarbsill/pkg/warmup"
 )
 
@@ -61,6 +62,14 @@
 	// milliseconds. 0 if the deployment has no evacuations: the store is not asked for them then.
 	EvacuateMS float64 `json:"evacuate_ms"`
 
+	// In any QuotaWindowSeconds, the platform tolerates QuotaOverage times the allowance of an account and
+	// QuotaSlack tokens beyond it. QuotaTolerancePart of that may be used for requests over the rate of
+	// their account while Upstreams are idle. 0: nothing of it.
+	QuotaWindowSeconds float64 `json:"quota_window_s"`
+	QuotaOverage       float64 `json:"quota_overage"`
+	QuotaSlack         float64 `json:"quota_slack"`
+	QuotaTolerancePart float64 `json:"quota_tolerance_part"`
+
 	// MemoryMB and MaxFDs are the memory and the descriptors of the machine. 0 or missing: not known. The
 	// limits of connections are then those of the largest machine, and the runtime has no memory limit.
 	MemoryMB MachineFigure `json:"memory_mb"`
@@ -161,6 +170,12 @@
 	if s.EvacuateMS < 0 {
 		add("evacuate_ms: %v must not be below 0", s.EvacuateMS)
 	}
+	if s.QuotaTolerancePart < 0 || s.QuotaTolerancePart > 1 {
+		add("quota_tolerance_part: %v must be between 0 and 1", s.QuotaTolerancePart)
+	}
+	if s.QuotaTolerancePart > 0 && (s.QuotaWindowSeconds <= 0 || s.QuotaOverage < 0 || s.QuotaSlack < 0) {
+		add("quota_tolerance_part: needs quota_window_s above 0, and quota_overage and quota_slack not below 0")
+	}
 	if s.MemoryMB < 0 {
 		add("memory_mb: %v must not be below 0", s.MemoryMB)
 	}
@@ -185,6 +200,12 @@
 	return time.Duration(s.EvacuateMS * float64(time.Millisecond))
 }
 
+func (s Settings) quotaTolerance() quota.Tolerance {
+	return quota.Tolerance{
+		Window: secondsToDuration(s.QuotaWindowSeconds), Overage: s.QuotaOverage, Slack: s.QuotaSlack, Part: s.QuotaTolerancePart,
+	}
+}
+
 // memoryBytes returns the memory of the machine, or that of the largest one if it is not known.
 func (s Settings) memoryBytes() int64 {
 	if s.MemoryMB <= 0 {
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -19,6 +19,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
 	"github.com/rhubarbsill/rhubarbsill/pkg/locality"
+	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
 	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
 	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
@@ -218,9 +219,10 @@
 		Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 1)), NonceSource: bytes.NewReader(nil),
 		Hosted: &router.HostedParams{
 			Member: inst.member, Dispatch: dispatch.Params{Regions: w.x.DataCentres},
-			Retry:      retry.Params{Ratio: 0.2, Allowance: 56, Window: 10 * time.Second},
-			StartedAt:  w.now,
-			AddressTTL: time.Second, GracePeriod: 8 * time.Second, IgnorePace: w.x.IgnorePace,
+			Retry:          retry.Params{Ratio: 0.2, Allowance: 56, Window: 10 * time.Second},
+			StartedAt:      w.now,
+			QuotaTolerance: quota.Tolerance{Window: quotaWindow, Overage: quotaOverage - 1, Slack: quotaSlack, Part: 0.5},
+			AddressTTL:     time.Second, GracePeriod: 8 * time.Second, IgnorePace: w.x.IgnorePace,
 		},
 	})
 	members := make([]fleet.Member, 0, len(w.instances))
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -42,6 +42,9 @@
 	AskedSmall int64
 	// Level is the Instance's view of the level of the fleet's bucket.
 	Level int64
+	// Extra counts the tokens admitted beyond the allowance since the start of the Instance. They are
+	// not part of Admitted.
+	Extra int64
 }
 
 // Quota holds the token buckets of one Instance. K names the accounts. It is not safe for
@@ -53,6 +56,8 @@
 	peers       map[core.InstanceID]*peer[K]
 	silentPeers int
 	claim       claim
+	tolerance   Tolerance
+	windowsFrom core.Instant // the windows of all accounts are complete from then on
 }
 
 type account struct {
@@ -72,6 +77,10 @@
 	// those of small requests, both decaying exponentially with demandTimeConstant.
 	recentDemand      float64
 	recentSmallDemand float64
+	// extra counts the tokens admitted beyond the allowance since the start of this Instance.
+	extra         int64
+	reportedExtra int64 // in the last urgent report
+	window        usageWindow
 }
 
 type peer[K ~string] struct {
@@ -229,6 +238,7 @@
 // OnPaused keeps an even share of the levels after a time in which this process did not run: the
 // rest is set aside for each peer until its report shows what it has used meanwhile.
 func (q *Quota[K]) OnPaused(now core.Instant) {
+	q.restartWindows(now)
 	for _, id := range slices.Sorted(maps.Keys(q.peers)) {
 		q.OnPeerSilent(now, now, id)
 	}
@@ -236,6 +246,7 @@
 
 // Empty empties the buckets, for allowances of which peers may have used everything.
 func (q *Quota[K]) Empty(now core.Instant) {
+	q.restartWindows(now)
 	for id, a := range q.accounts {
 		q.refill(now, id, a)
 		a.level = min(a.level, 0)
@@ -260,6 +271,7 @@
 	q.refill(now, id, a)
 	a.level = min(a.level+float64(tokens), float64(a.limit.Burst))
 	a.admitted -= tokens
+	q.recordLevel(now, a)
 }
 
 // Level returns the level of an account's bucket, for logs.
@@ -303,6 +315,7 @@
 	if p.silent {
 		p.silent = false
 		q.silentPeers--
+		q.restartWindows(now)
 	}
 }
 
@@ -325,6 +338,8 @@
 		a.level = min(a.level, float64(report.Level))
 	}
 	a.level = min(a.level-float64(used)+p.reserved[id], float64(a.limit.Burst))
+	q.recordExtra(a.updatedAt, a, report.Extra-p.reports[id].Extra)
+	q.recordLevel(a.updatedAt, a)
 }
 
 // dropReservation forgets what is reserved for a peer.
@@ -400,7 +415,7 @@
 	reports := map[K]Report{}
 	for id, a := range q.accounts {
 		if q.needsUrgentReport(now, id, a) {
-			a.reportedAdmitted = a.admitted
+			a.reportedAdmitted, a.reportedExtra = a.admitted, a.extra
 			reports[id] = a.report()
 		}
 	}
@@ -418,7 +433,7 @@
 }
 
 func (q *Quota[K]) needsUrgentReport(now core.Instant, id K, a *account) bool {
-	if a.limit.Rate == 0 || a.admitted == a.reportedAdmitted {
+	if a.limit.Rate == 0 || a.admitted == a.reportedAdmitted && a.extra == a.reportedExtra {
 		return false
 	}
 	q.refill(now, id, a)
@@ -426,7 +441,7 @@
 }
 
 func (a *account) report() Report {
-	return Report{Admitted: a.admitted, Asked: a.requested, AskedSmall: a.requestedSmall, Level: int64(a.level)}
+	return Report{Admitted: a.admitted, Asked: a.requested, AskedSmall: a.requestedSmall, Level: int64(a.level), Extra: a.extra}
 }
 
 func (q *Quota[K]) refillAll(now core.Instant) {
@@ -459,6 +474,7 @@
 		}
 	}
 	a.level = min(a.level+tokens, q.usableBurst(a))
+	q.recordLevel(now, a)
 }
 
 // usableBurst returns the share of the burst that the live Instances may use.
--- a/pkg/quota/usable.go
+++ b/pkg/quota/usable.go
@@ -20,6 +20,7 @@
 		return
 	}
 	q.refillAll(now)
+	q.restartWindows(now)
 	q.claim = claim{limited: true, part: part, until: until}
 	for _, a := range q.accounts {
 		a.level = min(a.level, q.usableBurst(a))
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -41,6 +41,9 @@
 	// EvacuationBound is the time after which the evacuation of a DataCentre binds every Instance, 0 if
 	// the deployment has none.
 	EvacuationBound time.Duration
+	// QuotaTolerance is what the platform allows beyond the allowances of accounts. Its Part is 0 if it
+	// is not used on purpose.
+	QuotaTolerance quota.Tolerance
 	// IgnorePace takes all Upstreams as equally fast, to compare.
 	IgnorePace bool
 }
@@ -108,6 +111,7 @@
 	nextMemberListAt  core.Instant
 	memberListAt      core.Instant // the last request for a list
 	claim             fleet.Claim
+	extraTokens       int64 // admitted beyond the allowances since the start
 	nextQuotaUpdateAt core.Instant
 	shutdownAt        core.Instant // start of the graceful shutdown
 	stopAt            core.Instant
@@ -129,7 +133,7 @@
 		paces = nil
 	}
 	p.Dispatch.Pace = paces
-	return &hosted{
+	h := &hosted{
 		Router:        r,
 		params:        p,
 		catalog:       catalog.New(),
@@ -152,6 +156,8 @@
 
 		evacuationWait: evacuationWait{until: core.Never},
 	}
+	h.quota.SetTolerance(p.StartedAt, p.QuotaTolerance)
+	return h
 }
 
 // nextWake returns the instant at which the next Tick is due.
@@ -463,6 +469,8 @@
 	Evacuations *EvacuationGauges
 	// Paces holds how much the Upstreams of each service and stage differ in speed.
 	Paces []pace.Spread
+	// ExtraTokens counts the tokens admitted beyond the allowances of accounts since the start.
+	ExtraTokens int64
 }
 
 // HostedGauges returns the current values. The Router must be hosted.
@@ -475,6 +483,6 @@
 	return HostedGauges{
 		LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting,
 		Liveness: h.fleet.LivenessCounts(now), Cold: h.warmup.Summary(now), Evacuations: h.evacuationGauges(now),
-		Paces: h.paces.Spreads(now),
+		Paces: h.paces.Spreads(now), ExtraTokens: h.extraTokens,
 	}
 }
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -182,6 +182,9 @@
 		rs.charged = true
 		return nil
 	}
+	if h.admitWithinTolerance(now, rs) {
+		return nil
+	}
 	return refusalWithRetryAfter(core.CodeOverRate, "the account is over its rate", max(wait, time.Second))
 }
 
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -116,6 +116,7 @@
 	delayedHeartbeats  metric.Int64Counter
 	configVersion      metric.Int64Gauge
 	storeWatchFailing  metric.Int64Gauge
+	extraTokens        metric.Int64Counter
 	evacuatedRequests  metric.Int64Gauge
 	evacuationAge      metric.Float64Gauge
 
@@ -174,6 +175,7 @@
 	m.notNamed = b.gauge("instances_not_named", "{instance}", "Heard instances that address responses leave out, because it is not known that they are alive.")
 	m.delayedHeartbeats = b.counter("delayed_heartbeats", "{heartbeat}", "Heartbeats that were ignored because they were made long ago.")
 	m.configVersion = b.gauge("config_version", "{version}", "Configuration version in force, 0 for none.")
+	m.extraTokens = b.counter("quota_tolerated_tokens", "{token}", "Tokens admitted beyond the rates of accounts, within the tolerance of the platform.")
 	m.evacuatedRequests = b.gauge("evacuated_requests", "{request}", "Own requests that still run at an evacuated data centre.")
 	m.evacuationAge = b.secondsGauge("evacuations_age", "Time since the list of evacuations was confirmed by the store, -1 before.")
 	m.storeWatchFailing = b.gauge("store_lost", "{watch}", "1 while a watch of the store fails.")
@@ -323,6 +325,9 @@
 	m.storeWatchFailing.Record(context.Background(), value, metric.WithAttributes(attribute.String("what", watch)))
 }
 
+// AddExtraTokens counts tokens that were admitted beyond the rates of accounts.
+func (m *Metrics) AddExtraTokens(n int64) { m.extraTokens.Add(context.Background(), n) }
+
 // SetEvacuatedRequests records the own requests that run at an evacuated data centre.
 func (m *Metrics) SetEvacuatedRequests(dc core.DataCentreName, n int) {
 	m.evacuatedRequests.Record(context.Background(), int64(n), metric.WithAttributes(attribute.String("data_centre", string(dc))))
