--- a/pkg/lab/hostedsim/experiment.go
+++ b/pkg/lab/hostedsim/experiment.go
@@ -46,6 +46,9 @@
 	// all requests as equally urgent, to compare.
 	IgnorePace    bool `json:"ignore_pace"`
 	IgnoreUrgency bool `json:"ignore_urgency"`
+	// QuotaTolerancePart is the part of the platform's tolerance that Instances use for requests over
+	// the rate of their account.
+	QuotaTolerancePart float64 `json:"quota_tolerance_part"`
 
 	Faults []Fault `json:"faults"`
 }
--- a/pkg/lab/hostedsim/hostedsim_test.go
+++ b/pkg/lab/hostedsim/hostedsim_test.go
@@ -187,6 +187,7 @@
 				Account: rapid.SampledFrom([]core.AccountID{"", "bakery"}).Draw(t, "account"),
 			})
 		}
+		x.QuotaTolerancePart = rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "tolerance")
 		checkRules(t, x)
 	})
 }
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -221,7 +221,7 @@
 			Member: inst.member, Dispatch: dispatch.Params{Regions: w.x.DataCentres},
 			Retry:          retry.Params{Ratio: 0.2, Allowance: 56, Window: 10 * time.Second},
 			StartedAt:      w.now,
-			QuotaTolerance: quota.Tolerance{Window: quotaWindow, Overage: quotaOverage - 1, Slack: quotaSlack, Part: 0.5},
+			QuotaTolerance: quota.Tolerance{Window: quotaWindow, Overage: quotaOverage - 1, Slack: quotaSlack, Part: w.x.QuotaTolerancePart},
 			AddressTTL:     time.Second, GracePeriod: 8 * time.Second, IgnorePace: w.x.IgnorePace,
 		},
 	})
