promptcache, dispatch, router: weigh prompts that prefill engines still hold

The choice of a prefill engine counted the whole prompt everywhere, also at the engine that had prefilled it before. Placements of this Instance now give an estimate of what each engine holds; the choice, the load and the pace count the tokens expected to be prefilled. Waiting, refusals and timeouts go by the whole prompt.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -7,6 +7,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/locality"
+	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 )
 
 const (
@@ -129,20 +130,23 @@
 }
 
 // choosePrefill returns the prefill engine that is expected to finish first, or nil
-// when none is usable.
-func (d *Dispatcher) choosePrefill(now core.Instant, j *job) *upstream {
-	return d.best(now, j, requestsOfCall, func(up *upstream) (float64, bool) {
+// when none is usable, and what it is expected to hold of the prompt.
+func (d *Dispatcher) choosePrefill(now core.Instant, j *job) (*upstream, promptcache.Expectation) {
+	d.expectHeld(now, j)
+	best := d.best(now, j, requestsOfCall, func(up *upstream) (float64, bool) {
 		if up.Stage != catalog.StagePrefill || !up.usable(now) {
 			return 0, false
 		}
 		return float64(d.prefillTimeAt(up, j, up.paceFactor())) + float64(prefillFailurePenalty)*up.failureRate, true
 	})
+	return best, d.endExpectation(best)
 }
 
 // prefillTimeAt estimates the time until the engine has finished the prefill of the job
-// and the decode engine can fetch its KV cache, if the engine takes pace times the usual time.
+// and the decode engine can fetch its KV cache, if the engine takes pace times the usual time. Only
+// choosePrefill counts what the engine is expected to hold.
 func (d *Dispatcher) prefillTimeAt(up *upstream, j *job, pace float64) time.Duration {
-	tokens := float64(up.own.Tokens+up.peer.Tokens+j.PromptTokens) * pace
+	tokens := float64(up.own.Tokens+up.peer.Tokens+j.PromptTokens-up.expected.Tokens) * pace
 	duration := time.Duration(tokens / d.params.PrefillTokensPerSecond * float64(time.Second))
 	duration += transferDelay(up.distance)
 	if j.decode != nil {
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/locality"
 	"github.com/rhubarbsill/rhubarbsill/pkg/pace"
+	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 	"github.com/rhubarbsill/rhubarbsill/pkg/warmup"
 )
 
@@ -34,8 +35,10 @@
 	IsModelRequest bool
 	// MemoryTokens is the memory to hold at a decode engine, in tokens.
 	MemoryTokens int
-	// PromptTokens is the length of the prompt, which is the work of the prefill.
+	// PromptTokens is the length of the prompt, which is the work of the prefill, and Prompt its parts as
+	// Params.HeldPrompts knows them.
 	PromptTokens int
+	Prompt       promptcache.Prompt
 	// Priority orders the queue, 0 for the most urgent.
 	Priority    int
 	ArrivalTime core.Instant
@@ -57,7 +60,7 @@
 	// Requests counts the requests in progress.
 	Requests int `json:"requests"`
 	// Tokens is the memory held at a decode engine, or the prompt tokens in
-	// progress at a prefill engine.
+	// progress at a prefill engine without those that it is expected to hold.
 	Tokens int `json:"tokens"`
 }
 
@@ -141,6 +144,8 @@
 	Warmup *warmup.Registry
 	// Pace estimates how long work takes at Upstreams, nil if it takes the usual time at all.
 	Pace *pace.Registry
+	// HeldPrompts estimates which prefill engines hold a part of a prompt, nil if none does.
+	HeldPrompts *promptcache.Estimator
 	// QueueRetryInterval is the time after which the placement of waiting jobs is
 	// attempted again.
 	QueueRetryInterval time.Duration
@@ -206,8 +211,9 @@
 	// placementRates estimates the speed of the queue of each service.
 	placementRates map[core.ServiceName]*placementRate
 	pacesRefreshAt core.Instant
-	overdue        []*upstream // see refreshOverdue
-	ties           []*upstream // of the last choice, kept for its capacity
+	overdue        []*upstream       // see refreshOverdue
+	ties           []*upstream       // of the last choice, kept for its capacity
+	holders        []core.UpstreamID // of the last prompt, kept for its capacity
 }
 
 type job struct {
@@ -215,7 +221,9 @@
 	waiting   bool
 	hasWaited bool      // could not be placed when it was submitted
 	decode    *upstream // MemoryTokens are held there
-	prefill   *upstream // PromptTokens count as its load
+	prefill   *upstream // PromptTokens without held.Tokens count as its load
+	held      promptcache.Expectation
+	prefilled bool // the prefill at prefill is complete
 	plain     *upstream
 	work      attemptWork // at prefill or plain
 	// limitWait is the time until an Upstream may be sent the job, if all usable ones are at the
@@ -231,6 +239,11 @@
 	catalog.Upstream
 	// announced is what the Upstream itself says of its use.
 	announced announce.Availability
+	// expected is what a prefill engine holds of the prompt for which one is being chosen.
+	expected promptcache.Expectation
+	// omitted counts the prompt tokens in progress that are not in own because the engine is expected
+	// to hold them.
+	omitted int
 	// cold is what is known of a cold Upstream, nil for one that was never cold.
 	cold *warmup.Upstream
 	// evacuated is set while nothing is to be sent to the DataCentre of the Upstream.
@@ -351,15 +364,14 @@
 	}
 	j.decode.consecutiveFailures = 0
 	d.refreshPaces(now)
-	up := d.choosePrefill(now, j)
+	up, held := d.choosePrefill(now, j)
 	if up == nil {
 		return "", 0, false
 	}
-	duration := d.prefillTimeAt(up, j, up.paceFactor())
-	j.prefill = up
+	duration := d.wholePrefillTime(up, j)
+	j.prefill, j.held = up, held
 	j.work = prefillWork(now, up, j)
-	up.own.Requests++
-	up.own.Tokens += j.PromptTokens
+	d.addPrefill(now, j)
 	return up.ID, duration, true
 }
 
@@ -382,7 +394,7 @@
 // OnPrefillDone removes the load of the job from its prefill engine.
 func (d *Dispatcher) OnPrefillDone(id core.RequestID) {
 	if j := d.jobs[id]; j != nil {
-		releasePrefill(j)
+		d.releasePrefill(j)
 	}
 }
 
@@ -401,7 +413,7 @@
 	}
 	delete(d.jobs, id)
 	d.releaseDecode(j)
-	releasePrefill(j)
+	d.releasePrefill(j)
 	if j.plain != nil {
 		j.plain.own.Requests--
 		j.plain = nil
@@ -421,15 +433,6 @@
 	j.decode = nil
 }
 
-func releasePrefill(j *job) {
-	if j.prefill == nil {
-		return
-	}
-	j.prefill.own.Requests--
-	j.prefill.own.Tokens -= j.PromptTokens
-	j.prefill = nil
-}
-
 // Tick places waiting jobs and refuses those that can't meet their latency target.
 func (d *Dispatcher) Tick(now core.Instant) []Output {
 	if len(d.queue) == 0 {
--- a/pkg/dispatch/expected.go
+++ b/pkg/dispatch/expected.go
@@ -221,12 +221,14 @@
 	d.updatePace(now, up)
 }
 
-// prefillWork returns the work of a job that is about to be sent to a prefill engine.
+// prefillWork returns the work of a job that is about to be sent to a prefill engine. A prefill that is
+// expected to be partly held weighs little: if it is held, the engine is no faster than others.
 func prefillWork(now core.Instant, up *upstream, j *job) attemptWork {
-	tokens := float64(up.own.Tokens + up.peer.Tokens + j.PromptTokens)
-	own := float64(j.PromptTokens)
+	own := float64(j.PromptTokens - j.held.Tokens)
+	tokens := float64(up.own.Tokens+up.peer.Tokens) + own
 	share := own / max(tokens, 1) // the work ahead is known less well
-	return attemptWork{sentAt: now, units: tokens, weight: share * share * min(1, own/minMeasuredPrompt)}
+	certain := 1 - float64(max(j.held.Tokens, j.held.Likely))/float64(max(j.PromptTokens, 1))
+	return attemptWork{sentAt: now, units: tokens, weight: share * share * certain * certain * min(1, own/minMeasuredPrompt)}
 }
 
 // plainWork returns the work of a job that is about to be sent to a plain Upstream, in requests.
@@ -239,7 +241,11 @@
 // ObservePrefill records that the prefill of a job is complete. It precedes OnPrefillDone.
 func (d *Dispatcher) ObservePrefill(now core.Instant, id core.RequestID) {
 	if j := d.jobs[id]; j != nil && j.prefill != nil {
-		d.observePace(now, j.prefill, j.work, now.Sub(j.work.sentAt))
+		took := now.Sub(j.work.sentAt)
+		if d.judgeHeld(now, j, took) {
+			d.observePace(now, j.prefill, j.work, took)
+		}
+		j.prefilled = true
 	}
 }
 
--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -18,6 +18,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/evacuation"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 	"github.com/rhubarbsill/rhubarbsill/pkg/upstream"
 )
 
@@ -46,6 +47,8 @@
 	ExpectedOutput int
 	// SharedParts are the parts of the prompt that other requests may contain too.
 	SharedParts []core.PromptPart
+	// PromptParts are all parts of the prompt in order, as far as the caller states them.
+	PromptParts []promptcache.Part
 	// LastEventID is the id of the last event that the caller has received of a stream that it
 	// resumes, empty for none.
 	LastEventID string
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
 	"github.com/rhubarbsill/rhubarbsill/pkg/peer"
+	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
 	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
@@ -88,6 +89,7 @@
 	// delayedHeartbeats is what the metrics have counted, only used by the event loop.
 	delayedHeartbeats int64
 	lastCold          warmup.Summary
+	lastHeldPrompts   promptcache.Stats
 	addressQueries    sync.Map // query ID -> chan router.CallerAddresses
 	lastQueryID       atomic.Uint64
 	writingMember     atomic.Bool
@@ -174,7 +176,8 @@
 			GracePeriod: settings.gracePeriod(),
 			AddressTTL:  settings.addressTTL(),
 
-			EvacuationBound: settings.evacuationBound(),
+			EvacuationBound:   settings.evacuationBound(),
+			IgnoreHeldPrompts: !settings.WeighHeldPrompts,
 		},
 	})
 	d.evacuationHealth = d.newStoreHealth("evacuations")
@@ -428,12 +431,21 @@
 			d.metrics.SetQueueLength(service, n)
 		}
 		d.recordEvacuationGauges(gauges.Evacuations)
+		d.setHeldPrompts(gauges.HeldPrompts)
 		for _, s := range gauges.Paces {
 			d.metrics.SetPaceSpread(s.Service, string(s.Stage), s.Fastest, s.Slowest, s.Slow)
 		}
 	}
 }
 
+// setHeldPrompts records what was expected of held prompts since the last call.
+func (d *Daemon) setHeldPrompts(s promptcache.Stats) {
+	last := d.lastHeldPrompts
+	d.metrics.AddHeldPrompts(s.Expected-last.Expected, s.Found-last.Found, s.Refuted-last.Refuted, s.Requests-last.Requests)
+	d.metrics.SetHeldPrefixes(s.Entries)
+	d.lastHeldPrompts = s
+}
+
 // execute executes one effect without blocking.
 func (d *Daemon) execute(ctx context.Context, effect router.Effect) {
 	switch e := effect.(type) {
--- a/pkg/hosted/serve.go
+++ b/pkg/hosted/serve.go
@@ -197,6 +197,7 @@
 		HasTokenCounts:  inbound.HasTokenCounts,
 		ExpectedOutput:  inbound.ExpectedOutput,
 		SharedParts:     inbound.SharedParts,
+		PromptParts:     inbound.PromptParts,
 		Deadline:        deadline,
 	}
 	if inbound.Key != "" {
--- a/pkg/hosted/settings.go
+++ b/pkg/hosted/settings.go
@@ -71,6 +71,10 @@
 	// default: an Instance that has just started may refuse requests inside a quota with it.
 	TakeOverLostShares bool `json:"take_over_lost_shares"`
 
+	// WeighHeldPrompts prefers prefill engines that are expected to hold a part of a prompt
+	// (docs/design/held-prompts.md). Default: true.
+	WeighHeldPrompts bool `json:"weigh_held_prompts"`
+
 	// LogLevel is debug, info, warn or error. Default: info.
 	LogLevel string `json:"log_level"`
 }
@@ -111,6 +115,7 @@
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
 	}
 	s := Settings{LogLevel: "info", GraceSeconds: 8, MaxAddressTTLSeconds: 5, RetryRatio: 0.1, RetryWindowSeconds: 10, ConfigApplyMS: 3000, ContactMS: 4000}
+	s.WeighHeldPrompts = true
 	s.ColdOverage, s.ColdSlack = warmup.DefaultOverage, warmup.DefaultSlack
 	if err := json.Unmarshal(standard, &s); err != nil {
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
--- a/pkg/router/event.go
+++ b/pkg/router/event.go
@@ -10,6 +10,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/membership"
 	"github.com/rhubarbsill/rhubarbsill/pkg/orders"
 	"github.com/rhubarbsill/rhubarbsill/pkg/placement"
+	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 )
 
 // Event is an input of the Router.
@@ -57,6 +58,8 @@
 	ExpectedOutput int
 	// SharedParts are the parts of the prompt that other requests may contain too.
 	SharedParts []core.PromptPart
+	// PromptParts are all parts of the prompt in order, as far as the caller states them.
+	PromptParts []promptcache.Part
 }
 
 // ResumePosition is the position at which a response was interrupted, decoded
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -16,6 +16,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
 	"github.com/rhubarbsill/rhubarbsill/pkg/pace"
 	"github.com/rhubarbsill/rhubarbsill/pkg/poison"
+	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
 	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
 	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
@@ -43,6 +44,8 @@
 	EvacuationBound time.Duration
 	// IgnorePace takes all Upstreams as equally fast, to compare.
 	IgnorePace bool
+	// IgnoreHeldPrompts takes all prefill engines as holding no part of any prompt.
+	IgnoreHeldPrompts bool
 }
 
 const (
@@ -93,6 +96,8 @@
 	evacuationLog evacuationLog
 	// paces holds how long work takes at Upstreams, nil if that is ignored.
 	paces *pace.Registry
+	// heldPrompts estimates which prefill engines hold a part of a prompt, nil if that is ignored.
+	heldPrompts *promptcache.Estimator
 
 	pending           pendingConfirmation
 	evacuationWait    evacuationWait
@@ -129,6 +134,11 @@
 		paces = nil
 	}
 	p.Dispatch.Pace = paces
+	var heldPrompts *promptcache.Estimator
+	if !p.IgnoreHeldPrompts {
+		heldPrompts = promptcache.New()
+	}
+	p.Dispatch.HeldPrompts = heldPrompts
 	return &hosted{
 		Router:        r,
 		params:        p,
@@ -141,6 +151,7 @@
 		announcements: announcements,
 		warmup:        cold,
 		paces:         paces,
+		heldPrompts:   heldPrompts,
 		fleet:         fleet.New(p.Member, p.Fleet),
 		evacuations:   evacuation.New(evacuation.Params{Bound: p.EvacuationBound, Rand: r.params.Rand}),
 
@@ -280,6 +291,7 @@
 	h.followShares(now)
 	h.fetchOverdueStates(now)
 	h.recordPaces(now)
+	h.recordRefuted(now)
 	due := h.fleet.DueHeartbeats(now)
 	if len(due) > 0 {
 		h.sendHeartbeats(now, due)
@@ -435,6 +447,7 @@
 	h.announcements.SetUpstreams(now, list)
 	h.warmup.SetUpstreams(now, list)
 	h.paces.SetUpstreams(now, list)
+	h.heldPrompts.SetUpstreams(list)
 	h.recordEvent(now, "catalog", "upstreams "+why, "count="+strconv.Itoa(len(list))+
 		" revision="+revision.String()+" from="+string(from))
 	h.emit(UpstreamsUpdated{Revision: revision, Upstreams: h.withColdTimes(now, h.catalog.Registered()), At: now})
@@ -463,6 +476,8 @@
 	Evacuations *EvacuationGauges
 	// Paces holds how much the Upstreams of each service and stage differ in speed.
 	Paces []pace.Spread
+	// HeldPrompts counts the prompt tokens that prefill engines were expected to hold.
+	HeldPrompts promptcache.Stats
 }
 
 // HostedGauges returns the current values. The Router must be hosted.
@@ -475,6 +490,6 @@
 	return HostedGauges{
 		LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting,
 		Liveness: h.fleet.LivenessCounts(now), Cold: h.warmup.Summary(now), Evacuations: h.evacuationGauges(now),
-		Paces: h.paces.Spreads(now),
+		Paces: h.paces.Spreads(now), HeldPrompts: h.heldPrompts.Stats(),
 	}
 }
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -202,6 +202,7 @@
 		IsModelRequest:  hr.service.Engine != nil,
 		MemoryTokens:    rs.holdTokens(),
 		PromptTokens:    rs.request.PromptTokens,
+		Prompt:          h.heldPrompts.Prompt(hr.service.Name, rs.request.PromptParts, rs.request.PromptTokens),
 		Priority:        h.effectivePriority(rs),
 		ArrivalTime:     rs.arrivedAt,
 		LatencyDeadline: hr.latencyDeadline,
--- a/pkg/router/hosted_pace.go
+++ b/pkg/router/hosted_pace.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"strconv"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
@@ -29,6 +30,13 @@
 	}
 }
 
+// recordRefuted logs a prefill engine that did not hold what it was expected to, at most one a second.
+func (h *hosted) recordRefuted(now core.Instant) {
+	if r, found := h.heldPrompts.Refuted(now); found {
+		h.recordUpstreamEvent(now, "prompts", "not held", r.Upstream, fmt.Sprintf("tokens=%d trust=%.2f others=%d", r.Tokens, r.Trust, r.Others))
+	}
+}
+
 // recordPaces logs which Upstreams have turned slow or usual again.
 func (h *hosted) recordPaces(now core.Instant) {
 	turned, leftOut := h.paces.Transitions(now)
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -111,6 +111,9 @@
 	coldRequests       metric.Int64Counter
 	paceSpread         metric.Int64Gauge
 	slowUpstreams      metric.Int64Gauge
+	heldTokens         metric.Int64Counter
+	heldRequests       metric.Int64Counter
+	heldPrefixes       metric.Int64Gauge
 	reachableInstances metric.Int64Gauge
 	notNamed           metric.Int64Gauge
 	delayedHeartbeats  metric.Int64Counter
@@ -170,6 +173,9 @@
 	m.coldRequests = b.counter("cold_requests", "{request}", "Requests to cold upstreams: sent, and deferred at each cold upstream that a request passed by.")
 	m.paceSpread = b.gauge("upstream_pace", "%", "Estimated duration of work at the fastest and the slowest upstream of a service and stage, 100 for the usual.")
 	m.slowUpstreams = b.gauge("upstreams_slow", "{upstream}", "Upstreams of a service and stage that have turned slow.")
+	m.heldTokens = b.counter("held_prompt_tokens", "{token}", "Prompt tokens that the chosen prefill engine was expected to hold, and those of them that the time of the prefill showed as found or refuted.")
+	m.heldRequests = b.counter("held_prompt_requests", "{request}", "Prefills sent to an engine that was expected to hold a part of the prompt.")
+	m.heldPrefixes = b.gauge("held_prompt_prefixes", "{prefix}", "Prefixes of prompts that prefill engines are known to have got from this instance.")
 	m.reachableInstances = b.gauge("instances_heard", "{instance}", "Instances that are heard, this one included.")
 	m.notNamed = b.gauge("instances_not_named", "{instance}", "Heard instances that address responses leave out, because it is not known that they are alive.")
 	m.delayedHeartbeats = b.counter("delayed_heartbeats", "{heartbeat}", "Heartbeats that were ignored because they were made long ago.")
@@ -286,6 +292,17 @@
 	m.slowUpstreams.Record(context.Background(), int64(slow), metric.WithAttributes(group...))
 }
 
+// AddHeldPrompts records prompt tokens that engines were expected to hold, and the requests with such tokens.
+func (m *Metrics) AddHeldPrompts(expected, found, refuted, requests int64) {
+	for result, tokens := range map[string]int64{"expected": expected, "found": found, "refuted": refuted} {
+		m.heldTokens.Add(context.Background(), tokens, metric.WithAttributes(attribute.String("result", result)))
+	}
+	m.heldRequests.Add(context.Background(), requests)
+}
+
+// SetHeldPrefixes records the number of prefixes that engines are known to have got.
+func (m *Metrics) SetHeldPrefixes(n int) { m.heldPrefixes.Record(context.Background(), int64(n)) }
+
 // AddAdmission records that a connection or a request was limited.
 func (m *Metrics) AddAdmission(listener, kind string) {
 	m.admission.Add(context.Background(), 1, metric.WithAttributes(attribute.String("listener", listener), attribute.String("kind", kind)))
