--- a/pkg/dispatch/held.go
+++ b/pkg/dispatch/held.go
@@ -17,9 +17,10 @@
 	// minJudgedTokens is the number of held tokens from which the duration of a prefill shows whether they
 	// were held: 18 to 30 ms, above the noise of connections within a region.
 	minJudgedTokens = 1000
-	// foundShare is the share of the expected saving from which a part counts as found. The work
-	// ahead of a prefill is known to some tens of percent.
-	foundShare = 0.5
+	// foundShare is the share of the expected saving from which a part counts as found, and below
+	// unknownShare other work was ahead that is not known of: nothing is shown then.
+	foundShare   = 0.5
+	unknownShare = -0.2
 )
 
 // expectHeld sets what the engines hold of the prompt of a job. endExpectation must follow.
@@ -107,6 +108,8 @@
 	took -= transferDelay(up.distance)
 	tokens := took.Seconds() / (perToken * up.paceFactor())
 	found := (ahead + float64(j.PromptTokens) - tokens) / likely
-	d.params.HeldPrompts.OnMeasured(now, up.ID, j.Prompt, j.held, found >= foundShare)
+	if found >= unknownShare {
+		d.params.HeldPrompts.OnMeasured(now, up.ID, j.Prompt, j.held, found >= foundShare)
+	}
 	return found >= foundShare
 }
--- a/pkg/lab/hostedsim/callers.go
+++ b/pkg/lab/hostedsim/callers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
 )
 
@@ -20,6 +21,7 @@
 	firstSentAt  core.Instant // send time of the first request
 	retriesLeft  int
 	promptTokens int
+	parts        []promptcache.Part // nil if the caller states none
 	eventCount   int
 	outputHint   int
 }
@@ -91,6 +93,7 @@
 		output := w.drawAround(load.OutputTokens)
 		j.eventCount = max(1, output/w.x.Engine.EventTokens)
 		j.outputHint = int(float64(output) * math.Exp(0.3*w.rng.NormFloat64()))
+		w.drawParts(j)
 	}
 	w.result.countRequest(w, j)
 	w.sendRequest(j, 0)
@@ -137,6 +140,7 @@
 	if j.stream {
 		request.PromptTokens, request.ExpectedOutput, request.HasTokenCounts = j.promptTokens, j.outputHint, true
 		request.MaxOutputTokens = 2 * j.load.OutputTokens
+		request.PromptParts = j.parts
 	}
 	inst := a.instance
 	w.after(withinRegionDelay, func() {
--- a/pkg/lab/hostedsim/experiment.go
+++ b/pkg/lab/hostedsim/experiment.go
@@ -46,6 +46,8 @@
 	// all requests as equally urgent, to compare.
 	IgnorePace    bool `json:"ignore_pace"`
 	IgnoreUrgency bool `json:"ignore_urgency"`
+	// IgnoreHeldPrompts makes the Instances take all prefill engines as holding no prompts.
+	IgnoreHeldPrompts bool `json:"ignore_held_prompts"`
 
 	Faults []Fault `json:"faults"`
 }
@@ -60,6 +62,8 @@
 	EventMS          float64 `json:"event_ms"`
 	EventMSPerStream float64 `json:"event_ms_per_stream"`
 	EventTokens      int     `json:"event_tokens"`
+	// KVMS is the time for which a prefill engine keeps a KV cache for the decode engine, 0 for 500 ms.
+	KVMS float64 `json:"kv_ms"`
 }
 
 // PlainSettings describe each Upstream of the plain service.
@@ -88,6 +92,11 @@
 	TimeoutMS float64 `json:"timeout_ms"`
 	// SafeToRetry requests may run more than once.
 	SafeToRetry bool `json:"repeatable"`
+	// SharedTokens of the prompt are the same in SharedShare of the requests. RepeatShare of the requests
+	// have the prompt of one of the last requests of their DataCentre. With either, callers state the parts.
+	SharedTokens int     `json:"shared_tokens"`
+	SharedShare  float64 `json:"shared_share"`
+	RepeatShare  float64 `json:"repeat_share"`
 	// Priority is that of the route, 0 for the most urgent.
 	Priority int `json:"priority"`
 	// Retries is the maximum number of retries by a caller.
--- a/pkg/lab/hostedsim/result.go
+++ b/pkg/lab/hostedsim/result.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 )
 
 type outcome int
@@ -86,6 +87,8 @@
 	// PromptTokens counts prefilled tokens, WastedPrefillTokens those without a response.
 	PromptTokens        int64
 	WastedPrefillTokens int64
+	// HeldPrompts sums what the live Instances count of held prompts.
+	HeldPrompts promptcache.Stats
 	// Preemptions counts preemptions of streams for lack of engine memory.
 	Preemptions int
 	// Messages counts messages between Instances.
@@ -156,6 +159,15 @@
 			r.addViolation("quota of %s: %.0f tokens in a window, allowed are %.0f", account.Name, peak, quotaOverage*allowance+quotaSlack)
 		}
 	}
+	for _, inst := range w.instances {
+		if inst.alive {
+			stats := inst.router.HostedGauges(w.now).HeldPrompts
+			r.HeldPrompts.Expected += stats.Expected
+			r.HeldPrompts.Found += stats.Found
+			r.HeldPrompts.Refuted += stats.Refuted
+			r.HeldPrompts.Requests += stats.Requests
+		}
+	}
 	if open := len(w.requests); open > 0 {
 		r.addViolation("%d requests have no end", open)
 	}
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -70,6 +70,7 @@
 	loadFactor   map[core.AccountID]float64 // load multiplier of each account
 	requests     map[core.RequestID]*callerRequest
 	requestCount int
+	prompts      map[core.DataCentreName][]prompt // the last ones, for repetitions
 	result       *Result
 }
 
@@ -126,6 +127,7 @@
 		byID: map[core.InstanceID]*instance{}, engines: map[core.UpstreamID]*engine{}, plain: map[core.UpstreamID]*plainUpstream{},
 		limits: map[core.UpstreamID]*announcedLimit{}, leaving: map[core.UpstreamID]*leaving{}, backingOff: map[core.UpstreamID]*backingOff{},
 		cold:       map[core.UpstreamID]*coldUpstream{},
+		prompts:    map[core.DataCentreName][]prompt{},
 		loadFactor: map[core.AccountID]float64{}, requests: map[core.RequestID]*callerRequest{}, result: newResult(x),
 	}
 	w.start = w.now.Add(warmUp)
@@ -220,7 +222,7 @@
 			Member: inst.member, Dispatch: dispatch.Params{Regions: w.x.DataCentres},
 			Retry:      retry.Params{Ratio: 0.2, Allowance: 56, Window: 10 * time.Second},
 			StartedAt:  w.now,
-			AddressTTL: time.Second, GracePeriod: 8 * time.Second, IgnorePace: w.x.IgnorePace,
+			AddressTTL: time.Second, GracePeriod: 8 * time.Second, IgnorePace: w.x.IgnorePace, IgnoreHeldPrompts: w.x.IgnoreHeldPrompts,
 		},
 	})
 	members := make([]fleet.Member, 0, len(w.instances))
--- a/pkg/lab/hostedsim/upstreams.go
+++ b/pkg/lab/hostedsim/upstreams.go
@@ -8,6 +8,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
 )
 
@@ -26,6 +27,7 @@
 	prefills   []prefill    // not yet started
 	prefilling bool
 	caches     map[string]int
+	held       []heldPart // least recently used first
 	holds      map[string]hold
 	lastID     int
 	streams    []*stream
@@ -132,7 +134,8 @@
 
 // enqueuePrefill queues the prefill of a prompt. done runs when it is complete. Without routine streams
 // all requests are equally urgent and the time is known from the start.
-func (e *engine) enqueuePrefill(tokens int, urgency *int, done func()) {
+func (e *engine) enqueuePrefill(tokens int, parts []promptcache.Part, urgency *int, done func()) {
+	tokens -= e.hold(parts)
 	if e.sim.x.Routine.PerSecond > 0 {
 		if e.sim.x.IgnoreUrgency {
 			urgency = nil
@@ -151,14 +154,14 @@
 	w.openCall(inst, q.Request, q.Attempt, q.Upstream, e.dc, func() bool { return e.up }, func(c *call) {
 		generation := e.generation
 		w.after(q.ResponseTimeout, func() { w.failCall(c, attempts.FailStalled, true, false) })
-		e.enqueuePrefill(c.caller.promptTokens, q.Urgency, func() {
+		e.enqueuePrefill(c.caller.promptTokens, c.caller.parts, q.Urgency, func() {
 			if !e.up || e.generation != generation || c.ended {
 				return
 			}
 			e.lastID++
 			kv := fmt.Sprintf("%s/kv%d", e.id, e.lastID)
 			e.caches[kv] = c.caller.promptTokens
-			w.after(500*time.Millisecond, func() { delete(e.caches, kv) })
+			w.after(w.x.Engine.kvTime(), func() { delete(e.caches, kv) })
 			w.endCall(c, e.dc, router.PrefillDone{Request: c.caller.id, Attempt: c.attempt, Upstream: e.id, Addr: q.URL, KV: kv})
 		})
 	})
@@ -186,7 +189,7 @@
 		c.release = func() { e.removeStream(s) }
 		e.streams = append(e.streams, s)
 		if q.KV == "" {
-			e.enqueuePrefill(s.usedTokens, s.urgency, func() { e.scheduleEvent(s) })
+			e.enqueuePrefill(s.usedTokens, c.caller.parts, s.urgency, func() { e.scheduleEvent(s) })
 			return
 		}
 		w.after(withinRegionDelay, func() { e.scheduleEvent(s) })
@@ -241,7 +244,7 @@
 		resumed := e.preempted[0]
 		e.preempted = e.preempted[1:]
 		e.streams = append(e.streams, resumed)
-		e.enqueuePrefill(resumed.usedTokens, resumed.urgency, func() { e.scheduleEvent(resumed) })
+		e.enqueuePrefill(resumed.usedTokens, resumed.call.caller.parts, resumed.urgency, func() { e.scheduleEvent(resumed) })
 	}
 }
 
@@ -258,6 +261,7 @@
 	e.prefills, e.prefilling = nil, false
 	clear(e.holds)
 	clear(e.caches)
+	e.held = nil
 	generation := e.generation
 	e.sim.after(deregistrationDelay, func() {
 		if !e.up && e.generation == generation {
--- a/pkg/promptcache/promptcache.go
+++ b/pkg/promptcache/promptcache.go
@@ -33,8 +33,8 @@
 	maxEntriesPerEngine = 32
 	// maxHolders bounds the engines that are compared because of one prefix, and maxCandidates those
 	// that are compared for one request. The latest holders are kept.
-	maxHolders    = 8
-	maxCandidates = 16
+	maxHolders    = 16
+	maxCandidates = 32
 	// halfLife is the time after which an idle engine holds a prefix with half of the probability. It
 	// stands for what is not known of the engine: other uses of its memory and its own limits of age.
 	halfLife = time.Minute
