--- a/pkg/lab/hostedsim/experiment.go
+++ b/pkg/lab/hostedsim/experiment.go
@@ -64,6 +64,8 @@
 	EventTokens      int     `json:"event_tokens"`
 	// KVMS is the time for which a prefill engine keeps a KV cache for the decode engine, 0 for 500 ms.
 	KVMS float64 `json:"kv_ms"`
+	// ForgetsPrompts makes engines hold no prompt after its prefill.
+	ForgetsPrompts bool `json:"forgets_prompts"`
 }
 
 // PlainSettings describe each Upstream of the plain service.
@@ -124,6 +126,8 @@
 	FaultBurst FaultKind = "burst"
 	// FaultEngineCrash crashes Count decode engines, which restart when the fault ends.
 	FaultEngineCrash FaultKind = "engine_crash"
+	// FaultPrefillCrash does so with prefill engines.
+	FaultPrefillCrash FaultKind = "prefill_crash"
 	// FaultEngineSlow makes Count decode engines Factor times slower.
 	FaultEngineSlow FaultKind = "engine_slow"
 	// FaultInstanceKill kills Count Instances, which restart when the fault ends.
@@ -280,7 +284,7 @@
 			if x.ColdPerSecond <= 0 {
 				add("cold_per_second: %v must be above 0 for faults[%d]", x.ColdPerSecond, i)
 			}
-		case FaultEngineCrash, FaultUpstreamLeaves, FaultInstanceKill, FaultInstancePause, FaultPeerCut, FaultRegionCut:
+		case FaultEngineCrash, FaultPrefillCrash, FaultUpstreamLeaves, FaultInstanceKill, FaultInstancePause, FaultPeerCut, FaultRegionCut:
 		default:
 			add("faults[%d].kind: %q is not a kind of fault", i, fault.Kind)
 		}
--- a/pkg/lab/hostedsim/pace_test.go
+++ b/pkg/lab/hostedsim/pace_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 )
 
 // unevenSite returns a site with urgent and routine streams, short answers and plain calls, whose
@@ -35,6 +37,7 @@
 type comparison struct {
 	streams, routine, calls, hot, others Counts
 	times                                map[string][]time.Duration
+	held                                 promptcache.Stats
 }
 
 func (c *comparison) time(path string, share float64) time.Duration {
--- a/pkg/lab/hostedsim/prompts.go
+++ b/pkg/lab/hostedsim/prompts.go
@@ -50,6 +50,9 @@
 // much as fits into the memory that running requests leave. Prompts have the same part before an own part
 // each time, so the parts need no chain.
 func (e *engine) hold(parts []promptcache.Part) int {
+	if e.sim.x.Engine.ForgetsPrompts {
+		return 0
+	}
 	found, missed := 0, false
 	for _, part := range parts {
 		index := slices.IndexFunc(e.held, func(h heldPart) bool { return h.id == part.ID })
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -462,10 +462,14 @@
 				w.after(length, func() { w.loadFactor[name] /= f.Factor })
 			}
 		}
-	case FaultEngineCrash, FaultEngineSlow:
+	case FaultEngineCrash, FaultPrefillCrash, FaultEngineSlow:
+		stage := catalog.StageDecode
+		if f.Kind == FaultPrefillCrash {
+			stage = catalog.StagePrefill
+		}
 		var ids []core.UpstreamID
 		for _, id := range slices.Sorted(maps.Keys(w.engines)) {
-			if w.engines[id].stage == catalog.StageDecode {
+			if w.engines[id].stage == stage {
 				ids = append(ids, id)
 			}
 		}
--- a/pkg/router/hosted_held_test.go
+++ b/pkg/router/hosted_held_test.go
@@ -69,7 +69,7 @@
 			took = 25 * time.Millisecond // a short one would show as the pace of the engine
 		}
 		for i := range 16 {
-			first, again := r.resume("prompt-" + strconv.Itoa(i), took)
+			first, again := r.resume("prompt-"+strconv.Itoa(i), took)
 			if first.Upstream == again.Upstream {
 				same++
 			}
