hostplatform, standin: prefill engines hold prompt parts

The engines of the stand-in took the whole time for each prefill. The property test of the Router states equal prompts, so that its rules are checked with prompts that are believed to be held.

--- a/pkg/lab/hostedsim/upstreams.go
+++ b/pkg/lab/hostedsim/upstreams.go
@@ -8,6 +8,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/lab/hostplatform"
 	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
 )
@@ -27,7 +28,7 @@
 	prefills   []prefill    // not yet started
 	prefilling bool
 	caches     map[string]int
-	held       []heldPart // least recently used first
+	held       hostplatform.HeldParts
 	holds      map[string]hold
 	lastID     int
 	streams    []*stream
--- a/pkg/lab/hostplatform/engine.go
+++ b/pkg/lab/hostplatform/engine.go
@@ -44,6 +44,7 @@
 	usedTokens   int
 	holds        map[string]hold
 	caches       map[string]kvCache
+	held         HeldParts
 	leavingSince time.Time
 	crashed      chan struct{}
 }
@@ -82,6 +83,7 @@
 	e.usedSlots, e.usedTokens = 0, 0
 	clear(e.holds)
 	clear(e.caches)
+	e.held = nil
 }
 
 // ErrCrashed means that the engine crashed during the request, which may have run.
@@ -159,12 +161,15 @@
 	}
 	e.recordArrival(req)
 	crashed := e.crashSignal()
+	e.mu.Lock()
+	tokens := max(0, req.PromptTokens-e.held.Prefill(req.Parts, e.params.MemoryTokens-e.usedTokens))
+	e.mu.Unlock()
 	select {
 	case <-ctx.Done():
 		return "", ctx.Err()
 	case <-crashed:
 		return "", ErrCrashed
-	case <-time.After(time.Duration(float64(req.PromptTokens) / e.params.PrefillTokensPerSecond * float64(time.Second))):
+	case <-time.After(time.Duration(float64(tokens) / e.params.PrefillTokensPerSecond * float64(time.Second))):
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/lab/hostplatform/invariants.go
+++ b/pkg/lab/hostplatform/invariants.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 )
 
 // UpstreamRequest is a request as an Upstream receives it.
@@ -12,6 +14,8 @@
 	Account      string
 	PromptTokens int
 	OutputTokens int
+	// Parts are the parts of the prompt, nil if the request states none.
+	Parts []promptcache.Part
 	// Repeatable requests may run more than once.
 	Repeatable bool
 	// HasCallerKey is set if the request contained the caller's key.
--- a/pkg/router/hosted_property_test.go
+++ b/pkg/router/hosted_property_test.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
 )
 
@@ -183,6 +184,7 @@
 	}
 	if d.bool("tokens") {
 		request.PromptTokens, request.MaxOutputTokens, request.HasTokenCounts = 1000, 100, true
+		request.PromptParts = []promptcache.Part{{ID: "p", Tokens: 1000}} // all engines may hold it
 	}
 	d.requests[id] = &drawnRequest{key: key, sentAt: d.now, deadline: core.Never}
 	d.order = append(d.order, id)
