--- a/pkg/lab/hostedsim/experiment.go
+++ b/pkg/lab/hostedsim/experiment.go
@@ -49,6 +49,8 @@
 	// QuotaTolerancePart is the part of the platform's tolerance that Instances use for requests over
 	// the rate of their account.
 	QuotaTolerancePart float64 `json:"quota_tolerance_part"`
+	// IgnoreHeldPrompts makes the Instances take all prefill engines as holding no prompts.
+	IgnoreHeldPrompts bool `json:"ignore_held_prompts"`
 
 	Faults []Fault `json:"faults"`
 }
@@ -63,6 +65,10 @@
 	EventMS          float64 `json:"event_ms"`
 	EventMSPerStream float64 `json:"event_ms_per_stream"`
 	EventTokens      int     `json:"event_tokens"`
+	// KVMS is the time for which a prefill engine keeps a KV cache for the decode engine, 0 for 500 ms.
+	KVMS float64 `json:"kv_ms"`
+	// ForgetsPrompts makes engines hold no prompt after its prefill.
+	ForgetsPrompts bool `json:"forgets_prompts"`
 }
 
 // PlainSettings describe each Upstream of the plain service.
@@ -91,6 +97,11 @@
 	TimeoutMS float64 `json:"timeout_ms"`
 	// SafeToRetry requests may run more than once.
 	SafeToRetry bool `json:"repeatable"`
+	// SharedTokens of the prompt are the same in SharedShare of the requests. RepeatShare of the requests
+	// have the prompt of one of the last requests of their DataCentre. With either, callers state the parts.
+	SharedTokens int     `json:"shared_tokens"`
+	SharedShare  float64 `json:"shared_share"`
+	RepeatShare  float64 `json:"repeat_share"`
 	// Priority is that of the route, 0 for the most urgent.
 	Priority int `json:"priority"`
 	// Retries is the maximum number of retries by a caller.
@@ -118,6 +129,8 @@
 	FaultBurst FaultKind = "burst"
 	// FaultEngineCrash crashes Count decode engines, which restart when the fault ends.
 	FaultEngineCrash FaultKind = "engine_crash"
+	// FaultPrefillCrash does so with prefill engines.
+	FaultPrefillCrash FaultKind = "prefill_crash"
 	// FaultEngineSlow makes Count decode engines Factor times slower.
 	FaultEngineSlow FaultKind = "engine_slow"
 	// FaultInstanceKill kills Count Instances, which restart when the fault ends.
@@ -274,7 +287,7 @@
 			if x.ColdPerSecond <= 0 {
 				add("cold_per_second: %v must be above 0 for faults[%d]", x.ColdPerSecond, i)
 			}
-		case FaultEngineCrash, FaultUpstreamLeaves, FaultInstanceKill, FaultInstancePause, FaultPeerCut, FaultRegionCut:
+		case FaultEngineCrash, FaultPrefillCrash, FaultUpstreamLeaves, FaultInstanceKill, FaultInstancePause, FaultPeerCut, FaultRegionCut:
 		default:
 			add("faults[%d].kind: %q is not a kind of fault", i, fault.Kind)
 		}
--- a/pkg/lab/hostedsim/simulation.go
+++ b/pkg/lab/hostedsim/simulation.go
@@ -71,6 +71,7 @@
 	loadFactor   map[core.AccountID]float64 // load multiplier of each account
 	requests     map[core.RequestID]*callerRequest
 	requestCount int
+	prompts      map[core.DataCentreName][]prompt // the last ones, for repetitions
 	result       *Result
 }
 
@@ -127,6 +128,7 @@
 		byID: map[core.InstanceID]*instance{}, engines: map[core.UpstreamID]*engine{}, plain: map[core.UpstreamID]*plainUpstream{},
 		limits: map[core.UpstreamID]*announcedLimit{}, leaving: map[core.UpstreamID]*leaving{}, backingOff: map[core.UpstreamID]*backingOff{},
 		cold:       map[core.UpstreamID]*coldUpstream{},
+		prompts:    map[core.DataCentreName][]prompt{},
 		loadFactor: map[core.AccountID]float64{}, requests: map[core.RequestID]*callerRequest{}, result: newResult(x),
 	}
 	w.start = w.now.Add(warmUp)
@@ -222,7 +224,7 @@
 			Retry:          retry.Params{Ratio: 0.2, Allowance: 56, Window: 10 * time.Second},
 			StartedAt:      w.now,
 			QuotaTolerance: quota.Tolerance{Window: quotaWindow, Overage: quotaOverage - 1, Slack: quotaSlack, Part: w.x.QuotaTolerancePart},
-			AddressTTL:     time.Second, GracePeriod: 8 * time.Second, IgnorePace: w.x.IgnorePace,
+			AddressTTL:     time.Second, GracePeriod: 8 * time.Second, IgnorePace: w.x.IgnorePace, IgnoreHeldPrompts: w.x.IgnoreHeldPrompts,
 		},
 	})
 	members := make([]fleet.Member, 0, len(w.instances))
@@ -462,10 +464,14 @@
 				w.after(length, func() { w.loadFactor[name] /= f.Factor })
 			}
 		}
-	case FaultEngineCrash, FaultEngineSlow:
+	case FaultEngineCrash, FaultPrefillCrash, FaultEngineSlow:
+		stage := catalog.StageDecode
+		if f.Kind == FaultPrefillCrash {
+			stage = catalog.StagePrefill
+		}
 		var ids []core.UpstreamID
 		for _, id := range slices.Sorted(maps.Keys(w.engines)) {
-			if w.engines[id].stage == catalog.StageDecode {
+			if w.engines[id].stage == stage {
 				ids = append(ids, id)
 			}
 		}
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -16,6 +16,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
 	"github.com/rhubarbsill/rhubarbsill/pkg/pace"
 	"github.com/rhubarbsill/rhubarbsill/pkg/poison"
+	"github.com/rhubarbsill/rhubarbsill/pkg/promptcache"
 	"github.com/rhubarbsill/rhubarbsill/pkg/quota"
 	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
 	"github.com/rhubarbsill/rhubarbsill/pkg/schedule"
@@ -46,6 +47,8 @@
 	QuotaTolerance quota.Tolerance
 	// IgnorePace takes all Upstreams as equally fast, to compare.
 	IgnorePace bool
+	// IgnoreHeldPrompts takes all prefill engines as holding no part of any prompt.
+	IgnoreHeldPrompts bool
 }
 
 const (
@@ -96,6 +99,8 @@
 	evacuationLog evacuationLog
 	// paces holds how long work takes at Upstreams, nil if that is ignored.
 	paces *pace.Registry
+	// heldPrompts estimates which prefill engines hold a part of a prompt, nil if that is ignored.
+	heldPrompts *promptcache.Estimator
 
 	pending           pendingConfirmation
 	evacuationWait    evacuationWait
@@ -133,6 +138,11 @@
 		paces = nil
 	}
 	p.Dispatch.Pace = paces
+	var heldPrompts *promptcache.Estimator
+	if !p.IgnoreHeldPrompts {
+		heldPrompts = promptcache.New()
+	}
+	p.Dispatch.HeldPrompts = heldPrompts
 	h := &hosted{
 		Router:        r,
 		params:        p,
@@ -145,6 +155,7 @@
 		announcements: announcements,
 		warmup:        cold,
 		paces:         paces,
+		heldPrompts:   heldPrompts,
 		fleet:         fleet.New(p.Member, p.Fleet),
 		evacuations:   evacuation.New(evacuation.Params{Bound: p.EvacuationBound, Rand: r.params.Rand}),
 
@@ -286,6 +297,7 @@
 	h.followShares(now)
 	h.fetchOverdueStates(now)
 	h.recordPaces(now)
+	h.recordRefuted(now)
 	due := h.fleet.DueHeartbeats(now)
 	if len(due) > 0 {
 		h.sendHeartbeats(now, due)
@@ -441,6 +453,7 @@
 	h.announcements.SetUpstreams(now, list)
 	h.warmup.SetUpstreams(now, list)
 	h.paces.SetUpstreams(now, list)
+	h.heldPrompts.SetUpstreams(list)
 	h.recordEvent(now, "catalog", "upstreams "+why, "count="+strconv.Itoa(len(list))+
 		" revision="+revision.String()+" from="+string(from))
 	h.emit(UpstreamsUpdated{Revision: revision, Upstreams: h.withColdTimes(now, h.catalog.Registered()), At: now})
@@ -471,6 +484,8 @@
 	Paces []pace.Spread
 	// ExtraTokens counts the tokens admitted beyond the allowances of accounts since the start.
 	ExtraTokens int64
+	// HeldPrompts counts the prompt tokens that prefill engines were expected to hold.
+	HeldPrompts promptcache.Stats
 }
 
 // HostedGauges returns the current values. The Router must be hosted.
@@ -483,6 +498,6 @@
 	return HostedGauges{
 		LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting,
 		Liveness: h.fleet.LivenessCounts(now), Cold: h.warmup.Summary(now), Evacuations: h.evacuationGauges(now),
-		Paces: h.paces.Spreads(now), ExtraTokens: h.extraTokens,
+		Paces: h.paces.Spreads(now), ExtraTokens: h.extraTokens, HeldPrompts: h.heldPrompts.Stats(),
 	}
 }
