dispatch: queue fair by account, with a guarantee for the less urgent

The jobs of a service wait in a fairqueue.Queue: urgency, retries, start-time fair queueing by account, arrival. Each placement gives every urgency credit for 0.4 of its share of the arrivals. A round remembers which sizes can't be placed and an upper bound of the time to the first event instead of scanning all Upstreams for each waiting job.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -4,9 +4,9 @@
 //
 // A model request first acquires a hold at a decode engine and is then assigned a
 // prefill engine, so that no prompt is processed for a decode engine without capacity.
-// Requests wait in order of priority and arrival while no decode engine has capacity. A
-// request that can no longer meet its latency target is refused immediately as not
-// run; a request for which there is capacity is never refused.
+// Requests wait in order of priority, and fairly by account (package fairqueue), while no
+// decode engine has capacity. A request that can no longer meet its latency target is
+// refused immediately as not run; a request for which there is capacity is never refused.
 //
 // The load of an Upstream is the sum of what this Instance and its peers have placed
 // there. It is an estimate, and an engine that is fuller than that refuses the hold.
@@ -14,12 +14,12 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/announce"
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/fairqueue"
 	"github.com/rhubarbsill/rhubarbsill/pkg/locality"
 	"github.com/rhubarbsill/rhubarbsill/pkg/pace"
 	"github.com/rhubarbsill/rhubarbsill/pkg/warmup"
@@ -200,7 +200,10 @@
 	upstreams      map[core.UpstreamID]*upstream
 	byService      map[core.ServiceName][]*upstream // in the order of SetUpstreams
 	engines        map[core.ServiceName]EngineCapacity
-	queue          []*job // sorted by precedes
+	queues         map[core.ServiceName]*serviceQueue
+	queueOrder     []*serviceQueue // by the first job of each service
+	waiting        int             // jobs in all queues
+	refusals       map[int]int     // by priority, since the start
 	jobs           map[core.RequestID]*job
 	peers          map[core.InstanceID]map[core.UpstreamID]Load
 	evacuated      map[core.DataCentreName]bool
@@ -218,7 +221,7 @@
 
 type job struct {
 	Job
-	waiting   bool
+	entry     fairqueue.Entry[*job]
 	hasWaited bool      // could not be placed when it was submitted
 	decode    *upstream // MemoryTokens are held there
 	prefill   *upstream // PromptTokens count as its load
@@ -262,6 +265,8 @@
 		upstreams:       map[core.UpstreamID]*upstream{},
 		byService:       map[core.ServiceName][]*upstream{},
 		engines:         map[core.ServiceName]EngineCapacity{},
+		queues:          map[core.ServiceName]*serviceQueue{},
+		refusals:        map[int]int{},
 		jobs:            map[core.RequestID]*job{},
 		peers:           map[core.InstanceID]map[core.UpstreamID]Load{},
 		nextQueueRetry:  core.Never,
@@ -317,36 +322,13 @@
 
 // Submit adds a job and places as many waiting jobs as possible.
 func (d *Dispatcher) Submit(now core.Instant, j Job) []Output {
-	entry := &job{Job: j}
+	entry := newJob(j)
 	d.jobs[j.ID] = entry
-	d.enqueue(entry)
+	d.queueOf(j.Service).Add(now, &entry.entry)
+	d.waiting++
 	return d.placeQueue(now)
 }
 
-func (d *Dispatcher) enqueue(j *job) {
-	j.waiting = true
-	index := len(d.queue)
-	for i, other := range d.queue {
-		if precedes(j, other) {
-			index = i
-			break
-		}
-	}
-	d.queue = slices.Insert(d.queue, index, j)
-}
-
-// precedes orders the queue by priority, then retries before new requests, then by
-// arrival.
-func precedes(a, b *job) bool {
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	if a.IsRetry != b.IsRetry {
-		return a.IsRetry
-	}
-	return a.ArrivalTime < b.ArrivalTime
-}
-
 // OnHoldGranted handles a granted hold. It returns the prefill engine to use and the
 // expected time until its prefill is complete, or false when no prefill engine is usable
 // and the decode engine has to process the prompt.
@@ -381,7 +363,8 @@
 	d.params.Announcements.Return(now, j.decode.ID, requestsOfHold-1)
 	j.returnColdPlace(now)
 	d.releaseDecode(j)
-	d.enqueue(j)
+	d.queueOf(j.Service).Return(&j.entry)
+	d.waiting++
 	return d.placeQueue(now)
 }
 
@@ -412,8 +395,9 @@
 		j.plain.own.Requests--
 		j.plain = nil
 	}
-	if j.waiting {
-		d.queue = slices.DeleteFunc(d.queue, func(other *job) bool { return other == j })
+	if j.entry.Waits() {
+		d.queueOf(j.Service).Remove(&j.entry)
+		d.waiting--
 	}
 	return d.placeQueue(now)
 }
@@ -438,7 +422,7 @@
 
 // Tick places waiting jobs and refuses those that can't meet their latency target.
 func (d *Dispatcher) Tick(now core.Instant) []Output {
-	if len(d.queue) == 0 {
+	if d.waiting == 0 {
 		d.nextQueueRetry = core.Never
 		return nil
 	}
@@ -451,74 +435,6 @@
 // NextWake returns the instant at which Tick is due, core.Never when no job waits.
 func (d *Dispatcher) NextWake() core.Instant { return d.nextQueueRetry }
 
-// QueueLength returns the number of waiting jobs.
-func (d *Dispatcher) QueueLength() int { return len(d.queue) }
-
-// QueueLengthByService returns the number of waiting jobs of each service that has any.
-func (d *Dispatcher) QueueLengthByService() map[core.ServiceName]int {
-	waiting := map[core.ServiceName]int{}
-	for _, j := range d.queue {
-		waiting[j.Service]++
-	}
-	return waiting
-}
-
-// placeQueue places the waiting jobs in order. A job that can't be placed does not block
-// those behind it that need another service or less memory.
-func (d *Dispatcher) placeQueue(now core.Instant) []Output {
-	d.refreshPaces(now)
-	var outputs []Output
-	remaining := d.queue[:0]
-	ahead := map[core.ServiceName]int{}
-	refuse := func(j *job, refusal *core.Refusal) {
-		j.waiting = false
-		delete(d.jobs, j.ID)
-		outputs = append(outputs, Refused{ID: j.ID, Refusal: refusal})
-	}
-	for _, j := range slices.Clone(d.queue) {
-		if now >= j.Deadline { // the process may have been paused
-			refuse(j, core.NewRefusal(core.CodeTargetUnreachable, "the request reached its time limit before it ran"))
-			continue
-		}
-		if output := d.place(now, j); output != nil {
-			j.waiting = false
-			d.placementRateOf(j.Service).onPlaced(now, j.hasWaited)
-			outputs = append(outputs, output)
-			continue
-		}
-		if refusal := d.refusalIfUnservable(now, j, ahead[j.Service]); refusal != nil {
-			refuse(j, refusal)
-			continue
-		}
-		if !j.hasWaited {
-			j.hasWaited = true
-			d.placementRateOf(j.Service).onQueued(now, ahead[j.Service] == 0)
-		}
-		ahead[j.Service]++
-		remaining = append(remaining, j)
-	}
-	clear(d.queue[len(remaining):])
-	d.queue = remaining
-	d.nextQueueRetry = core.Never
-	if len(d.queue) > 0 {
-		d.nextQueueRetry = now.Add(d.params.QueueRetryInterval)
-	}
-	return outputs
-}
-
-func (d *Dispatcher) place(now core.Instant, j *job) Output {
-	j.limitWait, j.backoffWait = 0, 0
-	output := d.placeAtBest(now, j)
-	if output != nil {
-		return output
-	}
-	if j.limitWait > 0 && d.anyUnlimited(now, j) {
-		j.limitWait = 0
-	}
-	j.backoffWait = d.BackoffWait(now, j.Service, j.IsModelRequest, j.Regions)
-	return nil
-}
-
 func (d *Dispatcher) placeAtBest(now core.Instant, j *job) Output {
 	if j.IsModelRequest {
 		up := d.chooseDecode(now, j)
--- a/pkg/dispatch/refuse.go
+++ b/pkg/dispatch/refuse.go
@@ -11,7 +11,10 @@
 // refusalIfUnservable returns the refusal of a job that could not be placed and gains nothing by
 // waiting, nil for others. A retry waits although all Upstreams leave: its caller may have a part of
 // the response, and an Upstream that is registered later can continue it.
-func (d *Dispatcher) refusalIfUnservable(now core.Instant, j *job, ahead int) *core.Refusal {
+func (d *Dispatcher) refusalIfUnservable(now core.Instant, j *job, ahead int, known *roundFindings) *core.Refusal {
+	if known.isServable(j) {
+		return d.refusalIfTooLate(now, j, ahead, known)
+	}
 	if refusal := d.refusalByRegion(j); refusal != nil {
 		return refusal
 	}
@@ -23,27 +26,27 @@
 		refusal.RetryAfter = d.retryAfter()
 		return refusal
 	}
-	return d.refusalIfTooLate(now, j, ahead)
+	known.addServable(j)
+	return d.refusalIfTooLate(now, j, ahead, known)
 }
 
 // refusalIfTooLate returns the refusal of a job that can no longer meet its latency
 // target, because the latest start has passed or the jobs ahead of it are expected to take
 // longer, and nil otherwise. Such a job is refused immediately, since waiting would gain
 // its caller nothing.
-func (d *Dispatcher) refusalIfTooLate(now core.Instant, j *job, ahead int) *core.Refusal {
-	latestStart := j.LatencyDeadline.Add(-d.timeToFirstEvent(now, j))
+func (d *Dispatcher) refusalIfTooLate(now core.Instant, j *job, ahead int, known *roundFindings) *core.Refusal {
 	start := now
 	if !j.hasWaited {
 		start = now.Add(d.placementRateOf(j.Service).expectedWait(ahead))
 	}
 	if j.IsRetry {
-		latestStart, start = j.Deadline, now
+		start = now
 	}
 	start = max(start, now.Add(d.limitDelay(now, j, ahead)))
 	if j.backoffWait > 0 {
 		start = max(start, now.Add(j.backoffWait+announce.RampUpDelay(ahead)))
 	}
-	if start < min(latestStart, j.Deadline) {
+	if start < min(d.latestStart(now, j, start, known), j.Deadline) {
 		return nil
 	}
 	code, message := core.CodeTargetUnreachable, "no engine has room in time for the latency target"
@@ -63,6 +66,21 @@
 	return refusal
 }
 
+// latestStart returns the latest instant at which a job can be placed and meet its latency target. A retry
+// has none, since its caller may have a part of the response. If the job can meet the target when it
+// starts at start, an earlier instant than the latest may be returned.
+func (d *Dispatcher) latestStart(now core.Instant, j *job, start core.Instant, known *roundFindings) core.Instant {
+	if j.IsRetry {
+		return j.Deadline
+	}
+	if bound, found := known.delayBound(j); found && start < j.LatencyDeadline.Add(-bound) {
+		return j.LatencyDeadline.Add(-bound)
+	}
+	delay := d.timeToFirstEvent(now, j)
+	known.addDelay(j, delay)
+	return j.LatencyDeadline.Add(-delay)
+}
+
 // spread returns a random time between wait and half as long again, so that callers that are
 // refused for the same reason do not return at the same time.
 func (d *Dispatcher) spread(wait time.Duration) time.Duration {
