--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -88,6 +88,7 @@
 	// delayedHeartbeats is what the metrics have counted, only used by the event loop.
 	delayedHeartbeats int64
 	lastCold          warmup.Summary
+	lastQueue         map[int]router.UrgencyGauges
 	addressQueries    sync.Map // query ID -> chan router.CallerAddresses
 	lastQueryID       atomic.Uint64
 	writingMember     atomic.Bool
@@ -427,6 +428,7 @@
 		for service, n := range gauges.Queued {
 			d.metrics.SetQueueLength(service, n)
 		}
+		d.setQueueByUrgency(gauges.QueueByUrgency)
 		d.recordEvacuationGauges(gauges.Evacuations)
 		for _, s := range gauges.Paces {
 			d.metrics.SetPaceSpread(s.Service, string(s.Stage), s.Fastest, s.Slowest, s.Slow)
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -104,6 +104,8 @@
 	fetches           map[StateKind]*stateFetch
 	services          map[core.ServiceName]*config.Service
 	hasUrgency        map[core.ServiceName]bool // see servicesWithUrgency
+	shares            shares
+	backlogLogAt      core.Instant
 	accountViews      map[core.AccountID]*config.ClientAccount
 	nextMemberListAt  core.Instant
 	memberListAt      core.Instant // the last request for a list
@@ -254,6 +256,7 @@
 	}
 	h.applyDispatch(now, h.dispatch.Tick(now))
 	h.logCold(now)
+	h.logBacklog(now)
 	if now >= h.nextMemberListAt {
 		h.listMembers(now)
 	}
@@ -343,6 +346,7 @@
 	h.dispatch.SetEngineCapacity(engines)
 	h.setColdRates(now, e.Routing)
 	h.hasUrgency = servicesWithUrgency(e.Routing)
+	h.shares = sharesOf(e.Routing.Accounts)
 	state := h.fleet.State()
 	state.Serving = true
 	h.fleet.SetState(state)
@@ -455,6 +459,8 @@
 	Version core.Version
 	// Queued counts the requests that wait for an Upstream, per service.
 	Queued map[core.ServiceName]int
+	// QueueByUrgency describes the queue by urgency.
+	QueueByUrgency map[int]UrgencyGauges
 	// Liveness describes what is known of when peers were alive.
 	Liveness fleet.LivenessCounts
 	// Cold counts the cold Upstreams and the requests to them.
@@ -475,6 +481,6 @@
 	return HostedGauges{
 		LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting,
 		Liveness: h.fleet.LivenessCounts(now), Cold: h.warmup.Summary(now), Evacuations: h.evacuationGauges(now),
-		Paces: h.paces.Spreads(now),
+		Paces: h.paces.Spreads(now), QueueByUrgency: h.queueByUrgency(),
 	}
 }
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -196,6 +196,7 @@
 func (h *hosted) submit(now core.Instant, rs *requestState) {
 	hr := rs.hosted
 	hr.stage = stageWaiting
+	weight, cost := h.queueShare(rs)
 	job := dispatch.Job{
 		ID:              rs.request.ID,
 		Service:         hr.service.Name,
@@ -209,6 +210,9 @@
 		AvoidUpstreams:  rs.avoidUpstreams,
 		IsRetry:         hr.deliveries+hr.undelivered > 0,
 		Regions:         hr.regions(),
+		Account:         rs.accountID(),
+		Weight:          weight,
+		Cost:            cost,
 	}
 	h.applyDispatch(now, h.dispatch.Submit(now, job))
 }
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -107,6 +107,8 @@
 	upstreamFailures   metric.Int64Counter
 	retries            metric.Int64Counter
 	announcements      metric.Int64Counter
+	queueByUrgency     metric.Int64Gauge
+	queueRefusals      metric.Int64Counter
 	coldUpstreams      metric.Int64Gauge
 	coldRequests       metric.Int64Counter
 	paceSpread         metric.Int64Gauge
@@ -166,6 +168,8 @@
 	m.upstreamFailures = b.counter("upstream_failures", "{call}", "Failed calls to upstreams by kind.")
 	m.retries = b.counter("resends", "{request}", "Requests sent to another upstream after a failed call.")
 	m.announcements = b.counter("upstream_announcements", "{announcement}", "New announcements of upstreams about themselves by kind.")
+	m.queueByUrgency = b.gauge("queue_length_by_urgency", "{request}", "Requests that wait for an upstream, by urgency.")
+	m.queueRefusals = b.counter("queue_refusals", "{request}", "Requests that could not be placed in time, by urgency.")
 	m.coldUpstreams = b.gauge("cold_upstreams", "{upstream}", "Upstreams that are cold; those to which this instance may send, and the others.")
 	m.coldRequests = b.counter("cold_requests", "{request}", "Requests to cold upstreams: sent, and deferred at each cold upstream that a request passed by.")
 	m.paceSpread = b.gauge("upstream_pace", "%", "Estimated duration of work at the fastest and the slowest upstream of a service and stage, 100 for the usual.")
@@ -254,6 +258,16 @@
 	m.queueLength.Record(context.Background(), int64(n), metric.WithAttributes(serviceLabel(service)))
 }
 
+// SetQueueOfUrgency records the number of requests with an urgency that wait for an Upstream, and adds
+// those that were refused.
+func (m *Metrics) SetQueueOfUrgency(urgency, waiting, refused int) {
+	label := metric.WithAttributes(attribute.Int("urgency", urgency))
+	m.queueByUrgency.Record(context.Background(), int64(waiting), label)
+	if refused > 0 {
+		m.queueRefusals.Add(context.Background(), int64(refused), label)
+	}
+}
+
 // RecordCallerDisconnect records a request whose caller disconnected before the end
 // of the response.
 func (m *Metrics) RecordCallerDisconnect(service core.ServiceName) {
