dispatch: accounts far above their share leave places to others

While jobs of other accounts lack places, and 5 s after, an account whose demand for its weight is twice that of the others fills a plain Upstream to 1.5 requests a slot (3 before) and lets 300 ms of prefill queue (600).

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -111,7 +111,7 @@
 // when none has capacity. All engines of the fleet form one pool, so that a burst can
 // use engines of every DataCentre.
 func (d *Dispatcher) chooseDecode(now core.Instant, j *job) *upstream {
-	if d.shortestPrefillTime(now, j) > maxPrefillBacklog {
+	if d.shortestPrefillTime(now, j) > j.prefillBacklogLimit() {
 		return nil
 	}
 	size := d.engines[j.Service]
@@ -177,7 +177,7 @@
 	return d.best(now, j, requestsOfCall, func(up *upstream) (float64, bool) {
 		requests := up.own.Requests + up.peer.Requests + 1
 		slots := max(1, up.Slots)
-		if !up.usable(now) || requests > maxPlainRequests(up, slots) {
+		if !up.usable(now) || requests > j.plainRequestsLimit(up, slots) {
 			return 0, false
 		}
 		return plainScore(now, up, requests, slots) + d.distancePenalty(up) + failurePenalty*up.failureRate, true
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -222,11 +222,14 @@
 type job struct {
 	Job
 	entry     fairqueue.Entry[*job]
-	hasWaited bool      // could not be placed when it was submitted
-	decode    *upstream // MemoryTokens are held there
-	prefill   *upstream // PromptTokens count as its load
-	plain     *upstream
-	work      attemptWork // at prefill or plain
+	hasWaited bool // could not be placed when it was submitted
+	// restrained is set while the account must leave places free for others.
+	restrained bool
+	demand     *fairqueue.AccountDemand // of its account
+	decode     *upstream                // MemoryTokens are held there
+	prefill    *upstream                // PromptTokens count as its load
+	plain      *upstream
+	work       attemptWork // at prefill or plain
 	// limitWait is the time until an Upstream may be sent the job, if all usable ones are at the
 	// rate that they announce.
 	limitWait time.Duration
@@ -324,7 +327,12 @@
 func (d *Dispatcher) Submit(now core.Instant, j Job) []Output {
 	entry := newJob(j)
 	d.jobs[j.ID] = entry
-	d.queueOf(j.Service).Add(now, &entry.entry)
+	q := d.queueOf(j.Service)
+	q.Add(now, &entry.entry)
+	if !j.IsRetry {
+		q.demand.Count(now, j.Account, j.Weight, j.Cost)
+	}
+	entry.demand = q.demand.Of(now, j.Account)
 	d.waiting++
 	return d.placeQueue(now)
 }
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -13,6 +13,52 @@
 type serviceQueue struct {
 	fairqueue.Queue[*job]
 	service core.ServiceName
+	demand  fairqueue.Demand
+	// contendedUntil is the end of the time in which accounts far above their share are restrained.
+	contendedUntil core.Instant
+}
+
+const (
+	// contentionTime is the time after a job had to wait, of an account that is not far above its
+	// share, in which those that are keep their distance. Without it they would fill the
+	// Upstreams again as soon as nobody waits, and the next job of another account would be late in
+	// the queue of an Upstream.
+	contentionTime = 5 * time.Second
+	// restrainedRequestsPerSlot replaces maxPlainRequestsPerSlot, and restrainedPrefillBacklog
+	// maxPrefillBacklog, for restrained accounts. Both still keep all Upstreams busy.
+	restrainedRequestsPerSlot = 1.5
+	restrainedPrefillBacklog  = 300 * time.Millisecond
+)
+
+// updateRestraint decides whether a job leaves places free for other accounts.
+func (q *serviceQueue) updateRestraint(now core.Instant, j *job) {
+	j.restrained = now < q.contendedUntil && q.demand.IsFarAbove(now, j.demand)
+}
+
+// onKept records that a job has to wait. Only one of an account that is not far above its share shows
+// that others lack places.
+func (q *serviceQueue) onKept(now core.Instant, j *job) {
+	until := now.Add(contentionTime)
+	if q.contendedUntil != until && !q.demand.IsFarAbove(now, j.demand) {
+		q.contendedUntil = until
+	}
+}
+
+// prefillBacklogLimit returns the queued prefill work above which a job waits in the Dispatcher.
+func (j *job) prefillBacklogLimit() time.Duration {
+	if j.restrained {
+		return restrainedPrefillBacklog
+	}
+	return maxPrefillBacklog
+}
+
+// plainRequestsLimit returns the number of requests that a plain Upstream may have for a job to be sent there.
+func (j *job) plainRequestsLimit(up *upstream, slots int) int {
+	most := maxPlainRequests(up, slots)
+	if j.restrained {
+		return min(most, max(slots+1, int(restrainedRequestsPerSlot*float64(slots))))
+	}
+	return most
 }
 
 func (d *Dispatcher) queueOf(service core.ServiceName) *serviceQueue {
@@ -118,6 +164,7 @@
 			refuse(j, core.NewRefusal(core.CodeTargetUnreachable, "the request reached its time limit before it ran"))
 			continue
 		}
+		q.updateRestraint(now, j)
 		if output := d.place(now, j, &known); output != nil {
 			q.Place(now, entry)
 			d.waiting--
@@ -133,6 +180,7 @@
 			refuse(j, refusal)
 			continue
 		}
+		q.onKept(now, j)
 		if !j.hasWaited {
 			j.hasWaited = true
 			d.placementRateOf(j.Service).onQueued(now, ahead == 0 && !q.IsShared())
@@ -176,6 +224,7 @@
 type finding struct {
 	isModelRequest bool
 	isRetry        bool
+	restrained     bool
 	regions        locality.Set
 	memoryTokens   int
 	promptTokens   int
@@ -187,7 +236,7 @@
 const maxFindings = 16
 
 func newFinding(j *job) finding {
-	return finding{isModelRequest: j.IsModelRequest, isRetry: j.IsRetry, regions: j.Regions, memoryTokens: j.MemoryTokens, promptTokens: j.PromptTokens}
+	return finding{isModelRequest: j.IsModelRequest, isRetry: j.IsRetry, restrained: j.restrained, regions: j.Regions, memoryTokens: j.MemoryTokens, promptTokens: j.PromptTokens}
 }
 
 func (f *finding) sameUpstreams(j *job) bool {
@@ -199,7 +248,7 @@
 func (r *roundFindings) blockedBy(j *job) *finding {
 	for i := range r.blocked {
 		f := &r.blocked[i]
-		if f.sameUpstreams(j) && j.MemoryTokens >= f.memoryTokens && j.PromptTokens >= f.promptTokens {
+		if f.sameUpstreams(j) && (j.restrained || !f.restrained) && j.MemoryTokens >= f.memoryTokens && j.PromptTokens >= f.promptTokens {
 			return f
 		}
 	}
@@ -211,7 +260,7 @@
 	f.backoffWait = j.backoffWait
 	for i := range r.blocked { // at most as large as that one, else it would be blocked by it
 		other := &r.blocked[i]
-		if other.sameUpstreams(j) && other.memoryTokens >= f.memoryTokens && other.promptTokens >= f.promptTokens {
+		if other.sameUpstreams(j) && other.restrained == f.restrained && other.memoryTokens >= f.memoryTokens && other.promptTokens >= f.promptTokens {
 			*other = f
 			return
 		}
--- a/pkg/fairqueue/urgency.go
+++ b/pkg/fairqueue/urgency.go
@@ -134,6 +134,10 @@
 	return q.last
 }
 
+// PrecedesByCredit reports whether the entry that Next has returned last precedes more urgent ones by the
+// guarantee of its urgency.
+func (q *Queue[T]) PrecedesByCredit() bool { return q.lastByCredit }
+
 // settleLast moves on from the entry that was visited last.
 func (q *Queue[T]) settleLast() {
 	e := q.last
