--- a/pkg/dispatch/fair_test.go
+++ b/pkg/dispatch/fair_test.go
@@ -76,15 +76,19 @@
 
 func (s *plainSite) run(duration time.Duration) {
 	for end := s.now.Add(duration); s.now < end; {
-		at, _ := s.events.NextTime()
+		at, found := s.events.NextTime()
+		if !found {
+			at = end
+		}
 		if wake := s.d.NextWake(); wake < at {
 			s.now = max(s.now, wake)
 			s.apply(s.d.Tick(s.now))
 			continue
 		}
-		event, _, _ := s.events.PopDue(at)
 		s.now = max(s.now, at)
-		event()
+		if event, _, due := s.events.PopDue(at); due {
+			event()
+		}
 	}
 }
 
@@ -126,3 +130,31 @@
 		t.Errorf("served: %.3f of the urgent, %.3f of the less urgent", of("a/0"), of("a/2"))
 	}
 }
+
+// Guards against places that an account can't use although nobody else asks for them, and against one that
+// fills all of them again as soon as the others have been served.
+func TestPlacesAreUsedUnlessOthersLackThem(t *testing.T) {
+	s := newPlainSite(30 * time.Millisecond)
+	inUse := func() int { return s.d.Loads()["r"].Requests }
+	for range 40 {
+		s.submit("large", 0, time.Second)
+	}
+	if inUse() != 18 {
+		t.Errorf("%d requests are placed while nobody else asks, want 18", inUse())
+	}
+	for range 4 {
+		s.submit("small", 0, time.Second)
+	}
+	s.run(35 * time.Millisecond) // six places became free
+	if s.placed["small/0"] != 4 || inUse() > 16 {
+		t.Errorf("%d requests of the small account were placed, %d are in progress", s.placed["small/0"], inUse())
+	}
+	s.run(60 * time.Millisecond)
+	if inUse() != 9 {
+		t.Errorf("%d requests are in progress after others had to wait, want 9", inUse())
+	}
+	s.run(5 * time.Second)
+	if s.placed["large/0"] != 40 {
+		t.Errorf("%d of 40 requests of the large account were placed", s.placed["large/0"])
+	}
+}
--- a/pkg/fairqueue/demand.go
+++ b/pkg/fairqueue/demand.go
@@ -14,8 +14,9 @@
 	// An account is far above its share if its demand for its weight is farAbove times that of all
 	// others together.
 	farAbove = 2.0
-	// demandSumInterval is the time after which the sum over all accounts is computed again.
-	demandSumInterval = 100 * time.Millisecond
+	// demandSumInterval is the time after which the sum over all accounts is computed again. A placement
+	// becomes possible about as often.
+	demandSumInterval = 20 * time.Millisecond
 	// minDemand is the part of a request below which a demand is forgotten.
 	minDemand = 0.02
 )
