--- a/pkg/fairqueue/demand.go
+++ b/pkg/fairqueue/demand.go
@@ -32,7 +32,7 @@
 
 // AccountDemand is the demand of one account.
 type AccountDemand struct {
-	weight   float64
+	weight   float64 // 0 while unknown
 	cost     float64 // decaying
 	requests float64 // decaying
 	at       core.Instant
@@ -45,7 +45,7 @@
 	return math.Exp(-now.Sub(a.at).Seconds() / demandMemory.Seconds())
 }
 
-// Count adds a request. One without a valid weight has that of the account's last request, at first 1.
+// Count adds a request. One without a valid weight has that of the account's last request.
 func (d *Demand) Count(now core.Instant, account core.AccountID, weight float64, cost int64) {
 	a := d.Of(now, account)
 	factor := a.decay(now)
@@ -62,21 +62,21 @@
 		if d.accounts == nil {
 			d.accounts = map[core.AccountID]*AccountDemand{}
 		}
-		a = &AccountDemand{weight: 1, at: now}
+		a = &AccountDemand{at: now}
 		d.accounts[account] = a
 	}
 	return a
 }
 
 // IsFarAbove reports whether an account asks for far more than its share of what all ask for. An account
-// that is alone does not. The result is at most demandSumInterval old, because it is needed for each
+// that is alone does not, nor one whose weight is unknown, because its share is. The result is at most demandSumInterval old, because it is needed for each
 // waiting request in each round.
 func (d *Demand) IsFarAbove(now core.Instant, a *AccountDemand) bool {
 	d.sum(now)
 	if a.judgedBy != d.sums {
 		cost := a.cost * a.decay(now)
 		othersCost, othersWeight := d.cost-cost, d.weight-a.weight
-		a.farAbove = len(d.accounts) > 1 && othersCost > 0 && othersWeight > 0 && cost/a.weight > farAbove*othersCost/othersWeight
+		a.farAbove = a.weight > 0 && othersCost > 0 && othersWeight > 0 && cost/a.weight > farAbove*othersCost/othersWeight
 		a.judgedBy = d.sums
 	}
 	return a.farAbove
@@ -94,7 +94,9 @@
 			delete(d.accounts, id)
 			continue
 		}
-		d.cost += a.cost * factor
-		d.weight += a.weight
+		if a.weight > 0 {
+			d.cost += a.cost * factor
+			d.weight += a.weight
+		}
 	}
 }
