--- a/pkg/dispatch/spare.go
+++ b/pkg/dispatch/spare.go
@@ -19,10 +19,8 @@
 // HasSpareCapacity reports whether a request of a service could run now without taking the place of one
 // that waits or arrives soon. It says so for requests that are served only from idle capacity.
 func (d *Dispatcher) HasSpareCapacity(now core.Instant, service core.ServiceName, isModelRequest bool, regions locality.Set) bool {
-	for _, j := range d.queue {
-		if j.Service == service {
-			return false
-		}
+	if q := d.queues[service]; q != nil && q.Len() > 0 {
+		return false
 	}
 	size := d.engines[service]
 	used, total := 0, 0
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -91,6 +91,7 @@
 	delayedHeartbeats int64
 	lastCold          warmup.Summary
 	lastHeldPrompts   promptcache.Stats
+	lastQueue         map[int]router.UrgencyGauges
 	addressQueries    sync.Map // query ID -> chan router.CallerAddresses
 	lastQueryID       atomic.Uint64
 	writingMember     atomic.Bool
@@ -432,6 +433,7 @@
 		for service, n := range gauges.Queued {
 			d.metrics.SetQueueLength(service, n)
 		}
+		d.setQueueByUrgency(gauges.QueueByUrgency)
 		d.recordEvacuationGauges(gauges.Evacuations)
 		d.metrics.AddExtraTokens(gauges.ExtraTokens - d.extraTokens)
 		d.extraTokens = gauges.ExtraTokens
