--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -90,6 +90,31 @@
 // RemovalGrace after it are kept for a grace period.
 func (c *Catalog) OnStoreError(now core.Instant) { c.graceUntil = now.Add(RemovalGrace) }
 
+// GraceUntil returns the end of the time in which removals get a grace period.
+func (c *Catalog) GraceUntil() core.Instant { return c.graceUntil }
+
+// Confirm records that there are no changes up to a revision other than those that were applied.
+func (c *Catalog) Confirm(revision core.StoreRevision) {
+	if c.initialized && revision.Era == c.revision.Era {
+		c.confirmed = c.confirmed.Latest(revision)
+	}
+}
+
+// ApplyForwarded applies changes that a peer has read from the store, like Apply. Removals before
+// graceUntil get a grace period too: a call of the peer had failed.
+func (c *Catalog) ApplyForwarded(now core.Instant, revision core.StoreRevision, changes []Change, graceUntil core.Instant) bool {
+	own := c.graceUntil
+	c.graceUntil = max(own, min(graceUntil, now.Add(RemovalGrace)))
+	applied := c.Apply(now, revision, changes)
+	c.graceUntil = own
+	for _, change := range changes {
+		if until, known := c.cold.until[change.ID]; known && change.Upstream != nil && change.Upstream.ColdFor > 0 {
+			c.cold.until[change.ID] = until.Add(forwardedColdMargin)
+		}
+	}
+	return applied
+}
+
 // Replace applies a complete list. It returns false when the list is older than the
 // entries or equal to them. An equal list of the same era leaves the revision, like Apply
 // without changes.
--- a/pkg/catalog/cold.go
+++ b/pkg/catalog/cold.go
@@ -10,6 +10,11 @@
 // cold engine writes its entry every 1.2 s, and each read is delayed differently.
 const coldTolerance = time.Second
 
+// forwardedColdMargin is added to the cold times that a peer has forwarded. Peers forward only what is
+// new, so the entry may have moved by coldTolerance at the peer, and by as much again at the peer that
+// forwards the next change.
+const forwardedColdMargin = 2 * coldTolerance
+
 // coldTimes holds the ends of the cold times that the entries state. Entries of Upstreams that were
 // never cold are not in it.
 type coldTimes struct {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -424,15 +424,7 @@
 
 // IsReader reports whether this Instance is one of the readers of its Region: the live ones of
 // highest hash.
-func (f *Fleet) IsReader() bool {
-	own, ahead := readerHash(f.self), 0
-	for _, p := range f.peers {
-		if p.member.Region == f.self.Region && p.lastHeartbeat > 0 && !p.silent && !p.state.Leaving && readerHash(p.member) > own {
-			ahead++
-		}
-	}
-	return ahead < readersPerRegion
-}
+func (f *Fleet) IsReader() bool { return f.ReaderRank() < readersPerRegion }
 
 func readerHash(m Member) uint64 { return xxhash.Sum64String("reader\n" + string(m.Ref.ID)) }
 
