hosted: followers rely on the readers of their Region for the store

With follow_readers, fleets of more than 8 live Instances let 4 readers a Region watch the configuration and the Upstreams. Heartbeats within a Region carry confirmations, readers push changes, and others pull them when a heartbeat shows that there are some.

--- a/pkg/fleet/confirmations.go
+++ b/pkg/fleet/confirmations.go
@@ -25,5 +25,14 @@
 	return min(ahead, readersPerRegion)
 }
 
-// ReadersPerRegion returns the number of readers that a Region has if it has that many Instances.
-func ReadersPerRegion() int { return readersPerRegion }
+// ReaderPart returns which of the readers of its Region serves an Instance, by ReaderRank.
+func ReaderPart(m Member) int { return int(readerHash(m) % readersPerRegion) }
+
+// Peer returns a known peer.
+func (f *Fleet) Peer(ref core.InstanceRef) (Member, bool) {
+	p := f.peers[ref.ID]
+	if p == nil || p.member.Ref != ref {
+		return Member{}, false
+	}
+	return p.member, true
+}
--- a/pkg/follow/due.go
+++ b/pkg/follow/due.go
@@ -49,8 +49,10 @@
 		return Call{Reason: ReasonAlone, List: !s.watching}, true
 	case !s.known:
 		return Call{Reason: ReasonFirst, List: !s.watching}, true
-	case s.forced != "":
-		return Call{Reason: s.forced, List: true}, true
+	case s.mustList:
+		return Call{Reason: ReasonPaused, List: true}, true
+	case s.complete.Era < s.era:
+		return Call{Reason: ReasonEra, List: true}, true
 	case role == RoleReader && (!s.watching || s.lost):
 		return Call{Reason: ReasonReader, List: true}, true
 	case role == RoleReader:
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -106,9 +106,11 @@
 	changed, complete core.StoreRevision
 	// confirmedAt is the latest instant at which the store is known to have had no change after complete.
 	confirmedAt core.Instant
-	// forced is the reason for a list that must begin at forcedAt or later, empty for none.
-	forced   Reason
-	forcedAt core.Instant
+	// mustList is set until a list that has begun at listAfter or later. era is the newest era of the
+	// store that is known.
+	mustList  bool
+	listAfter core.Instant
+	era       uint64
 	// lost is set if the store no longer has the changes after complete.
 	lost bool
 
@@ -159,8 +161,8 @@
 	s.complete = s.complete.Latest(at)
 	s.confirm(startedAt)
 	s.lost = false
-	if startedAt >= s.forcedAt {
-		s.forced = ""
+	if startedAt >= s.listAfter {
+		s.mustList = false
 	}
 }
 
@@ -195,10 +197,11 @@
 	s.lost = false
 }
 
-// ForceList has the next call be a list, and makes it due at once.
-func (s *State) ForceList(now core.Instant, why Reason) {
-	s.forced, s.forcedAt = why, now
-}
+// OnPaused has the next call be a list, due at once: the process was paused until now.
+func (s *State) OnPaused(now core.Instant) { s.mustList, s.listAfter = true, now }
+
+// OnEra processes an era of the store. The state of an earlier one has to be listed again.
+func (s *State) OnEra(era uint64) { s.era = max(s.era, era) }
 
 func (s *State) confirm(at core.Instant) {
 	if at > s.confirmedAt {
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 	"github.com/rhubarbsill/rhubarbsill/pkg/dispatch"
 	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
+	"github.com/rhubarbsill/rhubarbsill/pkg/follow"
 	"github.com/rhubarbsill/rhubarbsill/pkg/peer"
 	"github.com/rhubarbsill/rhubarbsill/pkg/retry"
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
@@ -95,6 +96,10 @@
 	// event loop.
 	evacuationHealth *storeHealth
 	evacuatedBefore  map[core.DataCentreName]int
+	// storeCalls delivers the calls of the store that are due, nil unless followers rely on readers.
+	// lastFollow is what the metrics have counted, only used by the event loop.
+	storeCalls map[router.StateKind]chan follow.Call
+	lastFollow *router.FollowGauges
 
 	drained   chan struct{}
 	loopEnded chan struct{}
@@ -160,6 +165,7 @@
 		Ref: ref, DataCentre: settings.DataCentre, Region: settings.Region,
 		CallerAddr: settings.CallerAddr, PeerAddr: settings.PeerAddr,
 	}
+	followConfigBound, followUpstreamsBound := settings.followBounds()
 	d.router = router.New(router.Params{
 		Rand:        mathrand.New(mathrand.NewPCG(randomUint64(), randomUint64())),
 		NonceSource: rand.Reader,
@@ -174,10 +180,17 @@
 			GracePeriod: settings.gracePeriod(),
 			AddressTTL:  settings.addressTTL(),
 
-			EvacuationBound: settings.evacuationBound(),
+			EvacuationBound:      settings.evacuationBound(),
+			FollowConfigBound:    followConfigBound,
+			FollowUpstreamsBound: followUpstreamsBound,
 		},
 	})
 	d.evacuationHealth = d.newStoreHealth("evacuations")
+	if settings.FollowReaders {
+		d.storeCalls = map[router.StateKind]chan follow.Call{
+			router.StateConfig: make(chan follow.Call, 1), router.StateUpstreams: make(chan follow.Call, 1),
+		}
+	}
 	return d, nil
 }
 
@@ -428,6 +441,7 @@
 			d.metrics.SetQueueLength(service, n)
 		}
 		d.recordEvacuationGauges(gauges.Evacuations)
+		d.recordFollowGauges(gauges.Follow)
 		for _, s := range gauges.Paces {
 			d.metrics.SetPaceSpread(s.Service, string(s.Stage), s.Fastest, s.Slowest, s.Slow)
 		}
@@ -469,6 +483,8 @@
 		go d.writeMember(ctx)
 	case router.ReadEvacuations:
 		go d.readEvacuations(ctx, e.Call)
+	case router.StoreCallDue:
+		d.storeCalls[e.Kind] <- e.Call // there is one for each StoreCallReady
 	case router.RemoveMembers:
 		go d.removeMembers(ctx, e.Refs)
 	case router.FetchState:
--- a/pkg/hosted/settings.go
+++ b/pkg/hosted/settings.go
@@ -61,6 +61,13 @@
 	// milliseconds. 0 if the deployment has no evacuations: the store is not asked for them then.
 	EvacuateMS float64 `json:"evacuate_ms"`
 
+	// DrainMS is the time within which an Upstream that leaves or is gone gets no more requests from any
+	// Instance, in milliseconds.
+	DrainMS float64 `json:"drain_ms"`
+	// FollowReaders has the Instances of a fleet of more than 8 rely on the readers of their Region for the
+	// configuration and the Upstreams (docs/design/followers.md). Otherwise each one watches the store.
+	FollowReaders bool `json:"follow_readers"`
+
 	// MemoryMB and MaxFDs are the memory and the descriptors of the machine. 0 or missing: not known. The
 	// limits of connections are then those of the largest machine, and the runtime has no memory limit.
 	MemoryMB MachineFigure `json:"memory_mb"`
@@ -110,7 +117,7 @@
 	if err != nil {
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
 	}
-	s := Settings{LogLevel: "info", GraceSeconds: 8, MaxAddressTTLSeconds: 5, RetryRatio: 0.1, RetryWindowSeconds: 10, ConfigApplyMS: 3000, ContactMS: 4000}
+	s := Settings{LogLevel: "info", GraceSeconds: 8, MaxAddressTTLSeconds: 5, RetryRatio: 0.1, RetryWindowSeconds: 10, ConfigApplyMS: 3000, ContactMS: 4000, DrainMS: 4000}
 	s.ColdOverage, s.ColdSlack = warmup.DefaultOverage, warmup.DefaultSlack
 	if err := json.Unmarshal(standard, &s); err != nil {
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
@@ -161,6 +168,9 @@
 	if s.EvacuateMS < 0 {
 		add("evacuate_ms: %v must not be below 0", s.EvacuateMS)
 	}
+	if s.DrainMS <= 0 {
+		add("drain_ms: %v must be above 0", s.DrainMS)
+	}
 	if s.MemoryMB < 0 {
 		add("memory_mb: %v must not be below 0", s.MemoryMB)
 	}
@@ -185,6 +195,15 @@
 	return time.Duration(s.EvacuateMS * float64(time.Millisecond))
 }
 
+// followBounds returns the bounds of followers for the configuration and for the Upstreams, 0 if there are
+// no followers.
+func (s Settings) followBounds() (config, upstreams time.Duration) {
+	if !s.FollowReaders {
+		return 0, 0
+	}
+	return s.configApplyTime(), time.Duration(s.DrainMS * float64(time.Millisecond))
+}
+
 // memoryBytes returns the memory of the machine, or that of the largest one if it is not known.
 func (s Settings) memoryBytes() int64 {
 	if s.MemoryMB <= 0 {
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/follow"
 	"github.com/rhubarbsill/rhubarbsill/pkg/router"
 	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
 )
@@ -125,7 +126,14 @@
 // watchWait.
 func (d *Daemon) syncRouting(ctx context.Context, phase float64) {
 	health := d.newStoreHealth("config")
+	lost := false
 	for ctx.Err() == nil {
+		if call, due := d.nextStoreCall(ctx, router.StateConfig, false, lost); !due {
+			return
+		} else if mayWatch(call) {
+			lost = d.watchRouting(ctx, health, call.After, phase, &call)
+			continue
+		}
 		health.waitForReadInterval(ctx)
 		readCtx, cancel := context.WithTimeout(ctx, health.timeout())
 		readAt := d.now()
@@ -136,35 +144,50 @@
 			continue
 		}
 		health.recordSuccess()
-		d.postRouting(object, "", readAt)
-		d.watchRouting(ctx, health, revision, phase)
+		d.post(router.RoutingReceived{Routing: object.Routing, Revision: object.Revision, Raw: object.Raw, ReadAt: readAt, At: revision})
+		lost = d.watchRouting(ctx, health, revision, phase, nil)
 	}
 }
 
-func (d *Daemon) watchRouting(ctx context.Context, health *storeHealth, after core.StoreRevision, phase float64) {
+// watchRouting watches the configuration from a revision on. The first watch is call, if that is set. It
+// reports whether a list is needed because the store does not have all changes.
+func (d *Daemon) watchRouting(ctx context.Context, health *storeHealth, after core.StoreRevision, phase float64, call *follow.Call) (lost bool) {
 	for ctx.Err() == nil {
-		wait := watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase)
+		if call == nil {
+			next, due := d.nextStoreCall(ctx, router.StateConfig, true, false)
+			if !due || next.List {
+				return false
+			}
+			call, after = &next, after.Latest(next.After)
+		}
+		wait := boundWait(*call, watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase))
+		call = nil
+		startedAt := d.now()
 		watchCtx, cancel := d.watches.start(ctx, after.Era, wait+watchMargin)
 		object, at, err := d.adapter.Store.WatchRouting(watchCtx, after, wait)
 		cancel()
 		switch {
 		case errors.Is(err, ErrCompacted), err != nil && context.Cause(watchCtx) == errWatchEnded:
-			return
+			return true
 		case err != nil:
 			health.recordFailureAndWait(ctx, err)
-			return
+			return false
 		}
 		health.recordSuccess()
 		if at.Era != after.Era {
-			return // the store does not have all changes since the revision after
+			return true // the store does not have all changes since the revision after
 		}
 		after = after.Latest(at)
 		if object != nil {
 			d.postRouting(*object, "", 0)
+		}
+		d.postWatched(router.StateConfig, after, startedAt, wait, object != nil)
+		if object != nil {
 			d.pauseConfigWatch(ctx, object.Revision)
 			after = after.Latest(d.configFromPeer(after.Era))
 		}
 	}
+	return false
 }
 
 // followerPauseFraction is the part of the time for a configuration to be in force for which a
@@ -176,7 +199,7 @@
 // one may take a second to each Instance of another Region, so followers leave the next ones to peers,
 // which compress them, for as long as these keep sending some.
 func (d *Daemon) pauseConfigWatch(ctx context.Context, newest core.StoreRevision) {
-	if !d.follower.Load() {
+	if !d.follower.Load() || d.storeCalls != nil {
 		sleep(ctx, changeBatchDelay)
 		return
 	}
@@ -280,7 +303,14 @@
 // that of watchWait.
 func (d *Daemon) syncUpstreams(ctx context.Context, phase float64) {
 	health := d.newStoreHealth("upstreams")
+	lost := false
 	for ctx.Err() == nil {
+		if call, due := d.nextStoreCall(ctx, router.StateUpstreams, false, lost); !due {
+			return
+		} else if mayWatch(call) {
+			lost = d.watchUpstreams(ctx, health, call.After, phase, &call)
+			continue
+		}
 		health.waitForReadInterval(ctx)
 		readCtx, cancel := context.WithTimeout(ctx, health.timeout())
 		readAt := d.now()
@@ -293,35 +323,51 @@
 		health.recordSuccess()
 		d.logSkipped(skipped)
 		d.post(router.UpstreamsListed{Revision: revision, Upstreams: list, ReadAt: readAt})
-		d.watchUpstreams(ctx, health, revision, phase)
+		lost = d.watchUpstreams(ctx, health, revision, phase, nil)
 	}
 }
 
-func (d *Daemon) watchUpstreams(ctx context.Context, health *storeHealth, after core.StoreRevision, phase float64) {
+// watchUpstreams watches the Upstreams from a revision on. The first watch is call, if that is set. It
+// reports whether a list is needed because the store does not have all changes.
+func (d *Daemon) watchUpstreams(ctx context.Context, health *storeHealth, after core.StoreRevision, phase float64, call *follow.Call) (lost bool) {
 	cold := coldEntries{}
 	for ctx.Err() == nil {
-		wait := watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase)
+		if call == nil {
+			next, due := d.nextStoreCall(ctx, router.StateUpstreams, true, false)
+			if !due || next.List {
+				return false
+			}
+			call, after = &next, after.Latest(next.After)
+		}
+		wait := boundWait(*call, watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase))
+		call = nil
+		startedAt := d.now()
 		watchCtx, cancel := d.watches.start(ctx, after.Era, wait+watchMargin)
 		changes, skipped, at, err := d.adapter.Store.WatchUpstreams(watchCtx, after, wait)
 		cancel()
 		switch {
 		case errors.Is(err, ErrCompacted), err != nil && context.Cause(watchCtx) == errWatchEnded:
-			return
+			return true
 		case err != nil:
 			health.recordFailureAndWait(ctx, err)
-			return
+			return false
 		}
 		health.recordSuccess()
 		if at.Era != after.Era {
-			return // the store does not have all changes since the revision after
+			return true // the store does not have all changes since the revision after
 		}
 		d.logSkipped(skipped)
+		before := after
 		after = after.Latest(at)
 		if len(changes) > 0 {
-			d.post(router.UpstreamsChanged{Revision: after, Changes: changes})
+			d.post(router.UpstreamsChanged{Revision: after, After: before, Changes: changes})
+		}
+		d.postWatched(router.StateUpstreams, after, startedAt, wait, len(changes) > 0)
+		if len(changes) > 0 {
 			sleep(ctx, cold.batchDelay(changes))
 		}
 	}
+	return false
 }
 
 func (d *Daemon) logSkipped(skipped []SkippedEntry) {
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -41,6 +41,11 @@
 	// EvacuationBound is the time after which the evacuation of a DataCentre binds every Instance, 0 if
 	// the deployment has none.
 	EvacuationBound time.Duration
+	// FollowConfigBound and FollowUpstreamsBound are the times after which each Instance must know a change
+	// of the configuration and of the Upstreams, if followers rely on the readers of their Region for them.
+	// Otherwise both are 0.
+	FollowConfigBound    time.Duration
+	FollowUpstreamsBound time.Duration
 	// IgnorePace takes all Upstreams as equally fast, to compare.
 	IgnorePace bool
 }
@@ -91,6 +96,7 @@
 	fleet         *fleet.Fleet
 	evacuations   *evacuation.State
 	evacuationLog evacuationLog
+	follow        following
 	// paces holds how long work takes at Upstreams, nil if that is ignored.
 	paces *pace.Registry
 
@@ -143,6 +149,7 @@
 		paces:         paces,
 		fleet:         fleet.New(p.Member, p.Fleet),
 		evacuations:   evacuation.New(evacuation.Params{Bound: p.EvacuationBound, Rand: r.params.Rand}),
+		follow:        newFollowing(r, &p),
 
 		fetches:      map[StateKind]*stateFetch{},
 		services:     map[core.ServiceName]*config.Service{},
@@ -195,24 +202,33 @@
 	case RoutingReceived:
 		h.observeEra(now, e.Revision)
 		h.onRoutingReceived(now, e)
+		h.onConfigRead(e)
 		h.onStateRead(now, e.ReadAt, &h.pending.routing)
 	case UpstreamsListed:
 		h.observeEra(now, e.Revision)
-		if h.catalog.Replace(now, e.Revision, e.Upstreams) {
+		replaced := h.catalog.Replace(now, e.Revision, e.Upstreams)
+		if replaced {
 			h.applyUpstreams(now, "listed", e.From)
 		}
+		h.onUpstreamsRead(e, replaced)
 		h.refreshCold(now)
 		h.onStateRead(now, e.ReadAt, &h.pending.upstreams)
 	case UpstreamsChanged:
 		h.observeEra(now, e.Revision)
-		if h.catalog.Apply(now, e.Revision, e.Changes) {
+		applied := h.catalog.Apply(now, e.Revision, e.Changes)
+		if applied {
 			h.applyUpstreams(now, "watched", "")
 		}
+		h.onOwnChanges(now, e, applied)
 		h.refreshCold(now)
 	case EvacuationsRead:
 		h.onEvacuationsRead(now, e)
 	case EvacuationsCallFailed:
 		h.onEvacuationsCallFailed(now, e)
+	case StoreCallReady:
+		h.onStoreCallReady(now, e)
+	case StoreWatched:
+		h.onStoreWatched(e)
 	case StoreCallFailed:
 		h.catalog.OnStoreError(now)
 	case MemberRegistered:
@@ -231,6 +247,9 @@
 		if e.Message.State != nil {
 			h.onStateNotice(now, e.From, e.Message.State)
 		}
+		if e.Message.Follow != nil {
+			h.onFollowMessage(now, e.From, e.Message.Follow)
+		}
 	case ProcessPaused:
 		h.onPaused(now)
 	case ShutdownRequested:
@@ -278,6 +297,7 @@
 		h.logTakenOver(now, id)
 	}
 	h.followShares(now)
+	h.tickFollow(now)
 	h.fetchOverdueStates(now)
 	h.recordPaces(now)
 	due := h.fleet.DueHeartbeats(now)
@@ -461,6 +481,8 @@
 	Cold warmup.Summary
 	// Evacuations describes the evacuations, nil if the deployment has none.
 	Evacuations *EvacuationGauges
+	// Follow describes what followers rely on, nil if they watch the store themselves.
+	Follow *FollowGauges
 	// Paces holds how much the Upstreams of each service and stage differ in speed.
 	Paces []pace.Spread
 }
@@ -475,6 +497,6 @@
 	return HostedGauges{
 		LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting,
 		Liveness: h.fleet.LivenessCounts(now), Cold: h.warmup.Summary(now), Evacuations: h.evacuationGauges(now),
-		Paces: h.paces.Spreads(now),
+		Follow: h.followGauges(now), Paces: h.paces.Spreads(now),
 	}
 }
--- a/pkg/router/hosted_era.go
+++ b/pkg/router/hosted_era.go
@@ -16,6 +16,8 @@
 	}
 	era := revision.Era
 	h.observeEvacuationEra(now, era)
+	h.follow.config.OnEra(era)
+	h.follow.upstreams.OnEra(era)
 	if h.storeEra == nil {
 		h.storeEra = &era
 		return
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -63,8 +63,10 @@
 	// Raw is the encoded configuration.
 	Raw  []byte
 	From core.InstanceID
-	// ReadAt is the instant before the read of the store, 0 for a peer or a watch.
+	// ReadAt is the instant before the read of the store, 0 for a peer or a watch. At is the revision of
+	// the store that was read then.
 	ReadAt core.Instant
+	At     core.StoreRevision
 }
 
 // UpstreamsListed is the complete list of registered Upstreams at a revision, from
@@ -77,10 +79,12 @@
 	ReadAt core.Instant
 }
 
-// UpstreamsChanged contains the changes of the list up to a revision.
+// UpstreamsChanged contains the changes of the list up to a revision, from a watch of the store.
 type UpstreamsChanged struct {
 	Revision core.StoreRevision
-	Changes  []catalog.Change
+	// After is the revision after which the changes are complete.
+	After   core.StoreRevision
+	Changes []catalog.Change
 }
 
 // StoreCallFailed reports that a call of the store failed.
--- a/pkg/router/hosted_fetch.go
+++ b/pkg/router/hosted_fetch.go
@@ -82,8 +82,10 @@
 			candidates: map[core.InstanceID]fleet.Member{}, running: map[core.InstanceID]bool{},
 		}
 		h.fetches[kind] = f
-		h.recordEvent(now, "fleet", "behind on "+string(kind), "peer="+peer.Ref.String()+
-			" theirs="+reported.String()+" own="+own.String())
+		if kind != StateUpstreams || !h.follows() { // there, each change shows in heartbeats first
+			h.recordEvent(now, "fleet", "behind on "+string(kind), "peer="+peer.Ref.String()+
+				" theirs="+reported.String()+" own="+own.String())
+		}
 	}
 	if !f.running[peer.Ref.ID] {
 		f.candidates[peer.Ref.ID] = peer
@@ -103,12 +105,20 @@
 			delete(h.fetches, kind)
 			continue
 		}
-		if f.noticed || now.Sub(f.behindSince) >= stateFetchDelay {
+		if f.noticed || now.Sub(f.behindSince) >= h.stateFetchDelay(kind) {
 			h.fetchState(now, kind, f)
 		}
 	}
 }
 
+// stateFetchDelay returns the time for which peers must have a newer state before it is fetched.
+func (h *hosted) stateFetchDelay(kind StateKind) time.Duration {
+	if kind == StateUpstreams && h.follows() {
+		return followFetchDelay
+	}
+	return stateFetchDelay
+}
+
 // fetchState asks the next candidate for a state, unless enough peers are being asked.
 func (h *hosted) fetchState(now core.Instant, kind StateKind, f *stateFetch) {
 	if len(f.running) >= maxStateFetches || len(f.running) > 0 && now.Sub(f.askedAt) < stateFetchHedgeDelay {
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -41,6 +41,9 @@
 	Crashing map[core.PromptPart]poison.Report
 	// Evacuations holds the evacuated DataCentres, nil if the deployment has none.
 	Evacuations *evacuation.Report
+	// Follow tells followers how recent their configuration and Upstreams are. Only Instances of the
+	// sender's Region get it, nil if followers watch the store themselves.
+	Follow *FollowReport
 }
 
 // QuotaUpdate is the message that a hosted Instance sends to its peers between two
@@ -78,8 +81,18 @@
 		Crashing:    h.crashing.Reports(now, allEvidence),
 		Evacuations: h.evacuations.Report(now),
 	}
+	regional := heartbeat
+	if report := h.followReport(now); report != nil {
+		copied := *heartbeat
+		copied.Follow = report
+		regional = &copied
+	}
 	for _, member := range to {
-		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: h.heartbeatFor(now, member, heartbeat)}, NotAfter: now.Add(peerMessageTTL)})
+		shared := heartbeat
+		if member.Region == heartbeat.Member.Region {
+			shared = regional
+		}
+		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: h.heartbeatFor(now, member, shared)}, NotAfter: now.Add(peerMessageTTL)})
 	}
 }
 
@@ -145,6 +158,7 @@
 		h.observeEra(now, state.Revision)
 	}
 	h.onPeerEvacuations(now, heartbeat.Member.Ref, heartbeat.Evacuations)
+	h.onFollowReport(now, heartbeat)
 	h.notePeerState(now, heartbeat.Member, StateConfig, heartbeat.ConfigAt)
 	h.notePeerState(now, heartbeat.Member, StateUpstreams, heartbeat.UpstreamsAt)
 }
--- a/pkg/router/message.go
+++ b/pkg/router/message.go
@@ -26,6 +26,7 @@
 	Hosted       *HostedHeartbeat
 	Quota        *QuotaUpdate
 	State        *StateNotice
+	Follow       *FollowMessage
 }
 
 // AbandonedAttemptsQuery asks the owner of attempts at an Upstream to cancel
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -118,6 +118,9 @@
 	storeWatchFailing  metric.Int64Gauge
 	evacuatedRequests  metric.Int64Gauge
 	evacuationAge      metric.Float64Gauge
+	storeCalls         metric.Int64Counter
+	confirmationAge    metric.Float64Gauge
+	forwardedChanges   metric.Int64Counter
 
 	admission   metric.Int64Counter
 	heldBytes   metric.Int64Gauge
@@ -176,6 +179,9 @@
 	m.configVersion = b.gauge("config_version", "{version}", "Configuration version in force, 0 for none.")
 	m.evacuatedRequests = b.gauge("evacuated_requests", "{request}", "Own requests that still run at an evacuated data centre.")
 	m.evacuationAge = b.secondsGauge("evacuations_age", "Time since the list of evacuations was confirmed by the store, -1 before.")
+	m.storeCalls = b.counter("store_calls", "{call}", "Calls of the store for the configuration and the upstreams by reason, if followers rely on readers.")
+	m.confirmationAge = b.secondsGauge("store_confirmation_age", "Time since the configuration or the upstreams are known to have been complete in the store, -1 before.")
+	m.forwardedChanges = b.counter("forwarded_changes", "{message}", "Messages with changes of the upstreams between instances by outcome.")
 	m.storeWatchFailing = b.gauge("store_lost", "{watch}", "1 while a watch of the store fails.")
 	b.observableGauge("worst_account_service", "1", "Share of requests answered within both targets, of the account with the lowest share in the window. 1 when no account has enough requests.", m.accounts.lowestShare)
 	return b.err
@@ -334,6 +340,22 @@
 	m.evacuationAge.Record(context.Background(), max(-1, age.Seconds()))
 }
 
+// SetConfirmationAge records the time since a kind of state was confirmed, negative before the first
+// confirmation.
+func (m *Metrics) SetConfirmationAge(kind string, age time.Duration) {
+	m.confirmationAge.Record(context.Background(), max(-1, age.Seconds()), metric.WithAttributes(attribute.String("what", kind)))
+}
+
+// AddStoreCalls counts calls of the store for a kind of state.
+func (m *Metrics) AddStoreCalls(kind, reason string, n int64) {
+	m.storeCalls.Add(context.Background(), n, metric.WithAttributes(attribute.String("what", kind), attribute.String("reason", reason)))
+}
+
+// AddForwardedChanges counts messages with changes of the Upstreams.
+func (m *Metrics) AddForwardedChanges(outcome string, n int64) {
+	m.forwardedChanges.Add(context.Background(), n, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 func serviceLabel(name core.ServiceName) attribute.KeyValue {
 	return attribute.String("service", string(name))
 }
