--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -37,10 +37,14 @@
 	evacuated []core.DataCentreName
 	down      bool
 	reads     int
-	watches   int
+	watches   int             // of the configuration
 	waits     []time.Duration // of the watches of the configuration
 	from      []core.StoreRevision
 	changed   chan struct{}
+
+	upstreamWatches int
+	lastUpstream    catalog.Upstream
+	lastUpstreamAt  core.StoreRevision
 	// unresponsive is set when watches get no reply.
 	unresponsive bool
 }
@@ -131,10 +135,35 @@
 }
 
 func (s *fakeStore) WatchUpstreams(ctx context.Context, after core.StoreRevision, wait time.Duration) ([]catalog.Change, []SkippedEntry, core.StoreRevision, error) {
-	if !sleep(ctx, wait) {
-		return nil, nil, core.StoreRevision{}, ctx.Err()
+	s.mu.Lock()
+	s.upstreamWatches++
+	s.mu.Unlock()
+	for ends := time.Now().Add(wait); ; {
+		s.mu.Lock()
+		up, at, changed := s.lastUpstream, s.lastUpstreamAt, s.changed
+		s.mu.Unlock()
+		if after.Before(at) {
+			return []catalog.Change{{ID: up.ID, Upstream: &up}}, nil, at, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, nil, core.StoreRevision{}, ctx.Err()
+		case <-changed:
+		case <-time.After(time.Until(ends)):
+			return nil, nil, after, nil
+		}
 	}
-	return nil, nil, after, nil
+}
+
+// setUpstream adds an Upstream or replaces it. Watches deliver the last one only.
+func (s *fakeStore) setUpstream(up catalog.Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision.Number++
+	s.list = append(slices.DeleteFunc(slices.Clone(s.list), func(u catalog.Upstream) bool { return u.ID == up.ID }), up)
+	s.lastUpstream, s.lastUpstreamAt = up, s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func (s *fakeStore) ListEvacuations(context.Context) ([]core.DataCentreName, core.StoreRevision, error) {
