--- a/pkg/hosted/follow.go
+++ b/pkg/hosted/follow.go
@@ -40,6 +40,15 @@
 	return usual
 }
 
+// watchMargin returns the time beyond its wait after which a watch counts as unresponsive. The watch of a
+// follower may follow a failed one, and the store may be slow rather than unavailable.
+func (d *Daemon) watchMargin(health *storeHealth) time.Duration {
+	if d.storeCalls != nil && health.failedCalls > 0 {
+		return slowReadTimeout
+	}
+	return watchMargin
+}
+
 // postWatched posts what the answer to a watch confirms: the instant of its end if it has ended at its
 // wait, else that of its begin.
 func (d *Daemon) postWatched(kind router.StateKind, at core.StoreRevision, startedAt core.Instant, wait time.Duration, changed bool) {
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -163,7 +163,7 @@
 		wait := boundWait(*call, watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase))
 		call = nil
 		startedAt := d.now()
-		watchCtx, cancel := d.watches.start(ctx, after.Era, wait+watchMargin)
+		watchCtx, cancel := d.watches.start(ctx, after.Era, wait+d.watchMargin(health))
 		object, at, err := d.adapter.Store.WatchRouting(watchCtx, after, wait)
 		cancel()
 		switch {
@@ -342,7 +342,7 @@
 		wait := boundWait(*call, watchWait(time.Since(d.start), watchPeriod(d.liveInstances.Load()), phase))
 		call = nil
 		startedAt := d.now()
-		watchCtx, cancel := d.watches.start(ctx, after.Era, wait+watchMargin)
+		watchCtx, cancel := d.watches.start(ctx, after.Era, wait+d.watchMargin(health))
 		changes, skipped, at, err := d.adapter.Store.WatchUpstreams(watchCtx, after, wait)
 		cancel()
 		switch {
