follow: spread the watches of readers after a change, and take confirmations from other Regions

A change ended the watches of all readers at once, so that they confirmed at once too and all followers missed a confirmation after each change. Removals that follow a failed call of a peer get a grace period at followers too.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -100,13 +100,19 @@
 	}
 }
 
-// ApplyForwarded applies changes that a peer has read from the store, like Apply. Removals before
-// graceUntil get a grace period too: a call of the peer had failed.
-func (c *Catalog) ApplyForwarded(now core.Instant, revision core.StoreRevision, changes []Change, graceUntil core.Instant) bool {
+// ApplyWithGrace applies changes like Apply. Removals before graceUntil get a grace period too: a call of a
+// peer has failed.
+func (c *Catalog) ApplyWithGrace(now core.Instant, revision core.StoreRevision, changes []Change, graceUntil core.Instant) bool {
 	own := c.graceUntil
 	c.graceUntil = max(own, min(graceUntil, now.Add(RemovalGrace)))
 	applied := c.Apply(now, revision, changes)
 	c.graceUntil = own
+	return applied
+}
+
+// ApplyForwarded applies changes that a peer has read from the store, like ApplyWithGrace.
+func (c *Catalog) ApplyForwarded(now core.Instant, revision core.StoreRevision, changes []Change, graceUntil core.Instant) bool {
+	applied := c.ApplyWithGrace(now, revision, changes, graceUntil)
 	for _, change := range changes {
 		if until, known := c.cold.until[change.ID]; known && change.Upstream != nil && change.Upstream.ColdFor > 0 {
 			c.cold.until[change.ID] = until.Add(forwardedColdMargin)
--- a/pkg/follow/due.go
+++ b/pkg/follow/due.go
@@ -56,7 +56,7 @@
 	case role == RoleReader && (!s.watching || s.lost):
 		return Call{Reason: ReasonReader, List: true}, true
 	case role == RoleReader:
-		return Call{Reason: ReasonReader, After: s.complete, MaxWait: s.between(minReaderWait, maxReaderWait)}, true
+		return Call{Reason: ReasonReader, After: s.complete, MaxWait: s.readerWait()}, true
 	}
 	if s.limit == 0 {
 		s.limit = s.drawLimit()
@@ -78,6 +78,16 @@
 	return s.fraction(minFollowerAge + (maxFollowerAge-minFollowerAge)*x)
 }
 
+// readerWait returns the longest wait of a reader's watch that begins now.
+func (s *State) readerWait() time.Duration {
+	hasChanged := s.watchedFrom != s.changed
+	s.watchedFrom = s.changed
+	if hasChanged {
+		return s.between(minSpreadWait, maxSpreadWait)
+	}
+	return s.between(minReaderWait, maxReaderWait)
+}
+
 func (s *State) fraction(f float64) time.Duration {
 	return time.Duration(f * float64(s.params.Bound))
 }
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -25,10 +25,13 @@
 	minFollowerAge = 0.2
 	maxFollowerAge = 0.5
 	// The longest wait of a reader's watch, drawn at random so that the readers of a Region do not
-	// confirm at the same time. With longer ones, followers of 330 Instances make more calls than the
-	// readers save.
-	minReaderWait = 0.4
-	maxReaderWait = 0.5
+	// confirm at the same time. A change ends the watches of all readers at once, so the wait after one
+	// is drawn from a wide range. With equal ranges, all followers would miss a confirmation after each
+	// change.
+	minReaderWait = 0.6
+	maxReaderWait = 0.9
+	minSpreadWait = 0.1
+	maxSpreadWait = 0.8
 	// ownWait is the wait of a follower's watch from its second one in a row: no reader confirms.
 	ownWait = 0.3
 )
@@ -119,6 +122,8 @@
 	waiting  bool // for the next call
 	watching bool // the next call may be a watch even if the Instance is no follower
 	limit    time.Duration
+	// watchedFrom is changed at the begin of the last watch of a reader.
+	watchedFrom core.StoreRevision
 	// ownCalls counts the calls since the last confirmation of a peer.
 	ownCalls int
 	calls    map[Reason]int64
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -215,11 +215,7 @@
 		h.onStateRead(now, e.ReadAt, &h.pending.upstreams)
 	case UpstreamsChanged:
 		h.observeEra(now, e.Revision)
-		applied := h.catalog.Apply(now, e.Revision, e.Changes)
-		if applied {
-			h.applyUpstreams(now, "watched", "")
-		}
-		h.onOwnChanges(now, e, applied)
+		h.onOwnChanges(now, e, h.applyOwnChanges(now, e))
 		h.refreshCold(now)
 	case EvacuationsRead:
 		h.onEvacuationsRead(now, e)
--- a/pkg/router/hosted_follow.go
+++ b/pkg/router/hosted_follow.go
@@ -40,10 +40,13 @@
 func (StoreWatched) event()   {}
 func (StoreCallDue) effect()  {}
 
-// FollowReport is what a heartbeat carries for the followers of the sender's Region.
+// FollowReport is what a heartbeat carries for followers.
 type FollowReport struct {
 	Config    *follow.Confirmation
 	Upstreams *follow.Confirmation
+	// GraceMS is the time for which removals of Upstreams may be of a store outage, because a call of the
+	// sender has failed. Followers make no call that would show that.
+	GraceMS int64
 }
 
 // FollowMessage is a message about changes of the Upstreams. Exactly one field is set.
@@ -61,6 +64,9 @@
 	// followFetchDelay replaces stateFetchDelay for the Upstreams: the changes take 300 B, the list 200 KB
 	// with 1,300 Upstreams.
 	followFetchDelay = 900 * time.Millisecond
+	// remoteMargin is added to the age of a confirmation from another Region, because the transit to there
+	// is part of what is taken for the difference of the clocks. It is twice the usual transit.
+	remoteMargin = 60 * time.Millisecond
 	// roleInterval is the shortest time between two looks at the role, which take 20 us at 330 Instances.
 	roleInterval = 100 * time.Millisecond
 	// followLogInterval is the shortest time between two log lines about calls of a follower for a kind.
@@ -80,8 +86,10 @@
 	// is the instant of the last request for them.
 	behindSince core.Instant
 	pulledAt    core.Instant
-	counts      FollowCounts
-	logs        map[StateKind]*followLog
+	// graceUntil is the end of the grace period that peers have stated.
+	graceUntil core.Instant
+	counts     FollowCounts
+	logs       map[StateKind]*followLog
 }
 
 // followLog bounds the log lines about the calls of a follower.
@@ -221,7 +229,7 @@
 	if changed {
 		h.follow.behindSince = 0
 		s.OnChanged(e.Revision)
-		h.follow.history.Add(now, e.Revision, e.Changes, h.catalog.GraceUntil())
+		h.follow.history.Add(now, e.Revision, e.Changes, max(h.catalog.GraceUntil(), h.follow.graceUntil))
 	}
 	h.confirmCatalog()
 	if changed && h.follow.role == follow.RoleReader {
@@ -234,7 +242,7 @@
 func (h *hosted) pushChanges(now core.Instant, e UpstreamsChanged) {
 	push := follow.Push{
 		Era: e.Revision.Era, After: e.After.Number, UpTo: e.Revision.Number, Changes: e.Changes,
-		GraceMS: h.catalog.GraceUntil().Sub(now).Milliseconds(),
+		GraceMS: graceLeft(now, h.catalog.GraceUntil()),
 	}
 	if len(push.Changes) > follow.MaxPushed {
 		h.follow.counts.Deferred++
@@ -264,28 +272,55 @@
 	h.emit(SendPeerMessage{To: to.Ref.ID, Addr: to.PeerAddr, Message: Message{Follow: message}, NotAfter: now.Add(peerMessageTTL)})
 }
 
-// followReport returns what the followers of the Region are told, nil if there are none.
+// followReport returns what followers are told, nil if there are none.
 func (h *hosted) followReport(now core.Instant) *FollowReport {
 	if !h.follows() {
 		return nil
 	}
-	report := &FollowReport{Config: h.follow.config.Confirmation(now), Upstreams: h.follow.upstreams.Confirmation(now)}
-	if report.Config == nil && report.Upstreams == nil {
+	report := &FollowReport{
+		Config: h.follow.config.Confirmation(now), Upstreams: h.follow.upstreams.Confirmation(now),
+		GraceMS: graceLeft(now, h.catalog.GraceUntil()),
+	}
+	if *report == (FollowReport{}) {
 		return nil
 	}
 	return report
 }
 
+// graceLeft returns the rest of a grace period in milliseconds, 0 if it has ended.
+func graceLeft(now, until core.Instant) int64 { return max(0, until.Sub(now).Milliseconds()) }
+
+func graceEnd(now core.Instant, ms int64) core.Instant {
+	return now.Add(min(catalog.RemovalGrace, time.Duration(max(0, ms))*time.Millisecond))
+}
+
+// applyOwnChanges applies changes that a watch of this Instance has read. It reports whether they state
+// anything new.
+func (h *hosted) applyOwnChanges(now core.Instant, e UpstreamsChanged) bool {
+	applied := h.catalog.ApplyWithGrace(now, e.Revision, e.Changes, h.follow.graceUntil)
+	if applied {
+		h.applyUpstreams(now, "watched", "")
+	}
+	return applied
+}
+
 // onFollowReport processes what a heartbeat states about the store.
 func (h *hosted) onFollowReport(now core.Instant, heartbeat *HostedHeartbeat) {
 	report := heartbeat.Follow
-	if report == nil || !h.follows() || heartbeat.Member.Region != h.fleet.Self().Region {
+	if report == nil || !h.follows() {
 		return
 	}
+	isRegional := heartbeat.Member.Region == h.fleet.Self().Region
+	if report.GraceMS > 0 && isRegional {
+		h.follow.graceUntil = max(h.follow.graceUntil, graceEnd(now, report.GraceMS))
+	}
 	madeAt, known := h.fleet.MadeAt(heartbeat.Member.Ref, heartbeat.Liveness)
 	if !known {
 		return
 	}
+	if !isRegional {
+		madeAt = madeAt.Add(-remoteMargin)
+	}
 	if h.follow.config.OnConfirmation(now, madeAt, report.Config) == follow.OutcomeConfirmed {
 		h.logConfirmedByPeer(now, StateConfig, heartbeat.Member.Ref)
 	}
@@ -294,7 +329,9 @@
 		h.follow.behindSince = 0
 		h.logConfirmedByPeer(now, StateUpstreams, heartbeat.Member.Ref)
 	case follow.OutcomeBehind:
-		h.pullChanges(now, heartbeat.Member)
+		if isRegional {
+			h.pullChanges(now, heartbeat.Member)
+		}
 	case follow.OutcomeNone:
 	}
 	h.confirmCatalog()
@@ -353,7 +390,7 @@
 	}
 	f.counts.Applied++
 	f.behindSince = 0
-	graceUntil := now.Add(min(catalog.RemovalGrace, time.Duration(max(0, push.GraceMS))*time.Millisecond))
+	graceUntil := max(f.graceUntil, graceEnd(now, push.GraceMS))
 	f.history.Add(now, upTo, push.Changes, graceUntil)
 	f.upstreams.OnChanged(upTo)
 	if h.catalog.ApplyForwarded(now, upTo, push.Changes, graceUntil) {
@@ -363,6 +400,14 @@
 	h.confirmCatalog()
 }
 
+// onFollowPaused has both kinds listed after a pause of the process.
+func (h *hosted) onFollowPaused(now core.Instant) {
+	for _, kind := range []StateKind{StateConfig, StateUpstreams} {
+		h.followState(kind).OnPaused(now)
+		h.callStoreIfDue(now, kind)
+	}
+}
+
 // FollowGauges are current values of what followers rely on.
 type FollowGauges struct {
 	Follower bool
--- a/pkg/router/hosted_pause.go
+++ b/pkg/router/hosted_pause.go
@@ -27,9 +27,8 @@
 	h.quota.OnPaused(now)
 	h.announcements.Rates.OnPaused(now)
 	h.pending = pendingConfirmation{since: now, requests: h.pending.requests}
-	h.follow.config.OnPaused(now)
-	h.follow.upstreams.OnPaused(now)
 	h.emit(RefreshState{})
+	h.onFollowPaused(now)
 }
 
 // confirmationEnds returns the instant at which requests no longer wait for the store.
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -41,8 +41,8 @@
 	Crashing map[core.PromptPart]poison.Report
 	// Evacuations holds the evacuated DataCentres, nil if the deployment has none.
 	Evacuations *evacuation.Report
-	// Follow tells followers how recent their configuration and Upstreams are. Only Instances of the
-	// sender's Region get it, nil if followers watch the store themselves.
+	// Follow tells followers how recent their configuration and Upstreams are, nil if each Instance watches
+	// the store itself.
 	Follow *FollowReport
 }
 
@@ -80,19 +80,10 @@
 		Poison:      h.poison.Reports(now, allEvidence),
 		Crashing:    h.crashing.Reports(now, allEvidence),
 		Evacuations: h.evacuations.Report(now),
-	}
-	regional := heartbeat
-	if report := h.followReport(now); report != nil {
-		copied := *heartbeat
-		copied.Follow = report
-		regional = &copied
+		Follow:      h.followReport(now),
 	}
 	for _, member := range to {
-		shared := heartbeat
-		if member.Region == heartbeat.Member.Region {
-			shared = regional
-		}
-		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: h.heartbeatFor(now, member, shared)}, NotAfter: now.Add(peerMessageTTL)})
+		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: h.heartbeatFor(now, member, heartbeat)}, NotAfter: now.Add(peerMessageTTL)})
 	}
 }
 
