--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -45,6 +45,11 @@
 	// QuotaTolerance is what the platform allows beyond the allowances of accounts. Its Part is 0 if it
 	// is not used on purpose.
 	QuotaTolerance quota.Tolerance
+	// FollowConfigBound and FollowUpstreamsBound are the times after which each Instance must know a change
+	// of the configuration and of the Upstreams, if followers rely on the readers of their Region for them.
+	// Otherwise both are 0.
+	FollowConfigBound    time.Duration
+	FollowUpstreamsBound time.Duration
 	// IgnorePace takes all Upstreams as equally fast, to compare.
 	IgnorePace bool
 	// IgnoreHeldPrompts takes all prefill engines as holding no part of any prompt.
@@ -97,6 +102,7 @@
 	fleet         *fleet.Fleet
 	evacuations   *evacuation.State
 	evacuationLog evacuationLog
+	follow        following
 	// paces holds how long work takes at Upstreams, nil if that is ignored.
 	paces *pace.Registry
 	// heldPrompts estimates which prefill engines hold a part of a prompt, nil if that is ignored.
@@ -160,6 +166,7 @@
 		heldPrompts:   heldPrompts,
 		fleet:         fleet.New(p.Member, p.Fleet),
 		evacuations:   evacuation.New(evacuation.Params{Bound: p.EvacuationBound, Rand: r.params.Rand}),
+		follow:        newFollowing(r, &p),
 
 		fetches:      map[StateKind]*stateFetch{},
 		services:     map[core.ServiceName]*config.Service{},
@@ -214,24 +221,29 @@
 	case RoutingReceived:
 		h.observeEra(now, e.Revision)
 		h.onRoutingReceived(now, e)
+		h.onConfigRead(e)
 		h.onStateRead(now, e.ReadAt, &h.pending.routing)
 	case UpstreamsListed:
 		h.observeEra(now, e.Revision)
-		if h.catalog.Replace(now, e.Revision, e.Upstreams) {
+		replaced := h.catalog.Replace(now, e.Revision, e.Upstreams)
+		if replaced {
 			h.applyUpstreams(now, "listed", e.From)
 		}
+		h.onUpstreamsRead(e, replaced)
 		h.refreshCold(now)
 		h.onStateRead(now, e.ReadAt, &h.pending.upstreams)
 	case UpstreamsChanged:
 		h.observeEra(now, e.Revision)
-		if h.catalog.Apply(now, e.Revision, e.Changes) {
-			h.applyUpstreams(now, "watched", "")
-		}
+		h.onOwnChanges(now, e, h.applyOwnChanges(now, e))
 		h.refreshCold(now)
 	case EvacuationsRead:
 		h.onEvacuationsRead(now, e)
 	case EvacuationsCallFailed:
 		h.onEvacuationsCallFailed(now, e)
+	case StoreCallReady:
+		h.onStoreCallReady(now, e)
+	case StoreWatched:
+		h.onStoreWatched(e)
 	case StoreCallFailed:
 		h.catalog.OnStoreError(now)
 	case MemberRegistered:
@@ -250,6 +262,9 @@
 		if e.Message.State != nil {
 			h.onStateNotice(now, e.From, e.Message.State)
 		}
+		if e.Message.Follow != nil {
+			h.onFollowMessage(now, e.From, e.Message.Follow)
+		}
 	case ProcessPaused:
 		h.onPaused(now)
 	case ShutdownRequested:
@@ -298,6 +313,7 @@
 		h.logTakenOver(now, id)
 	}
 	h.followShares(now)
+	h.tickFollow(now)
 	h.fetchOverdueStates(now)
 	h.recordPaces(now)
 	h.recordRefuted(now)
@@ -486,6 +502,8 @@
 	Cold warmup.Summary
 	// Evacuations describes the evacuations, nil if the deployment has none.
 	Evacuations *EvacuationGauges
+	// Follow describes what followers rely on, nil if they watch the store themselves.
+	Follow *FollowGauges
 	// Paces holds how much the Upstreams of each service and stage differ in speed.
 	Paces []pace.Spread
 	// ExtraTokens counts the tokens admitted beyond the allowances of accounts since the start.
@@ -504,7 +522,7 @@
 	return HostedGauges{
 		LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting,
 		Liveness: h.fleet.LivenessCounts(now), Cold: h.warmup.Summary(now), Evacuations: h.evacuationGauges(now),
-		Paces: h.paces.Spreads(now), ExtraTokens: h.extraTokens, HeldPrompts: h.heldPrompts.Stats(),
+		Follow: h.followGauges(now), Paces: h.paces.Spreads(now), ExtraTokens: h.extraTokens, HeldPrompts: h.heldPrompts.Stats(),
 		QueueByUrgency: h.queueByUrgency(),
 	}
 }
--- a/pkg/router/hosted_pause.go
+++ b/pkg/router/hosted_pause.go
@@ -28,6 +28,7 @@
 	h.announcements.Rates.OnPaused(now)
 	h.pending = pendingConfirmation{since: now, requests: h.pending.requests}
 	h.emit(RefreshState{})
+	h.onFollowPaused(now)
 }
 
 // confirmationEnds returns the instant at which requests no longer wait for the store.
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -41,6 +41,9 @@
 	Crashing map[core.PromptPart]poison.Report
 	// Evacuations holds the evacuated DataCentres, nil if the deployment has none.
 	Evacuations *evacuation.Report
+	// Follow tells followers how recent their configuration and Upstreams are, nil if each Instance watches
+	// the store itself.
+	Follow *FollowReport
 }
 
 // QuotaUpdate is the message that a hosted Instance sends to its peers between two
@@ -77,6 +80,7 @@
 		Poison:      h.poison.Reports(now, allEvidence),
 		Crashing:    h.crashing.Reports(now, allEvidence),
 		Evacuations: h.evacuations.Report(now),
+		Follow:      h.followReport(now),
 	}
 	for _, member := range to {
 		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: h.heartbeatFor(now, member, heartbeat)}, NotAfter: now.Add(peerMessageTTL)})
@@ -145,6 +149,7 @@
 		h.observeEra(now, state.Revision)
 	}
 	h.onPeerEvacuations(now, heartbeat.Member.Ref, heartbeat.Evacuations)
+	h.onFollowReport(now, heartbeat)
 	h.notePeerState(now, heartbeat.Member, StateConfig, heartbeat.ConfigAt)
 	h.notePeerState(now, heartbeat.Member, StateUpstreams, heartbeat.UpstreamsAt)
 }
