--- a/pkg/hosted/settings.go
+++ b/pkg/hosted/settings.go
@@ -187,8 +187,8 @@
 	if s.QuotaTolerancePart > 0 && (s.QuotaWindowSeconds <= 0 || s.QuotaOverage < 0 || s.QuotaSlack < 0) {
 		add("quota_tolerance_part: needs quota_window_s above 0, and quota_overage and quota_slack not below 0")
 	}
-	if s.DrainMS <= 0 {
-		add("drain_ms: %v must be above 0", s.DrainMS)
+	if s.DrainMS < 0 || s.FollowReaders && s.DrainMS == 0 {
+		add("drain_ms: %v must be above 0 with follow_readers, and not below 0", s.DrainMS)
 	}
 	if s.MemoryMB < 0 {
 		add("memory_mb: %v must not be below 0", s.MemoryMB)
