--- a/pkg/hosted/settings.go
+++ b/pkg/hosted/settings.go
@@ -69,6 +69,12 @@
 	QuotaOverage       float64 `json:"quota_overage"`
 	QuotaSlack         float64 `json:"quota_slack"`
 	QuotaTolerancePart float64 `json:"quota_tolerance_part"`
+	// DrainMS is the time within which an Upstream that leaves or is gone gets no more requests from any
+	// Instance, in milliseconds.
+	DrainMS float64 `json:"drain_ms"`
+	// FollowReaders has the Instances of a fleet of more than 8 rely on the readers of their Region for the
+	// configuration and the Upstreams (docs/design/followers.md). Otherwise each one watches the store.
+	FollowReaders bool `json:"follow_readers"`
 
 	// MemoryMB and MaxFDs are the memory and the descriptors of the machine. 0 or missing: not known. The
 	// limits of connections are then those of the largest machine, and the runtime has no memory limit.
@@ -123,7 +129,7 @@
 	if err != nil {
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
 	}
-	s := Settings{LogLevel: "info", GraceSeconds: 8, MaxAddressTTLSeconds: 5, RetryRatio: 0.1, RetryWindowSeconds: 10, ConfigApplyMS: 3000, ContactMS: 4000}
+	s := Settings{LogLevel: "info", GraceSeconds: 8, MaxAddressTTLSeconds: 5, RetryRatio: 0.1, RetryWindowSeconds: 10, ConfigApplyMS: 3000, ContactMS: 4000, DrainMS: 4000}
 	s.WeighHeldPrompts = true
 	s.ColdOverage, s.ColdSlack = warmup.DefaultOverage, warmup.DefaultSlack
 	if err := json.Unmarshal(standard, &s); err != nil {
@@ -181,6 +187,9 @@
 	if s.QuotaTolerancePart > 0 && (s.QuotaWindowSeconds <= 0 || s.QuotaOverage < 0 || s.QuotaSlack < 0) {
 		add("quota_tolerance_part: needs quota_window_s above 0, and quota_overage and quota_slack not below 0")
 	}
+	if s.DrainMS < 0 || s.FollowReaders && s.DrainMS == 0 {
+		add("drain_ms: %v must be above 0 with follow_readers, and not below 0", s.DrainMS)
+	}
 	if s.MemoryMB < 0 {
 		add("memory_mb: %v must not be below 0", s.MemoryMB)
 	}
@@ -211,6 +220,15 @@
 	}
 }
 
+// followBounds returns the bounds of followers for the configuration and for the Upstreams, 0 if there are
+// no followers.
+func (s Settings) followBounds() (config, upstreams time.Duration) {
+	if !s.FollowReaders {
+		return 0, 0
+	}
+	return s.configApplyTime(), time.Duration(s.DrainMS * float64(time.Millisecond))
+}
+
 // memoryBytes returns the memory of the machine, or that of the largest one if it is not known.
 func (s Settings) memoryBytes() int64 {
 	if s.MemoryMB <= 0 {
--- a/pkg/router/hosted_fleet_test.go
+++ b/pkg/router/hosted_fleet_test.go
@@ -33,8 +33,13 @@
 	frozen map[int]bool
 	// store holds the entries of the Instances, nil without a store. cut reports whether nothing
 	// passes between two Instances, nil for never.
-	store        *memberStore
-	cut          func(a, b int) bool
+	store *memberStore
+	cut   func(a, b int) bool
+	// transits returns the transit times of the copies of a message, nil for one copy as usual. handle
+	// processes effects that the fleet does not.
+	transits func(from, to int, message Message, usual time.Duration) []time.Duration
+	handle   func(i int, effect Effect)
+
 	account      config.HostedAccount
 	quotaUpdates int // sent
 	requestsSent int
@@ -49,6 +54,10 @@
 
 // newHostedFleet starts n Routers in six DataCentres of two regions.
 func newHostedFleet(seed uint64, n int, account config.HostedAccount) *hostedFleet {
+	return newHostedFleetWith(seed, n, account, func(*HostedParams) {})
+}
+
+func newHostedFleetWith(seed uint64, n int, account config.HostedAccount, change func(*HostedParams)) *hostedFleet {
 	f := &hostedFleet{
 		rng: rand.New(rand.NewPCG(seed, 4)), now: core.Instant(time.Second), byID: map[core.InstanceID]int{}, account: account,
 		frozen: map[int]bool{},
@@ -63,10 +72,9 @@
 		}
 		f.byID[member.Ref.ID] = i
 		f.members = append(f.members, member)
-		f.routers = append(f.routers, New(Params{
-			Rand: rand.New(rand.NewPCG(1, uint64(i))), NonceSource: bytes.NewReader(nil),
-			Hosted: &HostedParams{Member: member, Retry: retry.Params{Window: 10 * time.Second}, AddressTTL: time.Second, GracePeriod: 8 * time.Second},
-		}))
+		params := &HostedParams{Member: member, Retry: retry.Params{Window: 10 * time.Second}, AddressTTL: time.Second, GracePeriod: 8 * time.Second}
+		change(params)
+		f.routers = append(f.routers, New(Params{Rand: rand.New(rand.NewPCG(1, uint64(i))), NonceSource: bytes.NewReader(nil), Hosted: params}))
 	}
 	for i := range n {
 		f.schedule(time.Duration(f.rng.IntN(150))*time.Millisecond, func() {
@@ -100,6 +108,9 @@
 		return
 	}
 	for _, effect := range f.routers[i].Step(f.now, event) {
+		if f.handle != nil {
+			f.handle(i, effect)
+		}
 		switch e := effect.(type) {
 		case SendPeerMessage:
 			if e.Message.Quota != nil {
@@ -116,7 +127,13 @@
 				}
 				transit = 30 * time.Millisecond
 			}
-			f.schedule(transit, func() { f.step(to, PeerMessageReceived{From: f.members[i].Ref, Message: e.Message}) })
+			copies := []time.Duration{transit}
+			if f.transits != nil {
+				copies = f.transits(i, to, e.Message, transit)
+			}
+			for _, transit := range copies {
+				f.schedule(transit, func() { f.step(to, PeerMessageReceived{From: f.members[i].Ref, Message: e.Message}) })
+			}
 		case FetchState:
 			f.fetch(i, e)
 		case ListMembers, RegisterMember, RemoveMembers:
