warmup: holds from before the cold time are used where the limit has room

A hold granted while the engine was warm needed a place for its run once the engine had become cold. Without one the prefilled prompt was lost and prefilled again elsewhere; holds were never released there.

An engine has at most min(slots, memory / size) unused holds of a size or more, and each has one last request, its run or its release. Where that number fits into the limit beside 4/3 of what the senders use (12 at 19 a second), the request is sent without a place. Metric: cold_requests_total{outcome="early"}.

--- a/pkg/hosted/cold.go
+++ b/pkg/hosted/cold.go
@@ -47,6 +47,6 @@
 // setColdGauges records the cold Upstreams and the requests to them since the last call.
 func (d *Daemon) setColdGauges(s warmup.Summary) {
 	d.metrics.SetColdUpstreams(s.Cold, s.Sending)
-	d.metrics.AddColdRequests(s.Sent-d.lastCold.Sent, s.Deferred-d.lastCold.Deferred)
+	d.metrics.AddColdRequests(s.Sent-d.lastCold.Sent, s.Deferred-d.lastCold.Deferred, s.Early-d.lastCold.Early)
 	d.lastCold = s
 }
--- a/pkg/router/hosted_cold.go
+++ b/pkg/router/hosted_cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -73,12 +74,39 @@
 
 // mayUseHold reports whether the run of a request may be sent to the Upstream that has granted its hold.
 func (h *hosted) mayUseHold(now core.Instant, rs *requestState) bool {
-	up := rs.hosted.upstream.ID
-	return h.announcements.MayUseReservation(now, up) && h.warmup.AllowRun(now, up, rs.request.ID)
+	return h.mayEndHold(now, rs.hosted.upstream.ID, rs)
 }
 
-// mayRelease reports whether an Upstream may be told that a hold or a KV cache is not used. Both expire
-// soon, and a cold Upstream has no requests to spare for them.
+// mayEndHold reports whether the last request for the hold of a request may be sent: its run or its
+// release. rs is nil if the request has ended.
+func (h *hosted) mayEndHold(now core.Instant, up core.UpstreamID, rs *requestState) bool {
+	if !h.announcements.MayUseReservation(now, up) {
+		return false
+	}
+	if rs == nil {
+		return !h.warmup.IsCold(now, up)
+	}
+	return h.warmup.AllowRun(now, up, rs.request.ID, h.maxUnusedHolds(rs))
+}
+
+// maxUnusedHolds returns the number of unused holds, of at least the size of that of a request, that
+// its engine can have at a time. A process that started later has none of them.
+func (h *hosted) maxUnusedHolds(rs *requestState) int {
+	hr := rs.hosted
+	current, found := h.catalog.Get(hr.upstream.ID)
+	engine := hr.service.Engine
+	if !found || !current.SameProcess(hr.upstream) || engine == nil || engine.Slots <= 0 {
+		return math.MaxInt
+	}
+	most := max(engine.Slots, hr.upstream.Slots)
+	if tokens := hr.holdTokens; tokens > 0 && engine.KVCacheTokens > 0 {
+		most = min(most, engine.KVCacheTokens/tokens)
+	}
+	return most
+}
+
+// mayRelease reports whether an Upstream may be told that a KV cache is not used. It expires soon, and a
+// cold Upstream has no requests to spare for it.
 func (h *hosted) mayRelease(now core.Instant, up core.UpstreamID) bool {
 	return h.announcements.MayUseReservation(now, up) && !h.warmup.IsCold(now, up)
 }
@@ -113,8 +141,8 @@
 		return
 	}
 	h.coldLog.at, h.coldLog.cold = now, s.Cold
-	h.recordEvent(now, "warmup", "cold upstreams", fmt.Sprintf("count=%d sending=%d sent=%d deferred=%d longest=[%s]",
-		s.Cold, s.Sending, s.Sent, s.Deferred, strings.Join(h.warmup.DescribeColdest(now), "; ")))
+	h.recordEvent(now, "warmup", "cold upstreams", fmt.Sprintf("count=%d sending=%d sent=%d deferred=%d early=%d longest=[%s]",
+		s.Cold, s.Sending, s.Sent, s.Deferred, s.Early, strings.Join(h.warmup.DescribeColdest(now), "; ")))
 }
 
 // withColdTimes returns the entries with their remaining cold time.
--- a/pkg/router/hosted_cold_test.go
+++ b/pkg/router/hosted_cold_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -63,6 +64,46 @@
 	is.Equal(runs, 2) // half of four: each place is for a hold and a run
 }
 
+// Guards against prompts that are prefilled twice because an engine has become cold that can have few
+// holds, against holds that stay there unused, and against runs of holds that an earlier process granted.
+func TestHostedEngineThatBecomesColdGetsRunsThatFitIntoItsLimit(t *testing.T) {
+	is := is.New(t)
+	r := newColdHarness(t)
+	routing := *hostedRouting(3)
+	for i := range routing.Services {
+		routing.Services[i].ColdRate, routing.Services[i].ColdTime = 4, 30*time.Second
+	}
+	routing.Services[0].Engine.Slots = 5 // the limit of 11 has room beside the places
+	r.step(RoutingReceived{Routing: config.NewRouting(routing), Revision: storeRevision(12)})
+	up := r.upstreams[1]
+	up.Slots = 5
+	for i, end := range []string{"run", "release", "run at a new process"} {
+		r.change(20+3*i, up, 0)
+		r.now = r.now.Add(time.Minute)
+		var hold AcquireHold
+		for n := 0; hold.Upstream != up.ID; n++ {
+			r.sendRequest(end+string(rune('a'+n)), "/resumable/")
+			hold = wantEffect[AcquireHold](r)
+		}
+		r.step(HoldResult{Request: hold.Request, Attempt: hold.Attempt, Upstream: up.ID, Addr: up.Addr, Outcome: HoldGranted, Hold: "h"})
+		prefill := wantEffect[StartPrefill](r)
+		cold := up
+		if end == "run at a new process" {
+			cold.Born++
+		}
+		r.change(21+3*i, cold, 10*time.Second)
+		r.router.hosted.warmup.SetMembers([]core.InstanceID{"a", "b", "c", "d", "e", "f", "g", "h"}) // this Instance may be no sender
+		if end == "release" {
+			r.step(CallerDisconnected{Request: hold.Request})
+			is.Equal(wantEffect[ReleaseHold](r).Upstream, up.ID)
+			continue
+		}
+		effects := r.step(PrefillDone{Request: hold.Request, Attempt: prefill.Attempt, Upstream: "p1", Addr: "p1:1", KV: "kv"})
+		ran := slices.ContainsFunc(effects, func(e Effect) bool { d, ok := e.(StartDecode); return ok && d.Upstream == up.ID })
+		is.Equal(ran, end == "run")
+	}
+}
+
 // Guards against log lines and lists for peers each time that a cold engine writes its entry, and
 // against an answer that says too late or in vain that its Upstream is cold.
 func TestHostedColdTimeThatGoesOnChangesNothing(t *testing.T) {
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -39,6 +39,7 @@
 	upstream      catalog.Upstream // a decode engine or the replica of a plain service
 	prefillEngine catalog.Upstream
 	holdID        string
+	holdTokens    int // the size of the hold
 	// skipPrefill is set once a prefill may have been accepted. Another one would
 	// count towards the route's MaxUpstreams.
 	skipPrefill    bool
@@ -453,7 +454,7 @@
 	delete(h.requests, rs.request.ID)
 	hr := rs.hosted
 	if (hr.stage == stageHold || hr.stage == stagePrefill) && hr.holdID != "" {
-		h.emitReleaseHold(now, ReleaseHold{Upstream: hr.upstream.ID, Addr: hr.upstream.Addr, Hold: hr.holdID})
+		h.emitReleaseHold(now, rs, ReleaseHold{Upstream: hr.upstream.ID, Addr: hr.upstream.Addr, Hold: hr.holdID})
 	}
 	h.applyDispatch(now, h.dispatch.Release(now, rs.request.ID))
 }
--- a/pkg/router/hosted_hold.go
+++ b/pkg/router/hosted_hold.go
@@ -31,6 +31,7 @@
 		term = maxHoldDuration
 	}
 	rs.hosted.holdExpiresAt = now.Add(term)
+	rs.hosted.holdID, rs.hosted.holdTokens = "", o.Tokens
 	h.emit(AcquireHold{
 		Request: o.ID, Attempt: h.nextAttempt(rs), Upstream: o.Upstream, Addr: rs.hosted.upstream.Addr, Tokens: o.Tokens, Term: term,
 	})
@@ -42,7 +43,7 @@
 	rs := h.requests[e.Request]
 	if rs == nil || rs.attempt != e.Attempt || rs.hosted.stage != stageHold {
 		if e.Outcome == HoldGranted {
-			h.emitReleaseHold(now, ReleaseHold{Upstream: e.Upstream, Addr: e.Addr, Hold: e.Hold})
+			h.emitReleaseHold(now, nil, ReleaseHold{Upstream: e.Upstream, Addr: e.Addr, Hold: e.Hold})
 		}
 		return
 	}
@@ -52,7 +53,7 @@
 			break
 		}
 		if h.isEvacuated(rs.hosted.upstream) || h.dispatch.IsReplaceable(now, e.Upstream, rs.hosted.regions()) {
-			h.emitReleaseHold(now, ReleaseHold{Upstream: e.Upstream, Addr: e.Addr, Hold: e.Hold})
+			h.emitReleaseHold(now, rs, ReleaseHold{Upstream: e.Upstream, Addr: e.Addr, Hold: e.Hold})
 			e.Outcome = HoldLeaving
 			break
 		}
@@ -95,9 +96,10 @@
 	return true
 }
 
-// emitReleaseHold releases a hold, unless its engine wants no requests or is cold: the hold expires soon.
-func (h *hosted) emitReleaseHold(now core.Instant, release ReleaseHold) {
-	if h.mayRelease(now, release.Upstream) {
+// emitReleaseHold releases a hold of a request, nil if that has ended, unless its engine wants no requests
+// or is cold and has no room for one more: the hold expires soon.
+func (h *hosted) emitReleaseHold(now core.Instant, rs *requestState, release ReleaseHold) {
+	if h.mayEndHold(now, release.Upstream, rs) {
 		h.emit(release)
 	}
 }
@@ -106,7 +108,7 @@
 func (h *hosted) releaseUnusedHold(now core.Instant, rs *requestState) {
 	hr := rs.hosted
 	if hr.holdID != "" {
-		h.emitReleaseHold(now, ReleaseHold{Upstream: hr.upstream.ID, Addr: hr.upstream.Addr, Hold: hr.holdID})
+		h.emitReleaseHold(now, rs, ReleaseHold{Upstream: hr.upstream.ID, Addr: hr.upstream.Addr, Hold: hr.holdID})
 		hr.holdID = ""
 	}
 }
--- a/pkg/router/hosted_regions.go
+++ b/pkg/router/hosted_regions.go
@@ -93,7 +93,7 @@
 	if h.dispatch.Allows(rs.hosted.regions(), e.Upstream) {
 		return false
 	}
-	h.emitReleaseHold(now, ReleaseHold{Upstream: e.Upstream, Addr: e.Addr, Hold: e.Hold})
+	h.emitReleaseHold(now, rs, ReleaseHold{Upstream: e.Upstream, Addr: e.Addr, Hold: e.Hold})
 	e.Outcome = HoldForeign
 	return true
 }
--- a/pkg/router/hosted_retry.go
+++ b/pkg/router/hosted_retry.go
@@ -95,7 +95,8 @@
 		hr.deliveries++
 	} else {
 		h.announcements.Return(now, failure.Upstream, 1)
-		if failure.Kind == attempts.FailExpired {
+		// The run was the last request that a cold Upstream has room for.
+		if failure.Kind == attempts.FailExpired && !h.warmup.IsCold(now, hr.upstream.ID) {
 			h.releaseUnusedHold(now, rs)
 		}
 	}
--- a/pkg/telemetry/cold.go
+++ b/pkg/telemetry/cold.go
@@ -14,9 +14,10 @@
 	}
 }
 
-// AddColdRequests records requests that were sent to cold Upstreams, and those that were deferred.
-func (m *Metrics) AddColdRequests(sent, deferred int) {
-	for outcome, n := range map[string]int{"sent": sent, "deferred": deferred} {
+// AddColdRequests records requests that were sent to cold Upstreams, those that were deferred, and the
+// last requests of holds granted before the cold time. The latter count as sent too.
+func (m *Metrics) AddColdRequests(sent, deferred, early int) {
+	for outcome, n := range map[string]int{"sent": sent, "deferred": deferred, "early": early} {
 		if n > 0 {
 			m.coldRequests.Add(context.Background(), int64(n), metric.WithAttributes(attribute.String("outcome", outcome)))
 		}
--- a/pkg/warmup/warmup.go
+++ b/pkg/warmup/warmup.go
@@ -19,7 +19,8 @@
 // higher hash than there are senders, in its own view and hence in C. The senders of all views
 // together are therefore those of C, and members outside C that precede some of these: if a part p
 // of the members is not in all views, 1/(1-p) times as many on average. Half of the limit is left for
-// that and for Instances that do not know yet that the Upstream is cold. Members leave a view only
+// that, for Instances that do not know yet that the Upstream is cold, and for the runs of holds that an
+// engine granted before: it has as many as its slots and memory allow, and each runs once. Members leave a view only
 // when the complete list of the store lacks them and no heartbeats of them arrive, never because they
 // are silent, so a partition changes no view. A member is hashed by its ID, so that a restart changes
 // none either. An Instance that has just started has no free places for ReuseTime, in which the last
@@ -63,6 +64,9 @@
 	// requestsOfRun is the number of requests of a place at a decode engine: the hold, and the run or
 	// the release of the hold.
 	requestsOfRun = 2
+	// earlyViews is the number of differing views of the fleet for which the limit has room beside the
+	// runs of holds that were granted before the cold time: a quarter of the members in not all views.
+	earlyViews = 4.0 / 3
 	// holdTime bounds the time from the request for a hold to the run that uses it.
 	holdTime = 2 * time.Second
 	// settleTime is the time from the start of an Instance until it uses its places. In a fleet that
@@ -92,6 +96,7 @@
 	cold     map[core.UpstreamID]*Upstream
 	sent     int
 	deferred int
+	early    int
 }
 
 // Upstream is a cold Upstream, or one that was cold until a moment ago.
@@ -386,26 +391,40 @@
 	u.registry.deferred++
 }
 
-// AllowRun reports whether the run that uses a hold may be sent now, and counts it if so. A hold that
-// was granted while the Upstream was warm has no place yet: all Instances together may have many.
-func (r *Registry) AllowRun(now core.Instant, up core.UpstreamID, id core.RequestID) bool {
+// AllowRun reports whether the last request of a hold may be sent now, its run or its release, and
+// counts it if so. A hold that was granted while the Upstream was warm has no place. The engine has at
+// most atMost unused holds of at least its size, each with one last request; where the limit has room
+// for these beside the places, they may be sent. Otherwise such a request needs a free place.
+func (r *Registry) AllowRun(now core.Instant, up core.UpstreamID, id core.RequestID, atMost int) bool {
 	u := r.cold[up]
-	if !u.IsCold(now) {
+	switch {
+	case !u.IsCold(now):
 		return true
-	}
-	if u.placeOf(id) == nil {
-		if u.Wait(now) > 0 {
-			u.Defer()
-			return false
-		}
-		u.Take(now, id)
-	} else {
+	case u.placeOf(id) != nil:
+		u.countSent()
+		u.Return(now, id) // the run is the last request of the place
+	case atMost <= u.earlyRoom():
 		u.countSent()
+		r.early++
+	case u.Wait(now) > 0:
+		u.Defer()
+		return false
+	default:
+		u.Take(now, id)
+		u.Return(now, id)
 	}
-	u.Return(now, id) // the run is the last request of the place
 	return true
 }
 
+// earlyRoom returns the number of requests in a second for which the limit has room beside those that
+// the places cover.
+func (u *Upstream) earlyRoom() int {
+	rate := u.registry.rates[u.service]
+	places, senders := u.registry.share(rate, u.isDecode)
+	covered := float64(places*senders) * u.requestsOfPlace()
+	return int(u.registry.params.Limit(rate) - covered*earlyViews)
+}
+
 // Summary counts the cold Upstreams, for logs and metrics.
 type Summary struct {
 	// Cold is the number of cold Upstreams, Sending that of those to which this Instance may send.
@@ -415,11 +434,13 @@
 	// request counts as deferred at each cold Upstream that it passed by when it arrived.
 	Sent     int
 	Deferred int
+	// Early counts the runs and releases, among those sent, of holds granted before the cold time.
+	Early int
 }
 
 // Summary returns the counts of cold Upstreams.
 func (r *Registry) Summary(now core.Instant) Summary {
-	s := Summary{Sent: r.sent, Deferred: r.deferred}
+	s := Summary{Sent: r.sent, Deferred: r.deferred, Early: r.early}
 	for _, up := range r.cold {
 		if now < up.until && r.rates[up.service] > 0 {
 			s.Cold++
