fleet: entries in the store state who has a share, shares of lost Instances are taken over by default

An Instance that started among peers which it did not hear yet had no share and refused requests inside the quota for up to 11 s. Entries now carry a mark: an Instance inherits the share of its predecessor unless a survivor has marked the entry as lost, in the same era of the store; all writes are conditional on the revision read. Entries of lost Instances are marked first and removed only after the takeover, so that Instances which start meanwhile count them. Instances with a new name have a share as soon as they are in contact with 4/5 of the known ones; the first requests wait for it, and readiness too, for at most a second.

Heartbeats carry a digest of the known Instances. One that knows others than a peer asks it for the members, so that two that restart and of which the store turns one away learn of each other.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -95,6 +95,7 @@
 	// delayedHeartbeats counts the heartbeats that were ignored because they were made long ago.
 	delayedHeartbeats int64
 	takeOver          takeOver
+	members           memberSet
 }
 
 type peer struct {
@@ -113,6 +114,7 @@
 	lastInterval int64
 	entry        entry
 	contact      Contact // as of the last heartbeat
+	digestSince  core.Instant
 }
 
 // New returns the Fleet of an Instance without peers.
@@ -135,7 +137,9 @@
 	if p.RemovalTimeout == 0 {
 		p.RemovalTimeout = defaultRemovalTimeout
 	}
-	return &Fleet{params: p, self: self, peers: map[core.InstanceID]*peer{}, takeOver: newTakeOver()}
+	f := &Fleet{params: p, self: self, peers: map[core.InstanceID]*peer{}, takeOver: newTakeOver()}
+	f.members.toggle(0, self.Ref.ID)
+	return f
 }
 
 // Self returns the description of this Instance.
@@ -160,6 +164,7 @@
 		known := f.peers[m.Ref.ID]
 		if known == nil {
 			f.peers[m.Ref.ID] = &peer{member: m, listedAt: now}
+			f.members.toggle(now, m.Ref.ID)
 			continue
 		}
 		if m.Ref.Incarnation > known.member.Ref.Incarnation {
@@ -190,6 +195,7 @@
 	if p == nil {
 		p = &peer{}
 		f.peers[m.Ref.ID] = p
+		f.members.toggle(now, m.Ref.ID)
 	}
 	if m.Ref.Incarnation != p.life.incarnation {
 		p.life = liveness{incarnation: m.Ref.Incarnation}
@@ -257,6 +263,7 @@
 		switch {
 		case f.isGone(now, p, max(f.params.RemovalTimeout, 2*timeout)):
 			delete(f.peers, id)
+			f.members.toggle(now, id)
 			changes.Removed = append(changes.Removed, id)
 		case !p.silent && silentDataCentres[p.member.DataCentre] != 0:
 			p.silent = true
@@ -446,6 +453,15 @@
 	return members
 }
 
+// Peer returns a known peer.
+func (f *Fleet) Peer(id core.InstanceID) (Member, bool) {
+	p := f.peers[id]
+	if p == nil {
+		return Member{}, false
+	}
+	return p.member, true
+}
+
 func sortMembers(members []Member) {
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Ref.ID, b.Ref.ID) })
 }
--- a/pkg/fleet/takeover.go
+++ b/pkg/fleet/takeover.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -39,6 +40,13 @@
 	// removalTimeout is the time without heartbeats of a peer that was heard before, after which
 	// its entry is removed. Shorter freezes cost no calls.
 	removalTimeout = 2500 * time.Millisecond
+	// ownedPart is the part of the known Instances with which an Instance without a share must be in
+	// contact, one with a share among them, to have one at once. The others learn of it from the store
+	// within lease of noticing that they do not hear the rest. Until then the sum of all shares exceeds
+	// the whole by less than a fifth, however many join.
+	ownedPart = 0.8
+	// freshListInterval is the shortest interval between two lists that decide on a takeover.
+	freshListInterval = 300 * time.Millisecond
 	// joinDelay is longer than the interval between two lists of any Instance, so that all that
 	// reach the store know the entry of this one by then.
 	joinDelay = 11 * time.Second
@@ -65,6 +73,50 @@
 	// those of the receiver.
 	Missing   bool
 	MissesYou bool
+	// Owned is set if the sender has its share. Members is a digest of the Instances that it knows.
+	Owned   bool
+	Members uint16
+}
+
+// Mark is what an entry in the store states beside the description of its Instance. It decides who has
+// a share: no share is taken over before the entry is marked as lost, and all writes are conditional on
+// the revision that was read.
+type Mark struct {
+	// Joined is one more than the era of the store in which the entry was written by an Instance that
+	// had its share, 0 if it had none. The next incarnation inherits it. In a later era the entry may
+	// come from an older copy of the store, so that others may have the share.
+	Joined uint64 `json:"joined,omitempty"`
+	// Lost is set by a survivor that misses the Instance. The entry is removed once the share has been
+	// taken over: Instances that start meanwhile still count the lost one.
+	Lost bool `json:"lost,omitempty"`
+	// Left is set by an Instance that stops. The others use its share at once.
+	Left bool `json:"left,omitempty"`
+}
+
+// Running reports whether the entry is not marked as that of an Instance which has ended.
+func (m Mark) Running() bool { return !m.Lost && !m.Left }
+
+// Inherited returns the mark of an entry that the Instance writes over the one read in an era. joined is
+// set if the Instance had its share when it decided to write, and own if its own incarnation has written
+// the entry read.
+func (m Mark) Inherited(era uint64, joined, own bool) Mark {
+	if m.Running() && (m.Joined == era+1 || joined && own) {
+		return Mark{Joined: era + 1}
+	}
+	return Mark{}
+}
+
+// Removal marks the entry of an Instance as lost or, for its own one, as left. A final one removes an
+// entry that is marked.
+type Removal struct {
+	Ref   core.InstanceRef
+	Left  bool
+	Final bool
+}
+
+// Mark returns the mark that an entry with another mark gets, and reports whether there is to be a change.
+func (r Removal) Mark(m Mark) (Mark, bool) {
+	return Mark{Lost: !r.Left, Left: r.Left}, m.Running() != r.Final
 }
 
 // Claim is the part of the shared allowances that this Instance and the peers that it hears may
@@ -94,23 +146,36 @@
 	entrySeen core.Instant
 	// covered is the latest instant at which the own share was confirmed.
 	covered core.Instant
-	// joined is set once all Instances that may take over a share know this one. joining is the
-	// instant from which its entry has been in all lists, 0 without one.
-	joined  bool
+	// owned is set while nobody else can have the share of this Instance: its entry says so, or all
+	// that may use a share know it. joining is the instant from which its entry has been in all lists,
+	// 0 without one.
+	owned   bool
 	joining core.Instant
-	// replaced is set if the entry replaced another: a previous incarnation may just have removed
-	// the entries of all others.
-	replaced bool
+	// markDue is set if the own entry does not say that the share is owned.
+	markDue bool
+	// tombstones holds the entries marked as lost whose shares were taken over.
+	tombstones map[core.InstanceRef]tombstone
+	// listWanted is set if a takeover waits for a list only.
+	listWanted bool
 	// settled is the instant from which the peers' silence is judged again after a freeze.
 	settled   core.Instant
 	lastCheck core.Instant
 	missing   bool // any peer, as reported to the others
 	partial   bool // not all peers are heard by all
-	// taken holds the incarnations whose shares were taken over.
+	// taken holds the incarnations whose shares were taken over, left those that have stopped.
 	taken map[core.InstanceID]core.Incarnation
+	left  map[core.InstanceID]core.Incarnation
 }
 
-func newTakeOver() takeOver { return takeOver{taken: map[core.InstanceID]core.Incarnation{}} }
+// tombstone is an entry marked as lost: since when it has been listed, and when this Instance removed it.
+type tombstone struct {
+	since     core.Instant
+	removedAt core.Instant
+}
+
+func newTakeOver() takeOver {
+	return takeOver{taken: map[core.InstanceID]core.Incarnation{}, left: map[core.InstanceID]core.Incarnation{}}
+}
 
 // entry is what the store shows of a peer.
 type entry struct {
@@ -130,29 +195,44 @@
 	return f.params.TakeOver && began <= f.takeOver.listBegan
 }
 
-// OnStoreList processes a complete list of the store whose read began at an instant. It follows
-// OnMemberList.
-func (f *Fleet) OnStoreList(now, began core.Instant, members []Member) {
+// OnStoreList processes a complete list of the store whose read began at an instant, in an era of the
+// store. It follows OnMemberList.
+func (f *Fleet) OnStoreList(now, began core.Instant, members []Member, marks map[core.InstanceID]Mark, era uint64) {
 	t := &f.takeOver
 	if !f.params.TakeOver || f.IsStaleList(began) {
 		return
 	}
-	t.listBegan, t.entrySeen = began, 0
+	t.listBegan, t.entrySeen, t.listWanted = began, 0, false
 	listed := make(map[core.InstanceRef]bool, len(members))
+	tombstones := map[core.InstanceRef]tombstone{}
 	for _, m := range members {
-		listed[m.Ref] = true
+		mark := marks[m.Ref.ID]
+		listed[m.Ref] = mark.Running()
+		if mark.Left || mark.Lost && f.isFree(m.Ref) {
+			tombstones[m.Ref] = tombstone{since: now}
+			if known, found := t.tombstones[m.Ref]; found {
+				tombstones[m.Ref] = known
+			}
+		}
 	}
+	t.tombstones = tombstones
 	if listed[f.self.Ref] {
 		t.entrySeen = began
-		if t.joining == 0 || began.Sub(t.covered) > lease {
-			t.joining = now
+		lapsed := began.Sub(t.covered) > lease
+		hasMark := marks[f.self.Ref.ID].Joined == era+1
+		switch {
+		case hasMark && now.Sub(began) <= lease:
+			t.owned = true // nobody has marked the entry as lost since
+		case lapsed:
+			t.owned = false
 		}
-		if began.Sub(t.covered) > lease {
-			t.joined = false
+		if t.joining == 0 || lapsed {
+			t.joining = now
 		}
 		t.covered = max(t.covered, began)
+		t.markDue = !hasMark
 	} else {
-		t.joining = 0
+		t.joining, t.markDue = 0, false
 	}
 	for _, p := range f.peers {
 		p.entry.onList(now, listed[p.member.Ref])
@@ -182,16 +262,20 @@
 	return now.Sub(e.rewrittenAt) > min(firstRemovalBackoff<<min(e.removals-1, 4), maxRemovalBackoff)
 }
 
-// OnRegistered processes the write of the own entry, which may have replaced another.
-func (f *Fleet) OnRegistered(replaced bool) {
-	if !f.takeOver.joined {
-		f.takeOver.replaced = f.takeOver.replaced || replaced
-	}
+// TakeMarkDue reports whether the own entry is to be written again to say that the share is owned. It
+// does so once for each list.
+func (f *Fleet) TakeMarkDue() bool {
+	due := f.takeOver.owned && f.takeOver.markDue
+	f.takeOver.markDue = f.takeOver.markDue && !due
+	return due
 }
 
 // SetContact records what a peer has told in a heartbeat.
-func (f *Fleet) SetContact(id core.InstanceID, c Contact) {
+func (f *Fleet) SetContact(now core.Instant, id core.InstanceID, c Contact) {
 	if p := f.peers[id]; p != nil {
+		if p.contact.Members != c.Members {
+			p.digestSince = now
+		}
 		p.contact = c
 	}
 	if t := f.takeOver.taken; len(t) > 0 {
@@ -201,13 +285,21 @@
 	}
 }
 
+// isFree reports whether the share of an incarnation was taken over or given up.
+func (f *Fleet) isFree(ref core.InstanceRef) bool {
+	return max(f.takeOver.taken[ref.ID], f.takeOver.left[ref.ID]) >= ref.Incarnation
+}
+
 // ContactFor returns what a heartbeat tells a peer.
 func (f *Fleet) ContactFor(now core.Instant, id core.InstanceID) Contact {
 	if !f.params.TakeOver {
 		return Contact{}
 	}
 	p := f.peers[id]
-	return Contact{Missing: f.takeOver.missing, MissesYou: p != nil && p.isMissing(now)}
+	return Contact{
+		Missing: f.takeOver.missing, MissesYou: p != nil && p.isMissing(now),
+		Owned: f.takeOver.owned && now.Sub(f.takeOver.covered) <= lease, Members: f.members.digest(),
+	}
 }
 
 // isMissing reports whether no heartbeats of a running peer arrive.
@@ -232,11 +324,12 @@
 	}
 	if t.lastCheck != 0 && now.Sub(t.lastCheck) > lease {
 		// Heartbeats of before a freeze may still be queued, so peers are not judged by them.
-		t.joined, t.joining = false, 0
+		t.owned, t.joining = false, 0
 		t.settled = now.Add(helloTimeout)
 	}
 	t.lastCheck = now
 	whole, contacts, known := true, 0, 1
+	owners, informed := 0, false
 	t.missing = false
 	for _, p := range f.peers {
 		switch {
@@ -244,6 +337,10 @@
 			continue
 		case p.inContact(now):
 			contacts++
+			if p.contact.Owned {
+				owners++
+				informed = informed || f.members.knows(p.contact.Members)
+			}
 			whole = whole && !p.contact.Missing
 		default:
 			whole = false
@@ -256,15 +353,23 @@
 	whole = whole && settled && (len(t.taken) == 0 || t.entrySeen != 0 && now.Sub(t.entrySeen) <= takenListTTL)
 	most := settled && 2*(contacts+1) > known
 	stored := t.entrySeen != 0 && now.Sub(t.entrySeen) <= lease
+	if owners == 0 {
+		informed = t.listBegan != 0
+	}
 	switch {
-	case t.joined:
-	case known > 1 && most, known == 1 && stored && settled && !t.replaced:
-		t.joined = true
-	case t.joining != 0 && stored && now.Sub(t.joining) > joinDelay:
-		t.joined = true
+	case t.owned || !settled:
+	case known == 1:
+		t.owned = stored
+	case informed && (whole || owners > 0 && float64(contacts+1) >= ownedPart*float64(known)),
+		t.joining != 0 && stored && now.Sub(t.joining) > joinDelay:
+		t.owned = true
 	}
-	if !t.joined {
-		return Claim{Until: now.Add(lease), Reason: ClaimJoining}
+	if !t.owned {
+		part := 0.0
+		if informed && most && contacts > 0 {
+			part = storelessPart
+		}
+		return Claim{Part: part, Until: now.Add(lease), Reason: ClaimJoining}
 	}
 	if whole {
 		t.covered = max(t.covered, now)
@@ -286,7 +391,7 @@
 	case most:
 		return Claim{Part: storelessPart, Until: now.Add(lease), Reason: ClaimStoreless}
 	}
-	t.joined, t.joining = false, 0
+	t.owned, t.joining = false, 0
 	return Claim{Until: now.Add(lease), Reason: ClaimNone}
 }
 
@@ -304,6 +409,7 @@
 	last := max(p.lastHeartbeat, p.listedAt)
 	switch {
 	case p.state.Leaving && p.silent:
+		f.takeOver.left[p.member.Ref.ID] = p.member.Ref.Incarnation
 		return true
 	case !f.params.TakeOver:
 		return now.Sub(last) > timeout
@@ -314,6 +420,10 @@
 	if now <= free || f.takeOver.entrySeen == 0 {
 		return false
 	}
+	if f.takeOver.listBegan <= free { // the peer may have written its entry again since
+		f.takeOver.listWanted = true
+		return false
+	}
 	f.takeOver.taken[p.member.Ref.ID] = p.member.Ref.Incarnation
 	return true
 }
@@ -326,22 +436,25 @@
 		return false
 	}
 	since := now.Sub(lastList)
-	if !t.joined && len(f.peers) == 0 && since >= missingListInterval {
+	if !t.owned && since >= missingListInterval || t.listWanted && since >= freshListInterval {
 		return true
 	}
 	return t.partial && since >= missingListInterval && now.Sub(t.covered) >= missingListInterval ||
 		len(t.taken) > 0 && since >= takenListInterval
 }
 
-// DueRemovals returns the missing peers whose entries this Instance removes from the store now,
-// sorted by name. Each entry is removed by the live Instance of the highest hash, and by one more
-// for each removalRetry that it stays.
-func (f *Fleet) DueRemovals(now core.Instant) []core.InstanceRef {
+// DueRemovals returns the missing peers whose entries this Instance marks as lost in the store now, and
+// the lost ones whose entries it removes, sorted by name. Each is done by the live Instance of the
+// highest hash, and by one more for each removalRetry that the entry stays.
+func (f *Fleet) DueRemovals(now core.Instant) []Removal {
 	t := &f.takeOver
-	if !f.params.TakeOver || !t.missing || t.entrySeen == 0 || now.Sub(t.listBegan) > lease {
+	if !f.params.TakeOver || t.entrySeen == 0 {
 		return nil
 	}
-	var due []core.InstanceRef
+	due := f.finalRemovals(now)
+	if !t.missing || now.Sub(t.listBegan) > lease {
+		return due
+	}
 	for _, id := range slices.Sorted(maps.Keys(f.peers)) {
 		p := f.peers[id]
 		if !p.isMissing(now) || !p.entry.removable(now) {
@@ -358,8 +471,25 @@
 			continue
 		}
 		p.entry.removedAt = now
-		due = append(due, p.member.Ref)
+		due = append(due, Removal{Ref: p.member.Ref})
+	}
+	return due
+}
+
+// finalRemovals returns the entries of lost Instances whose shares were taken over.
+func (f *Fleet) finalRemovals(now core.Instant) []Removal {
+	t := &f.takeOver
+	var due []Removal
+	for ref, stone := range t.tombstones {
+		if stone.removedAt != 0 && now.Sub(stone.removedAt) < removalRetry || len(due) == maxRemovals ||
+			f.removalRank(now, ref.ID) > int(now.Sub(stone.since)/removalRetry) {
+			continue
+		}
+		stone.removedAt = now
+		t.tombstones[ref] = stone
+		due = append(due, Removal{Ref: ref, Final: true})
 	}
+	slices.SortFunc(due, func(a, b Removal) int { return cmp.Compare(a.Ref.ID, b.Ref.ID) })
 	return due
 }
 
--- a/pkg/hosted/adapter.go
+++ b/pkg/hosted/adapter.go
@@ -180,6 +180,14 @@
 	Reason error
 }
 
+// MemberList holds the descriptions of all Instances, the marks of their entries, and the era of the
+// store in which they were read.
+type MemberList struct {
+	Members []fleet.Member
+	Marks   map[core.InstanceID]fleet.Mark
+	Era     uint64
+}
+
 // Store is the platform's store. Every call is billed.
 type Store interface {
 	// ReadRouting reads the configuration and the revision of the store. A watch
@@ -200,11 +208,13 @@
 	ListEvacuations(ctx context.Context) ([]core.DataCentreName, core.StoreRevision, error)
 	// WatchEvacuations waits for changes after a revision, for at most wait. Errors: ErrCompacted.
 	WatchEvacuations(ctx context.Context, after core.StoreRevision, wait time.Duration) ([]evacuation.Change, core.StoreRevision, error)
-	// PutMember writes the description of this Instance. It reports whether it replaced one.
-	PutMember(ctx context.Context, member fleet.Member) (replaced bool, err error)
-	// RemoveMember removes the description of an Instance if it is that of this incarnation. It
-	// returns nil if there is none.
-	RemoveMember(ctx context.Context, ref core.InstanceRef) error
-	// ListMembers reads the descriptions of all Instances. They may be seconds old.
-	ListMembers(ctx context.Context) (members []fleet.Member, skipped []SkippedEntry, err error)
+	// PutMember writes the description of this Instance with the mark that follows from the entry that
+	// it replaces, see fleet.Mark.Inherited. The write takes effect only if that entry is unchanged.
+	PutMember(ctx context.Context, member fleet.Member, joined bool) error
+	// RemoveMember marks the entry of an Instance as lost or left, or removes one that is marked, if it is
+	// that of the incarnation and unchanged. It returns nil otherwise.
+	RemoveMember(ctx context.Context, removal fleet.Removal) error
+	// ListMembers reads the descriptions of all Instances, with the marks of their entries and the era of
+	// the store. The list is no older than the call.
+	ListMembers(ctx context.Context) (list MemberList, skipped []SkippedEntry, err error)
 }
--- a/pkg/hosted/adapter_test.go
+++ b/pkg/hosted/adapter_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -34,6 +35,7 @@
 	config    *RoutingObject
 	list      []catalog.Upstream
 	members   []fleet.Member
+	marks     map[core.InstanceID]fleet.Mark
 	evacuated []core.DataCentreName
 	down      bool
 	reads     int
@@ -153,33 +155,51 @@
 	return nil, after, nil
 }
 
-func (s *fakeStore) PutMember(_ context.Context, m fleet.Member) (bool, error) {
+func (s *fakeStore) PutMember(_ context.Context, m fleet.Member, joined bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return false, errDown
+		return errDown
 	}
-	s.members = append(s.members, m)
-	return false, nil
+	own := slices.Contains(s.members, m)
+	s.members = append(slices.DeleteFunc(s.members, func(other fleet.Member) bool { return other.Ref.ID == m.Ref.ID }), m)
+	s.mark(m.Ref.ID, s.marks[m.Ref.ID].Inherited(s.revision.Era, joined, own))
+	return nil
 }
 
-func (s *fakeStore) RemoveMember(_ context.Context, ref core.InstanceRef) error {
+func (s *fakeStore) mark(id core.InstanceID, m fleet.Mark) {
+	s.marks = maps.Clone(s.marks)
+	if s.marks == nil {
+		s.marks = map[core.InstanceID]fleet.Mark{}
+	}
+	s.marks[id] = m
+}
+
+func (s *fakeStore) RemoveMember(_ context.Context, removal fleet.Removal) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return errDown
 	}
-	s.members = slices.DeleteFunc(s.members, func(m fleet.Member) bool { return m.Ref == ref })
+	mark, due := removal.Mark(s.marks[removal.Ref.ID])
+	if !due {
+		return nil
+	}
+	if !removal.Final {
+		s.mark(removal.Ref.ID, mark)
+		return nil
+	}
+	s.members = slices.DeleteFunc(s.members, func(m fleet.Member) bool { return m.Ref == removal.Ref })
 	return nil
 }
 
-func (s *fakeStore) ListMembers(context.Context) ([]fleet.Member, []SkippedEntry, error) {
+func (s *fakeStore) ListMembers(context.Context) (MemberList, []SkippedEntry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, nil, errDown
+		return MemberList{}, nil, errDown
 	}
-	return slices.Clone(s.members), nil, nil
+	return MemberList{Members: slices.Clone(s.members), Marks: s.marks, Era: s.revision.Era}, nil, nil
 }
 
 // fakeCallers decodes the identifier, the key and the timeout of a request, and the event after which it
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -78,6 +78,7 @@
 	clock    *timeline.Clock
 
 	routing       atomic.Pointer[config.Routing]
+	shareKnown    atomic.Bool // or the wait for the share of the quotas is over
 	config        atomic.Pointer[heldConfig]
 	upstreams     atomic.Pointer[upstreamList]
 	leaving       atomic.Bool
@@ -165,7 +166,7 @@
 		NonceSource: rand.Reader,
 		Hosted: &router.HostedParams{
 			Member:   member,
-			Fleet:    fleet.Params{ContactTime: settings.contactTime(), TakeOver: settings.TakeOverLostShares},
+			Fleet:    fleet.Params{ContactTime: settings.contactTime(), TakeOver: settings.takesOverShares()},
 			Dispatch: dispatch.Params{Regions: settings.DataCentres},
 			Retry: retry.Params{
 				Ratio: settings.RetryRatio, Allowance: settings.RetryAllowance, Window: secondsToDuration(settings.RetryWindowSeconds),
@@ -246,6 +247,7 @@
 		stopAt := time.Now().Add(d.settings.gracePeriod() - time.Second)
 		d.post(router.ShutdownRequested{})
 		<-d.drained
+		d.giveUpShare(serveCtx)
 		for d.slowWrites.Load() > 0 && time.Now().Before(stopAt) && sleep(serveCtx, slowWritePoll) {
 			continue
 		}
@@ -466,11 +468,11 @@
 	case router.ListMembers:
 		go d.listMembers(ctx)
 	case router.RegisterMember:
-		go d.writeMember(ctx)
+		go d.writeMember(ctx, e.Joined)
 	case router.ReadEvacuations:
 		go d.readEvacuations(ctx, e.Call)
 	case router.RemoveMembers:
-		go d.removeMembers(ctx, e.Refs)
+		go d.removeMembers(ctx, e.Removals)
 	case router.FetchState:
 		go d.fetchState(ctx, e)
 	case router.SendPeerMessage:
@@ -480,6 +482,8 @@
 	case router.RoutingActivated:
 		d.routing.Store(e.Routing)
 		d.config.Store(newHeldConfig(RoutingObject{Routing: e.Routing, Revision: e.Revision, Raw: e.Raw}))
+	case router.ShareKnown:
+		d.shareKnown.Store(true)
 	case router.UpstreamsUpdated:
 		d.upstreams.Store(&upstreamList{Revision: e.Revision, Upstreams: e.Upstreams, at: e.At})
 	case router.RefreshState:
--- a/pkg/hosted/removal.go
+++ b/pkg/hosted/removal.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
 	"github.com/rhubarbsill/rhubarbsill/pkg/telemetry"
 )
 
@@ -14,30 +14,38 @@
 // Instances are removed.
 const parallelRemovals = 8
 
-// removeMembers removes the entries of lost Instances and lists the members then. An entry that
-// could not be removed is still listed, and is removed later.
-func (d *Daemon) removeMembers(ctx context.Context, refs []core.InstanceRef) {
-	work := make(chan core.InstanceRef)
+// removeMembers marks the entries of lost Instances or removes them, and lists the members then. What
+// fails is tried again later, since the entry is still listed.
+func (d *Daemon) removeMembers(ctx context.Context, removals []fleet.Removal) {
+	work := make(chan fleet.Removal)
 	var workers sync.WaitGroup
-	for range min(parallelRemovals, len(refs)) {
+	for range min(parallelRemovals, len(removals)) {
 		workers.Go(func() {
-			for ref := range work {
-				d.removeMember(ctx, ref)
+			for removal := range work {
+				d.removeMember(ctx, removal)
 			}
 		})
 	}
-	for _, ref := range refs {
-		work <- ref
+	for _, removal := range removals {
+		work <- removal
 	}
 	close(work)
 	workers.Wait()
 	d.listMembers(ctx)
 }
 
-func (d *Daemon) removeMember(ctx context.Context, ref core.InstanceRef) {
+// giveUpShare marks the own entry as left at a stop, so that the next incarnation does not inherit a
+// share which the others use from then on.
+func (d *Daemon) giveUpShare(ctx context.Context) {
+	if d.settings.takesOverShares() {
+		d.removeMember(ctx, fleet.Removal{Ref: d.router.HostedMember().Ref, Left: true})
+	}
+}
+
+func (d *Daemon) removeMember(ctx context.Context, removal fleet.Removal) {
 	removeCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	if err := d.adapter.Store.RemoveMember(removeCtx, ref); err != nil {
-		telemetry.ComponentLogger(d.log, "fleet").Warn("could not remove the entry of an instance", zap.Stringer("instance", ref), zap.Error(err))
+	if err := d.adapter.Store.RemoveMember(removeCtx, removal); err != nil {
+		telemetry.ComponentLogger(d.log, "fleet").Warn("could not remove the entry of an instance", zap.Stringer("instance", removal.Ref), zap.Error(err))
 	}
 }
--- a/pkg/hosted/serve.go
+++ b/pkg/hosted/serve.go
@@ -262,7 +262,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	if d.leaving.Load() || d.routing.Load() == nil {
+	if d.leaving.Load() || d.routing.Load() == nil || d.settings.takesOverShares() && !d.shareKnown.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/pkg/hosted/settings.go
+++ b/pkg/hosted/settings.go
@@ -67,9 +67,9 @@
 	MaxFDs   MachineFigure `json:"max_fds"`
 
 	// TakeOverLostShares has survivors take over the quota shares of lost Instances
-	// (docs/design/quota-after-losses.md). All Instances of a fleet must have the same value. Off by
-	// default: an Instance that has just started may refuse requests inside a quota with it.
-	TakeOverLostShares bool `json:"take_over_lost_shares"`
+	// (docs/design/quota-after-losses.md). All Instances of a fleet must have the same value. Default:
+	// true.
+	TakeOverLostShares *bool `json:"take_over_lost_shares,omitempty"`
 
 	// LogLevel is debug, info, warn or error. Default: info.
 	LogLevel string `json:"log_level"`
@@ -209,3 +209,6 @@
 }
 
 func secondsToDuration(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// takesOverShares reports whether survivors take over the quota shares of lost Instances.
+func (s Settings) takesOverShares() bool { return s.TakeOverLostShares == nil || *s.TakeOverLostShares }
--- a/pkg/hosted/sync.go
+++ b/pkg/hosted/sync.go
@@ -337,38 +337,47 @@
 			go d.fetchState(ctx, router.FetchState{Kind: stateMembers, Addr: seed})
 		}
 	}
-	d.writeMember(ctx)
+	d.writeMember(ctx, false)
 }
 
 // writeMember writes the description of this Instance, with retries until the store accepts it, and
 // only then lists the others. Of two Instances that register at the same time, the one that writes
-// last finds the other.
-func (d *Daemon) writeMember(ctx context.Context) {
+// last finds the other. joined is set if the Instance has its share: that holds for the first attempt
+// only, because a failed one may take effect late.
+func (d *Daemon) writeMember(ctx context.Context, joined bool) {
 	if !d.writingMember.CompareAndSwap(false, true) {
 		return
 	}
-	defer d.writingMember.Store(false)
+	written := d.putMember(ctx, joined)
+	d.writingMember.Store(false) // the list may ask for another write
+	if written {
+		d.listMembers(ctx)
+	}
+}
+
+// putMember writes the description of this Instance. It reports false when ctx has ended.
+func (d *Daemon) putMember(ctx context.Context, joined bool) bool {
 	health := d.newStoreHealth("members")
 	for ctx.Err() == nil {
 		writeCtx, cancel := context.WithTimeout(ctx, health.timeout())
-		replaced, err := d.adapter.Store.PutMember(writeCtx, d.router.HostedMember())
+		err := d.adapter.Store.PutMember(writeCtx, d.router.HostedMember(), joined)
 		cancel()
+		joined = false
 		if err != nil {
 			health.recordFailureAndWait(ctx, err)
 			continue
 		}
 		health.recordSuccess()
-		d.post(router.MemberRegistered{Replaced: replaced})
-		d.listMembers(ctx)
-		return
+		return true
 	}
+	return false
 }
 
 func (d *Daemon) listMembers(ctx context.Context) {
 	readCtx, cancel := context.WithTimeout(ctx, slowReadTimeout)
 	defer cancel()
 	readAt := d.now()
-	members, skipped, err := d.adapter.Store.ListMembers(readCtx)
+	list, skipped, err := d.adapter.Store.ListMembers(readCtx)
 	if err != nil {
 		telemetry.ComponentLogger(d.log, "store").Warn("could not list members", zap.Error(err))
 		return
@@ -376,7 +385,7 @@
 	for _, entry := range skipped {
 		telemetry.ComponentLogger(d.log, "fleet").Warn("skipped an invalid entry of an instance", zap.String("name", entry.Name), zap.Error(entry.Reason))
 	}
-	d.post(router.MembersListed{Members: members, Complete: true, ReadAt: readAt})
+	d.post(router.MembersListed{Members: list.Members, Marks: list.Marks, Era: list.Era, Complete: true, ReadAt: readAt})
 }
 
 // stateMembers is fetched from seeds only.
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -96,6 +96,7 @@
 
 	pending           pendingConfirmation
 	evacuationWait    evacuationWait
+	shareWait         shareWait
 	configRevision    core.StoreRevision
 	rawConfig         []byte
 	storeEra          *uint64 // newest era of the store, nil before the first state
@@ -151,6 +152,7 @@
 		pending:      pendingConfirmation{since: core.Never},
 
 		evacuationWait: evacuationWait{until: core.Never},
+		shareWait:      shareWait{until: core.Never, ended: !p.Fleet.TakeOver},
 	}
 }
 
@@ -164,7 +166,7 @@
 	if h.drained {
 		stopAt = core.Never
 	}
-	return core.Earliest(end, h.confirmationEnds(), h.nextMemberListAt, h.addressesExpireAt, stopAt, h.catalog.NextWake(), h.dispatch.NextWake(), h.fleet.NextWake())
+	return core.Earliest(end, h.confirmationEnds(), h.shareWaitEnds(), h.nextMemberListAt, h.addressesExpireAt, stopAt, h.catalog.NextWake(), h.dispatch.NextWake(), h.fleet.NextWake())
 }
 
 // step handles the events of a hosted Instance.
@@ -215,8 +217,6 @@
 		h.onEvacuationsCallFailed(now, e)
 	case StoreCallFailed:
 		h.catalog.OnStoreError(now)
-	case MemberRegistered:
-		h.fleet.OnRegistered(e.Replaced)
 	case MembersListed:
 		h.onMembersListed(now, e)
 	case StateFetchEnded:
@@ -228,6 +228,9 @@
 		if e.Message.Quota != nil {
 			h.onQuotaUpdate(now, e.From, e.Message.Quota)
 		}
+		if e.Message.Members != nil {
+			h.onMemberNotice(now, e.From, e.Message.Members)
+		}
 		if e.Message.State != nil {
 			h.onStateNotice(now, e.From, e.Message.State)
 		}
@@ -293,15 +296,15 @@
 	if e.Complete && h.fleet.IsStaleList(e.ReadAt) {
 		return
 	}
-	h.fleet.OnMemberList(now, e.Members)
+	h.fleet.OnMemberList(now, h.fleet.Missed(e.Members, e.Marks))
 	h.setColdMembers(e)
 	if e.Complete {
-		h.fleet.OnStoreList(now, e.ReadAt, e.Members)
+		h.fleet.OnStoreList(now, e.ReadAt, e.Members, e.Marks, e.Era)
 		h.followShares(now)
 	}
 	self := h.fleet.Self()
 	registered := slices.ContainsFunc(e.Members, func(m fleet.Member) bool {
-		return m == self || m.Ref.ID == self.Ref.ID && m.Ref.Incarnation > self.Ref.Incarnation
+		return m == self && e.Marks[m.Ref.ID].Running() || m.Ref.ID == self.Ref.ID && m.Ref.Incarnation > self.Ref.Incarnation
 	})
 	if !e.Complete || h.leaving || registered {
 		return
--- a/pkg/router/hosted_event.go
+++ b/pkg/router/hosted_event.go
@@ -89,9 +89,12 @@
 // MembersListed is the list of Instances in the store, or what a peer knows of it.
 type MembersListed struct {
 	Members []fleet.Member
-	// Complete is set for the list in the store, which was read from ReadAt on.
+	// Complete is set for the list in the store, which was read from ReadAt on, in an era of the store.
+	// Marks holds what the entries state beside the descriptions.
 	Complete bool
 	ReadAt   core.Instant
+	Era      uint64
+	Marks    map[core.InstanceID]fleet.Mark
 }
 
 // StateKind is the kind of a state that Instances fetch from each other.
@@ -195,8 +198,9 @@
 // ListMembers reads the list of Instances from the store.
 type ListMembers struct{}
 
-// RegisterMember writes the entry of this Instance to the store, which does not have it.
-type RegisterMember struct{}
+// RegisterMember writes the entry of this Instance to the store, which does not have it or does not say
+// that the Instance has its share. Joined is set if it has.
+type RegisterMember struct{ Joined bool }
 
 // FetchState fetches a state from a peer.
 type FetchState struct {
--- a/pkg/router/hosted_fleet_test.go
+++ b/pkg/router/hosted_fleet_test.go
@@ -38,6 +38,8 @@
 	account      config.HostedAccount
 	quotaUpdates int // sent
 	requestsSent int
+	ready        map[int]bool // Instances that know their share
+	refused      int
 	admittedAt   []core.Instant
 }
 
@@ -51,7 +53,7 @@
 func newHostedFleet(seed uint64, n int, account config.HostedAccount) *hostedFleet {
 	f := &hostedFleet{
 		rng: rand.New(rand.NewPCG(seed, 4)), now: core.Instant(time.Second), byID: map[core.InstanceID]int{}, account: account,
-		frozen: map[int]bool{},
+		frozen: map[int]bool{}, ready: map[int]bool{},
 	}
 	routing := hostedRouting(1)
 	routing.Accounts = []config.HostedAccount{account}
@@ -121,6 +123,10 @@
 			f.fetch(i, e)
 		case ListMembers, RegisterMember, RemoveMembers:
 			f.callStore(i, e)
+		case ShareKnown:
+			f.ready[i] = true
+		case Refuse:
+			f.refused++
 		case StartCall:
 			f.admittedAt = append(f.admittedAt, f.now)
 			f.schedule(0, func() { f.step(i, ResponseCompleted{Request: e.Request, Attempt: e.Attempt, Status: 200}) })
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -62,7 +62,7 @@
 
 // onRequestArrived authorizes and charges a request and submits it for dispatch.
 func (h *hosted) onRequestArrived(now core.Instant, q Request) {
-	if h.awaitConfirmation(now, q) || h.awaitEvacuations(now, q) {
+	if h.awaitConfirmation(now, q) || h.awaitEvacuations(now, q) || h.awaitShare(q) {
 		return
 	}
 	if _, exists := h.requests[q.ID]; exists {
@@ -465,6 +465,7 @@
 	if rs == nil {
 		h.abandonPending(id)
 		h.abandonEvacuationWait(id)
+		h.abandonShareWait(id)
 		return
 	}
 	h.record(now, "request", "caller_gone", rs, "stage="+string(rs.hosted.stage))
--- a/pkg/router/hosted_peers.go
+++ b/pkg/router/hosted_peers.go
@@ -77,6 +77,7 @@
 		Poison:      h.poison.Reports(now, allEvidence),
 		Crashing:    h.crashing.Reports(now, allEvidence),
 		Evacuations: h.evacuations.Report(now),
+		Contact:     h.fleet.ContactFor(now, ""),
 	}
 	for _, member := range to {
 		h.emit(SendPeerMessage{To: member.Ref.ID, Addr: member.PeerAddr, Message: Message{Hosted: h.heartbeatFor(now, member, heartbeat)}, NotAfter: now.Add(peerMessageTTL)})
@@ -125,7 +126,10 @@
 		h.logDelayedHeartbeats(now, from)
 		return
 	}
-	h.fleet.SetContact(from.ID, heartbeat.Contact)
+	h.fleet.SetContact(now, from.ID, heartbeat.Contact)
+	if h.claim.Reason == fleet.ClaimJoining {
+		h.followShares(now)
+	}
 	if h.fleet.KnownCount() != known {
 		h.recordEvent(now, "fleet", "peer found", from.String())
 		h.warmup.AddMember(from.ID)
--- a/pkg/router/hosted_takeover_test.go
+++ b/pkg/router/hosted_takeover_test.go
@@ -24,6 +24,7 @@
 // memberStore is the store of a hostedFleet.
 type memberStore struct {
 	entries map[core.InstanceID]fleet.Member
+	marks   map[core.InstanceID]fleet.Mark
 	away    map[int]bool // Instances that it turns away
 	era     uint64
 	lists   int
@@ -40,10 +41,11 @@
 	began, router := f.now, f.routers[i]
 	list := func() {
 		f.store.lists++
+		marks, era := maps.Clone(f.store.marks), f.store.era
 		members := slices.SortedFunc(maps.Values(f.store.entries), func(a, b fleet.Member) int { return cmp.Compare(a.Ref.ID, b.Ref.ID) })
 		f.schedule(storeTransit, func() {
 			if f.routers[i] == router {
-				f.step(i, MembersListed{Members: members, Complete: true, ReadAt: began})
+				f.step(i, MembersListed{Members: members, Marks: marks, Era: era, Complete: true, ReadAt: began})
 			}
 		})
 	}
@@ -54,14 +56,25 @@
 		switch e := effect.(type) {
 		case RegisterMember:
 			f.store.writes++
-			_, replaced := f.store.entries[f.members[i].Ref.ID]
-			f.store.entries[f.members[i].Ref.ID] = f.members[i]
-			f.step(i, MemberRegistered{Replaced: replaced})
+			id := f.members[i].Ref.ID
+			replaced, found := f.store.entries[id]
+			f.store.entries[id] = f.members[i]
+			mark := f.store.marks[id].Inherited(f.store.era, e.Joined, replaced.Ref == f.members[i].Ref)
+			if !found {
+				mark = fleet.Mark{}
+			}
+			f.store.marks[id] = mark
 		case RemoveMembers:
-			for _, ref := range e.Refs {
+			for _, removal := range e.Removals {
 				f.store.writes++
-				if f.store.entries[ref.ID].Ref == ref {
-					delete(f.store.entries, ref.ID)
+				id := removal.Ref.ID
+				switch {
+				case f.store.entries[id].Ref != removal.Ref || f.store.marks[id].Lost != removal.Final:
+				case removal.Final:
+					delete(f.store.entries, id)
+					delete(f.store.marks, id)
+				default:
+					f.store.marks[id] = fleet.Mark{Lost: true}
 				}
 			}
 		}
@@ -72,7 +85,7 @@
 // newFleetWithStore returns a running fleet whose quota is full, with or without TakeOver.
 func newFleetWithStore(seed uint64, n int, account config.HostedAccount, takeOver bool) *hostedFleet {
 	f := newHostedFleet(seed, n, account)
-	f.store = &memberStore{entries: map[core.InstanceID]fleet.Member{}, away: map[int]bool{}}
+	f.store = &memberStore{entries: map[core.InstanceID]fleet.Member{}, marks: map[core.InstanceID]fleet.Mark{}, away: map[int]bool{}}
 	for i := range n {
 		f.store.entries[f.members[i].Ref.ID] = f.members[i]
 		f.start(i, takeOver)
@@ -83,7 +96,7 @@
 
 // start starts an Instance as the daemon does: it writes its entry and lists the others.
 func (f *hostedFleet) start(i int, takeOver bool) {
-	f.frozen[i] = false
+	f.frozen[i], f.ready[i] = false, false
 	f.routers[i] = New(Params{
 		Rand: rand.New(rand.NewPCG(f.rng.Uint64(), uint64(i))), NonceSource: bytes.NewReader(nil),
 		Hosted: &HostedParams{
@@ -224,6 +237,72 @@
 	is.True(late < 0.5) // without TakeOver the shares are kept again and again
 }
 
+// Guards against Instances that start and refuse requests inside the quota, or are not ready, until all
+// others know them: each kind of start, with and without the entries of previous processes.
+func TestStartingInstancesServeInsideTheQuota(t *testing.T) {
+	const inside = 0.4 // of the quota
+	for _, n := range []int{1, 3, 8, 28, 84} {
+		for name, start := range map[string]func(f *hostedFleet){
+			"empty": func(f *hostedFleet) {
+				clear(f.store.entries)
+				clear(f.store.marks)
+				for i := range n {
+					f.restart(i, true)
+				}
+			},
+			"all were killed": func(f *hostedFleet) {
+				for i := range n {
+					f.restart(i, true)
+				}
+			},
+			"one restarts": func(f *hostedFleet) { f.restart(n-1, true) },
+			"new name": func(f *hostedFleet) {
+				f.frozen[n-1] = true
+				f.runFor(30 * time.Second) // the others have forgotten its predecessor
+				f.members[n-1].Ref = core.InstanceRef{ID: "new", Incarnation: 1}
+				f.byID["new"] = n - 1
+				f.start(n-1, true)
+			},
+		} {
+			t.Run(fmt.Sprintf("%d/%s", n, name), func(t *testing.T) {
+				f := newFleetWithStore(1, n, largeAccount(), true)
+				f.runFor(time.Second)
+				start(f)
+				began := f.now
+				for len(f.ready) < n || slices.ContainsFunc(numbers(0, n), func(i int) bool { return !f.ready[i] }) {
+					f.runFor(5 * time.Millisecond)
+					if f.now.Sub(began) > shareWaitTimeout {
+						t.Fatal("not ready after a second")
+					}
+				}
+				t.Logf("ready after %s", f.now.Sub(began))
+				sent, refused := f.requestsSent, f.refused
+				f.sendTo(numbers(0, n), inside*float64(f.account.Rate)/requestTokens, 15*time.Second)
+				if f.refused > refused {
+					t.Errorf("%d of %d requests were refused", f.refused-refused, f.requestsSent-sent)
+				}
+			})
+		}
+	}
+}
+
+// Guards against two Instances that both use the whole quota because they never learn of each other: the
+// store turns one of them away and has lost its entry, and both hear a third one.
+func TestInstancesLearnOfEachOtherFromPeers(t *testing.T) {
+	f := newFleetWithStore(1, 3, largeAccount(), true)
+	f.runFor(15 * time.Second)
+	f.store.away[0] = true
+	delete(f.store.entries, f.members[0].Ref.ID)
+	delete(f.store.marks, f.members[0].Ref.ID)
+	f.restart(0, true)
+	f.restart(1, true)
+	f.sendTo([]int{0, 1}, 2.5*float64(f.account.Rate)/requestTokens, 20*time.Second)
+	f.checkLimit(t)
+	if known := f.routers[0].hosted.fleet.KnownCount(); known != 3 {
+		t.Errorf("%d Instances are known to the one that the store turns away", known)
+	}
+}
+
 // Guards against a quota that is exceeded because two sides use the same share: Instances are cut
 // off from peers, turned away by the store, frozen, killed and restarted in any order, several at
 // the same time, and the store comes back as an older copy.
@@ -236,7 +315,7 @@
 		f := newFleetWithStore(rapid.Uint64().Draw(t, "seed"), n, account, true)
 		sides := make([]int, n)
 		f.cut = func(a, b int) bool { return sides[a] != sides[b] }
-		var copied map[core.InstanceID]fleet.Member
+		var copied memberStore
 		someone := func() int { return rapid.IntRange(0, n-1).Draw(t, "instance") }
 		frozenAt := map[int]core.Instant{}
 		for range 25 {
@@ -271,9 +350,9 @@
 					delete(frozenAt, i)
 					f.restart(i, true)
 				case "copy":
-					copied = maps.Clone(f.store.entries)
+					copied = memberStore{entries: maps.Clone(f.store.entries), marks: maps.Clone(f.store.marks)}
 				case "restore":
-					if copied != nil {
+					if copied.entries != nil {
 						f.restoreStore(copied)
 					}
 				}
@@ -296,8 +375,8 @@
 
 // restoreStore replaces the entries by an older copy, which all that reach the store notice by a
 // higher era.
-func (f *hostedFleet) restoreStore(entries map[core.InstanceID]fleet.Member) {
-	f.store.entries = maps.Clone(entries)
+func (f *hostedFleet) restoreStore(copied memberStore) {
+	f.store.entries, f.store.marks = maps.Clone(copied.entries), maps.Clone(copied.marks)
 	f.store.era++
 	for i := range f.routers {
 		if !f.store.away[i] {
--- a/pkg/router/message.go
+++ b/pkg/router/message.go
@@ -6,6 +6,7 @@
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/attempts"
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
+	"github.com/rhubarbsill/rhubarbsill/pkg/fleet"
 	"github.com/rhubarbsill/rhubarbsill/pkg/limits"
 	"github.com/rhubarbsill/rhubarbsill/pkg/placement"
 	"github.com/rhubarbsill/rhubarbsill/pkg/timeline"
@@ -26,6 +27,7 @@
 	Hosted       *HostedHeartbeat
 	Quota        *QuotaUpdate
 	State        *StateNotice
+	Members      *fleet.MemberNotice
 }
 
 // AbandonedAttemptsQuery asks the owner of attempts at an Upstream to cancel
