--- a/pkg/fleet/takeover.go
+++ b/pkg/fleet/takeover.go
@@ -285,6 +285,9 @@
 	}
 }
 
+// TakenOver returns the number of lost Instances whose shares the others use.
+func (f *Fleet) TakenOver() int { return len(f.takeOver.taken) }
+
 // isFree reports whether the share of an incarnation was taken over or given up.
 func (f *Fleet) isFree(ref core.InstanceRef) bool {
 	return max(f.takeOver.taken[ref.ID], f.takeOver.left[ref.ID]) >= ref.Incarnation
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -241,18 +241,22 @@
 	telemetry.ComponentLogger(d.log, "server").Info("started", zap.String("instance", string(d.settings.Instance)),
 		zap.String("callers", d.settings.CallerAddr), zap.String("store", d.settings.StoreAddr))
 	var err error
+	var shareGivenUp <-chan struct{}
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
 		stopAt := time.Now().Add(d.settings.gracePeriod() - time.Second)
 		d.post(router.ShutdownRequested{})
 		<-d.drained
-		d.giveUpShare(serveCtx)
+		shareGivenUp = d.giveUpShare(serveCtx)
 		for d.slowWrites.Load() > 0 && time.Now().Before(stopAt) && sleep(serveCtx, slowWritePoll) {
 			continue
 		}
 	}
 	d.drainResponses(servers)
+	if shareGivenUp != nil {
+		<-shareGivenUp
+	}
 	telemetry.ComponentLogger(d.log, "server").Info("stopped", zap.Error(err))
 	stop()
 	d.peers.Close()
@@ -426,6 +430,7 @@
 		d.metrics.SetLiveness(gauges.Liveness.NotNamed, gauges.Liveness.DelayedHeartbeats-d.delayedHeartbeats)
 		d.delayedHeartbeats = gauges.Liveness.DelayedHeartbeats
 		d.setColdGauges(gauges.Cold)
+		d.metrics.SetShares(gauges.QuotaPart, gauges.SharesTakenOver)
 		for service, n := range gauges.Queued {
 			d.metrics.SetQueueLength(service, n)
 		}
--- a/pkg/hosted/removal.go
+++ b/pkg/hosted/removal.go
@@ -35,11 +35,16 @@
 }
 
 // giveUpShare marks the own entry as left at a stop, so that the next incarnation does not inherit a
-// share which the others use from then on.
-func (d *Daemon) giveUpShare(ctx context.Context) {
-	if d.settings.takesOverShares() {
-		d.removeMember(ctx, fleet.Removal{Ref: d.router.HostedMember().Ref, Left: true})
-	}
+// share which the others use from then on. It does not block, and closes the channel that it returns.
+func (d *Daemon) giveUpShare(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if d.settings.takesOverShares() {
+			d.removeMember(ctx, fleet.Removal{Ref: d.router.HostedMember().Ref, Left: true})
+		}
+	}()
+	return done
 }
 
 func (d *Daemon) removeMember(ctx context.Context, removal fleet.Removal) {
--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -464,6 +464,10 @@
 	Cold warmup.Summary
 	// Evacuations describes the evacuations, nil if the deployment has none.
 	Evacuations *EvacuationGauges
+	// QuotaPart is the part of the quotas that this Instance and the peers it hears may use, and
+	// SharesTakenOver the number of lost Instances whose shares the others use.
+	QuotaPart       float64
+	SharesTakenOver int
 	// Paces holds how much the Upstreams of each service and stage differ in speed.
 	Paces []pace.Spread
 }
@@ -478,6 +482,6 @@
 	return HostedGauges{
 		LiveInstances: h.fleet.LiveCount(), Reader: h.fleet.IsReader(), Version: h.activeVersion(), Queued: waiting,
 		Liveness: h.fleet.LivenessCounts(now), Cold: h.warmup.Summary(now), Evacuations: h.evacuationGauges(now),
-		Paces: h.paces.Spreads(now),
+		Paces: h.paces.Spreads(now), QuotaPart: h.quotaPart(), SharesTakenOver: h.fleet.TakenOver(),
 	}
 }
--- a/pkg/router/hosted_takeover.go
+++ b/pkg/router/hosted_takeover.go
@@ -147,6 +147,14 @@
 	}
 }
 
+// quotaPart returns the part of the quotas that this Instance and the peers it hears may use.
+func (h *hosted) quotaPart() float64 {
+	if !h.params.Fleet.TakeOver {
+		return 1
+	}
+	return h.claim.Part
+}
+
 // logClaim logs a change of the claim. Hearing all peers and seeing the own entry are the same to an
 // account, and alternate in a large fleet.
 func (h *hosted) logClaim(now core.Instant, claim fleet.Claim) {
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -107,6 +107,8 @@
 	upstreamFailures   metric.Int64Counter
 	retries            metric.Int64Counter
 	announcements      metric.Int64Counter
+	quotaPart          metric.Int64Gauge
+	sharesTakenOver    metric.Int64Gauge
 	coldUpstreams      metric.Int64Gauge
 	coldRequests       metric.Int64Counter
 	paceSpread         metric.Int64Gauge
@@ -166,6 +168,8 @@
 	m.upstreamFailures = b.counter("upstream_failures", "{call}", "Failed calls to upstreams by kind.")
 	m.retries = b.counter("resends", "{request}", "Requests sent to another upstream after a failed call.")
 	m.announcements = b.counter("upstream_announcements", "{announcement}", "New announcements of upstreams about themselves by kind.")
+	m.quotaPart = b.gauge("quota_part_percent", "1", "Part of all quotas that this instance and the peers it hears may use, in percent.")
+	m.sharesTakenOver = b.gauge("shares_taken_over", "{instance}", "Lost instances whose shares of the quotas are used by the others.")
 	m.coldUpstreams = b.gauge("cold_upstreams", "{upstream}", "Upstreams that are cold; those to which this instance may send, and the others.")
 	m.coldRequests = b.counter("cold_requests", "{request}", "Requests to cold upstreams: sent, and deferred at each cold upstream that a request passed by.")
 	m.paceSpread = b.gauge("upstream_pace", "%", "Estimated duration of work at the fastest and the slowest upstream of a service and stage, 100 for the usual.")
