router: a stop counts the requests that wait for the share

Not covered by a test: the wait of a second ends before the address answers expire in the simulated fleet.

--- a/pkg/router/hosted_stop.go
+++ b/pkg/router/hosted_stop.go
@@ -90,7 +90,7 @@
 	if h.drained || !h.leaving {
 		return
 	}
-	active := len(h.requests) + len(h.pending.requests) + len(h.evacuationWait.requests)
+	active := len(h.requests) + len(h.pending.requests) + len(h.evacuationWait.requests) + len(h.shareWait.requests)
 	idle := now >= h.addressesExpireAt && active == 0
 	if now >= h.addressesExpireAt {
 		h.addressesExpireAt = core.Never
@@ -99,6 +99,7 @@
 	if now >= h.stopAt {
 		h.endConfirmation(now)
 		h.endEvacuationWait(now)
+		h.endShareWait(now)
 		h.endRequests(now)
 	}
 	if idle || h.addressesExpired && active == 0 || now >= h.stopAt {
--- a/pkg/router/hosted_takeover.go
+++ b/pkg/router/hosted_takeover.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// tickShareWait admits the requests that have waited for the share.
+// tickShareWait ends the wait for the share when there is one, or at the latest after a second.
 func (h *hosted) tickShareWait(now core.Instant) {
 	w := &h.shareWait
 	if w.ended || h.routing == nil {
@@ -69,7 +69,15 @@
 	if w.ownedAt == 0 && h.claim.Part > 0 && h.claim.Reason != fleet.ClaimJoining {
 		w.ownedAt = now
 	}
-	if now < w.until && (w.ownedAt == 0 || now.Sub(w.ownedAt) < shareFillTime) {
+	if now >= w.until || w.ownedAt != 0 && now.Sub(w.ownedAt) >= shareFillTime {
+		h.endShareWait(now)
+	}
+}
+
+// endShareWait admits the requests that have waited for the share.
+func (h *hosted) endShareWait(now core.Instant) {
+	w := &h.shareWait
+	if w.ended {
 		return
 	}
 	w.ended = true
