--- a/pkg/router/hosted.go
+++ b/pkg/router/hosted.go
@@ -110,6 +110,7 @@
 
 	pending           pendingConfirmation
 	evacuationWait    evacuationWait
+	shareWait         shareWait
 	configRevision    core.StoreRevision
 	rawConfig         []byte
 	storeEra          *uint64 // newest era of the store, nil before the first state
@@ -175,6 +176,7 @@
 		pending:      pendingConfirmation{since: core.Never},
 
 		evacuationWait: evacuationWait{until: core.Never},
+		shareWait:      shareWait{until: core.Never, ended: !p.Fleet.TakeOver},
 	}
 	h.quota.SetTolerance(p.StartedAt, p.QuotaTolerance)
 	return h
@@ -190,7 +192,7 @@
 	if h.drained {
 		stopAt = core.Never
 	}
-	return core.Earliest(end, h.confirmationEnds(), h.nextMemberListAt, h.addressesExpireAt, stopAt, h.catalog.NextWake(), h.dispatch.NextWake(), h.fleet.NextWake())
+	return core.Earliest(end, h.confirmationEnds(), h.shareWaitEnds(), h.nextMemberListAt, h.addressesExpireAt, stopAt, h.catalog.NextWake(), h.dispatch.NextWake(), h.fleet.NextWake())
 }
 
 // step handles the events of a hosted Instance.
@@ -246,8 +248,6 @@
 		h.onStoreWatched(e)
 	case StoreCallFailed:
 		h.catalog.OnStoreError(now)
-	case MemberRegistered:
-		h.fleet.OnRegistered(e.Replaced)
 	case MembersListed:
 		h.onMembersListed(now, e)
 	case StateFetchEnded:
@@ -259,6 +259,9 @@
 		if e.Message.Quota != nil {
 			h.onQuotaUpdate(now, e.From, e.Message.Quota)
 		}
+		if e.Message.Members != nil {
+			h.onMemberNotice(now, e.From, e.Message.Members)
+		}
 		if e.Message.State != nil {
 			h.onStateNotice(now, e.From, e.Message.State)
 		}
@@ -330,15 +333,15 @@
 	if e.Complete && h.fleet.IsStaleList(e.ReadAt) {
 		return
 	}
-	h.fleet.OnMemberList(now, e.Members)
+	h.fleet.OnMemberList(now, h.fleet.Missed(e.Members, e.Marks))
 	h.setColdMembers(e)
 	if e.Complete {
-		h.fleet.OnStoreList(now, e.ReadAt, e.Members)
+		h.fleet.OnStoreList(now, e.ReadAt, e.Members, e.Marks, e.Era)
 		h.followShares(now)
 	}
 	self := h.fleet.Self()
 	registered := slices.ContainsFunc(e.Members, func(m fleet.Member) bool {
-		return m == self || m.Ref.ID == self.Ref.ID && m.Ref.Incarnation > self.Ref.Incarnation
+		return m == self && e.Marks[m.Ref.ID].Running() || m.Ref.ID == self.Ref.ID && m.Ref.Incarnation > self.Ref.Incarnation
 	})
 	if !e.Complete || h.leaving || registered {
 		return
@@ -504,6 +507,10 @@
 	Evacuations *EvacuationGauges
 	// Follow describes what followers rely on, nil if they watch the store themselves.
 	Follow *FollowGauges
+	// QuotaPart is the part of the quotas that this Instance and the peers it hears may use, and
+	// SharesTakenOver the number of lost Instances whose shares the others use.
+	QuotaPart       float64
+	SharesTakenOver int
 	// Paces holds how much the Upstreams of each service and stage differ in speed.
 	Paces []pace.Spread
 	// ExtraTokens counts the tokens admitted beyond the allowances of accounts since the start.
@@ -524,5 +531,6 @@
 		Liveness: h.fleet.LivenessCounts(now), Cold: h.warmup.Summary(now), Evacuations: h.evacuationGauges(now),
 		Follow: h.followGauges(now), Paces: h.paces.Spreads(now), ExtraTokens: h.extraTokens, HeldPrompts: h.heldPrompts.Stats(),
 		QueueByUrgency: h.queueByUrgency(),
+		QuotaPart:      h.quotaPart(), SharesTakenOver: h.fleet.TakenOver(),
 	}
 }
--- a/pkg/router/hosted_flow.go
+++ b/pkg/router/hosted_flow.go
@@ -39,6 +39,7 @@
 	upstream      catalog.Upstream // a decode engine or the replica of a plain service
 	prefillEngine catalog.Upstream
 	holdID        string
+	holdTokens    int // the size of the hold
 	// skipPrefill is set once a prefill may have been accepted. Another one would
 	// count towards the route's MaxUpstreams.
 	skipPrefill    bool
@@ -61,7 +62,7 @@
 
 // onRequestArrived authorizes and charges a request and submits it for dispatch.
 func (h *hosted) onRequestArrived(now core.Instant, q Request) {
-	if h.awaitConfirmation(now, q) || h.awaitEvacuations(now, q) {
+	if h.awaitConfirmation(now, q) || h.awaitEvacuations(now, q) || h.awaitShare(q) {
 		return
 	}
 	if _, exists := h.requests[q.ID]; exists {
@@ -461,7 +462,7 @@
 	delete(h.requests, rs.request.ID)
 	hr := rs.hosted
 	if (hr.stage == stageHold || hr.stage == stagePrefill) && hr.holdID != "" {
-		h.emitReleaseHold(now, ReleaseHold{Upstream: hr.upstream.ID, Addr: hr.upstream.Addr, Hold: hr.holdID})
+		h.emitReleaseHold(now, rs, ReleaseHold{Upstream: hr.upstream.ID, Addr: hr.upstream.Addr, Hold: hr.holdID})
 	}
 	h.applyDispatch(now, h.dispatch.Release(now, rs.request.ID))
 }
@@ -472,6 +473,7 @@
 	if rs == nil {
 		h.abandonPending(id)
 		h.abandonEvacuationWait(id)
+		h.abandonShareWait(id)
 		return
 	}
 	h.record(now, "request", "caller_gone", rs, "stage="+string(rs.hosted.stage))
--- a/pkg/router/hosted_follow.go
+++ b/pkg/router/hosted_follow.go
@@ -370,7 +370,7 @@
 		h.follow.counts.Refused++
 		return
 	}
-	if to, known := h.fleet.Peer(from); known {
+	if to, known := h.fleet.PeerProcess(from); known {
 		h.follow.counts.Answered++
 		h.sendFollow(now, to, &FollowMessage{Push: &push})
 	}
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -109,6 +109,8 @@
 	announcements      metric.Int64Counter
 	queueByUrgency     metric.Int64Gauge
 	queueRefusals      metric.Int64Counter
+	quotaPart          metric.Int64Gauge
+	sharesTakenOver    metric.Int64Gauge
 	coldUpstreams      metric.Int64Gauge
 	coldRequests       metric.Int64Counter
 	paceSpread         metric.Int64Gauge
@@ -177,6 +179,8 @@
 	m.announcements = b.counter("upstream_announcements", "{announcement}", "New announcements of upstreams about themselves by kind.")
 	m.queueByUrgency = b.gauge("queue_length_by_urgency", "{request}", "Requests that wait for an upstream, by urgency.")
 	m.queueRefusals = b.counter("queue_refusals", "{request}", "Requests that could not be placed in time, by urgency.")
+	m.quotaPart = b.gauge("quota_part_percent", "1", "Part of all quotas that this instance and the peers it hears may use, in percent.")
+	m.sharesTakenOver = b.gauge("shares_taken_over", "{instance}", "Lost instances whose shares of the quotas are used by the others.")
 	m.coldUpstreams = b.gauge("cold_upstreams", "{upstream}", "Upstreams that are cold; those to which this instance may send, and the others.")
 	m.coldRequests = b.counter("cold_requests", "{request}", "Requests to cold upstreams: sent, and deferred at each cold upstream that a request passed by.")
 	m.paceSpread = b.gauge("upstream_pace", "%", "Estimated duration of work at the fastest and the slowest upstream of a service and stage, 100 for the usual.")
