--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -197,7 +197,7 @@
 			Instance: core.InstanceID(fmt.Sprintf("front-a-%d", i+1)), DataCentre: "a", Region: "r",
 			DataCentres: map[core.DataCentreName]core.RegionName{"a": "r"},
 			CallerAddr:  s.FreeAddr(), ReadyAddr: s.FreeAddr(), DirectoryAddr: s.FreeAddr(), PeerAddr: s.FreeAddr(), MetricsAddr: s.FreeAddr(),
-			StoreAddr: s.storeAddr, GraceSeconds: 8, MaxAddressTTLSeconds: 5, ConfigApplyMS: 3000,
+			StoreAddr: s.storeAddr, GraceSeconds: 8, MaxAddressTTLSeconds: 5, ConfigApplyMS: 3000, ContactMS: 4000, ColdOverage: 1.5, ColdSlack: 5,
 			RetryRatio: 0.2, RetryAllowance: 56, RetryWindowSeconds: 10, LogLevel: "info",
 		}}
 		s.Instances = append(s.Instances, instance)
