--- a/pkg/fleet/confirmations.go
+++ b/pkg/fleet/confirmations.go
@@ -28,11 +28,8 @@
 // ReaderPart returns which of the readers of its Region serves an Instance, by ReaderRank.
 func ReaderPart(m Member) int { return int(readerHash(m) % readersPerRegion) }
 
-// Peer returns a known peer.
-func (f *Fleet) Peer(ref core.InstanceRef) (Member, bool) {
-	p := f.peers[ref.ID]
-	if p == nil || p.member.Ref != ref {
-		return Member{}, false
-	}
-	return p.member, true
+// PeerProcess returns a known peer if it is still the process of ref.
+func (f *Fleet) PeerProcess(ref core.InstanceRef) (Member, bool) {
+	member, found := f.Peer(ref.ID)
+	return member, found && member.Ref == ref
 }
--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -80,6 +80,7 @@
 	clock    *timeline.Clock
 
 	routing       atomic.Pointer[config.Routing]
+	shareKnown    atomic.Bool // or the wait for the share of the quotas is over
 	config        atomic.Pointer[heldConfig]
 	upstreams     atomic.Pointer[upstreamList]
 	leaving       atomic.Bool
@@ -175,7 +176,7 @@
 		NonceSource: rand.Reader,
 		Hosted: &router.HostedParams{
 			Member:   member,
-			Fleet:    fleet.Params{ContactTime: settings.contactTime(), TakeOver: settings.TakeOverLostShares},
+			Fleet:    fleet.Params{ContactTime: settings.contactTime(), TakeOver: settings.takesOverShares()},
 			Dispatch: dispatch.Params{Regions: settings.DataCentres},
 			Retry: retry.Params{
 				Ratio: settings.RetryRatio, Allowance: settings.RetryAllowance, Window: secondsToDuration(settings.RetryWindowSeconds),
@@ -259,17 +260,22 @@
 	telemetry.ComponentLogger(d.log, "server").Info("started", zap.String("instance", string(d.settings.Instance)),
 		zap.String("callers", d.settings.CallerAddr), zap.String("store", d.settings.StoreAddr))
 	var err error
+	var shareGivenUp <-chan struct{}
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
 		stopAt := time.Now().Add(d.settings.gracePeriod() - time.Second)
 		d.post(router.ShutdownRequested{})
 		<-d.drained
+		shareGivenUp = d.giveUpShare(serveCtx)
 		for d.slowWrites.Load() > 0 && time.Now().Before(stopAt) && sleep(serveCtx, slowWritePoll) {
 			continue
 		}
 	}
 	d.drainResponses(servers)
+	if shareGivenUp != nil {
+		<-shareGivenUp
+	}
 	telemetry.ComponentLogger(d.log, "server").Info("stopped", zap.Error(err))
 	stop()
 	d.peers.Close()
@@ -443,6 +449,7 @@
 		d.metrics.SetLiveness(gauges.Liveness.NotNamed, gauges.Liveness.DelayedHeartbeats-d.delayedHeartbeats)
 		d.delayedHeartbeats = gauges.Liveness.DelayedHeartbeats
 		d.setColdGauges(gauges.Cold)
+		d.metrics.SetShares(gauges.QuotaPart, gauges.SharesTakenOver)
 		for service, n := range gauges.Queued {
 			d.metrics.SetQueueLength(service, n)
 		}
@@ -498,13 +505,13 @@
 	case router.ListMembers:
 		go d.listMembers(ctx)
 	case router.RegisterMember:
-		go d.writeMember(ctx)
+		go d.writeMember(ctx, e.Joined)
 	case router.ReadEvacuations:
 		go d.readEvacuations(ctx, e.Call)
 	case router.StoreCallDue:
 		d.storeCalls[e.Kind] <- e.Call // there is one for each StoreCallReady
 	case router.RemoveMembers:
-		go d.removeMembers(ctx, e.Refs)
+		go d.removeMembers(ctx, e.Removals)
 	case router.FetchState:
 		go d.fetchState(ctx, e)
 	case router.SendPeerMessage:
@@ -514,6 +521,8 @@
 	case router.RoutingActivated:
 		d.routing.Store(e.Routing)
 		d.config.Store(newHeldConfig(RoutingObject{Routing: e.Routing, Revision: e.Revision, Raw: e.Raw}))
+	case router.ShareKnown:
+		d.shareKnown.Store(true)
 	case router.UpstreamsUpdated:
 		d.upstreams.Store(&upstreamList{Revision: e.Revision, Upstreams: e.Upstreams, at: e.At})
 	case router.RefreshState:
--- a/pkg/router/hosted_takeover_test.go
+++ b/pkg/router/hosted_takeover_test.go
@@ -24,10 +24,13 @@
 // memberStore is the store of a hostedFleet.
 type memberStore struct {
 	entries map[core.InstanceID]fleet.Member
+	marks   map[core.InstanceID]fleet.Mark
 	away    map[int]bool // Instances that it turns away
 	era     uint64
-	lists   int
-	writes  int
+	// lateWrites is set while some writes take effect up to 5 s late.
+	lateWrites bool
+	lists      int
+	writes     int
 }
 
 const storeTransit = 4 * time.Millisecond
@@ -40,10 +43,11 @@
 	began, router := f.now, f.routers[i]
 	list := func() {
 		f.store.lists++
+		marks, era := maps.Clone(f.store.marks), f.store.era
 		members := slices.SortedFunc(maps.Values(f.store.entries), func(a, b fleet.Member) int { return cmp.Compare(a.Ref.ID, b.Ref.ID) })
 		f.schedule(storeTransit, func() {
 			if f.routers[i] == router {
-				f.step(i, MembersListed{Members: members, Complete: true, ReadAt: began})
+				f.step(i, MembersListed{Members: members, Marks: marks, Era: era, Complete: true, ReadAt: began})
 			}
 		})
 	}
@@ -51,28 +55,51 @@
 		if f.store.away[i] || f.frozen[i] {
 			return
 		}
+		late := time.Duration(0)
+		if f.store.lateWrites && f.rng.IntN(2) == 0 {
+			late = time.Duration(f.rng.IntN(5000)) * time.Millisecond
+		}
 		switch e := effect.(type) {
 		case RegisterMember:
-			f.store.writes++
-			_, replaced := f.store.entries[f.members[i].Ref.ID]
-			f.store.entries[f.members[i].Ref.ID] = f.members[i]
-			f.step(i, MemberRegistered{Replaced: replaced})
+			self := f.members[i]
+			replaced, found := f.store.entries[self.Ref.ID]
+			mark := fleet.Mark{}
+			if found {
+				mark = f.store.marks[self.Ref.ID].Inherited(f.store.era, e.Joined, replaced.Ref == self.Ref)
+			}
+			f.writeEntry(late, self.Ref.ID, func(s *memberStore) { s.entries[self.Ref.ID], s.marks[self.Ref.ID] = self, mark })
 		case RemoveMembers:
-			for _, ref := range e.Refs {
-				f.store.writes++
-				if f.store.entries[ref.ID].Ref == ref {
-					delete(f.store.entries, ref.ID)
+			for _, removal := range e.Removals {
+				id := removal.Ref.ID
+				mark, due := removal.Mark(f.store.marks[id])
+				switch {
+				case f.store.entries[id].Ref != removal.Ref || !due:
+				case removal.Final:
+					f.writeEntry(late, id, func(s *memberStore) { delete(s.entries, id); delete(s.marks, id) })
+				default:
+					f.writeEntry(late, id, func(s *memberStore) { s.marks[id] = mark })
 				}
 			}
 		}
-		list()
+		f.schedule(late, list)
+	})
+}
+
+// writeEntry writes an entry of the store after a time if it is unchanged then.
+func (f *hostedFleet) writeEntry(late time.Duration, id core.InstanceID, write func(*memberStore)) {
+	f.store.writes++
+	era, entry, mark := f.store.era, f.store.entries[id], f.store.marks[id]
+	f.schedule(late, func() {
+		if f.store.era == era && f.store.entries[id] == entry && f.store.marks[id] == mark {
+			write(f.store)
+		}
 	})
 }
 
 // newFleetWithStore returns a running fleet whose quota is full, with or without TakeOver.
 func newFleetWithStore(seed uint64, n int, account config.HostedAccount, takeOver bool) *hostedFleet {
 	f := newHostedFleet(seed, n, account)
-	f.store = &memberStore{entries: map[core.InstanceID]fleet.Member{}, away: map[int]bool{}}
+	f.store = &memberStore{entries: map[core.InstanceID]fleet.Member{}, marks: map[core.InstanceID]fleet.Mark{}, away: map[int]bool{}}
 	for i := range n {
 		f.store.entries[f.members[i].Ref.ID] = f.members[i]
 		f.start(i, takeOver)
@@ -83,7 +110,7 @@
 
 // start starts an Instance as the daemon does: it writes its entry and lists the others.
 func (f *hostedFleet) start(i int, takeOver bool) {
-	f.frozen[i] = false
+	f.frozen[i], f.ready[i] = false, false
 	f.routers[i] = New(Params{
 		Rand: rand.New(rand.NewPCG(f.rng.Uint64(), uint64(i))), NonceSource: bytes.NewReader(nil),
 		Hosted: &HostedParams{
@@ -224,9 +251,100 @@
 	is.True(late < 0.5) // without TakeOver the shares are kept again and again
 }
 
+// Guards against Instances that start and refuse requests inside the quota, or are not ready, until all
+// others know them: each kind of start, with and without the entries of previous processes.
+func TestStartingInstancesServeInsideTheQuota(t *testing.T) {
+	const inside = 0.4 // of the quota
+	for _, n := range []int{1, 3, 8, 28, 84} {
+		for name, start := range map[string]func(f *hostedFleet){
+			"empty": func(f *hostedFleet) {
+				clear(f.store.entries)
+				clear(f.store.marks)
+				for i := range n {
+					f.restart(i, true)
+				}
+			},
+			"all were killed": func(f *hostedFleet) {
+				for i := range n {
+					f.restart(i, true)
+				}
+			},
+			"one restarts": func(f *hostedFleet) { f.restart(n-1, true) },
+			"new name": func(f *hostedFleet) {
+				f.frozen[n-1] = true
+				f.runFor(30 * time.Second) // the others have forgotten its predecessor
+				f.members[n-1].Ref = core.InstanceRef{ID: "new", Incarnation: 1}
+				f.byID["new"] = n - 1
+				f.start(n-1, true)
+			},
+		} {
+			if n == 1 && name == "new name" {
+				continue // its predecessor can't be told from one that is cut off, and nobody else misses it
+			}
+			t.Run(fmt.Sprintf("%d/%s", n, name), func(t *testing.T) {
+				f := newFleetWithStore(1, n, largeAccount(), true)
+				f.runFor(time.Second)
+				start(f)
+				began := f.now
+				for len(f.ready) < n || slices.ContainsFunc(numbers(0, n), func(i int) bool { return !f.ready[i] }) {
+					f.runFor(5 * time.Millisecond)
+					if f.now.Sub(began) > shareWaitTimeout {
+						t.Fatal("not ready after a second")
+					}
+				}
+				t.Logf("ready after %s", f.now.Sub(began))
+				sent, refused := f.requestsSent, f.refused
+				f.sendTo(numbers(0, n), inside*float64(f.account.Rate)/requestTokens, 15*time.Second)
+				if f.refused > refused {
+					t.Errorf("%d of %d requests were refused", f.refused-refused, f.requestsSent-sent)
+				}
+			})
+		}
+	}
+}
+
+// Guards against Instances that restart, cut off from the others, and use shares which these have taken
+// over: they reach the store again, which the others list only every 8 s.
+func TestRestartedInstancesWaitForSharesThatWereTakenOver(t *testing.T) {
+	f := newFleetWithStore(1, 8, largeAccount(), true)
+	gone := func(i int) bool { return i >= 5 }
+	f.cut = func(a, b int) bool { return gone(a) != gone(b) }
+	perSecond := 2.5 * float64(f.account.Rate) / requestTokens
+	for i := range 8 {
+		f.store.away[i] = gone(i)
+	}
+	f.sendTo(numbers(0, 8), perSecond, 9*time.Second)
+	if part := f.routers[0].hosted.fleet.KnownCount(); part != 5 {
+		t.Errorf("the shares were not taken over: %d Instances are known", part)
+	}
+	clear(f.store.away)
+	for i := 5; i < 8; i++ {
+		f.restart(i, true)
+	}
+	f.sendTo(numbers(0, 8), perSecond, 12*time.Second)
+	f.checkLimit(t)
+}
+
+// Guards against two Instances that both use the whole quota because they never learn of each other: the
+// store turns one of them away and has lost its entry, and both hear a third one.
+func TestInstancesLearnOfEachOtherFromPeers(t *testing.T) {
+	f := newFleetWithStore(1, 3, largeAccount(), true)
+	f.runFor(15 * time.Second)
+	f.store.away[0] = true
+	delete(f.store.entries, f.members[0].Ref.ID)
+	delete(f.store.marks, f.members[0].Ref.ID)
+	f.restart(0, true)
+	f.restart(1, true)
+	f.sendTo([]int{0, 1}, 2.5*float64(f.account.Rate)/requestTokens, 20*time.Second)
+	f.checkLimit(t)
+	if known := f.routers[0].hosted.fleet.KnownCount(); known != 3 {
+		t.Errorf("%d Instances are known to the one that the store turns away", known)
+	}
+}
+
 // Guards against a quota that is exceeded because two sides use the same share: Instances are cut
 // off from peers, turned away by the store, frozen, killed and restarted in any order, several at
-// the same time, and the store comes back as an older copy.
+// the same time, and the store comes back as an older copy or carries out writes seconds later.
 func TestQuotaHoldsWhileSharesAreTakenOver(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		account := largeAccount()
@@ -236,12 +354,12 @@
 		f := newFleetWithStore(rapid.Uint64().Draw(t, "seed"), n, account, true)
 		sides := make([]int, n)
 		f.cut = func(a, b int) bool { return sides[a] != sides[b] }
-		var copied map[core.InstanceID]fleet.Member
+		var copied memberStore
 		someone := func() int { return rapid.IntRange(0, n-1).Draw(t, "instance") }
 		frozenAt := map[int]core.Instant{}
 		for range 25 {
 			for range rapid.IntRange(0, 2).Draw(t, "faults") {
-				switch rapid.SampledFrom([]string{"cut", "cut", "heal", "away", "away", "served", "freeze", "wake", "kill", "restart", "copy", "restore"}).Draw(t, "fault") {
+				switch rapid.SampledFrom([]string{"cut", "cut", "heal", "away", "away", "served", "freeze", "wake", "kill", "restart", "copy", "restore", "late writes"}).Draw(t, "fault") {
 				case "cut":
 					for i := range sides {
 						sides[i] = rapid.IntRange(0, 2).Draw(t, "side")
@@ -267,13 +385,17 @@
 					f.frozen[i] = true
 					delete(frozenAt, i)
 				case "restart":
-					i := someone()
-					delete(frozenAt, i)
-					f.restart(i, true)
+					for range rapid.SampledFrom([]int{1, 1, 1, 2, n}).Draw(t, "restarts") {
+						i := someone()
+						delete(frozenAt, i)
+						f.restart(i, true)
+					}
+				case "late writes":
+					f.store.lateWrites = !f.store.lateWrites
 				case "copy":
-					copied = maps.Clone(f.store.entries)
+					copied = memberStore{entries: maps.Clone(f.store.entries), marks: maps.Clone(f.store.marks)}
 				case "restore":
-					if copied != nil {
+					if copied.entries != nil {
 						f.restoreStore(copied)
 					}
 				}
@@ -296,8 +418,8 @@
 
 // restoreStore replaces the entries by an older copy, which all that reach the store notice by a
 // higher era.
-func (f *hostedFleet) restoreStore(entries map[core.InstanceID]fleet.Member) {
-	f.store.entries = maps.Clone(entries)
+func (f *hostedFleet) restoreStore(copied memberStore) {
+	f.store.entries, f.store.marks = maps.Clone(copied.entries), maps.Clone(copied.marks)
 	f.store.era++
 	for i := range f.routers {
 		if !f.store.away[i] {
