quota: the window of an account is kept once its level was low

Cause: the levels of 20 slots for each of 27,000 accounts take 13 MB of each Instance, and most accounts never use a tolerance.

--- a/pkg/quota/tolerance.go
+++ b/pkg/quota/tolerance.go
@@ -40,7 +40,8 @@
 // usageWindow holds, for each slot of the last window, the highest level of an account's bucket and the
 // extra tokens that the fleet has admitted.
 type usageWindow struct {
-	slots []usageSlot // ring, by number
+	slots []usageSlot // ring, by number; nil for an account whose level was never low
+	since core.Instant
 }
 
 type usageSlot struct {
@@ -52,7 +53,7 @@
 // slot returns the slot of an instant. A slot that was used for an earlier time starts empty.
 func (w *usageWindow) slot(now core.Instant, length int) *usageSlot {
 	if len(w.slots) != length {
-		w.slots = make([]usageSlot, length)
+		w.slots, w.since = make([]usageSlot, length), now
 	}
 	number := int64(now) / int64(slotLength)
 	s := &w.slots[number%int64(length)]
@@ -89,12 +90,14 @@
 	q.windowsFrom = max(q.windowsFrom, now.Add(q.tolerance.window()))
 }
 
-// recordLevel records the level of an account for its window.
+// recordLevel records the level of an account for its window. Most accounts are far inside their rate and
+// need no window: 27,000 would take 13 MB.
 func (q *Quota[K]) recordLevel(now core.Instant, a *account) {
-	if q.tolerance.Part > 0 && a.limit.Rate > 0 {
-		s := a.window.slot(now, q.tolerance.numSlots())
-		s.maxLevel = max(s.maxLevel, a.level)
+	if q.tolerance.Part <= 0 || a.limit.Rate == 0 || a.window.slots == nil && a.level >= urgentLevelFraction*float64(a.limit.Burst) {
+		return
 	}
+	s := a.window.slot(now, q.tolerance.numSlots())
+	s.maxLevel = max(s.maxLevel, a.level)
 }
 
 // recordExtra records extra tokens that this Instance or a peer has admitted. They are not taken back:
@@ -130,6 +133,9 @@
 	t := q.tolerance
 	allowance := float64(a.limit.Rate)*t.Window.Seconds() + float64(a.limit.Burst)
 	maxLevel, used := a.window.sum(now)
+	if a.window.slots == nil || now < a.window.since.Add(t.window()) {
+		maxLevel = float64(a.limit.Burst) // the levels before are not known
+	}
 	overdrawn := min(0, a.level) // small requests and the last one before the level was below zero
 	return float64(a.limit.Burst) - maxLevel + overdrawn + t.Part*(t.Overage*allowance+t.Slack) - float64(used)
 }
