fairqueue: the virtual time of an entry without a weight follows the accounts that wait now

An entry without a weight gets the median weight of the accounts that wait. The virtual time was computed when the entry was added; an account that was alone then counted as weight 1 and starved beside accounts of weight 20,000. The order of a map decides which account is first. Change: it is computed when the entry is placed or passed. Entries with a weight are as before.

--- a/pkg/fairqueue/fairqueue.go
+++ b/pkg/fairqueue/fairqueue.go
@@ -122,7 +122,7 @@
 	if isValid(e.Weight) {
 		f.weight = e.Weight
 	}
-	e.duration = float64(max(e.Cost, 1)) / q.weightOf(e)
+	e.duration = q.durationOf(e)
 	list := &f.bands[e.band()]
 	index := len(*list)
 	if index > 0 && e.precedes((*list)[index-1]) {
@@ -147,6 +147,13 @@
 
 func isValid(weight float64) bool { return weight > 0 && !math.IsInf(weight, 1) }
 
+// durationOf returns the virtual time that an entry takes. That of an entry without a weight depends on the
+// other accounts that wait now: one that was alone when it was added would otherwise take thousands of
+// times as much as the others, and its account would starve.
+func (q *Queue[T]) durationOf(e *Entry[T]) float64 {
+	return float64(max(e.Cost, 1)) / q.weightOf(e)
+}
+
 // weightOf returns the weight of an entry. One that states none has the lower median of the weights
 // of the accounts that wait, so that a missing weight neither starves nor favours its account.
 func (q *Queue[T]) weightOf(e *Entry[T]) float64 {
@@ -173,6 +180,7 @@
 	f := e.flow
 	start := max(f.start, f.class.virtualTime)
 	f.class.virtualTime = start
+	e.duration = q.durationOf(e)
 	f.start = start + e.duration
 	e.charged = true
 	q.Remove(e)
--- a/pkg/fairqueue/urgency.go
+++ b/pkg/fairqueue/urgency.go
@@ -151,8 +151,11 @@
 		q.kept++
 		c.round.kept++
 	}
-	if e.waiting || e.charged {
+	switch {
+	case e.charged:
 		f.tag += e.duration
+	case e.waiting:
+		f.tag += q.durationOf(e)
 	}
 	if e.charged && q.lastByCredit { // it was debited already
 		c.round.byCredit--
