--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -20,7 +20,7 @@
 
 const (
 	// contentionTime is the time after a job had to wait, of an account that is not far above its
-	// share, in which those that are keep their distance. Without it they would fill the
+	// share, in which those that are stay restrained. Without it they would fill the
 	// Upstreams again as soon as nobody waits, and the next job of another account would be late in
 	// the queue of an Upstream.
 	contentionTime = 5 * time.Second
--- a/pkg/fairqueue/demand.go
+++ b/pkg/fairqueue/demand.go
@@ -69,8 +69,8 @@
 }
 
 // IsFarAbove reports whether an account asks for far more than its share of what all ask for. An account
-// that is alone does not, nor one whose weight is unknown, because its share is. The result is at most demandSumInterval old, because it is needed for each
-// waiting request in each round.
+// that is alone does not, nor one whose weight is unknown, because its share is. The result is at most
+// demandSumInterval old, because it is needed for each waiting request in each round.
 func (d *Demand) IsFarAbove(now core.Instant, a *AccountDemand) bool {
 	d.sum(now)
 	if a.judgedBy != d.sums {
--- a/pkg/hosted/memory.go
+++ b/pkg/hosted/memory.go
@@ -17,6 +17,17 @@
 	memoryFreeMax      = time.Minute
 )
 
+// Divisors of the machine's memory, and one of the bytes that may be held for clients.
+const (
+	// Below keptThreshold of the memory, what the runtime keeps is not worth a collection.
+	keptThreshold = 4
+	// While clients hold heldThreshold of their budget, the memory is in use.
+	heldThreshold = 4
+	// Growth by keptGrowth since the last return, or held bytes that have fallen by heldFall, show a new load.
+	keptGrowth = 8
+	heldFall   = 64
+)
+
 // memoryReturn decides when memory is returned to the system that the runtime keeps after a load has
 // ended, which it would only return minutes later.
 type memoryReturn struct {
@@ -36,13 +47,13 @@
 // bytes are held for clients. onReturned must follow if it is.
 func (m *memoryReturn) isDue(now time.Time, kept, used int64) bool {
 	m.peakUsed = max(m.peakUsed, used)
-	if kept < m.machine/4 || used >= m.budget/4 {
+	if kept < m.machine/keptThreshold || used >= m.budget/heldThreshold {
 		m.interval = memoryFreeInterval
 		return false
 	}
 	// Without this, returns that did not help while a load lasted, or before it came, put off the one
 	// after its end for up to a minute.
-	if kept > m.keptAfter+m.machine/8 || m.peakUsed-used > m.machine/64 {
+	if kept > m.keptAfter+m.machine/keptGrowth || m.peakUsed-used > m.machine/heldFall {
 		m.interval = memoryFreeInterval
 	}
 	return now.Sub(m.last) >= m.interval
