--- /dev/null
+++ b/review/bed2/slowreader.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rhubarbsill/rhubarbsill/platform/standin"
+	"github.com/rhubarbsill/rhubarbsill/platform/wire"
+)
+
+const (
+	// The sizes are the largest of the site files.
+	streamPieces = 130
+	pieceBytes   = 1500
+	pieceGap     = 10 * time.Millisecond
+	// readPause is the time for which a caller takes nothing of its answer.
+	readPause = 6700 * time.Millisecond
+	// streamTimeout is the time limit of the callers.
+	streamTimeout = 14 * time.Second
+	// callerBuffer is the receive buffer of a caller: links have small windows.
+	callerBuffer = 8 << 10
+	slowCallers  = 6
+)
+
+// streamEngine is a sound replica that answers with a stream of events.
+type streamEngine struct {
+	id string
+
+	mu       sync.Mutex
+	finished map[string]string // how the stream of a request ended here
+}
+
+// ServeHTTP streams events. It goes on for as long as the instance takes them.
+func (e *streamEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(wire.HeaderInstance, e.id)
+	if expected := r.Header.Get(wire.HeaderExpectInstance); expected != "" && expected != e.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	id := r.Header.Get(wire.HeaderRequestID)
+	e.end(id, "running")
+	w.Header().Set(wire.HeaderRequestID, id)
+	w.Header().Set(wire.HeaderSignature, e.id+"."+id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for piece := 1; piece <= streamPieces; piece++ {
+		head := fmt.Sprintf("id: %d\ndata: ", piece)
+		_, err := io.WriteString(w, head+strings.Repeat("x", pieceBytes-len(head)-2)+"\n\n")
+		if err == nil {
+			err = http.NewResponseController(w).Flush()
+		}
+		if err != nil {
+			e.end(id, fmt.Sprintf("the instance has ended it at piece %d: %v", piece, err))
+			panic(http.ErrAbortHandler)
+		}
+		time.Sleep(pieceGap)
+	}
+	e.end(id, "all pieces handed over")
+}
+
+func (e *streamEngine) end(id, how string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.finished[id] = how
+}
+
+// slowReader has callers pause while they read a stream that may run only once, around a SIGHUP.
+func slowReader(r *record, dir string) (broken bool, err error) {
+	f, err := startFleet(r, dir, func(c *wire.Config) {
+		for i := range c.Routes {
+			if c.Routes[i].Prefix == standin.NonResumableStreamPath {
+				c.Routes[i].Service, c.Routes[i].TimeoutMS = standin.PlainService, float64(streamTimeout.Milliseconds())
+			}
+		}
+	})
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	engine := &streamEngine{id: "stream-0", finished: map[string]string{}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return false, err
+	}
+	go func() { _ = http.Serve(listener, engine) }() //nolint // ends with the process
+	if err := f.register(engine.id, listener.Addr().String()); err != nil {
+		return false, err
+	}
+	for i := range 3 {
+		if _, err := f.addInstance(fmt.Sprintf("entry-%d", i)); err != nil {
+			return false, err
+		}
+	}
+	if !waitReady(20*time.Second, f.instances...) {
+		return false, fmt.Errorf("the instances are not ready")
+	}
+	time.Sleep(5 * time.Second) // more than contact_ms
+	in := f.instances[0]
+	if isTroubled() {
+		r.line("PLANNED WORK: SIGHUP to %s", in.name)
+		_ = in.cmd.Process.Signal(syscall.SIGHUP)
+		time.Sleep(200 * time.Millisecond)
+	}
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	cut := 0
+	for i := range slowCallers {
+		callers.Go(func() {
+			complete, what := readStream(in.caller, i)
+			mu.Lock()
+			defer mu.Unlock()
+			if !complete {
+				cut++
+			}
+			r.line("caller %d: complete=%t, %s", i, complete, what)
+		})
+	}
+	callers.Wait()
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	for id, how := range engine.finished {
+		r.line("engine: %s: %s", id, how)
+	}
+	r.line("accepted streams whose channel ended without a complete answer: %d of %d, allowed are 0", cut, slowCallers)
+	return cut > 0, nil
+}
+
+// readStream sends a request on a kept channel and reads its stream, with a pause after the first bytes.
+func readStream(addr string, i int) (complete bool, what string) {
+	dialer := net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, callerBuffer)
+		})
+	}}
+	ctx, cancel := context.WithTimeout(context.Background(), streamTimeout)
+	defer cancel()
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return false, err.Error()
+	}
+	defer func() { _ = conn.Close() }()
+	r := newRequest(http.MethodPost, standin.NonResumableStreamPath+"x", fmt.Sprint("prompt ", i), streamTimeout)
+	began := time.Now()
+	if err := r.Write(conn); err != nil {
+		return false, err.Error()
+	}
+	response, err := http.ReadResponse(bufio.NewReaderSize(conn, 4<<10), r)
+	if err != nil {
+		return false, err.Error()
+	}
+	paused := time.Duration(0)
+	if isTroubled() {
+		paused = readPause
+	}
+	time.Sleep(paused)
+	body, err := io.ReadAll(response.Body)
+	id := r.Header.Get(wire.HeaderRequestID)
+	what = fmt.Sprintf("%s status=%d pieces=%d of %d after %.1f s, of which %.1f s were the pause, error=%v",
+		id, response.StatusCode, strings.Count(string(body), "\n\n"), streamPieces, time.Since(began).Seconds(), paused.Seconds(), err)
+	return err == nil && response.StatusCode == http.StatusOK && len(body) == streamPieces*pieceBytes, what
+}
