--- a/review/bed2/slowreader.go
+++ b/review/bed2/slowreader.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// The sizes are the largest of the site files.
+	// The sizes are within the largest of portwell-mids-grown (130 pieces of 2,400 bytes).
 	streamPieces = 130
 	pieceBytes   = 1500
 	pieceGap     = 10 * time.Millisecond
@@ -49,9 +49,13 @@
 		panic(http.ErrAbortHandler)
 	}
 	id := r.Header.Get(wire.HeaderRequestID)
-	e.end(id, "running")
 	w.Header().Set(wire.HeaderRequestID, id)
 	w.Header().Set(wire.HeaderSignature, e.id+"."+id)
+	if strings.HasPrefix(r.URL.Path, standin.IdempotentPath) {
+		_, _ = io.WriteString(w, "proof") // fails only when the instance has gone
+		return
+	}
+	e.end(id, "running")
 	w.Header().Set("Content-Type", "text/event-stream")
 	for piece := 1; piece <= streamPieces; piece++ {
 		head := fmt.Sprintf("id: %d\ndata: ", piece)
@@ -135,7 +139,8 @@
 	return cut > 0, nil
 }
 
-// readStream sends a request on a kept channel and reads its stream, with a pause after the first bytes.
+// readStream sends a request on a channel that has served another one before, and reads its stream with a pause
+// after the first bytes.
 func readStream(addr string, i int) (complete bool, what string) {
 	dialer := net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
@@ -149,12 +154,16 @@
 		return false, err.Error()
 	}
 	defer func() { _ = conn.Close() }()
+	c := &channel{conn: conn, reader: bufio.NewReaderSize(conn, 4<<10)}
+	if status, _, err := c.do(newRequest(http.MethodGet, standin.IdempotentPath+"x", "", streamTimeout)); err != nil || status != http.StatusOK {
+		return false, fmt.Sprintf("first request on the channel: status=%d, error=%v", status, err)
+	}
 	r := newRequest(http.MethodPost, standin.NonResumableStreamPath+"x", fmt.Sprint("prompt ", i), streamTimeout)
 	began := time.Now()
 	if err := r.Write(conn); err != nil {
 		return false, err.Error()
 	}
-	response, err := http.ReadResponse(bufio.NewReaderSize(conn, 4<<10), r)
+	response, err := http.ReadResponse(c.reader, r)
 	if err != nil {
 		return false, err.Error()
 	}
