--- a/review/bed2/accounts.go
+++ b/review/bed2/accounts.go
@@ -16,14 +16,14 @@
 	// storeValueBytes is the largest value that the store takes.
 	storeValueBytes = 1 << 20
 	// survivors are the machines that nothing happens to, callersEach the callers of each of them.
-	survivors   = 5
-	callersEach = 12
+	survivors   = 3
+	callersEach = 15
 	// warmUp is the time before the loss, after which more than contact_ms have passed. lossGap is the time
 	// between two losses, newMachineAfter that until a lost machine is replaced.
 	warmUp          = 8 * time.Second
-	lossGap         = 10 * time.Second
+	lossGap         = 8 * time.Second
 	newMachineAfter = time.Second
-	observed        = 50 * time.Second
+	observed        = 60 * time.Second
 	// serviceTime is the time for which a replica works on a request.
 	serviceTime = 1500 * time.Millisecond
 	// allowedCuts is the number of channels without an answer that the rule allows.
--- a/review/bed2/fleet.go
+++ b/review/bed2/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -73,7 +74,7 @@
 	if ports.used == nil {
 		ports.used = map[int]bool{}
 	}
-	for port := 12_000 + os.Getpid()%7000; port < 30_000; port++ {
+	for port := 12_000 + rand.IntN(16_000); port < 32_000; port++ {
 		if ports.used[port] {
 			continue
 		}
--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -25,8 +25,8 @@
 func run() int {
 	name := flag.String("case", "", "name of the case")
 	folder := flag.String("folder", "", "folder of the case")
-	accounts := flag.Int("accounts", 7900, "accounts of the configuration, for lost-machine")
-	losses := flag.Int("losses", 1, "machines that are lost one after the other, for lost-machine")
+	accounts := flag.Int("accounts", 6000, "accounts of the configuration, for lost-machine")
+	losses := flag.Int("losses", 7, "machines that are lost one after the other, for lost-machine")
 	flag.Parse()
 	file, err := os.Create(filepath.Join(*folder, "record.txt"))
 	if err != nil {
