review/8: slow readers are closed before idle channels in a burst

The instance then closes streams that their callers read slowly, although nearly a thousand idle channels are open. pkg/admission spares only connections in the phase Running; a blocked write is Sending, and its debt grows 16 times as fast as that of an idle channel.

The set-up of the streams in review/bed2 is shared with review/7 now.

--- a/review/bed2/fleet.go
+++ b/review/bed2/fleet.go
@@ -47,7 +47,7 @@
 type instance struct {
 	name                                 string
 	caller, ready, directory, peer, meas string
-	settings                             string
+	settings, log                        string
 	cmd                                  *exec.Cmd
 	done                                 chan struct{}
 }
@@ -60,6 +60,8 @@
 	settingsVariable string
 	platform         *standin.Platform
 	instances        []*instance
+	// memoryMB and maxFDs are those of each machine.
+	memoryMB, maxFDs int
 }
 
 var ports struct {
@@ -99,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: r, dir: dir, settingsVariable: *settingsVariable, platform: p}
+	f := &fleet{record: r, dir: dir, settingsVariable: *settingsVariable, platform: p, memoryMB: memoryMB, maxFDs: maxFDs}
 	err = p.SetConfig(func(c *wire.Config) {
 		*c = standin.DefaultConfig(account, key, rate, engineParams)
 		if change != nil {
@@ -132,7 +134,7 @@
   "grace_seconds": 8, "config_apply_ms": 3000, "contact_ms": 4000, "drain_ms": 3000, "follow_readers": true,
   "addresses_max_seconds": 5, "retry_ratio": 0.2, "retry_allowance": 56, "retry_window_seconds": 10,
   "quota_window_s": 8, "quota_tolerance_part": 0.5, "quota_overage": 0.1, "quota_slack": 110000
-}`, name, in.caller, in.ready, in.directory, in.peer, in.meas, strings.Join(seeds, ","), f.platform.StoreAddr, memoryMB, maxFDs)
+}`, name, in.caller, in.ready, in.directory, in.peer, in.meas, strings.Join(seeds, ","), f.platform.StoreAddr, f.memoryMB, f.maxFDs)
 	in.settings = filepath.Join(f.dir, name+".jsonc")
 	if err := os.WriteFile(in.settings, []byte(text), 0o600); err != nil {
 		return nil, err
@@ -143,7 +145,8 @@
 
 // start starts the process of an instance with the command of the deploy file.
 func (f *fleet) start(in *instance) error {
-	log, err := os.OpenFile(filepath.Join(f.dir, in.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	in.log = filepath.Join(f.dir, in.name+".log")
+	log, err := os.OpenFile(in.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -47,6 +47,8 @@
 		broken, err = lostMachine(r, dir, *accounts, *losses)
 	case "slow-reader":
 		broken, err = slowReader(r, dir)
+	case "slow-in-burst":
+		broken, err = slowInBurst(r, dir)
 	default:
 		err = fmt.Errorf("no case %q", *name)
 	}
--- a/review/bed2/slowreader.go
+++ b/review/bed2/slowreader.go
@@ -32,7 +32,8 @@
 
 // streamEngine is a sound replica that answers with a stream of events.
 type streamEngine struct {
-	id string
+	id  string
+	gap time.Duration // between two pieces
 
 	mu       sync.Mutex
 	finished map[string]string // how the stream of a request ended here
@@ -67,7 +68,7 @@
 			e.end(id, fmt.Sprintf("the instance has ended it at piece %d: %v", piece, err))
 			panic(http.ErrAbortHandler)
 		}
-		time.Sleep(pieceGap)
+		time.Sleep(e.gap)
 	}
 	e.end(id, "all pieces handed over")
 }
@@ -78,8 +79,8 @@
 	e.finished[id] = how
 }
 
-// slowReader has callers pause while they read a stream that may run only once, around a SIGHUP.
-func slowReader(r *record, dir string) (broken bool, err error) {
+// startStreamSite starts a platform whose streams that may run only once are those of the returned engine.
+func startStreamSite(r *record, dir string, gap time.Duration) (*fleet, *streamEngine, error) {
 	f, err := startFleet(r, dir, func(c *wire.Config) {
 		for i := range c.Routes {
 			if c.Routes[i].Prefix == standin.NonResumableStreamPath {
@@ -88,18 +89,37 @@
 		}
 	})
 	if err != nil {
-		return false, err
+		return nil, nil, err
 	}
-	defer f.close()
-	engine := &streamEngine{id: "stream-0", finished: map[string]string{}}
+	engine := &streamEngine{id: "stream-0", gap: gap, finished: map[string]string{}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err == nil {
+		go func() { _ = http.Serve(listener, engine) }() //nolint // ends with the process
+		err = f.register(engine.id, listener.Addr().String())
+	}
 	if err != nil {
-		return false, err
+		f.close()
+		return nil, nil, err
+	}
+	return f, engine, nil
+}
+
+// log writes how the streams have ended at the engine.
+func (e *streamEngine) log(r *record) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, how := range e.finished {
+		r.line("engine: %s: %s", id, how)
 	}
-	go func() { _ = http.Serve(listener, engine) }() //nolint // ends with the process
-	if err := f.register(engine.id, listener.Addr().String()); err != nil {
+}
+
+// slowReader has callers pause while they read a stream that may run only once, around a SIGHUP.
+func slowReader(r *record, dir string) (broken bool, err error) {
+	f, engine, err := startStreamSite(r, dir, pieceGap)
+	if err != nil {
 		return false, err
 	}
+	defer f.close()
 	for i := range 3 {
 		if _, err := f.addInstance(fmt.Sprintf("entry-%d", i)); err != nil {
 			return false, err
@@ -110,7 +130,9 @@
 	}
 	time.Sleep(5 * time.Second) // more than contact_ms
 	in := f.instances[0]
+	pause := time.Duration(0)
 	if isTroubled() {
+		pause = readPause
 		r.line("PLANNED WORK: SIGHUP to %s", in.name)
 		_ = in.cmd.Process.Signal(syscall.SIGHUP)
 		time.Sleep(200 * time.Millisecond)
@@ -120,7 +142,7 @@
 	cut := 0
 	for i := range slowCallers {
 		callers.Go(func() {
-			complete, what := readStream(in.caller, i)
+			complete, what := readStream(in.caller, i, pause)
 			mu.Lock()
 			defer mu.Unlock()
 			if !complete {
@@ -130,18 +152,14 @@
 		})
 	}
 	callers.Wait()
-	engine.mu.Lock()
-	defer engine.mu.Unlock()
-	for id, how := range engine.finished {
-		r.line("engine: %s: %s", id, how)
-	}
+	engine.log(r)
 	r.line("accepted streams whose channel ended without a complete answer: %d of %d, allowed are 0", cut, slowCallers)
 	return cut > 0, nil
 }
 
 // readStream sends a request on a channel that has served another one before, and reads its stream with a pause
 // after the first bytes.
-func readStream(addr string, i int) (complete bool, what string) {
+func readStream(addr string, i int, pause time.Duration) (complete bool, what string) {
 	dialer := net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, callerBuffer)
@@ -167,14 +185,10 @@
 	if err != nil {
 		return false, err.Error()
 	}
-	paused := time.Duration(0)
-	if isTroubled() {
-		paused = readPause
-	}
-	time.Sleep(paused)
+	time.Sleep(pause)
 	body, err := io.ReadAll(response.Body)
 	id := r.Header.Get(wire.HeaderRequestID)
 	what = fmt.Sprintf("%s status=%d pieces=%d of %d after %.1f s, of which %.1f s were the pause, error=%v",
-		id, response.StatusCode, strings.Count(string(body), "\n\n"), streamPieces, time.Since(began).Seconds(), paused.Seconds(), err)
+		id, response.StatusCode, strings.Count(string(body), "\n\n"), streamPieces, time.Since(began).Seconds(), pause.Seconds(), err)
 	return err == nil && response.StatusCode == http.StatusOK && len(body) == streamPieces*pieceBytes, what
 }
