--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -47,6 +47,8 @@
 		broken, err = lostMachine(r, dir, *accounts, *losses)
 	case "slow-reader":
 		broken, err = slowReader(r, dir)
+	case "mid-reader":
+		broken, err = midReader(r, dir)
 	case "slow-in-burst":
 		broken, err = slowInBurst(r, dir)
 	default:
