hosted: a caller that pauses keeps its connection for the time of its request

Cause: TCP_USER_TIMEOUT, 6 s, on callers' connections. The kernel applies it to a peer whose window is closed too, although it acknowledges each probe. Behind it, a write had 8 s for 16 KB, whatever time the caller had left, so a longer pause was cut there.

Ruled out: a longer TCP_USER_TIMEOUT (moves the bound and delays the end of hosts that are gone), none with keep-alive probes alone (the kernel sends none while data is outstanding).

Change: pkg/ackwatch reads TCP_INFO while a connection is written to and ends the write when something sent or probed is unanswered for 6 s. A write may block up to the deadline of its request; 16 KB in 8 s apply after it.

--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -17,6 +17,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/rhubarbsill/rhubarbsill/pkg/ackwatch"
 	"github.com/rhubarbsill/rhubarbsill/pkg/admission"
 	"github.com/rhubarbsill/rhubarbsill/pkg/boottime"
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
@@ -364,13 +365,13 @@
 	}
 }
 
-// Keep-alive probes and timeouts of caller connections. An unresponsive connection is
-// closed within 8 s.
+// Keep-alive probes and time limit of caller connections. An unresponsive connection is
+// closed within 8 s. A caller that responds and reads slowly has the time of its request.
 const (
-	keepAliveIdle     = 4 * time.Second
-	keepAliveInterval = 2 * time.Second
-	keepAliveCount    = 2
-	tcpUserTimeout    = 6 * time.Second
+	keepAliveIdle       = 4 * time.Second
+	keepAliveInterval   = 2 * time.Second
+	keepAliveCount      = 2
+	unresponsiveTimeout = 6 * time.Second
 )
 
 func listen(addr string) (net.Listener, error) {
@@ -382,20 +383,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	return userTimeoutListener{listener}, nil
-}
-
-// userTimeoutListener sets a TCP user timeout on accepted connections, so that those
-// whose data stays unacknowledged are closed.
-type userTimeoutListener struct{ net.Listener }
-
-// Accept accepts a connection and sets its TCP user timeout.
-func (l userTimeoutListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err == nil {
-		upstream.SetTCPUserTimeout(conn, tcpUserTimeout)
-	}
-	return conn, err
+	return ackwatch.Listener{Listener: listener, Limit: unresponsiveTimeout}, nil
 }
 
 // post sends an event to the event loop, and drops it when the loop has ended.
--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -222,6 +222,8 @@
 		d.attemptFailed(ctx, active, run.attempt, run.upstream, &upstream.Error{Kind: upstream.Expired, URL: run.url, Err: errNotResumable})
 		return
 	}
+	// The route may allow less time than the caller waits.
+	active.response.callerConn.setAnswerBy(time.Now().Add(req.TimeLeft()))
 	attemptCtx, cancel := active.startAttempt(ctx, run.attempt)
 	defer cancel()
 	req.HeaderTimeout = run.eventTimeout
--- a/pkg/hosted/gate.go
+++ b/pkg/hosted/gate.go
@@ -25,7 +25,10 @@
 	// headerSlack is what a header section may have beyond the limit of the configuration before it is
 	// cut off. Up to there, the refusal states the request.
 	headerSlack = 4 << 10
-	// slowWriteChunk is written within writeTimeout, or the client counts as gone: 2 KB/s.
+	// writeTimeout is the time for slowWriteChunk bytes once the time of a request is over. A client that
+	// does not take them counts as gone.
+	writeTimeout = 8 * time.Second
+	// slowWriteChunk is written within writeTimeout: 2 KB/s.
 	slowWriteChunk = 16 << 10
 	// refusalLinger bounds the reading of a request that was refused before it was read, so that the
 	// client gets the refusal.
@@ -196,6 +199,9 @@
 	id          admission.ConnID
 	class       admission.Class
 	headerLimit func() int
+	// answerBy is the time up to which the client waits for its answer. It is used by the goroutine that
+	// serves the connection.
+	answerBy time.Time
 
 	// inHeader is set while the next bytes belong to a header section. The other fields are only used
 	// by the goroutine that reads.
@@ -264,20 +270,36 @@
 
 // CloseWrite implements an optional interface that net/http uses.
 func (c *callerConn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
 	}
 	return nil
 }
 
-// Write implements net.Conn. Each chunk has the time limit of its own, so that a slow reader that makes
-// progress gets all.
+// setAnswerBy sets the time up to which the client waits for the answer to its request.
+func (c *callerConn) setAnswerBy(t time.Time) {
+	if c != nil {
+		c.answerBy = t
+	}
+}
+
+// writeDeadline returns the time up to which the client may take the next chunk. After the time of its
+// request, a slow reader that makes progress still gets all.
+func (c *callerConn) writeDeadline(now time.Time) time.Time {
+	deadline := now.Add(writeTimeout)
+	if c.answerBy.After(deadline) {
+		return c.answerBy
+	}
+	return deadline
+}
+
+// Write implements net.Conn. It writes in chunks, each with a deadline of its own.
 func (c *callerConn) Write(p []byte) (int, error) {
 	before := c.gate.setPhase(c, admission.Sending)
 	defer c.gate.setPhase(c, before)
 	written := 0
 	for {
-		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		if err := c.Conn.SetWriteDeadline(c.writeDeadline(time.Now())); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(p[written:min(len(p), written+slowWriteChunk)])
--- a/pkg/hosted/response.go
+++ b/pkg/hosted/response.go
@@ -13,10 +13,6 @@
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
 
-// writeTimeout bounds each write to a caller. A caller that reads nothing for that
-// long counts as disconnected.
-const writeTimeout = 8 * time.Second
-
 // responseWriter writes one response to a caller.
 type responseWriter struct {
 	w       http.ResponseWriter
@@ -28,13 +24,18 @@
 	started   bool
 	// conn is set for a caller to whom the end of the connection is that of a stream. It is
 	// closed with a reset unless the stream is complete, also when the process ends.
-	conn *net.TCPConn
+	conn lingerer
 	// callerConn is the connection of the caller, nil in tests without one.
 	callerConn *callerConn
 	// complete is set once a buffered response was written.
 	complete bool
 }
 
+// lingerer is a connection whose close can be made a reset.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
 // bufferedResponse is a complete response of an Upstream that has not been passed on.
 type bufferedResponse struct {
 	status int
@@ -82,7 +83,7 @@
 func (rw *responseWriter) forRequest(r *http.Request) *responseWriter {
 	rw.callerConn = connOf(r.Context())
 	if rw.callerConn != nil && !r.ProtoAtLeast(1, 1) {
-		rw.conn, _ = rw.callerConn.Conn.(*net.TCPConn)
+		rw.conn, _ = rw.callerConn.Conn.(lingerer)
 	}
 	return rw
 }
@@ -134,7 +135,6 @@
 	if rw.isLeaving() {
 		rw.w.Header().Set("Connection", "close")
 	}
-	rw.setDeadline()
 	rw.w.WriteHeader(status)
 }
 
@@ -151,14 +151,8 @@
 
 // sendPart writes and flushes a part of a stream.
 func (rw *responseWriter) sendPart(part []byte) error {
-	rw.setDeadline()
 	if _, err := rw.w.Write(part); err != nil {
 		return err
 	}
 	return rw.control.Flush()
 }
-
-func (rw *responseWriter) setDeadline() {
-	// Where deadlines are not supported, the TCP user timeout of the listener applies.
-	_ = rw.control.SetWriteDeadline(time.Now().Add(writeTimeout))
-}
--- a/pkg/hosted/serve.go
+++ b/pkg/hosted/serve.go
@@ -46,6 +46,7 @@
 	}
 	if refusal == nil {
 		deadline := arrivedAt.Add(inbound.timeout())
+		rw.callerConn.setAnswerBy(time.Now().Add(deadline.Sub(d.now())))
 		if d.isRefusedByHeader(r, inbound, target) {
 			d.serveInbound(rw, r, inbound, target, nil, deadline)
 			return
