admission: close what loses nothing before an answer on its way

Cause: the choice weighs only the debt (bytes times the time for which the client lets the process wait), in which idle time counts a sixteenth. What a close loses was not weighed.

Ruled out: other weights (a longer pause meets them again). Tried and left: newcomers behind idle connections; crowds of senders then took those of ordinary callers (three TestHostile tests fell).

Change: an answer is closed only when no connection is left that is idle or receives its request, or when clients that take answers hold half of the connections or bytes; then the debt decides as before.

TestAnswersAreKeptWhenConnectionsAreShort: on four of four answers end with "unexpected EOF". TestConnectionsThatLoseNothingAreClosedFirst and TestDrawnCrowdsLoseNoAnswerBeforeTheRest fail with the order left out.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -130,6 +130,22 @@
 	closing bool
 }
 
+// claim is the claim of a client to its connection in a shortage.
+type claim struct {
+	// hasAnswer is set while the client takes an answer, which may not be had again. Other clients lose only
+	// a connection, or a request that has not run.
+	hasAnswer bool
+	debt      float64
+}
+
+// isWeakerThan reports whether a connection is closed before another one.
+func (a claim) isWeakerThan(b claim) bool {
+	if a.hasAnswer != b.hasAnswer {
+		return b.hasAnswer
+	}
+	return a.debt > b.debt
+}
+
 func (c *conn) debtAt(now core.Instant) float64 {
 	d := float64(c.held) * time.Duration(now-c.since).Seconds()
 	switch c.phase {
@@ -152,6 +168,11 @@
 	closing int64
 	// large is what connections hold that hold more than SmallHold.
 	large int64
+	// sending is what connections in the phase Sending hold, without those that are being closed.
+	sending struct {
+		conns int
+		bytes int64
+	}
 }
 
 // NewBudget returns a Budget without connections.
@@ -177,19 +198,20 @@
 	Close   []ConnID
 }
 
-// Open adds a connection. At the limit of its class, the connection with the largest debt of the class
-// is closed for it: the new one has none. It is refused only if none can be closed.
+// Open adds a connection. At the limit of its class, the one of the class with the weakest claim is closed
+// for it. It is refused only if none has a weaker claim.
 func (b *Budget) Open(now core.Instant, id ConnID, class Class) Decision {
 	var d Decision
+	var own claim
 	if b.open[class] >= b.limits.Conns[class] {
-		victim := b.worst(now, 0, func(c *conn) bool { return c.class == class })
+		victim := b.weakest(now, own, func(c *conn) bool { return c.class == class })
 		if victim == nil {
 			return Decision{Verdict: Refused}
 		}
 		d.Close = append(d.Close, b.startClosing(victim))
 	}
 	if b.used-b.closing+ConnBytes > b.limits.Bytes {
-		victim := b.worst(now, 0, func(*conn) bool { return true })
+		victim := b.weakest(now, own, func(*conn) bool { return true })
 		if victim == nil {
 			return Decision{Verdict: Refused, Close: d.Close}
 		}
@@ -203,8 +225,8 @@
 	return d
 }
 
-// Reserve asks for n more bytes for a connection. When they are short, connections with a larger debt
-// than its own are closed, the largest first. If there are too few, the connection itself is refused.
+// Reserve asks for n more bytes for a connection. When they are short, connections with a weaker claim
+// are closed, the weakest first. If there are too few, the connection itself is refused.
 func (b *Budget) Reserve(now core.Instant, id ConnID, n int64) Decision {
 	c := b.byID[id]
 	if c == nil || c.closing {
@@ -218,9 +240,9 @@
 	}
 	isLarge := c.held+n > SmallHold
 	var d Decision
-	own := c.debtAt(now)
+	own := b.claimAt(now, c)
 	for pending := b.closingFor(isLarge, n, c); pending < missing; {
-		victim := b.worst(now, own, func(other *conn) bool {
+		victim := b.weakest(now, own, func(other *conn) bool {
 			return other != c && (!isLarge || other.held > SmallHold || b.missingBytes(n) > 0)
 		})
 		if victim == nil {
@@ -263,22 +285,33 @@
 	return sum
 }
 
-// worst returns the connection with the largest debt above a limit, nil for none. A connection in whose
-// request an Upstream may be involved is never chosen.
-func (b *Budget) worst(now core.Instant, above float64, eligible func(*conn) bool) *conn {
+// answersCrowd reports whether clients that take their answers hold half of the connections or bytes. They
+// then have no claim beyond that of others, so that clients that don't read can't keep new ones out.
+func (b *Budget) answersCrowd() bool {
+	return 2*b.sending.conns >= b.limits.Conns[Callers] || 2*b.sending.bytes >= b.limits.Bytes
+}
+
+func (b *Budget) claimAt(now core.Instant, c *conn) claim {
+	return claim{hasAnswer: (c.phase == Running || c.phase == Sending) && !b.answersCrowd(), debt: c.debtAt(now)}
+}
+
+// weakest returns the connection with the weakest claim, nil if none is weaker than own. A connection in
+// whose request an Upstream may be involved is never chosen.
+func (b *Budget) weakest(now core.Instant, own claim, eligible func(*conn) bool) *conn {
 	var found *conn
 	for _, c := range b.conns {
 		if c.closing || c.phase == Running || !eligible(c) {
 			continue
 		}
-		if debt := c.debtAt(now); debt > above {
-			found, above = c, debt
+		if claim := b.claimAt(now, c); claim.isWeakerThan(own) {
+			found, own = c, claim
 		}
 	}
 	return found
 }
 
 func (b *Budget) startClosing(c *conn) ConnID {
+	b.countSending(c, -1)
 	c.closing = true
 	b.closing += c.held
 	b.open[c.class]--
@@ -311,7 +344,17 @@
 	if phase == Idle || c.phase == Idle {
 		c.debt = 0
 	}
+	b.countSending(c, -1)
 	c.phase = phase
+	b.countSending(c, 1)
+}
+
+// countSending adds what a connection holds to sending, or takes it away.
+func (b *Budget) countSending(c *conn, sign int) {
+	if c.phase == Sending && !c.closing {
+		b.sending.conns += sign
+		b.sending.bytes += int64(sign) * c.held
+	}
 }
 
 // Phase returns the phase of a connection.
@@ -329,6 +372,7 @@
 		return
 	}
 	b.add(c, -c.held)
+	b.countSending(c, -1)
 	if !c.closing {
 		b.open[c.class]--
 	}
@@ -348,7 +392,9 @@
 	if c.held > SmallHold {
 		b.large -= c.held
 	}
+	b.countSending(c, -1)
 	c.held += n
+	b.countSending(c, 1)
 	b.used += n
 	if c.closing {
 		b.closing += n
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/core"
 )
@@ -56,6 +57,62 @@
 	is.Equal(b.Open(12*second, 3, Callers), Decision{Close: []ConnID{2}})
 }
 
+// Guards against an answer that is lost although connections could be closed that lose nothing, and against
+// clients that don't read their answers and keep new ones out.
+func TestConnectionsThatLoseNothingAreClosedFirst(t *testing.T) {
+	is := is.New(t)
+	b := testBudget(4)
+	for id := ConnID(1); id <= 4; id++ {
+		b.Open(0, id, Callers)
+	}
+	b.SetPhase(0, 1, Sending)
+	b.SetPhase(0, 2, Running)
+	b.SetPhase(9*second, 3, Idle)
+	b.SetPhase(9*second, 4, Receiving)
+	is.Equal(b.Open(10*second, 5, Callers).Close, []ConnID{4}) // a slow request
+	is.Equal(b.Open(10*second, 6, Callers).Close, []ConnID{3}) // an idle connection
+	is.Equal(b.Open(11*second, 7, Callers).Close, []ConnID{5}) // a client that has just come
+	b.SetPhase(11*second, 6, Sending)
+	is.Equal(b.Open(12*second, 8, Callers).Close, []ConnID{1}) // an answer, as answers hold half of all
+}
+
+// Guards against the same in crowds of any phases and sizes, for connections and for bytes.
+func TestDrawnCrowdsLoseNoAnswerBeforeTheRest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 30).Draw(t, "connections")
+		b := NewBudget(Limits{Bytes: 4 << 20, LargeBytes: 4 << 20, Conns: [numClasses]int{n, n, n, n}})
+		now := core.Instant(0)
+		for id := ConnID(1); id <= ConnID(n); id++ {
+			b.Open(now, id, Callers)
+			b.Reserve(now, id, rapid.Int64Range(0, 64<<10).Draw(t, "bytes"))
+			b.SetPhase(now, id, Phase(rapid.IntRange(int(Receiving), int(Idle)).Draw(t, "phase")))
+			now += core.Instant(rapid.Int64Range(0, int64(2*second)).Draw(t, "pause"))
+		}
+		crowded := b.answersCrowd()
+		var d Decision
+		if rapid.Bool().Draw(t, "bytes are short") {
+			b.Open(now, 1000, Directory)
+			d = b.Reserve(now, 1000, rapid.Int64Range(1<<20, 4<<20).Draw(t, "wanted"))
+		} else {
+			d = b.Open(now, 1000, Callers)
+		}
+		lost := false
+		for _, id := range d.Close {
+			switch b.byID[id].phase {
+			case Running:
+				t.Fatalf("connection %d is closed while its request runs", id)
+			case Sending:
+				lost = true
+			}
+		}
+		for _, c := range b.conns {
+			if lost && !crowded && !c.closing && c.phase != Running && c.phase != Sending && c.debtAt(now) > 0 {
+				t.Fatalf("an answer is lost and connection %d is kept", c.id)
+			}
+		}
+	})
+}
+
 // Guards against large requests that take the bytes of all ordinary ones.
 func TestLargeRequestsLeaveBytesForOrdinaryOnes(t *testing.T) {
 	is := is.New(t)
--- a/pkg/hosted/slow_reader_test.go
+++ b/pkg/hosted/slow_reader_test.go
@@ -34,12 +34,13 @@
 	return head + strings.Repeat("x", pieceBytes-len(head)-2) + "\n\n"
 }
 
-// startLongAnswers starts a Daemon before a service whose answers are long: at /p/whole one body, at
-// /stream/ and /resumable/ events as fast as they are taken. change sets what the routes have in common.
-func startLongAnswers(t *testing.T, change func(*config.HostRoute)) Settings {
+// startLongAnswers starts a Daemon before a service whose answers are long: at /p/ one body, at
+// /stream/ and /resumable/ events as fast as they are taken. change sets what the routes have in common, changeSettings what
+// the settings have beside the defaults.
+func startLongAnswers(t *testing.T, change func(*config.HostRoute), changeSettings func(*Settings)) Settings {
 	t.Helper()
 	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/p/whole" {
+		if !strings.HasPrefix(r.URL.Path, "/p/") {
 			w.Header().Set("Content-Type", "text/event-stream")
 		}
 		for id := 1; id <= answerPieces; id++ {
@@ -65,7 +66,10 @@
 			ID: core.UpstreamID(id), Service: "s", Addr: strings.TrimPrefix(service.URL, "http://"), DataCentre: "a", Slots: 64,
 		})
 	}
-	settings, _, _ := startDaemonWith(t, store, zap.NewNop(), func(s *Settings) { s.RetryAllowance = 1000 })
+	settings, _, _ := startDaemonWith(t, store, zap.NewNop(), func(s *Settings) {
+		s.RetryAllowance = 1000
+		changeSettings(s)
+	})
 	return settings
 }
 
@@ -111,9 +115,9 @@
 // Guards against a caller that is cut off because it takes nothing of its answer for some seconds, within
 // the time of its request.
 func TestCallerThatPausesGetsItsAnswer(t *testing.T) {
-	settings := startLongAnswers(t, func(route *config.HostRoute) { route.LatencyTarget = 10 * time.Second })
+	settings := startLongAnswers(t, func(route *config.HostRoute) { route.LatencyTarget = 10 * time.Second }, func(*Settings) {})
 	const timeout = 18 * time.Second
-	for _, path := range []string{"/p/whole", "/stream/x"} {
+	for _, path := range []string{"/p/x", "/stream/x"} {
 		for _, pause := range []time.Duration{3 * time.Second, 7 * time.Second, 14 * time.Second} {
 			t.Run(path+" "+pause.String(), func(t *testing.T) {
 				t.Parallel()
@@ -122,3 +126,43 @@
 		}
 	}
 }
+
+// Guards against callers whose answers are closed when connections are short, although there are idle ones
+// that lose nothing.
+func TestAnswersAreKeptWhenConnectionsAreShort(t *testing.T) {
+	is := is.New(t)
+	const readers, idle, burst, pause = 4, 60, 200, 4 * time.Second
+	settings := startLongAnswers(t, func(route *config.HostRoute) { route.LatencyTarget = 10 * time.Second }, func(s *Settings) {
+		s.MemoryMB, s.MaxFDs = 112, 400 // 80 connections of callers
+	})
+	open := func() net.Conn {
+		conn, err := net.Dial("tcp", settings.CallerAddr)
+		is.NoErr(err)
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+	for i := range idle {
+		conn := open()
+		_, err := fmt.Fprintf(conn, "GET /nowhere HTTP/1.1\r\nHost: h\r\nX-Id: idle%d\r\n\r\n", i)
+		is.NoErr(err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		response.Body.Close()
+	}
+	t.Run("readers", func(t *testing.T) {
+		for i := range readers {
+			path := fmt.Sprintf("/%s/%d", []string{"p", "stream"}[i%2], i)
+			t.Run(path, func(t *testing.T) {
+				t.Parallel()
+				checkLongAnswer(t, settings, path, 18*time.Second, pause)
+			})
+		}
+		t.Run("burst", func(t *testing.T) {
+			t.Parallel()
+			time.Sleep(pause / 2)
+			for range burst {
+				open()
+			}
+		})
+	})
+}
