hosted: only waits for an Upstream count against it

Cause: the read deadline of the engine's connection and the timer that reports stalled attempts ran from one event to the next, so also while the instance was writing to the caller. The sound engine counted as stalled. Streams that may be resumed went on at another engine, from the retry budget.

Ruled out: a longer event timeout (moves the bound, and stalled engines are noticed later); a deadline that is only set again before each read (a stream that sends bytes and no event would never stall).

Change: readClock runs while the instance reads from the Upstream, and counts from zero after an event. Both the deadline and the timer follow it. Whole answers too: waits for the instance's own memory and the write to the caller do not count.

TestEngineIsNotBlamedForAPauseOfTheCaller: without the fix four of nine answers end early and six attempts are logged as stalled; all nine are whole now, with one run each and nothing logged.

--- a/pkg/hosted/engines.go
+++ b/pkg/hosted/engines.go
@@ -233,19 +233,20 @@
 	if response == nil {
 		return
 	}
+	stall.endRead()
 	if run.streaming && response.Status == http.StatusOK {
 		defer response.Close()
 		d.relay(attemptCtx, active, run, response, stall)
 		return
 	}
-	d.passOnWhole(attemptCtx, active, run, response)
+	d.passOnWhole(attemptCtx, active, run, response, stall)
 }
 
 // passOnWhole reads an answer that is not a stream and passes it on. An answer that fails the attempt
 // is kept for the caller, unless part of a stream was already sent.
-func (d *Daemon) passOnWhole(ctx context.Context, active *activeRequest, run upstreamRun, response *UpstreamResponse) {
+func (d *Daemon) passOnWhole(ctx context.Context, active *activeRequest, run upstreamRun, response *UpstreamResponse, stall *stallWatch) {
 	conn := active.response.callerConn
-	body, err := d.readResponseBody(ctx, response, conn)
+	body, err := d.readResponseBody(ctx, response, conn, stall)
 	if err == nil && active.response.started && !run.isFailure(response.Status) {
 		err = errNotAStream
 	}
@@ -288,7 +289,7 @@
 
 // readResponseBody reads and closes a buffered response. Its bytes are held for the caller's connection
 // until the caller has read it.
-func (d *Daemon) readResponseBody(ctx context.Context, response *UpstreamResponse, conn *callerConn) ([]byte, error) {
+func (d *Daemon) readResponseBody(ctx context.Context, response *UpstreamResponse, conn *callerConn, stall *stallWatch) ([]byte, error) {
 	defer response.Close()
-	return d.buffers.ReadAllWithin(ctx, response, maxResponseBytes, func(n int) error { return conn.reserve(ctx, n) })
+	return d.buffers.ReadAllWithin(ctx, stall.reader(response), maxResponseBytes, func(n int) error { return conn.reserve(ctx, n) })
 }
--- a/pkg/hosted/relay.go
+++ b/pkg/hosted/relay.go
@@ -25,6 +25,7 @@
 	run      upstreamRun
 	response *UpstreamResponse
 	stall    *stallWatch
+	clock    readClock
 
 	// isEvents is set when the answer is a stream of events. Another one is passed on as it comes.
 	isEvents bool
@@ -47,7 +48,8 @@
 // event can be the end of the stream.
 func (d *Daemon) relay(ctx context.Context, active *activeRequest, run upstreamRun, response *UpstreamResponse, stall *stallWatch) {
 	s := &streamRelay{
-		daemon: d, active: active, run: run, response: response, stall: stall, isEvents: isEventStream(response.Header),
+		daemon: d, active: active, run: run, response: response, isEvents: isEventStream(response.Header),
+		stall: stall, clock: readClock{limit: run.eventTimeout},
 		resumed: active.template.LastEventID != "", reserved: d.buffers.Reserve(),
 	}
 	defer s.reserved.Release()
@@ -65,7 +67,7 @@
 	s.progress()
 	buffer := make([]byte, relayBufferSize)
 	for {
-		n, err := response.Read(buffer)
+		n, err := s.read(buffer)
 		readAt := time.Now()
 		part, failure := s.split(ctx, buffer[:n])
 		if failure != nil {
@@ -134,9 +136,17 @@
 	return complete, err
 }
 
+// read waits for the Upstream. Only this time counts against it.
+func (s *streamRelay) read(buffer []byte) (int, error) {
+	s.response.SetReadDeadline(s.clock.begin(time.Now()))
+	n, err := s.stall.reader(s.response).Read(buffer)
+	s.clock.end(time.Now())
+	return n, err
+}
+
 func (s *streamRelay) progress() {
 	s.stall.progress()
-	s.response.SetReadDeadline(time.Now().Add(s.run.eventTimeout))
+	s.clock.progress(time.Now())
 }
 
 // pass writes a part to the caller, whose response it starts if necessary.
--- a/pkg/hosted/slow_reader_test.go
+++ b/pkg/hosted/slow_reader_test.go
@@ -8,12 +8,17 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+	"pgregory.net/rapid"
 
 	"github.com/rhubarbsill/rhubarbsill/pkg/catalog"
 	"github.com/rhubarbsill/rhubarbsill/pkg/config"
@@ -34,12 +39,28 @@
 	return head + strings.Repeat("x", pieceBytes-len(head)-2) + "\n\n"
 }
 
+// longAnswers is a Daemon before a service whose answers are long.
+type longAnswers struct {
+	settings Settings
+	runs     sync.Map // request id -> *atomic.Int64
+	logs     *observer.ObservedLogs
+}
+
+// runsOf returns how often a request has run.
+func (l *longAnswers) runsOf(id string) int64 {
+	n, _ := l.runs.LoadOrStore(id, new(atomic.Int64))
+	return n.(*atomic.Int64).Load()
+}
+
 // startLongAnswers starts a Daemon before a service whose answers are long: at /p/ one body, at
-// /stream/ and /resumable/ events as fast as they are taken. change sets what the routes have in common, changeSettings what
+// /stream/ and /resumable/ events as fast as they are taken, without an end at /stalls. change sets what the routes have in common, changeSettings what
 // the settings have beside the defaults.
-func startLongAnswers(t *testing.T, change func(*config.HostRoute), changeSettings func(*Settings)) Settings {
+func startLongAnswers(t *testing.T, change func(*config.HostRoute), changeSettings func(*Settings)) *longAnswers {
 	t.Helper()
+	l := &longAnswers{}
 	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := l.runs.LoadOrStore(r.Header.Get("X-Id"), new(atomic.Int64))
+		n.(*atomic.Int64).Add(1)
 		if !strings.HasPrefix(r.URL.Path, "/p/") {
 			w.Header().Set("Content-Type", "text/event-stream")
 		}
@@ -48,6 +69,10 @@
 				return
 			}
 		}
+		if strings.HasSuffix(r.URL.Path, "/stalls") {
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
 	}))
 	t.Cleanup(service.Close)
 	routing := plainRouting(1)
@@ -66,11 +91,18 @@
 			ID: core.UpstreamID(id), Service: "s", Addr: strings.TrimPrefix(service.URL, "http://"), DataCentre: "a", Slots: 64,
 		})
 	}
-	settings, _, _ := startDaemonWith(t, store, zap.NewNop(), func(s *Settings) {
+	var logged zapcore.Core
+	logged, l.logs = observer.New(zap.InfoLevel)
+	l.settings, _, _ = startDaemonWith(t, store, zap.New(logged), func(s *Settings) {
 		s.RetryAllowance = 1000
 		changeSettings(s)
 	})
-	return settings
+	return l
+}
+
+// requestID returns the id of the request that readWithPause sends.
+func requestID(path string, pause time.Duration) string {
+	return strings.ReplaceAll(path, "/", "-") + pause.String()
 }
 
 // readWithPause sends a request from a caller with a small window, and reads its answer with a pause after
@@ -87,7 +119,7 @@
 		return "", err
 	}
 	defer conn.Close()
-	id := strings.ReplaceAll(path, "/", "-") + pause.String()
+	id := requestID(path, pause)
 	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Timeout-Ms: %d\r\nContent-Length: 2\r\n\r\nhi", path, id, timeout.Milliseconds()); err != nil {
 		return "", err
 	}
@@ -115,7 +147,7 @@
 // Guards against a caller that is cut off because it takes nothing of its answer for some seconds, within
 // the time of its request.
 func TestCallerThatPausesGetsItsAnswer(t *testing.T) {
-	settings := startLongAnswers(t, func(route *config.HostRoute) { route.LatencyTarget = 10 * time.Second }, func(*Settings) {})
+	settings := startLongAnswers(t, func(route *config.HostRoute) { route.LatencyTarget = 10 * time.Second }, func(*Settings) {}).settings
 	const timeout = 18 * time.Second
 	for _, path := range []string{"/p/x", "/stream/x"} {
 		for _, pause := range []time.Duration{3 * time.Second, 7 * time.Second, 14 * time.Second} {
@@ -127,6 +159,69 @@
 	}
 }
 
+// Guards against a sound engine that is taken for stalled while the caller holds its answer up: the stream
+// ends, or runs once more at another engine.
+func TestEngineIsNotBlamedForAPauseOfTheCaller(t *testing.T) {
+	l := startLongAnswers(t, func(route *config.HostRoute) {
+		route.LatencyTarget = 100 * time.Millisecond // streams end after 5 s without an event
+		if !route.Streaming || route.Resumable {
+			route.RetrySafety, route.MaxUpstreams = config.RetrySafe, 2
+		}
+	}, func(*Settings) {})
+	t.Run("pauses", func(t *testing.T) {
+		for _, path := range []string{"/p/x", "/stream/x", "/resumable/x"} {
+			for _, pause := range []time.Duration{2800 * time.Millisecond, 5600 * time.Millisecond, 11200 * time.Millisecond} {
+				t.Run(path+" "+pause.String(), func(t *testing.T) {
+					t.Parallel()
+					checkLongAnswer(t, l.settings, path, 18*time.Second, pause)
+					is.New(t).Equal(l.runsOf(requestID(path, pause)), int64(1))
+				})
+			}
+		}
+	})
+	is := is.New(t)
+	is.Equal(l.logs.FilterMessage("dispatch: stalled").Len(), 0)
+	is.Equal(l.logs.FilterMessage("dispatch: failed").Len(), 0)
+}
+
+// Guards against an engine that stalls while its caller pauses and is not noticed when the caller reads on.
+func TestEngineThatStallsDuringAPauseIsNoticed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const pause = 7 * time.Second
+	settings := startLongAnswers(t, func(*config.HostRoute) {}, func(*Settings) {}).settings
+	start := time.Now()
+	body, err := readWithPause(t, settings, "/stream/stalls", 4*pause, pause)
+	is.True(err != nil) // the stream does not look whole
+	is.Equal(len(body), answerPieces*pieceBytes)
+	took := time.Since(start) - pause
+	is.True(took > 4*time.Second && took < 7*time.Second) // 5 s
+}
+
+// Guards against time that counts against an Upstream for which this process does not wait, and against a
+// wait for it that does not count.
+func TestOnlyWaitsForTheUpstreamCountAgainstIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := time.Duration(rapid.Int64Range(1, 1000).Draw(t, "limit")) * time.Millisecond
+		clock := readClock{limit: limit}
+		now := time.Unix(0, 0)
+		var waited time.Duration
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			if clock.begin(now) != now.Add(limit-waited) {
+				t.Fatalf("the wait ends after %s, and %s were waited of %s", clock.begin(now).Sub(now), waited, limit)
+			}
+			wait := time.Duration(rapid.Int64Range(0, 1000).Draw(t, "wait")) * time.Millisecond
+			now, waited = now.Add(wait), waited+wait
+			clock.end(now)
+			now = now.Add(time.Duration(rapid.Int64Range(0, 10_000).Draw(t, "write")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "progress") {
+				clock.progress(now)
+				waited = 0
+			}
+		}
+	})
+}
+
 // Guards against callers whose answers are closed when connections are short, although there are idle ones
 // that lose nothing.
 func TestAnswersAreKeptWhenConnectionsAreShort(t *testing.T) {
@@ -134,7 +229,7 @@
 	const readers, idle, burst, pause = 4, 60, 200, 4 * time.Second
 	settings := startLongAnswers(t, func(route *config.HostRoute) { route.LatencyTarget = 10 * time.Second }, func(s *Settings) {
 		s.MemoryMB, s.MaxFDs = 112, 400 // 80 connections of callers
-	})
+	}).settings
 	open := func() net.Conn {
 		conn, err := net.Dial("tcp", settings.CallerAddr)
 		is.NoErr(err)
