peer: drop queued messages when their time is over

Cause: a heartbeat with the usage of all accounts is due to each known peer every 150 ms. Its time limit of 300 ms was checked before it was queued only, and the queue is bounded by 4,096 messages of any size. The link tried to connect for as long as its queue was not empty, so it never became idle.

Ruled out: a smaller queue (moves the bound with the number of accounts), no heartbeats to silent peers (a peer that is cut off must hear of the others when it is back).

Change: queued messages carry their time limit, 10 s at most, and are dropped when it is over.

--- a/pkg/hosted/daemon.go
+++ b/pkg/hosted/daemon.go
@@ -503,8 +503,8 @@
 	case router.FetchState:
 		go d.fetchState(ctx, e)
 	case router.SendPeerMessage:
-		if d.now() < e.NotAfter {
-			d.peers.Send(e.To, e.Addr, envelope{Stamp: d.clock.Now(), Message: e.Message})
+		if left := e.NotAfter.Sub(d.now()); left > 0 {
+			d.peers.SendWithin(e.To, e.Addr, envelope{Stamp: d.clock.Now(), Message: e.Message}, left)
 		}
 	case router.RoutingActivated:
 		d.routing.Store(e.Routing)
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,9 +14,11 @@
 	t   *Transport[M]
 	key linkKey
 
-	mu     sync.Mutex
-	queue  []M
-	notify chan struct{}
+	mu    sync.Mutex
+	queue []queued[M]
+	// nextExpiry is not later than the first expiry in the queue.
+	nextExpiry time.Time
+	notify     chan struct{}
 
 	// The following fields are used only by the goroutine of run.
 	conn          *rpcConn
@@ -25,6 +28,12 @@
 	failureLogged bool
 }
 
+// queued is a message that was not sent yet.
+type queued[M any] struct {
+	message M
+	expiry  time.Time
+}
+
 const minBackoff = 50 * time.Millisecond
 
 func newLink[M any](t *Transport[M], key linkKey) *link[M] {
@@ -33,15 +42,18 @@
 
 // enqueue adds a message and drops the oldest one when the queue is full. The caller
 // holds Transport.mu.
-func (l *link[M]) enqueue(m M) {
+func (l *link[M]) enqueue(m queued[M]) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.dropExpired()
 	if len(l.queue) >= l.t.opts.MaxQueuedMessages {
-		var zero M
-		l.queue[0] = zero
+		l.queue[0] = queued[M]{}
 		l.queue = l.queue[1:]
 		l.t.dropped.Add(1)
 	}
+	if len(l.queue) == 0 || m.expiry.Before(l.nextExpiry) {
+		l.nextExpiry = m.expiry
+	}
 	l.queue = append(l.queue, m)
 	select {
 	case l.notify <- struct{}{}:
@@ -49,12 +61,30 @@
 	}
 }
 
-// dequeueBatch removes and returns the messages for the next call.
-func (l *link[M]) dequeueBatch() []M {
+// dropExpired drops the messages that have expired. What is kept for a peer that is gone is
+// bounded by this. The caller holds mu.
+func (l *link[M]) dropExpired() {
+	now := time.Now()
+	before := len(l.queue)
+	if before == 0 || now.Before(l.nextExpiry) {
+		return
+	}
+	l.queue = slices.DeleteFunc(l.queue, func(m queued[M]) bool { return !now.Before(m.expiry) })
+	l.t.expired.Add(int64(before - len(l.queue)))
+	if len(l.queue) == 0 {
+		l.queue = nil
+		return
+	}
+	l.nextExpiry = slices.MinFunc(l.queue, func(a, b queued[M]) int { return a.expiry.Compare(b.expiry) }).expiry
+}
+
+// dequeueBatch removes and returns the messages for the next call, none if all have expired.
+func (l *link[M]) dequeueBatch() []queued[M] {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.dropExpired()
 	n := min(len(l.queue), l.t.opts.MaxBatch)
-	batch := append([]M(nil), l.queue[:n]...)
+	batch := slices.Clone(l.queue[:n])
 	l.queue = l.queue[n:]
 	if len(l.queue) == 0 {
 		l.queue = nil
@@ -64,18 +94,21 @@
 
 // requeue puts messages that were not sent back at the front of the queue. The oldest
 // ones are dropped when the queue has no capacity left for them.
-func (l *link[M]) requeue(messages []M) {
+func (l *link[M]) requeue(messages []queued[M]) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	capacity := max(0, l.t.opts.MaxQueuedMessages-len(l.queue))
 	excess := max(0, len(messages)-capacity)
 	l.t.dropped.Add(int64(excess))
 	l.queue = append(messages[excess:], l.queue...)
+	l.nextExpiry = time.Time{}
 }
 
+// empty reports whether no message is left to send.
 func (l *link[M]) empty() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.dropExpired()
 	return len(l.queue) == 0
 }
 
@@ -116,16 +149,21 @@
 			}
 			continue
 		}
-		l.send(l.dequeueBatch())
+		if batch := l.dequeueBatch(); len(batch) > 0 {
+			l.send(batch)
+			l.lastSend = time.Now()
+		}
 	}
-	l.lastSend = time.Now()
 	return true
 }
 
 // send sends a batch in one call. Messages of a failed call are not retried, because
 // the peer may have received them.
-func (l *link[M]) send(messages []M) {
-	batch := Batch[M]{Incarnation: l.t.selfRef().Incarnation, Messages: messages}
+func (l *link[M]) send(messages []queued[M]) {
+	batch := Batch[M]{Incarnation: l.t.selfRef().Incarnation}
+	for _, m := range messages {
+		batch.Messages = append(batch.Messages, m.message)
+	}
 	outcome, err := l.call("Peer.Deliver", batch, l.t.opts.CallTimeout)
 	if outcome == outcomeNotSent {
 		l.requeue(messages)
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -31,6 +31,8 @@
 	CallTimeout time.Duration
 	// MaxQueuedMessages bounds the messages that are queued for one peer. Default 4096.
 	MaxQueuedMessages int
+	// MaxQueueTime bounds the time for which a message is queued. Default 10 s.
+	MaxQueueTime time.Duration
 	// MaxBatch bounds the messages of one call. Default 512.
 	MaxBatch int
 	// MaxMessage bounds the bytes of one call or reply. Default 4 MiB.
@@ -71,6 +73,7 @@
 	o.BatchDelay = orDefault(o.BatchDelay, 2*time.Millisecond)
 	o.CallTimeout = orDefault(o.CallTimeout, 2*time.Second)
 	o.MaxQueuedMessages = orDefault(o.MaxQueuedMessages, 4096)
+	o.MaxQueueTime = orDefault(o.MaxQueueTime, 10*time.Second)
 	o.MaxBatch = orDefault(o.MaxBatch, 512)
 	o.MaxMessage = orDefault(o.MaxMessage, 4<<20)
 	o.PingInterval = orDefault(o.PingInterval, 5*time.Second)
@@ -100,6 +103,8 @@
 	Messages, Batches int64
 	// Dropped counts messages that were dropped from a full queue.
 	Dropped int64
+	// Expired counts messages that could not be sent in time.
+	Expired int64
 	// Lost counts the messages of failed calls. The peer may have received them.
 	Lost int64
 	// Stale counts messages that were discarded because their sender has a newer
@@ -128,6 +133,7 @@
 	messages atomic.Int64
 	batches  atomic.Int64
 	dropped  atomic.Int64
+	expired  atomic.Int64
 	lost     atomic.Int64
 	stale    atomic.Int64
 	rejected atomic.Int64
@@ -192,13 +198,19 @@
 	return Stats{
 		BytesSent: t.traffic.sent.Load(), BytesReceived: t.traffic.received.Load(),
 		Messages: t.messages.Load(), Batches: t.batches.Load(),
-		Dropped: t.dropped.Load(), Lost: t.lost.Load(), Stale: t.stale.Load(), Rejected: t.rejected.Load(),
+		Dropped: t.dropped.Load(), Expired: t.expired.Load(), Lost: t.lost.Load(), Stale: t.stale.Load(), Rejected: t.rejected.Load(),
 	}
 }
 
 // Send queues a message for a peer and returns immediately. When the queue is full,
 // the oldest message is dropped and counted.
 func (t *Transport[M]) Send(to core.InstanceID, addr string, m M) {
+	t.SendWithin(to, addr, m, t.opts.MaxQueueTime)
+}
+
+// SendWithin is Send for a message that is dropped if it is not sent within limit, or
+// MaxQueueTime if that is shorter.
+func (t *Transport[M]) SendWithin(to core.InstanceID, addr string, m M, limit time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
@@ -211,7 +223,7 @@
 		t.links[key] = l
 		t.goroutines.Go(l.run)
 	}
-	l.enqueue(m)
+	l.enqueue(queued[M]{m, time.Now().Add(min(limit, t.opts.MaxQueueTime))})
 }
 
 // Close closes all connections and waits for all goroutines. Queued messages are
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -537,3 +537,33 @@
 		return len(b.conns) == 0
 	})
 }
+
+// Guards against messages that are kept for a peer that is gone, and against one that is sent although a
+// newer one has replaced it.
+func TestExpiredMessagesAreNotKept(t *testing.T) {
+	is := is.New(t)
+	reserved, err := net.Listen("tcp", loopback)
+	is.NoErr(err)
+	addr := reserved.Addr().String()
+	reserved.Close()
+	a, _ := newTransport(t, "a", 1, Options{}, loopback)
+	const limit = 200 * time.Millisecond
+	for i := range 30 {
+		a.SendWithin("b", addr, message{Seq: i}, limit)
+		time.Sleep(20 * time.Millisecond)
+	}
+	a.Send("b", addr, message{Seq: 100})
+	a.mu.Lock()
+	l := a.links[linkKey{to: "b", addr: addr}]
+	a.mu.Unlock()
+	l.mu.Lock()
+	kept := len(l.queue)
+	l.mu.Unlock()
+	is.True(kept <= int(limit/(20*time.Millisecond))+1)
+	time.Sleep(2 * limit)
+	_, received := newTransport(t, "b", 1, Options{}, addr)
+	eventually(t, "delivery", func() bool { return received.has(100) })
+	is.Equal(received.seqs, []int{100})
+	is.Equal(a.Stats().Expired, int64(30))
+	is.True(l.empty())
+}
--- a/pkg/server/peers.go
+++ b/pkg/server/peers.go
@@ -29,10 +29,9 @@
 const maxTimelineEvents = 5_000
 
 func (s *Server) sendPeer(e router.SendPeerMessage) {
-	if s.clock.now() >= e.NotAfter {
-		return
+	if left := e.NotAfter.Sub(s.clock.now()); left > 0 {
+		s.peers.SendWithin(e.To, e.Addr, Envelope{Stamp: s.timelineClock.Now(), Message: e.Message}, left)
 	}
-	s.peers.Send(e.To, e.Addr, Envelope{Stamp: s.timelineClock.Now(), Message: e.Message})
 }
 
 func (s *Server) deliver(from core.InstanceRef, batch []Envelope) {
