upstream: a long body may be read slowly

Ruled out: a longer timeout (engines that are gone would be noticed later, for all requests).

Change: requests of up to 8 KB keep the timeout. The connection of a longer one is watched by pkg/ackwatch with the same limit until the header of its answer arrives.

TestLongBodyMayBeReadSlowly: without the fix, the case "at the begin" fails with "unexpected EOF" after 3.3 s; both cases pass now. The tests of pkg/upstream pass with the race detector.

--- a/pkg/ackwatch/conn.go
+++ b/pkg/ackwatch/conn.go
@@ -10,14 +10,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// checkInterval is the interval of samples while a connection is written to.
-const checkInterval = time.Second
+// CheckInterval is the interval of samples while a connection is written to.
+const CheckInterval = time.Second
 
 // ErrUnresponsive means that the peer has acknowledged nothing for the time limit of the connection.
 var ErrUnresponsive = errors.New("the peer does not acknowledge what is sent to it")
 
 // Conn is a connection whose writes fail when its peer is unresponsive. A peer that keeps its window
-// closed is bounded by the write deadline only. One goroutine may write at a time.
+// closed is bounded by the write deadline only. One goroutine may write or check at a time.
 type Conn struct {
 	net.Conn
 	tcp   *net.TCPConn // nil for another kind of connection
@@ -25,7 +25,7 @@
 	// sample reads the state of the connection. It reports false where the system does not tell it.
 	sample func() (Sample, bool)
 
-	// watch and checkedAt are used by the goroutine that writes.
+	// watch and checkedAt are used by the goroutine that writes or checks.
 	watch     Watch
 	checkedAt time.Time
 
@@ -44,10 +44,10 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	written := 0
 	for {
-		if err := c.check(); err != nil {
+		if err := c.Check(); err != nil {
 			return written, err
 		}
-		if err := c.setWriteDeadline(time.Now().Add(checkInterval)); err != nil {
+		if err := c.setWriteDeadline(time.Now().Add(CheckInterval)); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(p[written:])
@@ -58,10 +58,11 @@
 	}
 }
 
-// check samples the connection, at most once in checkInterval.
-func (c *Conn) check() error {
+// Check returns ErrUnresponsive once the peer has been unresponsive for the time limit. It samples the
+// connection at most once in CheckInterval.
+func (c *Conn) Check() error {
 	now := time.Now()
-	if now.Sub(c.checkedAt) < checkInterval {
+	if now.Sub(c.checkedAt) < CheckInterval {
 		return nil
 	}
 	c.checkedAt = now
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/rhubarbsill/rhubarbsill/pkg/ackwatch"
 )
 
 // PoolOptions are the settings of a Pool. Zero values select the defaults.
@@ -105,6 +107,8 @@
 	limit       headLimit
 	reader      *bufio.Reader
 	writeResult chan error // result of the current write
+	// userTimeout is the TCP user timeout that is set, 0 for none.
+	userTimeout time.Duration
 	reusable,
 	reused bool
 	idleDeadline time.Time // when it must no longer be used as an idle connection
@@ -148,7 +152,6 @@
 		}
 		return nil, &Error{Kind: ConnectFailed, URL: addr, Err: err}
 	}
-	setTCPUserTimeout(conn, p.opts.TCPUserTimeout)
 	c := &exchangeConn{Conn: conn, pool: p, addr: addr, limit: headLimit{conn: conn}}
 	c.reader = bufio.NewReader(&c.limit)
 	return c, nil
@@ -195,15 +198,18 @@
 }
 
 // setTCPUserTimeout makes the kernel close a TCP connection whose data stays
-// unacknowledged for longer than the limit. Writes alone don't detect an unresponsive
-// peer, since the kernel buffers them. It does nothing for other connections.
-func setTCPUserTimeout(conn net.Conn, limit time.Duration) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		if raw, err := tcp.SyscallConn(); err == nil {
-			_ = raw.Control(func(fd uintptr) {
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
-			})
-		}
+// unacknowledged for longer than the limit, 0 for none. Writes alone don't detect an
+// unresponsive peer, since the kernel buffers them. It does nothing for other connections.
+func (c *exchangeConn) setTCPUserTimeout(limit time.Duration) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || limit == c.userTimeout {
+		return
+	}
+	c.userTimeout = limit
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+		})
 	}
 }
 
@@ -292,7 +298,9 @@
 		conn.Close()
 		return nil, &Error{Kind: Expired, URL: conn.addr, Err: errDeadlinePassed}
 	}
-	conn.write(q)
+	headerRead := make(chan struct{})
+	defer close(headerRead)
+	conn.write(q, headerRead)
 	for range maxMismatchedResponses {
 		response, err := conn.readHeader(q)
 		if err != nil {
@@ -340,8 +348,8 @@
 }
 
 // write sends the request. A long one is sent on its own goroutine: an Upstream may
-// respond before it has read the complete body.
-func (c *exchangeConn) write(q Request) {
+// respond before it has read the complete body, and may read it slowly.
+func (c *exchangeConn) write(q Request, headerRead <-chan struct{}) {
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", q.Method, q.Target, q.Host)
 	_ = q.Header.Write(&head) // a bytes.Buffer does not return errors
@@ -351,16 +359,36 @@
 	head.WriteString("\r\n")
 	c.writeResult = make(chan error, 1)
 	if len(q.Body) <= maxInlineBodyBytes {
+		c.setTCPUserTimeout(c.pool.opts.TCPUserTimeout)
 		head.Write(q.Body)
 		_, err := c.Write(head.Bytes())
 		c.writeResult <- err
 		return
 	}
+	c.setTCPUserTimeout(0)
 	parts := net.Buffers{head.Bytes(), q.Body} // a long body is not copied
-	go func() {
-		_, err := parts.WriteTo(c.Conn)
-		c.writeResult <- err
-	}()
+	go c.writeLong(parts, headerRead)
+}
+
+// writeLong writes a request to an Upstream that may read it slowly. It closes the connection
+// when the Upstream is unresponsive, also while the kernel still sends the rest of the request.
+func (c *exchangeConn) writeLong(parts net.Buffers, headerRead <-chan struct{}) {
+	watched := ackwatch.New(c.Conn, c.pool.opts.TCPUserTimeout)
+	_, err := parts.WriteTo(watched)
+	c.writeResult <- err
+	timer := time.NewTicker(ackwatch.CheckInterval)
+	defer timer.Stop()
+	for err == nil {
+		select {
+		case <-headerRead:
+			return
+		case <-timer.C:
+			err = watched.Check()
+		}
+	}
+	if errors.Is(err, ackwatch.ErrUnresponsive) {
+		c.Close()
+	}
 }
 
 // maxInlineBodyBytes is the longest body that is written before the response is read.
