upstream: clear the write deadline after a long body

Cause: the watched write of a long body left its deadline on the connection. A later request on the same connection failed to be written, and waited for an answer without a time limit.

TestConnectionIsReusedAfterALongBody: without the fix it hangs at the second request until the test's time is over (10 min); passes now, with the race detector.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -375,6 +375,7 @@
 func (c *exchangeConn) writeLong(parts net.Buffers, headerRead <-chan struct{}) {
 	watched := ackwatch.New(c.Conn, c.pool.opts.TCPUserTimeout)
 	_, err := parts.WriteTo(watched)
+	_ = c.SetWriteDeadline(time.Time{}) // of the last write; fails only on a closed connection
 	c.writeResult <- err
 	timer := time.NewTicker(ackwatch.CheckInterval)
 	defer timer.Stop()
--- a/pkg/upstream/slow_body_test.go
+++ b/pkg/upstream/slow_body_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,3 +54,25 @@
 		})
 	}
 }
+
+// Guards against a connection that can't be written to any more some time after a long body.
+func TestConnectionIsReusedAfterALongBody(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body) // a short body is seen by its length
+		_, _ = fmt.Fprint(w, n)
+	}))
+	defer server.Close()
+	pool := NewPool(PoolOptions{IdleTimeout: time.Minute})
+	for i, size := range []int{1 << 20, 100, 1 << 20, 100} {
+		response, err := pool.Do(context.Background(), strings.TrimPrefix(server.URL, "http://"), Request{
+			Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: make([]byte, size), SafeToRetry: true,
+		})
+		is.NoErr(err)
+		is.Equal(response.Reused, i > 0)
+		text, err := response.ReadAll(100)
+		is.NoErr(err)
+		is.Equal(string(text), fmt.Sprint(size))
+		time.Sleep(1500 * time.Millisecond)
+	}
+}
