ackwatch: take no sample of a connection in its first second

The first write of each connection read TCP_INFO, also where the connection carries one short answer. Admission: a parameter that is also the running result is named for what it bounds. No other change.

--- a/pkg/ackwatch/conn.go
+++ b/pkg/ackwatch/conn.go
@@ -37,7 +37,7 @@
 // watched.
 func New(conn net.Conn, limit time.Duration) *Conn {
 	tcp, _ := conn.(*net.TCPConn)
-	return &Conn{Conn: conn, tcp: tcp, limit: limit, sample: func() (Sample, bool) { return readSample(tcp) }}
+	return &Conn{Conn: conn, tcp: tcp, limit: limit, sample: func() (Sample, bool) { return readSample(tcp) }, checkedAt: time.Now()}
 }
 
 // Write implements net.Conn.
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -202,7 +202,7 @@
 // for it. It is refused only if none has a weaker claim.
 func (b *Budget) Open(now core.Instant, id ConnID, class Class) Decision {
 	var d Decision
-	var own claim
+	var own claim // the debt of a new connection is 0
 	if b.open[class] >= b.limits.Conns[class] {
 		victim := b.weakest(now, own, func(c *conn) bool { return c.class == class })
 		if victim == nil {
@@ -295,16 +295,16 @@
 	return claim{hasAnswer: (c.phase == Running || c.phase == Sending) && !b.answersCrowd(), debt: c.debtAt(now)}
 }
 
-// weakest returns the connection with the weakest claim, nil if none is weaker than own. A connection in
-// whose request an Upstream may be involved is never chosen.
-func (b *Budget) weakest(now core.Instant, own claim, eligible func(*conn) bool) *conn {
+// weakest returns the connection with the weakest claim, nil if none is weaker than a claim. A connection
+// in whose request an Upstream may be involved is never chosen.
+func (b *Budget) weakest(now core.Instant, than claim, eligible func(*conn) bool) *conn {
 	var found *conn
 	for _, c := range b.conns {
 		if c.closing || c.phase == Running || !eligible(c) {
 			continue
 		}
-		if claim := b.claimAt(now, c); claim.isWeakerThan(own) {
-			found, own = c, claim
+		if claim := b.claimAt(now, c); claim.isWeakerThan(than) {
+			found, than = c, claim
 		}
 	}
 	return found
