--- a/pkg/hosted/slow_reader_test.go
+++ b/pkg/hosted/slow_reader_test.go
@@ -109,12 +109,7 @@
 // the first bytes. It returns the bytes of the body and how the reading has ended.
 func readWithPause(t *testing.T, settings Settings, path string, timeout, pause time.Duration) (body string, err error) {
 	t.Helper()
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallWindow)
-		})
-	}}
-	conn, err := dialer.Dial("tcp", settings.CallerAddr)
+	conn, err := dialWithWindow(settings.CallerAddr, smallWindow)
 	if err != nil {
 		return "", err
 	}
@@ -132,6 +127,14 @@
 	return string(text), err
 }
 
+// dialWithWindow connects with a receive buffer of a size.
+func dialWithWindow(addr string, size int) (net.Conn, error) {
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size) })
+	}}
+	return dialer.Dial("tcp", addr)
+}
+
 // checkLongAnswer checks that a caller that pauses gets all pieces in order.
 func checkLongAnswer(t *testing.T, settings Settings, path string, timeout, pause time.Duration) {
 	t.Helper()
