hosted: a test does not count its own slow service as a stall

Cause, from the log of that run: the route of whole answers had a latency target of 100 ms, after which a request that may be repeated goes to another upstream. The service of the test, with the race detector beside that load, took longer for its 600,000 bytes. That is a stall as the product defines it, before the caller's pause begins.

Change: 3 s for whole answers; streams are as before (1 s without an event). What the 100 ms also checked, that the watch does not run while an answer is written, is checked without a time limit of the service by TestStallWatchRunsOnlyDuringReads: no report while nothing is read, one while a read waits. Both pass with the race detector.

--- a/pkg/hosted/slow_reader_test.go
+++ b/pkg/hosted/slow_reader_test.go
@@ -170,6 +170,9 @@
 		if !route.Streaming || route.Resumable {
 			route.RetrySafety, route.MaxUpstreams = config.RetrySafe, 2
 		}
+		if !route.Streaming {
+			route.LatencyTarget = 3 * time.Second // the test's own service must answer within it
+		}
 	}, func(*Settings) {})
 	t.Run("pauses", func(t *testing.T) {
 		for _, path := range []string{"/p/x", "/stream/x", "/resumable/x"} {
@@ -225,6 +228,28 @@
 	})
 }
 
+// Guards against a watch that counts time in which nobody waits for the Upstream, or none at all.
+func TestStallWatchRunsOnlyDuringReads(t *testing.T) {
+	is := is.New(t)
+	reports := make(chan struct{}, 100)
+	w := &stallWatch{clock: readClock{limit: 50 * time.Millisecond}, report: func() { reports <- struct{}{} }}
+	w.timer = time.AfterFunc(time.Hour, w.fire)
+	defer w.stop()
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	go func() { _, _ = far.Write([]byte("x")) }() // fails only if the test has ended
+	_, err := w.reader(near).Read(make([]byte, 1))
+	is.NoErr(err)
+	for len(reports) > 0 { // the write may have begun late
+		<-reports
+	}
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(len(reports), 0)
+	go func() { _, _ = w.reader(near).Read(make([]byte, 1)) }() // ends with the test
+	<-reports
+}
+
 // Guards against callers whose answers are closed when connections are short, although there are idle ones
 // that lose nothing.
 func TestAnswersAreKeptWhenConnectionsAreShort(t *testing.T) {
