--- a/review/harness3/instance.go
+++ b/review/harness3/instance.go
@@ -32,6 +32,7 @@
 	variable string
 	bounds   fields
 	zones    []string
+	ip       string
 	mu       sync.Mutex
 	used     map[int]bool
 }
@@ -65,6 +66,8 @@
 	return &Site{
 		Record: record, Store: store, dir: dir, template: string(text), variable: variable, bounds: bounds,
 		zones: []string{"a-1", "a-2"}, used: map[int]bool{},
+		// A loopback address of its own keeps the ports apart from those of a site beside it.
+		ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)),
 	}, nil
 }
 
@@ -78,7 +81,7 @@
 		if s.used[port] {
 			continue
 		}
-		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+		if l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", s.ip, port)); err == nil {
 			_ = l.Close() // nothing was accepted
 			s.used[port] = true
 			return port
@@ -92,7 +95,7 @@
 	for _, zone := range s.zones {
 		regions[zone] = "a"
 	}
-	addr := func() string { return fmt.Sprintf("127.0.0.1:%d", s.freePort()) }
+	addr := func() string { return fmt.Sprintf("%s:%d", s.ip, s.freePort()) }
 	var control, seeds []string
 	for range n {
 		control = append(control, addr())
@@ -102,7 +105,7 @@
 		name := fmt.Sprintf("front-%d", i+1)
 		inst := &Instance{Name: name, Front: addr(), Ready: addr(), site: s, settings: filepath.Join(s.dir, name+".conf")}
 		data := fields{
-			"node_name": name, "zone": s.zones[i%len(s.zones)], "region": "a", "zones": regions, "ip": "127.0.0.1",
+			"node_name": name, "zone": s.zones[i%len(s.zones)], "region": "a", "zones": regions, "ip": s.ip,
 			"listen":         fields{"front": inst.Front, "ready": inst.Ready, "directory": addr(), "control": control[i]},
 			"internal_ports": []string{fmt.Sprint(s.freePort())}, "seeds": seeds,
 			"platform": fields{"address": s.Store.Addr}, "limits": fields{"memory_mb": 134, "max_fds": 4100}, "bounds": s.bounds,
